jaywind: thin path from a caller over a router to an engine

The whole path as separate processes: a store, three engines, three routers and a client. Not yet there: fleet traffic, once-only calls, moves.

--- /dev/null
+++ b/cmd/jaywind/main.go
@@ -0,0 +1,117 @@
+// Command jaywind is the router of the fleet and the operators' tool for it.
+//
+//	jaywind route -settings vm1.toml
+//	jaywind check -settings vm1.toml -rules rules.txt
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+)
+
+// The exit codes of all subcommands.
+const (
+	exitOK    = 0
+	exitFault = 1 // the command ran and has something bad to say
+	exitUsage = 2 // the command line can't be used
+)
+
+// command is one subcommand.
+type command struct {
+	summary string
+	example string
+	run     func(ctx context.Context, c *console) int
+}
+
+var commands = map[string]command{
+	"apply":   {"puts a rules file in force", "jaywind apply -settings vm1.toml -rules rules.txt", apply},
+	"ask":     {"asks for a generation and checks the answer", "jaywind ask -entry http://127.0.0.1:8101 -model heat fins for 40 W", ask},
+	"check":   {"finds all faults in settings and rules", "jaywind check -settings vm1.toml -rules rules.txt", check},
+	"route":   {"runs a router", "jaywind route -settings vm1.toml", route},
+	"version": {"prints the version", "jaywind version", version},
+}
+
+// console is what a subcommand reads and writes.
+type console struct {
+	name    string
+	example string
+	args    []string
+	in      io.Reader
+	out     io.Writer
+	err     io.Writer
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	code := dispatch(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+func dispatch(ctx context.Context, args []string, in io.Reader, out, errs io.Writer) int {
+	if len(args) == 0 || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help" {
+		usage(out)
+		return exitOK
+	}
+	c, known := commands[args[0]]
+	if !known {
+		_, _ = fmt.Fprintf(errs, "jaywind: unknown command %q; see jaywind -h\n", args[0])
+		return exitUsage
+	}
+	return c.run(ctx, &console{name: args[0], example: c.example, args: args[1:], in: in, out: out, err: errs})
+}
+
+func usage(out io.Writer) {
+	_, _ = fmt.Fprintln(out, "usage: jaywind COMMAND [flags]; jaywind COMMAND -h tells more")
+	for _, name := range slices.Sorted(maps.Keys(commands)) {
+		_, _ = fmt.Fprintf(out, "  %-8s %s\n", name, commands[name].summary)
+	}
+}
+
+// flags returns a flag set whose help shows the example.
+func (c *console) flags() *flag.FlagSet {
+	f := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	f.SetOutput(c.err)
+	f.Usage = func() {
+		_, _ = fmt.Fprintf(f.Output(), "example: %s\n", c.example)
+		f.PrintDefaults()
+	}
+	return f
+}
+
+// parse reads the flags; code is what to exit with when more is false.
+func (c *console) parse(f *flag.FlagSet) (code int, more bool) {
+	err := f.Parse(c.args)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK, false
+	}
+	if err != nil {
+		return exitUsage, false
+	}
+	return exitOK, true
+}
+
+// fail prints one clear line and returns the exit code for a fault.
+func (c *console) fail(err error) int {
+	_, _ = fmt.Fprintf(c.err, "jaywind %s: %v\n", c.name, err)
+	return exitFault
+}
+
+// misuse prints one clear line and returns the exit code for a bad command line.
+func (c *console) misuse(what string) int {
+	_, _ = fmt.Fprintf(c.err, "jaywind %s: %s; see jaywind %s -h\n", c.name, what, c.name)
+	return exitUsage
+}
+
+func (c *console) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.out, format, args...)
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,87 @@
+// Command standin runs one stand-in for an outside system as a process.
+//
+//	standin engine -listen 127.0.0.1:9101 -id e1 -model heat -version v1
+//	standin store -listen 127.0.0.1:9200
+//
+// Faults are switched by POST /faults with the switches as JSON.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/store"
+)
+
+var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
+	"engine": engineFlags,
+	"store":  storeFlags,
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx, os.Args[1:])
+	stop()
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, args []string) error {
+	if len(args) == 0 || kinds[args[0]] == nil {
+		return errors.New("want a kind: engine or store")
+	}
+	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
+	handler := kinds[args[0]](f)
+	if err := f.Parse(args[1:]); err != nil {
+		return err
+	}
+	server := &http.Server{Addr: *listen, Handler: handler(), ReadHeaderTimeout: 5 * time.Second}
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func engineFlags(f *flag.FlagSet) func() http.Handler {
+	id := f.String("id", "e1", "endpoint `id`")
+	model := f.String("model", "heat", "model `name`")
+	version := f.String("version", "v1", "model `version`")
+	gap := f.Duration("gap", 5*time.Millisecond, "time between tokens")
+	prefill := f.Duration("prefill", 20*time.Millisecond, "time for 1,000 tokens of prefix")
+	keep := f.Duration("keep", 10*time.Second, "how long a stream without a listener goes on")
+	return func() http.Handler {
+		e := &engine.Engine{
+			ID:      jaywind.EndpointID(*id),
+			Model:   jaywind.Model(*model),
+			Version: jaywind.Version(*version),
+			Gap:     *gap,
+			Prefill: *prefill,
+			Keep:    *keep,
+		}
+		return e.Handler()
+	}
+}
+
+func storeFlags(*flag.FlagSet) func() http.Handler {
+	return func() http.Handler { return (&store.Store{}).Handler() }
+}
--- /dev/null
+++ b/embed/router.go
@@ -0,0 +1,133 @@
+package embed
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/internal/core/step"
+	"jaywind/internal/core/table"
+)
+
+const (
+	defaultTick = 20 * time.Millisecond
+	eventBuffer = 1024 // events that may wait for the loop
+	batchLimit  = 256  // events of one tick
+)
+
+// ErrStopped is returned by calls on a router that does not run any more.
+var ErrStopped = eris.New("the router has stopped")
+
+// Router is one router of the fleet; set its fields before Run.
+type Router struct {
+	Self   jaywind.VM
+	Domain jaywind.Domain
+	Seed   uint64
+	Tick   time.Duration // between full ticks; 20 ms when zero
+	Clock  jaywind.Clock // the machine's when nil
+	Engine jaywind.Engine
+	Store  jaywind.Store // rules are given by SetRules when nil
+	Log    *zap.Logger   // silent when nil
+
+	start   sync.Once
+	core    step.Core
+	events  chan table.Event
+	stopped chan struct{}
+	group   conc.WaitGroup
+	streams map[streamKey]context.CancelFunc
+	answers answerSet
+	ready   atomic.Bool
+}
+
+// init sets the defaults, whichever method comes first.
+func (r *Router) init() {
+	r.start.Do(func() {
+		if r.Tick == 0 {
+			r.Tick = defaultTick
+		}
+		if r.Clock == nil {
+			r.Clock = jaywind.SystemClock{}
+		}
+		if r.Log == nil {
+			r.Log = zap.NewNop()
+		}
+		r.core.State = table.New(r.Seed)
+		r.core.State.Self = r.Self
+		r.core.State.Domain = r.Domain
+		r.events = make(chan table.Event, eventBuffer)
+		r.stopped = make(chan struct{})
+		r.streams = map[streamKey]context.CancelFunc{}
+		r.answers.open = map[jaywind.RequestID]*Answer{}
+	})
+}
+
+// Run serves until ctx ends and returns when all the router's goroutines have.
+func (r *Router) Run(ctx context.Context) error {
+	r.init()
+	ctx, cancel := context.WithCancel(ctx)
+	if r.Store != nil {
+		r.group.Go(func() { r.followRules(ctx) })
+	}
+	r.loop(ctx)
+	close(r.stopped)
+	cancel()
+	r.answers.closeAll()
+	r.group.Wait()
+	return nil
+}
+
+// loop runs a tick for each batch of events and a full one at each interval.
+func (r *Router) loop(ctx context.Context) {
+	ticker := time.NewTicker(r.Tick)
+	defer ticker.Stop()
+	for {
+		full := false
+		var batch []table.Event
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			full = true
+		case e := <-r.events:
+			batch = append(batch, e)
+		}
+		batch = r.drain(batch)
+		for _, c := range r.core.Step(r.Clock.Now(), full, batch) {
+			r.execute(ctx, c)
+		}
+		r.ready.Store(r.core.State.Rules != nil && !r.core.State.Stopping)
+	}
+}
+
+func (r *Router) drain(batch []table.Event) []table.Event {
+	for len(batch) < batchLimit {
+		select {
+		case e := <-r.events:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// post hands an event to the loop and returns false once the router has stopped.
+func (r *Router) post(e table.Event) bool {
+	select {
+	case r.events <- e:
+		return true
+	case <-r.stopped:
+		return false
+	}
+}
+
+// Ready tells whether rules are in force and no shutdown has begun.
+func (r *Router) Ready() bool {
+	return r.ready.Load()
+}
--- /dev/null
+++ b/internal/backend/engine/client.go
@@ -0,0 +1,184 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"jaywind"
+)
+
+const (
+	dialLimit  = time.Second
+	bodyLimit  = 1 << 20 // bytes of a reply that is not a stream
+	frameLimit = 1 << 16 // bytes of one event
+)
+
+// Client is the jaywind.Engine that speaks to engines over HTTP.
+type Client struct {
+	// Transport carries the calls; nil dials a new connection for each.
+	Transport http.RoundTripper
+}
+
+var _ jaywind.Engine = (*Client)(nil)
+
+var fresh = &http.Transport{
+	DialContext:       (&net.Dialer{Timeout: dialLimit}).DialContext,
+	DisableKeepAlives: true,
+}
+
+// Open starts or resumes a stream.
+func (c *Client) Open(ctx context.Context, at jaywind.Address, call jaywind.Call) (jaywind.Stream, error) {
+	request, err := openRequest(ctx, at, call)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
+	}
+	request.Header.Set("Accept", "text/event-stream")
+	response, err := c.send(request)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(response.Body), nil
+}
+
+func openRequest(ctx context.Context, at jaywind.Address, call jaywind.Call) (*http.Request, error) {
+	if call.Resume {
+		query := url.Values{}
+		query.Set("from", strconv.Itoa(int(call.From)))
+		query.Set("attempt", strconv.FormatUint(uint64(call.Attempt), 10))
+		target := streamURL(at, call.Request) + "?" + query.Encode()
+		return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	}
+	return newJSON(ctx, string(at)+"/v1/completions", completionOf(call))
+}
+
+// Probe asks how far a request has got.
+func (c *Client) Probe(ctx context.Context, at jaywind.Address, id jaywind.RequestID) (jaywind.Progress, error) {
+	var p progress
+	if err := c.read(ctx, streamURL(at, id)+"/progress", &p); err != nil {
+		return jaywind.Progress{}, err
+	}
+	return jaywind.Progress{Position: jaywind.Position(p.Position), Done: p.Done}, nil
+}
+
+// Cancel ends the work of a request for all attempts up to a.
+func (c *Client) Cancel(ctx context.Context, at jaywind.Address, id jaywind.RequestID, a jaywind.Attempt) error {
+	target := streamURL(at, id) + "?attempt=" + strconv.FormatUint(uint64(a), 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
+	}
+	response, err := c.send(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// Load reads the engine's load report.
+func (c *Client) Load(ctx context.Context, at jaywind.Address) (jaywind.Load, error) {
+	var l load
+	if err := c.read(ctx, string(at)+"/v1/load", &l); err != nil {
+		return jaywind.Load{}, err
+	}
+	out := jaywind.Load{Running: l.Running, Queued: l.Queued, At: l.At, Leaving: l.Leaving, Version: jaywind.Version(l.Version)}
+	for _, v := range l.Loaded {
+		out.Loaded = append(out.Loaded, jaywind.Version(v))
+	}
+	return out, nil
+}
+
+// Order gives an order to the engine.
+func (c *Client) Order(ctx context.Context, at jaywind.Address, o jaywind.Order) error {
+	w := order{Fence: uint64(o.Fence), Model: string(o.Model), Version: string(o.Version), Action: string(o.Action)}
+	request, err := newJSON(ctx, string(at)+"/v1/orders", w)
+	if err != nil {
+		return fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
+	}
+	response, err := c.send(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+func streamURL(at jaywind.Address, id jaywind.RequestID) string {
+	return string(at) + "/v1/streams/" + url.PathEscape(string(id))
+}
+
+func newJSON(ctx context.Context, target string, body any) (*http.Request, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// read gets a small JSON reply.
+func (c *Client) read(ctx context.Context, target string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
+	}
+	response, err := c.send(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(response.Body, bodyLimit)).Decode(into); err != nil {
+		return fmt.Errorf("reply of %s: %w", target, err)
+	}
+	return nil
+}
+
+// send returns a reply with a success status, or says what is known of the failure.
+func (c *Client) send(request *http.Request) (*http.Response, error) {
+	transport := c.Transport
+	if transport == nil {
+		transport = fresh
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, dialError(err)
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		return response, nil
+	}
+	note, _ := io.ReadAll(io.LimitReader(response.Body, 200))
+	_ = response.Body.Close()
+	return nil, statusError(response.StatusCode, string(note))
+}
+
+// dialError marks a failure to connect, before which nothing can have been sent.
+func dialError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
+	}
+	return err
+}
+
+func statusError(status int, note string) error {
+	switch status {
+	case http.StatusNotFound:
+		return fmt.Errorf("%w: %s", jaywind.ErrNoStream, note)
+	case http.StatusConflict:
+		return fmt.Errorf("%w: %s", jaywind.ErrFenced, note)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %d %s", jaywind.ErrBusy, status, note)
+	}
+	return fmt.Errorf("engine answered %d %s", status, note)
+}
--- /dev/null
+++ b/internal/backend/engine/stream.go
@@ -0,0 +1,48 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"iter"
+
+	"github.com/tmaxmax/go-sse"
+
+	"jaywind"
+)
+
+// stream reads the events of one attempt.
+type stream struct {
+	body io.ReadCloser
+	next func() (sse.Event, error, bool)
+	stop func()
+}
+
+func newStream(body io.ReadCloser) *stream {
+	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: frameLimit})
+	next, stop := iter.Pull2(events)
+	return &stream{body: body, next: next, stop: stop}
+}
+
+// Next returns the next frame.
+func (s *stream) Next() (jaywind.Frame, error) {
+	e, err, more := s.next()
+	if err != nil {
+		return jaywind.Frame{}, fmt.Errorf("stream: %w", err)
+	}
+	if !more {
+		return jaywind.Frame{}, io.EOF
+	}
+	var c chunk
+	if err := json.Unmarshal([]byte(e.Data), &c); err != nil {
+		return jaywind.Frame{}, fmt.Errorf("%w: %w", jaywind.ErrFrame, err)
+	}
+	return c.frame()
+}
+
+// Close ends the connection.
+func (s *stream) Close() error {
+	err := s.body.Close()
+	s.stop()
+	return err
+}
--- /dev/null
+++ b/internal/client/router/wire.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"jaywind"
+)
+
+type completion struct {
+	Model  string  `json:"model"`
+	Prompt string  `json:"prompt"`
+	Limit  int     `json:"max_tokens,omitempty"`
+	Stream bool    `json:"stream"`
+	Seed   *uint64 `json:"seed,omitempty"`
+	Prefix []piece `json:"prefix,omitempty"`
+}
+
+type piece struct {
+	ID    int64  `json:"id,omitempty"`
+	Text  string `json:"text,omitempty"`
+	Bytes []byte `json:"bytes,omitempty"`
+}
+
+func pieceOf(t jaywind.Token) piece {
+	if utf8.ValidString(t.Text) {
+		return piece{ID: int64(t.ID), Text: t.Text}
+	}
+	return piece{ID: int64(t.ID), Bytes: []byte(t.Text)}
+}
+
+type chunk struct {
+	Choices []choice `json:"choices"`
+	Token   int64    `json:"token"`
+	Bytes   []byte   `json:"bytes"`
+	Digest  string   `json:"digest"`
+	Error   *problem `json:"error"`
+}
+
+func (c chunk) token() jaywind.Token {
+	if len(c.Bytes) > 0 {
+		return jaywind.Token{ID: jaywind.TokenID(c.Token), Text: string(c.Bytes)}
+	}
+	return jaywind.Token{ID: jaywind.TokenID(c.Token), Text: c.Choices[0].Text}
+}
+
+type choice struct {
+	Text   string  `json:"text"`
+	Finish *string `json:"finish_reason"`
+}
+
+type problem struct {
+	Message string  `json:"message"`
+	Code    string  `json:"code"`
+	Run     bool    `json:"run"`
+	Retry   float64 `json:"retry_after"`
+}
+
+func (p problem) refusal(status int) *Refusal {
+	return &Refusal{Status: status, Code: p.Code, Message: p.Message, Run: p.Run, Retry: seconds(p.Retry)}
+}
+
+func seconds(n float64) time.Duration {
+	return time.Duration(n * float64(time.Second))
+}
+
+func readRefusal(response *http.Response) error {
+	var f struct {
+		Error problem `json:"error"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, bodyLimit)).Decode(&f); err != nil {
+		return fmt.Errorf("status %d: %w", response.StatusCode, err)
+	}
+	r := f.Error.refusal(response.StatusCode)
+	if n, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && r.Retry == 0 {
+		r.Retry = seconds(n)
+	}
+	return r
+}
+
+// EntryList is which entries an organisation should use, and for how long to keep the list.
+type EntryList struct {
+	Entries []jaywind.Address
+	Keep    time.Duration
+}
+
+// List asks a router for the entries that an organisation should use.
+func (c *Client) List(ctx context.Context, at jaywind.Address, o jaywind.Organisation) (EntryList, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, string(at)+"/v1/entries", nil)
+	if err != nil {
+		return EntryList{}, err
+	}
+	request.Header.Set("OpenAI-Organization", string(o))
+	response, err := c.transport().RoundTrip(request)
+	if err != nil {
+		return EntryList{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var w struct {
+		Entries []string `json:"entries"`
+		Keep    float64  `json:"keep"`
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, bodyLimit)).Decode(&w); err != nil {
+		return EntryList{}, fmt.Errorf("entries: %w", err)
+	}
+	list := EntryList{Keep: seconds(w.Keep)}
+	for _, a := range w.Entries {
+		list.Entries = append(list.Entries, jaywind.Address(a))
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/core/rule/parse.go
@@ -0,0 +1,186 @@
+package rule
+
+import (
+	"cmp"
+	"maps"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"jaywind"
+)
+
+// maxNumber bounds decimal fields, so that sums of them stay finite.
+const maxNumber = 1e12
+
+// Parse reads the rules in text and returns the set with all findings, ordered by place.
+func Parse(file, text string) (*Set, []Finding) {
+	p := &parser{file: file, set: New(), lines: map[string]place{}}
+	for i, t := range strings.Split(text, "\n") {
+		p.number = i + 1
+		p.readRule(t)
+	}
+	p.checkReferences()
+	slices.SortStableFunc(p.findings, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return p.set, p.findings
+}
+
+// place is where a rule's name stands.
+type place struct {
+	line   int
+	column int
+}
+
+type parser struct {
+	file     string
+	number   int
+	set      *Set
+	findings []Finding
+	lines    map[string]place // by kind and name
+}
+
+func (p *parser) report(column int, what string) {
+	p.findings = append(p.findings, Finding{File: p.file, Line: p.number, Column: column, What: what})
+}
+
+func (p *parser) readRule(text string) {
+	l := readLine(text, p.report)
+	if l == nil {
+		return
+	}
+	read, known := kinds[l.kind.text]
+	if !known {
+		names := strings.Join(slices.Sorted(maps.Keys(kinds)), ", ")
+		p.report(l.kind.column, "unknown rule "+strconv.Quote(l.kind.text)+", want one of "+names)
+		return
+	}
+	read(p.set, l)
+	l.finish()
+	p.notePlace(l)
+}
+
+func (p *parser) notePlace(l *line) {
+	if l.name.text == "" {
+		return
+	}
+	key := l.kind.text + " " + l.name.text
+	if first, twice := p.lines[key]; twice {
+		p.report(l.name.column, key+" stands on line "+strconv.Itoa(first.line)+" too")
+		return
+	}
+	p.lines[key] = place{line: p.number, column: l.name.column}
+}
+
+var kinds = map[string]func(*Set, *line){
+	"endpoint":     readEndpoint,
+	"drain":        readDrain,
+	"model":        readModel,
+	"move":         readMove,
+	"organisation": readOrganisation,
+	"service":      readService,
+	"route":        readRoute,
+}
+
+func readEndpoint(s *Set, l *line) {
+	e := Endpoint{ID: jaywind.EndpointID(l.name.text), Asked: l.asked}
+	e.Kind = Kind(l.oneOf("kind", string(KindEngine), string(KindEngine), string(KindService)))
+	if e.Kind == KindEngine {
+		e.Model = jaywind.Model(l.text("model"))
+		e.Version = jaywind.Version(l.text("version"))
+	} else {
+		e.Service = jaywind.ServiceName(l.text("service"))
+	}
+	e.URL = readAddress(l, "url")
+	e.Domain = jaywind.Domain(l.text("domain"))
+	e.Fenced = l.oneOf("fenced", "no", "yes", "no") == "yes"
+	s.Endpoints[e.ID] = e
+}
+
+func readAddress(l *line, key string) jaywind.Address {
+	text := l.text(key)
+	if text == "" {
+		return ""
+	}
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		l.report(l.fields[key].column, key+": want a URL like http://127.0.0.1:9101, got "+strconv.Quote(text))
+	}
+	return jaywind.Address(strings.TrimRight(text, "/"))
+}
+
+func readDrain(s *Set, l *line) {
+	id := jaywind.EndpointID(l.name.text)
+	s.Drains[id] = Drain{ID: id, Asked: l.asked}
+}
+
+func readModel(s *Set, l *line) {
+	m := Model{Name: jaywind.Model(l.name.text), Asked: l.asked}
+	m.Version = jaywind.Version(l.text("version"))
+	s.Models[m.Name] = m
+}
+
+func readMove(s *Set, l *line) {
+	m := Move{Model: jaywind.Model(l.name.text), Asked: l.asked}
+	m.From = jaywind.Version(l.text("from"))
+	m.To = jaywind.Version(l.text("to"))
+	m.By = l.moment("by")
+	m.Budget = l.whole("budget", defaultBudget)
+	if m.From != "" && m.From == m.To {
+		l.report(l.fields["to"].column, "to: same version as from")
+	}
+	s.Moves[m.Model] = m
+}
+
+const defaultBudget = 200 // requests
+
+func readOrganisation(s *Set, l *line) {
+	o := Organisation{Name: jaywind.Organisation(l.name.text), Asked: l.asked}
+	o.Rate = l.decimal("rate", 0)
+	o.Burst = l.whole("burst", 0)
+	o.Weight = l.whole("weight", 1)
+	o.Priority = jaywind.Priority(l.whole("priority", 0))
+	s.Organisations[o.Name] = o
+}
+
+func readService(s *Set, l *line) {
+	v := Service{Name: jaywind.ServiceName(l.name.text), Asked: l.asked}
+	v.Path = l.optional("path", "/")
+	v.Once = l.oneOf("once", "no", "yes", "no") == "yes"
+	if !strings.HasPrefix(v.Path, "/") {
+		l.report(l.fields["path"].column, "path: must start with /")
+	}
+	s.Services[v.Name] = v
+}
+
+func readRoute(s *Set, l *line) {
+	r := Route{Name: jaywind.Route(l.name.text), Asked: l.asked}
+	r.Model = jaywind.Model(l.text("model"))
+	s.Routes[r.Name] = r
+}
+
+// checkReferences finds rules that name what no other rule defines.
+func (p *parser) checkReferences() {
+	for id := range p.set.Drains {
+		if _, found := p.set.Endpoints[id]; !found {
+			p.reportAt("drain "+string(id), "no endpoint "+strconv.Quote(string(id)))
+		}
+	}
+	for name := range p.set.Moves {
+		if _, found := p.set.Models[name]; !found {
+			p.reportAt("move "+string(name), "no model "+strconv.Quote(string(name)))
+		}
+	}
+	for name, r := range p.set.Routes {
+		if _, found := p.set.Models[r.Model]; r.Model != "" && !found {
+			p.reportAt("route "+string(name), "no model "+strconv.Quote(string(r.Model)))
+		}
+	}
+}
+
+func (p *parser) reportAt(key, what string) {
+	at := p.lines[key]
+	p.findings = append(p.findings, Finding{File: p.file, Line: at.line, Column: at.column, What: what})
+}
--- /dev/null
+++ b/internal/core/step/core.go
@@ -0,0 +1,44 @@
+package step
+
+import (
+	"time"
+
+	"jaywind/internal/core/admit"
+	"jaywind/internal/core/generate"
+	"jaywind/internal/core/place"
+	"jaywind/internal/core/table"
+)
+
+// Core is the tables of a router with the systems that run over them.
+type Core struct {
+	State *table.State
+
+	systems []table.System
+}
+
+// Step runs one tick and returns its commands; a full tick looks at timers too.
+func (c *Core) Step(now time.Time, full bool, events []table.Event) []table.Command {
+	if c.systems == nil {
+		c.systems = order()
+	}
+	c.State.Begin(now, full, events)
+	for _, y := range c.systems {
+		y.Step(c.State)
+	}
+	return c.State.Take()
+}
+
+// Busy tells whether work waits that an early tick could start.
+func (c *Core) Busy() bool {
+	return len(c.State.Ready) > 0 || len(c.State.Queued) > 0
+}
+
+func order() []table.System {
+	return []table.System{
+		Rules{},
+		generate.Intake{},
+		admit.Admit{},
+		generate.Silence{},
+		place.Place{},
+	}
+}
--- /dev/null
+++ b/internal/core/step/rules.go
@@ -0,0 +1,31 @@
+package step
+
+import "jaywind/internal/core/table"
+
+// Rules puts accepted rules in force; it never goes back to a lower version.
+type Rules struct{}
+
+// Step takes the highest version among the events.
+func (Rules) Step(s *table.State) {
+	for _, e := range s.Events {
+		switch e := e.(type) {
+		case table.Ruled:
+			adopt(s, e)
+		case table.Stop:
+			s.Stopping = true
+		}
+	}
+}
+
+func adopt(s *table.State, e table.Ruled) {
+	if s.Rules != nil && e.Version <= s.RulesVersion {
+		return
+	}
+	s.Rules = e.Set
+	s.RulesVersion = e.Version
+	for id := range e.Set.Endpoints {
+		if s.Endpoints[id] == nil {
+			s.Endpoints[id] = &table.Endpoint{ID: id}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/table/request.go
@@ -0,0 +1,98 @@
+package table
+
+import (
+	"time"
+
+	"jaywind"
+)
+
+// Phase is where a request stands.
+type Phase int
+
+// The phases of a request, in their usual order.
+const (
+	PhaseQueued    Phase = iota // waits for admission
+	PhaseReady                  // waits for an endpoint
+	PhaseOpening                // an attempt is opened, no frame yet
+	PhaseStreaming              // frames arrive
+	PhaseProbing                // the stream broke or is silent; the engine is being asked
+	PhaseEnded
+)
+
+// Request is one generation that a caller waits for.
+type Request struct {
+	ID           jaywind.RequestID
+	Organisation jaywind.Organisation
+	Model        jaywind.Model
+	Route        jaywind.Route
+	Prompt       string
+	Limit        int // tokens
+	Seed         jaywind.Seed
+	Priority     jaywind.Priority
+	Arrived      time.Time
+	Deadline     time.Time // zero for none
+
+	Phase   Phase
+	Version jaywind.Version // pinned once a token was taken
+	Tokens  []jaywind.Token // taken, from position 0
+	Digest  jaywind.Digest  // over Tokens
+
+	Attempt  jaywind.Attempt
+	Endpoint jaywind.EndpointID // of the current attempt
+	Reuse    bool               // the next attempt resumes the endpoint's own stream
+	Sent     bool               // bytes of some attempt may have left
+	Held     bool               // the attempt counts in its endpoint's Inflight
+
+	Opened    time.Time // of the current attempt
+	LastFrame time.Time
+	BrokenAt  time.Time // when output stopped; zero while it runs
+	Probes    int       // since the last frame
+	ProbeSent time.Time // zero when no probe is out
+	NextProbe time.Time
+	Avoid     map[jaywind.EndpointID]bool // endpoints that failed this request since its last frame
+	Resumes   int
+}
+
+// Position returns the next position to take.
+func (r *Request) Position() jaywind.Position {
+	return jaywind.Position(len(r.Tokens))
+}
+
+// Pinned tells whether the generation may only go on with its version.
+func (r *Request) Pinned() bool {
+	return len(r.Tokens) > 0
+}
+
+// Bookmark returns the bookmark of the last token taken.
+func (r *Request) Bookmark() jaywind.Bookmark {
+	return jaywind.Bookmark{
+		Request:  r.ID,
+		Position: r.Position(),
+		Digest:   r.Digest,
+		Attempt:  r.Attempt,
+		Endpoint: r.Endpoint,
+		Version:  r.Version,
+		Seed:     r.Seed,
+	}
+}
+
+// Endpoint is what is known of an engine or service beyond its rule.
+type Endpoint struct {
+	ID         jaywind.EndpointID
+	Inflight   int // own attempts that are open
+	Load       jaywind.Load
+	LoadAt     time.Time // when Load was received
+	Leaving    bool
+	Failures   int       // since the last success
+	ClosedTill time.Time // the breaker keeps new work away until then
+	Gaps       Gaps
+}
+
+// Organisation is what is known of an organisation beyond its rule.
+type Organisation struct {
+	Name   jaywind.Organisation
+	Tokens float64   // requests that may start now
+	Filled time.Time // when Tokens was last brought up to date
+	Served float64   // virtual time in the fair queue
+	Active int       // requests that are not ended
+}
--- /dev/null
+++ b/internal/operator/settings/settings.go
@@ -0,0 +1,88 @@
+package settings
+
+import (
+	"time"
+
+	"jaywind"
+)
+
+// Settings is what a router is told at its start.
+type Settings struct {
+	VM         string     `toml:"vm"`
+	Domain     string     `toml:"domain"`
+	Secret     string     `toml:"secret"` // shared by operators and routers
+	Listen     Listen     `toml:"listen"`
+	Store      Peer       `toml:"store"`
+	Directory  Peer       `toml:"directory"`
+	Fleet      Fleet      `toml:"fleet"`
+	Log        Log        `toml:"log"`
+	Objectives Objectives `toml:"objectives"`
+}
+
+// Listen names the addresses of the router's three ports.
+type Listen struct {
+	Caller   string `toml:"caller"`
+	Operator string `toml:"operator"`
+	Fleet    string `toml:"fleet"`
+}
+
+// Peer is a service of the platform.
+type Peer struct {
+	URL string `toml:"url"`
+}
+
+// Fleet names routers to begin with, before the VM list answers.
+type Fleet struct {
+	Seeds   []string `toml:"seeds"`   // fleet addresses, as URLs
+	Entries []string `toml:"entries"` // caller addresses, as URLs
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `toml:"level"` // debug, info, warn or error; info when empty
+}
+
+// Objectives are the service levels that the burn report measures against.
+type Objectives struct {
+	Whole  float64 `toml:"whole"`  // share of answers that are whole
+	Resume float64 `toml:"resume"` // share of losses after which output goes on within 4 s
+	First  float64 `toml:"first"`  // share of first tokens within 0.86 s
+	Gap    float64 `toml:"gap"`    // share of token gaps within 34 ms
+	Lookup float64 `toml:"lookup"` // share of idempotent lookups within 1 s
+	Move   float64 `toml:"move"`   // share of moves done or taken back in time
+}
+
+// The limits that the objectives' shares refer to.
+const (
+	ResumeLimit = 4 * time.Second
+	FirstLimit  = 860 * time.Millisecond
+	GapLimit    = 34 * time.Millisecond
+	LookupLimit = time.Second
+)
+
+// Name returns the VM's id.
+func (s Settings) Name() jaywind.VM { return jaywind.VM(s.VM) }
+
+// withDefaults fills in what may be left out.
+func withDefaults(s Settings) Settings {
+	if s.Log.Level == "" {
+		s.Log.Level = "info"
+	}
+	o := &s.Objectives
+	for _, share := range []struct {
+		at       *float64
+		fallback float64
+	}{
+		{&o.Whole, 0.999},
+		{&o.Resume, 0.99},
+		{&o.First, 0.95},
+		{&o.Gap, 0.95},
+		{&o.Lookup, 0.99},
+		{&o.Move, 0.95},
+	} {
+		if *share.at == 0 {
+			*share.at = share.fallback
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/platform/store/client.go
@@ -0,0 +1,183 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"jaywind"
+)
+
+const (
+	callLimit  = time.Second      // for a read or a write
+	watchLimit = 20 * time.Second // for one long poll
+	watchSlack = 2 * time.Second  // beyond the long poll's own time
+)
+
+// Client is the jaywind.Store that speaks to the service over HTTP.
+type Client struct {
+	URL       jaywind.Address
+	Transport http.RoundTripper // the default one when nil
+}
+
+var _ jaywind.Store = (*Client)(nil)
+
+// Get returns the entry of a key.
+func (c *Client) Get(ctx context.Context, key string) (jaywind.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	return c.read(ctx, key, nil)
+}
+
+// Watch polls until the key's revision is other than old.
+func (c *Client) Watch(ctx context.Context, key string, old jaywind.Revision) (jaywind.Entry, error) {
+	for {
+		e, err := c.poll(ctx, key, old)
+		if errors.Is(err, jaywind.ErrAbsent) && old == "" {
+			continue
+		}
+		if err != nil || e.Revision != old {
+			return e, err
+		}
+	}
+}
+
+func (c *Client) poll(ctx context.Context, key string, old jaywind.Revision) (jaywind.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchLimit+watchSlack)
+	defer cancel()
+	query := url.Values{}
+	query.Set("after", string(old))
+	query.Set("wait", watchLimit.String())
+	return c.read(ctx, key, query)
+}
+
+func (c *Client) read(ctx context.Context, key string, query url.Values) (jaywind.Entry, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.keyURL(key)+"?"+query.Encode(), nil)
+	if err != nil {
+		return jaywind.Entry{}, err
+	}
+	response, err := c.transport().RoundTrip(request)
+	if err != nil {
+		return jaywind.Entry{}, fmt.Errorf("%w: %w", jaywind.ErrUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return jaywind.Entry{}, jaywind.ErrAbsent
+	default:
+		return jaywind.Entry{}, fmt.Errorf("%w: status %d", jaywind.ErrUnavailable, response.StatusCode)
+	}
+	value, err := io.ReadAll(io.LimitReader(response.Body, jaywind.MaxValue+1))
+	if err != nil || len(value) > jaywind.MaxValue {
+		return jaywind.Entry{}, fmt.Errorf("%w: body of %d bytes: %w", jaywind.ErrUnavailable, len(value), err)
+	}
+	return jaywind.Entry{Key: key, Value: value, Revision: jaywind.Revision(response.Header.Get("ETag"))}, nil
+}
+
+// Swap writes value if the key's revision is old.
+func (c *Client) Swap(ctx context.Context, key string, value []byte, old jaywind.Revision) (jaywind.Revision, error) {
+	return c.SwapLeased(ctx, key, value, old, "")
+}
+
+// SwapLeased is Swap for a value that is deleted when the lease lapses.
+func (c *Client) SwapLeased(ctx context.Context, key string, value []byte, old jaywind.Revision, id jaywind.LeaseID) (jaywind.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	target := c.keyURL(key)
+	if id != "" {
+		target += "?lease=" + url.QueryEscape(string(id))
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, target, bytes.NewReader(value))
+	if err != nil {
+		return "", err
+	}
+	if old == "" {
+		request.Header.Set("If-None-Match", "*")
+	} else {
+		request.Header.Set("If-Match", string(old))
+	}
+	response, err := c.write(request)
+	if err != nil {
+		return "", err
+	}
+	return jaywind.Revision(response.Header.Get("ETag")), nil
+}
+
+// Grant opens a lease.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (jaywind.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	target := string(c.URL) + "/leases?ttl=" + strconv.FormatInt(ttl.Milliseconds(), 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return "", err
+	}
+	response, err := c.write(request)
+	if err != nil {
+		return "", err
+	}
+	return jaywind.LeaseID(response.Header.Get("Location")), nil
+}
+
+// Renew prolongs a lease.
+func (c *Client) Renew(ctx context.Context, id jaywind.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	target := string(c.URL) + "/leases/" + url.PathEscape(string(id))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, target, nil)
+	if err != nil {
+		return err
+	}
+	_, err = c.write(request)
+	return err
+}
+
+// write sends a call that changes the store and says what is known of its effect.
+func (c *Client) write(request *http.Request) (*http.Response, error) {
+	response, err := c.transport().RoundTrip(request)
+	if err != nil {
+		return nil, writeError(err)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, jaywind.MaxValue))
+	_ = response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return response, nil
+	case http.StatusPreconditionFailed:
+		return nil, jaywind.ErrConflict
+	case http.StatusGone:
+		return nil, jaywind.ErrLapsed
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return nil, fmt.Errorf("%w: status %d", jaywind.ErrUnavailable, response.StatusCode)
+	}
+	return nil, fmt.Errorf("%w: status %d", jaywind.ErrUnknown, response.StatusCode)
+}
+
+// writeError tells a write that never left from one that may have taken effect.
+func writeError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", jaywind.ErrUnavailable, err)
+	}
+	return fmt.Errorf("%w: %w", jaywind.ErrUnknown, err)
+}
+
+func (c *Client) keyURL(key string) string {
+	return string(c.URL) + "/kv/" + url.PathEscape(key)
+}
+
+func (c *Client) transport() http.RoundTripper {
+	if c.Transport != nil {
+		return c.Transport
+	}
+	return http.DefaultTransport
+}
+
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,79 @@
+package engine
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+)
+
+const (
+	defaultGap  = 5 * time.Millisecond
+	defaultKeep = 10 * time.Second
+)
+
+// Engine is one stand-in engine; set its fields before Handler is called.
+type Engine struct {
+	ID      jaywind.EndpointID
+	Model   jaywind.Model
+	Version jaywind.Version
+	Gap     time.Duration // between tokens; 5 ms when zero
+	Prefill time.Duration // for 1,000 tokens of prefix
+	Keep    time.Duration // how long a stream without a listener goes on; 10 s when zero
+	Salt    uint64        // makes this engine's tokens differ from those of its replicas
+
+	mu     sync.Mutex
+	runs   map[jaywind.RequestID]*run
+	faults Faults
+	opened int // streams opened so far
+	silent int // streams up to this number write nothing more
+	fence  jaywind.Fence
+	loaded map[jaywind.Version]bool
+	made   int // tokens computed in all
+	group  conc.WaitGroup
+}
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = map[jaywind.RequestID]*run{}
+	e.loaded = map[jaywind.Version]bool{e.Version: true}
+	m := httprouter.New()
+	m.POST("/v1/completions", e.complete)
+	m.GET("/v1/streams/:request", e.resume)
+	m.GET("/v1/streams/:request/progress", e.progress)
+	m.DELETE("/v1/streams/:request", e.cancel)
+	m.GET("/v1/load", e.load)
+	m.POST("/v1/orders", e.order)
+	m.POST("/faults", e.setFaults)
+	return m
+}
+
+// Made returns how many tokens the engine has computed, prefixes included.
+func (e *Engine) Made() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.made
+}
+
+// Wait returns when all work of the engine has ended.
+func (e *Engine) Wait() { e.group.Wait() }
+
+func (e *Engine) gap() time.Duration {
+	if e.Gap == 0 {
+		return defaultGap
+	}
+	return e.Gap
+}
+
+func (e *Engine) keep() time.Duration {
+	if e.Keep == 0 {
+		return defaultKeep
+	}
+	return e.Keep
+}
--- /dev/null
+++ b/internal/standin/engine/fault.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+const pausePoll = 5 * time.Millisecond
+
+// Faults are the switches that tests and operators set, by Set or POST /faults.
+type Faults struct {
+	Refuse bool `json:"refuse"` // answer new work with 503
+	Pause  bool `json:"pause"`  // take connections but answer and make nothing
+	Silent bool `json:"silent"` // write nothing more on the streams that are open when it is set
+	Cut    int  `json:"cut"`    // end a stream before this position, once
+	Cross  int  `json:"cross"`  // at this position send a frame of another request, once
+	Repeat int  `json:"repeat"` // send this position twice
+	Skip   int  `json:"skip"`   // leave this position out, once
+}
+
+// Set replaces the faults.
+func (e *Engine) Set(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	if f.Silent {
+		e.silent = e.opened
+	}
+}
+
+func (e *Engine) nextStream() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.opened++
+	return e.opened
+}
+
+// silences tells whether a stream had been opened when Silent was last set.
+func (e *Engine) silences(number int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return number <= e.silent
+}
+
+// Faults returns the faults in force.
+func (e *Engine) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.Set(f)
+}
+
+func (e *Engine) refuses() bool { return e.Faults().Refuse }
+
+func (e *Engine) waitWhilePaused() {
+	for e.Faults().Pause {
+		time.Sleep(pausePoll)
+	}
+}
+
+// once takes a one-time fault at a position.
+func (e *Engine) once(at *int, position int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if *at == 0 || *at != position {
+		return false
+	}
+	*at = 0
+	return true
+}
--- /dev/null
+++ b/internal/standin/store/http.go
@@ -0,0 +1,118 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"jaywind"
+)
+
+// Handler returns the HTTP interface of the service, with POST /faults for the switches.
+func (s *Store) Handler() http.Handler {
+	m := httprouter.New()
+	m.GET("/kv/:key", s.serveGet)
+	m.PUT("/kv/:key", s.servePut)
+	m.POST("/leases", s.serveGrant)
+	m.PUT("/leases/:lease", s.serveRenew)
+	m.POST("/faults", s.serveFaults)
+	return m
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	key := p.ByName("key")
+	old := jaywind.Revision(r.URL.Query().Get("after"))
+	limit, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	var e jaywind.Entry
+	var err error
+	if limit > 0 {
+		ctx, cancel := context.WithTimeout(r.Context(), limit)
+		defer cancel()
+		e, err = s.Watch(ctx, key, old)
+		if ctx.Err() != nil && r.Context().Err() == nil {
+			e, err = s.Get(r.Context(), key)
+		}
+	} else {
+		e, err = s.Get(r.Context(), key)
+	}
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", string(e.Revision))
+	_, _ = w.Write(e.Value)
+}
+
+func (s *Store) servePut(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, jaywind.MaxValue))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	old := jaywind.Revision(r.Header.Get("If-Match"))
+	if old == "" && r.Header.Get("If-None-Match") != "*" {
+		http.Error(w, "a condition is required", http.StatusPreconditionRequired)
+		return
+	}
+	id := jaywind.LeaseID(r.URL.Query().Get("lease"))
+	revision, err := s.SwapLeased(r.Context(), p.ByName("key"), value, old, id)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("ETag", string(revision))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	ms, err := strconv.Atoi(r.URL.Query().Get("ttl"))
+	if err != nil || ms <= 0 {
+		http.Error(w, "ttl: want milliseconds", http.StatusBadRequest)
+		return
+	}
+	id, err := s.Grant(r.Context(), time.Duration(ms)*time.Millisecond)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Location", string(id))
+	w.WriteHeader(http.StatusCreated)
+}
+
+func (s *Store) serveRenew(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	if err := s.Renew(r.Context(), jaywind.LeaseID(p.ByName("lease"))); err != nil {
+		fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, jaywind.MaxValue)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(f)
+}
+
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, jaywind.ErrAbsent):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, jaywind.ErrConflict):
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case errors.Is(err, jaywind.ErrLapsed):
+		http.Error(w, err.Error(), http.StatusGone)
+	case errors.Is(err, jaywind.ErrUnknown):
+		panic(http.ErrAbortHandler) // the connection is cut, as when the reply is lost
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/token.go
@@ -0,0 +1,40 @@
+package jaywind
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Token is one element of a generation.
+type Token struct {
+	ID   TokenID
+	Text string
+}
+
+// Digest is a running hash over all tokens before a position; a new generation starts at 0.
+type Digest uint64
+
+// Add returns the digest after token t, over its id or, without one, over its text's bytes.
+func (d Digest) Add(t Token) Digest {
+	var head [17]byte
+	binary.LittleEndian.PutUint64(head[:], uint64(d))
+	if t.ID != 0 {
+		head[8] = 1
+		binary.LittleEndian.PutUint64(head[9:], uint64(t.ID))
+		return Digest(xxhash.Sum64(head[:]))
+	}
+	h := xxhash.New()
+	_, _ = h.Write(head[:9])
+	_, _ = h.WriteString(t.Text)
+	return Digest(h.Sum64())
+}
+
+// DigestOf returns the digest over a whole sequence of tokens.
+func DigestOf(tokens []Token) Digest {
+	var d Digest
+	for _, t := range tokens {
+		d = d.Add(t)
+	}
+	return d
+}
