--- /dev/null
+++ b/cmd/demo/show.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"jaywind"
+	"jaywind/internal/client/router"
+	"jaywind/internal/standin/engine"
+)
+
+const seed = jaywind.Seed(7)
+
+const prompt = "fin geometry for a 40 W regulator in still air"
+
+// show asks one question and kills what serves it.
+type show struct {
+	fleet  *fleet
+	tokens int
+
+	served   int // tokens read
+	attempt  jaywind.Attempt
+	attempts int
+}
+
+func (s *show) run(ctx context.Context) error {
+	client := &router.Client{Entries: s.fleet.entries(), OnToken: s.token}
+	question := router.Question{Model: "heat", Prompt: prompt, Limit: s.tokens}
+	pinned := seed
+	question.Seed = &pinned
+	answer, err := client.Ask(ctx, question)
+	fmt.Println()
+	missing, repeated := s.compare(answer)
+	verdict := "answer whole"
+	if err != nil || missing > 0 || repeated > 0 {
+		verdict = "answer not whole"
+	}
+	fmt.Printf("%s: tokens=%d missing=%d repeated=%d resumed=%d resume_ms=%d\n",
+		verdict, len(answer.Tokens), missing, repeated, s.attempts-1, answer.Longest.Milliseconds())
+	if err == nil && (missing > 0 || repeated > 0) {
+		err = errors.New("the answer is not whole")
+	}
+	return err
+}
+
+// token prints a token and kills the engine at a third and the router at two thirds.
+func (s *show) token(t jaywind.Token, m jaywind.Bookmark) {
+	fmt.Print(t.Text)
+	if m.Attempt != s.attempt {
+		s.attempt = m.Attempt
+		s.attempts++
+	}
+	s.served++
+	switch s.served {
+	case s.tokens / 3:
+		s.kill(s.fleet.engines, string(m.Endpoint))
+	case 2 * s.tokens / 3:
+		s.kill(s.fleet.routers, s.fleet.routers[0].name)
+	}
+}
+
+func (s *show) kill(nodes []*node, name string) {
+	for _, n := range nodes {
+		if n.name == name {
+			fmt.Printf("\n--- %s is killed ---\n", name)
+			n.kill()
+		}
+	}
+}
+
+// compare counts how the answer differs from the one that the engines must give.
+func (s *show) compare(answer *router.Answer) (missing, repeated int) {
+	want := engine.Whole("v1", seed, prompt, 0, s.tokens)
+	for i, t := range want {
+		switch {
+		case i >= len(answer.Tokens):
+			missing++
+		case answer.Tokens[i] != t && i > 0 && answer.Tokens[i] == want[i-1]:
+			repeated++
+		case answer.Tokens[i] != t:
+			missing++
+		}
+	}
+	return missing, repeated + max(0, len(answer.Tokens)-len(want))
+}
--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -14,6 +14,7 @@
 	"jaywind/embed"
 	"jaywind/internal/backend/engine"
 	"jaywind/internal/edge/caller"
+	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 )
@@ -67,20 +68,26 @@
 		Log:    log,
 	}
 	h := &caller.Handler{Router: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
-	server := newServer(s.Listen.Caller, h.Mux())
+	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r)))
+	fleet.Protocols = cbor.Protocols()
+	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), fleet}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var group conc.WaitGroup
-	group.Go(func() {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			cancel(err)
-		}
-	})
+	for _, v := range servers {
+		group.Go(func() {
+			if err := v.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				cancel(err)
+			}
+		})
+	}
 	log.Info("router: serving callers", zap.String("address", s.Listen.Caller))
 	err := r.Run(ctx)
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer stop()
-	_ = server.Shutdown(closing)
+	for _, v := range servers {
+		_ = v.Shutdown(closing)
+	}
 	group.Wait()
 	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
 		return cause
@@ -88,6 +95,12 @@
 	return err
 }
 
+// newFleetMux returns the handlers for calls from other routers.
+func newFleetMux(_ *embed.Router) http.Handler {
+	m := http.NewServeMux()
+	return m
+}
+
 // newServer bounds what a slow or hostile peer can hold; streams set their own write deadlines.
 func newServer(address string, h http.Handler) *http.Server {
 	return &http.Server{
--- a/embed/router.go
+++ b/embed/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +41,7 @@
 	events  chan table.Event
 	stopped chan struct{}
 	group   conc.WaitGroup
-	streams map[streamKey]context.CancelFunc
+	parts   []part
 	answers answerSet
 	ready   atomic.Bool
 }
@@ -62,17 +63,29 @@
 		r.core.State.Domain = r.Domain
 		r.events = make(chan table.Event, eventBuffer)
 		r.stopped = make(chan struct{})
-		r.streams = map[streamKey]context.CancelFunc{}
 		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.parts = r.newParts()
 	})
 }
 
+// newParts returns the parts for which the fields that they need are set.
+func (r *Router) newParts() []part {
+	parts := []part{
+		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
+		&callers{router: r},
+	}
+	if r.Store != nil {
+		parts = append(parts, &rulebook{router: r})
+	}
+	return parts
+}
+
 // Run serves until ctx ends and returns when all the router's goroutines have.
 func (r *Router) Run(ctx context.Context) error {
 	r.init()
 	ctx, cancel := context.WithCancel(ctx)
-	if r.Store != nil {
-		r.group.Go(func() { r.followRules(ctx) })
+	for _, p := range r.parts {
+		r.group.Go(func() { p.run(ctx) })
 	}
 	r.loop(ctx)
 	close(r.stopped)
@@ -117,6 +130,16 @@
 	return batch
 }
 
+// execute hands a command to the part that it is for.
+func (r *Router) execute(ctx context.Context, c table.Command) {
+	for _, p := range r.parts {
+		if p.execute(ctx, c) {
+			return
+		}
+	}
+	r.Log.Error("router: no part takes a command", zap.String("command", fmt.Sprintf("%T", c)))
+}
+
 // post hands an event to the loop and returns false once the router has stopped.
 func (r *Router) post(e table.Event) bool {
 	select {
--- a/embed/rules.go
+++ b/embed/rules.go
@@ -21,8 +21,16 @@
 	return r.post(table.Ruled{Version: version, Set: set})
 }
 
-// followRules watches the store and posts each accepted set of rules.
-func (r *Router) followRules(ctx context.Context) {
+// rulebook follows the accepted rules in the store.
+type rulebook struct {
+	router *Router
+}
+
+func (p *rulebook) execute(context.Context, table.Command) bool { return false }
+
+// run watches the store and posts each accepted set of rules.
+func (p *rulebook) run(ctx context.Context) {
+	r := p.router
 	book := rules.Book{Store: r.Store}
 	var last jaywind.Revision
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/fleet/cbor/secret.go
@@ -0,0 +1,65 @@
+package cbor
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"time"
+)
+
+const (
+	scheme       = "Bearer "
+	pingAfter    = 2 * time.Second // silence on a connection that is then checked by a ping
+	pingTimeout  = time.Second
+	idleLimit    = time.Minute
+	writeTimeout = 2 * time.Second
+)
+
+// Guard lets only calls through that carry the shared secret.
+func Guard(secret string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(scheme + secret))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := sha256.Sum256([]byte(r.Header.Get("Authorization")))
+		if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			http.Error(w, "the shared secret is wrong or missing", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// NewHTTPClient returns a client that speaks HTTP/2 cleartext and sends the shared secret.
+func NewHTTPClient(secret string) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols:       protocols,
+		IdleConnTimeout: idleLimit,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingAfter,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: writeTimeout,
+		},
+	}
+	return &http.Client{Transport: &signer{secret: secret, next: transport}}
+}
+
+// Protocols returns what a server for calls between routers must speak.
+func Protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+type signer struct {
+	secret string
+	next   http.RoundTripper
+}
+
+// RoundTrip adds the secret to a copy of the request.
+func (s *signer) RoundTrip(r *http.Request) (*http.Response, error) {
+	signed := r.Clone(r.Context())
+	signed.Header.Set("Authorization", scheme+s.secret)
+	return s.next.RoundTrip(signed)
+}
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -180,4 +180,3 @@
 	}
 	return http.DefaultTransport
 }
-
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -13,7 +13,7 @@
 
 	mu        sync.Mutex
 	tokens    []jaywind.Token
-	digest    jaywind.Digest // over tokens
+	digest    jaywind.Digest  // over tokens
 	attempt   jaywind.Attempt // the highest that listens
 	listeners int
 	idleSince time.Time
