admit: fair queue and learned limit; place: ring windows, breakers, paced resumes

Cause: every request was admitted, each router chose among all endpoints, and a request without an endpoint was tried again each 20 ms with its failed endpoints forgotten.

Placement now uses a window of a ring of endpoints common to all routers (alternating failure domains), prefix affinity with bounded load, two choices on own work mended by reports, breakers by endpoint and by version, a pause after a refusal, and backoff for what finds no endpoint. Resumes go first, by sunk work and wait, and are paced by the prefills before them.

Admission has a rate for each organisation, a lane for each in a weighted fair queue, and a limit of what runs at once for each model. Chosen: hold the limit when first tokens wait 50 ms longer than twice the best pace, lower it by 5% at 100 ms, and in proportion to the late share above a tenth. A queue limit of 1 s ruled out: it uses up the whole 860 ms; now 300 ms.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -1,37 +1,53 @@
 package admit
 
 import (
-	"time"
+	"maps"
+	"slices"
 
 	"jaywind"
 	"jaywind/internal/core/table"
 )
 
-const returnAfter = time.Second // what a caller of a stopping or unready router is told
-
 // Admit passes queued requests on to placement.
 type Admit struct{}
 
-// Step looks at each queued request once.
+// Step takes in each newly queued request and starts those whose turn it is.
 func (Admit) Step(s *table.State) {
-	waiting := s.Queued
+	arrived := s.Queued
 	s.Queued = nil
-	for _, id := range waiting {
-		r := s.Requests[id]
-		if r == nil || r.Phase != table.PhaseQueued {
-			continue
-		}
-		if reason := refusal(s, r); reason != "" {
-			refuse(s, id, reason)
-			continue
+	if s.Rules != nil && s.Full {
+		refresh(s)
+	}
+	for _, id := range arrived {
+		if r := s.Requests[id]; r != nil && r.Phase == table.PhaseQueued {
+			takeIn(s, r)
 		}
-		r.Phase = table.PhaseReady
-		s.Ready = append(s.Ready, id)
+	}
+	if len(arrived) == 0 && !s.Full {
+		return
+	}
+	for _, m := range slices.Sorted(maps.Keys(s.Pools)) {
+		start(s, s.Pools[m])
 	}
 }
 
-// refusal returns why a request may not start, or nothing.
-func refusal(s *table.State, r *table.Request) string {
+// takeIn queues a request or refuses it.
+func takeIn(s *table.State, r *table.Request) {
+	if reason := unable(s, r); reason != "" {
+		refuse(s, r, reason, returnAfter)
+		return
+	}
+	p := poolOf(s, r.Model)
+	o, u := s.Account(r.Organisation)
+	if wait := drain(s, p, o, u, r); wait.reason != "" {
+		refuse(s, r, wait.reason, wait.after)
+		return
+	}
+	push(s, p, o, u, r)
+}
+
+// unable returns why a request can't start here whatever the load, or nothing.
+func unable(s *table.State, r *table.Request) string {
 	if s.Stopping {
 		return "this router is stopping"
 	}
@@ -44,8 +60,60 @@
 	return ""
 }
 
-func refuse(s *table.State, id jaywind.RequestID, reason string) {
-	s.Counts.Refused++
-	delete(s.Requests, id)
-	s.Emit(table.Finish{Request: id, Outcome: table.OutcomeRefused, Reason: reason, RetryAfter: returnAfter})
+// start passes requests on while the pool's limit allows.
+func start(s *table.State, p *table.Pool) {
+	for p.Queued > 0 {
+		if float64(p.Running) >= p.Limit || p.Backlog > 0 {
+			p.Window.Full = true
+			return
+		}
+		r := pop(s, p)
+		if r == nil {
+			continue
+		}
+		r.Phase = table.PhaseReady
+		p.Running++
+		p.Window.Started++
+		s.Ready = append(s.Ready, r.ID)
+	}
+}
+
+// refresh brings the pools up to date with the requests and the clock.
+func refresh(s *table.State) {
+	for m := range s.Rules.Models {
+		p := poolOf(s, m)
+		p.Running = 0
+		p.Window.Overdue = 0
+	}
+	for _, r := range s.Requests {
+		if p := s.Pools[r.Model]; p != nil && r.Phase != table.PhaseQueued {
+			count(s, p, r)
+		}
+	}
+	for _, m := range slices.Sorted(maps.Keys(s.Pools)) {
+		p := s.Pools[m]
+		adjust(s, p)
+		expire(s, p)
+		sweep(p)
+	}
+}
+
+// count adds a started request to its pool.
+func count(s *table.State, p *table.Pool, r *table.Request) {
+	p.Running++
+	if r.Phase != table.PhaseReady && r.LastFrame.Before(r.Opened) && s.Now.Sub(r.Opened) > table.FirstTarget {
+		p.Window.Overdue++
+	}
+}
+
+func poolOf(s *table.State, m jaywind.Model) *table.Pool {
+	p := s.Pools[m]
+	if p == nil {
+		p = &table.Pool{Model: m, Lanes: map[jaywind.Organisation]*table.Lane{}}
+		s.Pools[m] = p
+	}
+	if p.Limit == 0 {
+		p.Limit = firstLimit(s, m)
+	}
+	return p
 }
--- /dev/null
+++ b/internal/core/admit/limit.go
@@ -0,0 +1,123 @@
+package admit
+
+import (
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/place"
+	"jaywind/internal/core/table"
+)
+
+const (
+	firstShare    = 8 // requests at each endpoint that a router's part of the fleet starts with
+	leastShare    = 2 // the same, that the limit never falls below
+	leastLimit    = 2 // requests
+	adjustPeriod  = 500 * time.Millisecond
+	lateShare     = 0.1 // share of late answers above which the limit falls
+	shrinkFactor  = 0.5 // fall of the limit as a share of the share of late answers
+	shrinkMost    = 0.3 // of the limit in a period
+	easeFactor    = 0.95
+	growFactor    = 1.05
+	queueHolds    = table.FirstTarget / 10 // delay in the engines' queues from which the limit does not grow
+	queueFalls    = table.FirstTarget / 5  // the same, from which it falls
+	probeFactor   = 1.2                    // growth until the limit was once too high
+	rateStep      = 0.5                    // weight of one period in the drain rate
+	baseCreep     = 1.01                   // growth of the best pace a period, so that it is forgotten
+	fewestSamples = 5                      // of first tokens or gaps in a period
+)
+
+func firstLimit(s *table.State, m jaywind.Model) float64 {
+	return max(leastLimit, firstShare*partOf(s, m))
+}
+
+// partOf returns how many endpoints there are for each router.
+func partOf(s *table.State, m jaywind.Model) float64 {
+	g := place.RingOf(s, m, s.Rules.Models[m].Version)
+	if g == nil {
+		return 0
+	}
+	return float64(len(g.IDs)) / float64(max(1, s.Seat.Members))
+}
+
+// adjust moves the limit once a period by what was seen in it.
+func adjust(s *table.State, p *table.Pool) {
+	w := &p.Window
+	if w.Since.IsZero() {
+		w.Since = s.Now
+		return
+	}
+	if s.Now.Sub(w.Since) < adjustPeriod {
+		return
+	}
+	if w.Full {
+		noteRate(p, float64(w.Started)/s.Now.Sub(w.Since).Seconds())
+	}
+	share := late(*w)
+	switch {
+	case share > lateShare:
+		p.Proved = true
+		used := min(p.Limit, float64(p.Running+1))
+		p.Limit = max(leastLimit, leastShare*partOf(s, p.Model), used*(1-min(share*shrinkFactor, shrinkMost)))
+	case queueing(p) > queueFalls:
+		p.Proved = true
+		p.Limit = max(leastLimit, p.Limit*easeFactor)
+	case w.Full && p.Backlog == 0 && queueing(p) < queueHolds:
+		p.Limit = max(p.Limit+1, p.Limit*growth(p))
+	}
+	noteBase(p)
+	p.Window = table.Window{Since: s.Now}
+}
+
+func growth(p *table.Pool) float64 {
+	if p.Proved {
+		return growFactor
+	}
+	return probeFactor
+}
+
+func noteRate(p *table.Pool, rate float64) {
+	if p.Rate == 0 {
+		p.Rate = rate
+		return
+	}
+	p.Rate += (rate - p.Rate) * rateStep
+}
+
+// queueing estimates how long first tokens wait in the engines' own queues.
+func queueing(p *table.Pool) time.Duration {
+	if p.Window.Firsts < fewestSamples {
+		return 0
+	}
+	return max(0, p.Window.FirstTime/time.Duration(p.Window.Firsts)-2*p.Base.First)
+}
+
+// late returns the share of answers or gaps in the window that were too late, whichever is larger.
+func late(w table.Window) float64 {
+	firsts := shareOf(w.LateFirsts+w.Overdue+w.Refused, w.Firsts+w.Overdue+w.Refused)
+	return max(firsts, shareOf(w.LateGaps, w.Gaps))
+}
+
+func shareOf(part, whole int) float64 {
+	if whole < fewestSamples {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// noteBase keeps the best average pace, and forgets it slowly.
+func noteBase(p *table.Pool) {
+	w := p.Window
+	if w.Firsts >= fewestSamples {
+		p.Base.First = best(p.Base.First, w.FirstTime/time.Duration(w.Firsts))
+	}
+	if w.Gaps >= fewestSamples {
+		p.Base.Gap = best(p.Base.Gap, w.GapTime/time.Duration(w.Gaps))
+	}
+}
+
+func best(base, seen time.Duration) time.Duration {
+	if base == 0 || seen < base {
+		return seen
+	}
+	return min(seen, time.Duration(float64(base)*baseCreep))
+}
--- /dev/null
+++ b/internal/core/admit/refuse.go
@@ -0,0 +1,102 @@
+package admit
+
+import (
+	"time"
+
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+const (
+	queueLimit  = 300 * time.Millisecond // that a request may wait for its turn; with table.FirstTarget within the target of 860 ms
+	lengthLimit = 1024                   // requests in the queue of a pool
+	returnAfter = time.Second            // what a caller is told when nothing better is known, and the least
+	returnCap   = 30 * time.Second
+)
+
+// hold says why a request can't be queued and when it could; no reason means that it can.
+type hold struct {
+	reason string
+	after  time.Duration
+}
+
+// drain works out whether a request can start in time, and takes its organisation's token if so.
+func drain(s *table.State, p *table.Pool, o *table.Organisation, u rule.Organisation, r *table.Request) hold {
+	if p.Backlog > 0 {
+		return hold{"generations of lost engines are being resumed", returnAfter}
+	}
+	wait := waitOf(p, o, u)
+	if p.Queued >= lengthLimit || wait > queueLimit {
+		return hold{"the queue is too long", wait}
+	}
+	if !r.Deadline.IsZero() && s.Now.Add(wait).After(r.Deadline) {
+		return hold{"the deadline can't be met", wait}
+	}
+	if r.Sent {
+		return hold{}
+	}
+	if wait := take(s, o, u); wait > 0 {
+		return hold{"the organisation is over its rate", wait}
+	}
+	return hold{}
+}
+
+// waitOf estimates how long a new request of an organisation would wait.
+func waitOf(p *table.Pool, o *table.Organisation, u rule.Organisation) time.Duration {
+	if p.Queued == 0 && float64(p.Running) < p.Limit {
+		return 0
+	}
+	l := p.Lanes[o.Name]
+	if l == nil {
+		l = &table.Lane{Name: o.Name, Weight: weightOf(u)}
+	}
+	return drainTime(p, l, len(l.Requests)+1)
+}
+
+// drainTime estimates how long the first n requests of a lane take to start; 0 while no rate is known.
+func drainTime(p *table.Pool, l *table.Lane, n int) time.Duration {
+	if p.Rate == 0 {
+		return 0
+	}
+	weights := l.Weight
+	for _, other := range p.Lanes {
+		if other.Name != l.Name && len(other.Requests) > 0 {
+			weights += other.Weight
+		}
+	}
+	seconds := float64(n) * weights / l.Weight / p.Rate
+	return time.Duration(min(seconds, returnCap.Seconds()) * float64(time.Second))
+}
+
+// take spends one of the organisation's tokens, or returns when there will be one.
+func take(s *table.State, o *table.Organisation, u rule.Organisation) time.Duration {
+	if u.Rate <= 0 {
+		return 0
+	}
+	rate := u.Rate * s.Seat.Part()
+	burst := max(1, float64(u.Burst)*s.Seat.Part())
+	if o.Filled.IsZero() {
+		o.Tokens = burst
+	} else {
+		o.Tokens = min(burst, o.Tokens+s.Now.Sub(o.Filled).Seconds()*rate)
+	}
+	o.Filled = s.Now
+	if o.Tokens < 1 {
+		return time.Duration(min((1-o.Tokens)/rate, returnCap.Seconds()) * float64(time.Second))
+	}
+	o.Tokens--
+	return 0
+}
+
+// refuse ends a request that was not started.
+func refuse(s *table.State, r *table.Request, reason string, after time.Duration) {
+	outcome := table.OutcomeRefused
+	if r.Sent {
+		outcome = table.OutcomeFailed // another router may have run it
+	}
+	s.Counts.Refused++
+	delete(s.Requests, r.ID)
+	after = min(max(after, returnAfter), returnCap)
+	after += time.Duration(s.Random.Int64N(int64(after/2) + 1))
+	s.Emit(table.Finish{Request: r.ID, Outcome: outcome, Reason: reason, RetryAfter: after, Mark: r.Bookmark()})
+}
--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -121,11 +121,12 @@
 
 // noteFrame records that the stream is alive.
 func noteFrame(s *table.State, r *table.Request) {
+	notePace(s, r)
 	if e := s.Endpoints[r.Endpoint]; e != nil {
 		if r.Phase == table.PhaseStreaming {
 			e.Gaps.Observe(s.Now.Sub(r.LastFrame))
 		}
-		e.Failures = 0
+		e.Succeed(r.Version)
 	}
 	r.Phase = table.PhaseStreaming
 	r.LastFrame = s.Now
@@ -134,6 +135,8 @@
 	r.NextProbe = time.Time{}
 	r.Probes = 0
 	r.Avoid = nil
+	r.Tries = 0
+	r.Waits = 0
 }
 
 func keepToken(s *table.State, r *table.Request, t jaywind.Token) {
--- /dev/null
+++ b/internal/core/generate/pace.go
@@ -0,0 +1,16 @@
+package generate
+
+import "jaywind/internal/core/table"
+
+// notePace counts a frame's delay for the limit of the request's pool.
+func notePace(s *table.State, r *table.Request) {
+	p := s.Pools[r.Model]
+	if p == nil {
+		return
+	}
+	if r.LastFrame.Before(r.Opened) {
+		p.NoteFirst(s.Now.Sub(r.Opened), r.Prefill())
+		return
+	}
+	p.NoteGap(s.Now.Sub(r.LastFrame))
+}
--- a/internal/core/generate/recovery.go
+++ b/internal/core/generate/recovery.go
@@ -104,7 +104,15 @@
 
 // handleLoss decides what a broken stream means.
 func handleLoss(s *table.State, r *table.Request, err error) {
-	if errors.Is(err, jaywind.ErrNoStream) || errors.Is(err, jaywind.ErrNotSent) || errors.Is(err, jaywind.ErrBusy) {
+	switch {
+	case errors.Is(err, jaywind.ErrBusy):
+		turnAway(s, r)
+		return
+	case errors.Is(err, jaywind.ErrNotSent):
+		noteMiss(s, r)
+		moveAway(s, r)
+		return
+	case errors.Is(err, jaywind.ErrNoStream):
 		moveAway(s, r)
 		return
 	}
@@ -129,11 +137,7 @@
 // moveAway leaves the endpoint of the current attempt and asks for another.
 func moveAway(s *table.State, r *table.Request) {
 	release(s, r, false)
-	if r.Avoid == nil {
-		r.Avoid = map[jaywind.EndpointID]bool{}
-	}
-	r.Avoid[r.Endpoint] = true
-	r.Reuse = false
+	avoidHere(r)
 	requeue(s, r)
 }
 
@@ -145,7 +149,7 @@
 	}
 	r.Held = false
 	if e != nil && !healthy {
-		e.Failures++
+		e.Fail(r.Version, s.Now, s.Random)
 	}
 	if address, known := addressOf(s, r.Endpoint); known {
 		s.Emit(table.Cancel{Request: r.ID, Attempt: r.Attempt, At: address, KeepWork: healthy})
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -1,54 +1,105 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"jaywind"
-	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
 )
 
 const (
-	giveUpAfter = 10 * time.Second // without any endpoint, after the loss or the arrival
-	returnAfter = 2 * time.Second  // what a caller is told then
+	paceLimit = 500 * time.Millisecond // wait at an endpoint for the prefills before a resume
+	agingRate = 500                    // tokens of sunk work that a second of waiting is worth
+)
+
+// verdict says what came of the choice of an endpoint.
+type verdict int
+
+const (
+	verdictFound verdict = iota
+	verdictNone          // no endpoint accepts the request
+	verdictPaced         // the endpoints have enough resumes to start with
 )
 
 // Place opens an attempt for each ready request.
 type Place struct{}
 
-// Step tries each request in the ready queue once.
+// Step tries each newly ready request once and, on a full tick, those that wait.
 func (Place) Step(s *table.State) {
-	waiting := s.Ready
+	ready := s.Ready
 	s.Ready = nil
-	for _, id := range waiting {
+	if s.Full {
+		ready = append(s.Waiting, ready...)
+		s.Waiting = nil
+	}
+	if len(ready) == 0 {
+		return
+	}
+	order(s, ready)
+	q := queue{state: s}
+	for _, id := range ready {
+		if r := s.Requests[id]; r != nil && r.Phase == table.PhaseReady {
+			q.try(r)
+		}
+	}
+	noteBacklog(s)
+}
+
+// order puts resumes first, by sunk work and by how long output has stopped.
+func order(s *table.State, ids []jaywind.RequestID) {
+	slices.SortStableFunc(ids, func(a, b jaywind.RequestID) int {
+		return cmp.Compare(urgency(s, b), urgency(s, a))
+	})
+}
+
+func urgency(s *table.State, id jaywind.RequestID) float64 {
+	r := s.Requests[id]
+	if r == nil || !r.Pinned() {
+		return 0
+	}
+	return float64(len(r.Tokens)) + s.Now.Sub(r.BrokenAt).Seconds()*agingRate
+}
+
+// noteBacklog counts the resumes that wait in each pool.
+func noteBacklog(s *table.State) {
+	for _, p := range s.Pools {
+		p.Backlog = 0
+	}
+	for _, id := range s.Waiting {
 		r := s.Requests[id]
-		if r == nil || r.Phase != table.PhaseReady {
+		if r == nil || !r.Pinned() {
 			continue
 		}
-		if !open(s, r) {
-			keepOrGiveUp(s, r)
+		if p := s.Pools[r.Model]; p != nil {
+			p.Backlog++
 		}
 	}
 }
 
-func open(s *table.State, r *table.Request) bool {
-	e, found := choose(s, r)
-	if !found {
-		return false
+// open starts an attempt at an endpoint.
+func open(s *table.State, r *table.Request) verdict {
+	e, v := choose(s, r)
+	if v != verdictFound {
+		return v
 	}
 	r.Version = e.Version
 	r.Endpoint = e.ID
 	r.Attempt++
+	r.Tries++
 	r.Phase = table.PhaseOpening
 	r.Opened = s.Now
 	r.Sent = true
 	r.Held = true
-	s.Endpoints[e.ID].Inflight++
-	s.Emit(table.Open{Endpoint: e.ID, At: e.URL, Call: callOf(s, r)})
-	return true
+	c := callOf(s, r)
+	s.Endpoints[e.ID].Start(e.Version, s.Now, r.Prefill())
+	s.Emit(table.Open{Endpoint: e.ID, At: e.URL, Call: c})
+	return verdictFound
 }
 
+const resumePriority = 100 // added to that of resumed work, which engines honour
+
 func callOf(s *table.State, r *table.Request) jaywind.Call {
 	c := jaywind.Call{
 		Request:  r.ID,
@@ -62,6 +113,9 @@
 		Resume:   r.Reuse,
 		From:     r.Position(),
 	}
+	if r.Pinned() {
+		c.Priority += resumePriority
+	}
 	if r.Reuse {
 		s.Counts.Reused++
 		return c
@@ -70,82 +124,3 @@
 	s.Counts.Recounted += len(c.Prefix)
 	return c
 }
-
-func choose(s *table.State, r *table.Request) (rule.Endpoint, bool) {
-	if s.Rules == nil {
-		return rule.Endpoint{}, false
-	}
-	if r.Reuse {
-		e, known := s.Rules.Endpoints[r.Endpoint]
-		return e, known
-	}
-	usable := candidates(s, r)
-	if len(usable) == 0 {
-		return rule.Endpoint{}, false
-	}
-	a := usable[s.Random.IntN(len(usable))]
-	b := usable[s.Random.IntN(len(usable))]
-	if s.Endpoints[b.ID].Inflight < s.Endpoints[a.ID].Inflight {
-		a = b
-	}
-	return a, true
-}
-
-// candidates returns the endpoints that may serve r, in the order of their ids.
-func candidates(s *table.State, r *table.Request) []rule.Endpoint {
-	version := r.Version
-	if !r.Pinned() {
-		version = s.Rules.Models[r.Model].Version
-	}
-	var usable []rule.Endpoint
-	for id, e := range s.Rules.Endpoints {
-		if e.Kind != rule.KindEngine || e.Model != r.Model || e.Version != version {
-			continue
-		}
-		if r.Avoid[id] || !acceptsWork(s, id) {
-			continue
-		}
-		usable = append(usable, e)
-	}
-	slices.SortFunc(usable, func(a, b rule.Endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return usable
-}
-
-// acceptsWork tells whether an endpoint may receive new work.
-func acceptsWork(s *table.State, id jaywind.EndpointID) bool {
-	if _, drained := s.Rules.Drains[id]; drained {
-		return false
-	}
-	e := s.Endpoints[id]
-	return e != nil && !e.Leaving && !s.Now.Before(e.ClosedTill)
-}
-
-// keepOrGiveUp leaves a request in the queue, or ends it with when to come back.
-func keepOrGiveUp(s *table.State, r *table.Request) {
-	since := r.Arrived
-	if r.Pinned() {
-		since = r.BrokenAt
-	}
-	if s.Now.Sub(since) < giveUpAfter {
-		r.Avoid = nil
-		s.Ready = append(s.Ready, r.ID)
-		return
-	}
-	outcome := table.OutcomeRefused
-	if r.Sent {
-		outcome = table.OutcomeFailed
-	}
-	delete(s.Requests, r.ID)
-	s.Emit(table.Finish{
-		Request:    r.ID,
-		Outcome:    outcome,
-		Reason:     "no endpoint can serve the request",
-		RetryAfter: returnAfter,
-		Mark:       r.Bookmark(),
-	})
-}
--- /dev/null
+++ b/internal/core/place/wait.go
@@ -0,0 +1,141 @@
+package place
+
+import (
+	"time"
+
+	"jaywind/internal/core/table"
+)
+
+const (
+	freshWait   = time.Second      // for an endpoint, before any token
+	resumeWait  = 10 * time.Second // for an endpoint, after the last token
+	resumeStart = 2 * time.Second  // for a paced resume to start, so that output goes on in time
+	quickTries  = 3                // attempts in a row without a wait
+	tryPause    = 50 * time.Millisecond
+	tryCap      = time.Second
+	returnAfter = 2 * time.Second // what a caller is told when nothing better is known
+	maxShift    = 8
+)
+
+// queue goes through the ready requests of a tick in their order.
+type queue struct {
+	state *table.State
+	ahead float64 // tokens of the paced resumes so far
+}
+
+// try opens an attempt, keeps the request waiting or gives it up.
+func (q *queue) try(r *table.Request) {
+	s := q.state
+	if s.Now.Before(r.NextTry) {
+		q.keep(r)
+		return
+	}
+	if !q.mayRetry(r) {
+		q.giveUp(r, "the retries of the organisation are spent")
+		return
+	}
+	switch open(s, r) {
+	case verdictFound:
+		q.spend(r)
+	case verdictPaced:
+		q.pace(r)
+	case verdictNone:
+		q.wait(r)
+	}
+}
+
+// mayRetry tells whether a retry of work without tokens is within the budget of its organisation.
+func (q *queue) mayRetry(r *table.Request) bool {
+	if r.Pinned() || r.Tries == 0 || q.state.Rules == nil {
+		return true
+	}
+	o, _ := q.state.Account(r.Organisation)
+	return o.Retries.Left()
+}
+
+// spend counts an attempt that was opened and sets the pause before the next.
+func (q *queue) spend(r *table.Request) {
+	o, _ := q.state.Account(r.Organisation)
+	for _, b := range []*table.Budget{&o.Retries, &q.state.Endpoints[r.Endpoint].Retries} {
+		if r.Tries == 1 {
+			b.Earn()
+		} else {
+			b.Spend()
+		}
+	}
+	if r.Tries >= quickTries {
+		r.NextTry = q.state.Now.Add(pauseAfter(r.Tries - quickTries))
+	}
+}
+
+func pauseAfter(n int) time.Duration {
+	return min(tryPause<<min(n, maxShift), tryCap)
+}
+
+// pace holds a resume back, or gives it up when those before it take too long.
+func (q *queue) pace(r *table.Request) {
+	s := q.state
+	s.Counts.Paced++
+	rate := float64(windowOf(s, r)) * table.PrefillRate
+	wait := time.Duration(q.ahead / rate * float64(time.Second))
+	if s.Now.Sub(r.BrokenAt)+wait > resumeStart {
+		s.Counts.Abandoned++
+		q.giveUp(r, "too many generations are being resumed")
+		return
+	}
+	q.ahead += float64(r.Prefill())
+	q.keep(r)
+}
+
+func windowOf(s *table.State, r *table.Request) int {
+	g := RingOf(s, r.Model, r.Version)
+	if g == nil {
+		return 1
+	}
+	return max(1, g.Size)
+}
+
+// wait keeps a request without an endpoint for a bounded time.
+func (q *queue) wait(r *table.Request) {
+	s := q.state
+	since, limit := r.Arrived, freshWait
+	if r.Pinned() {
+		since, limit = r.BrokenAt, resumeWait
+	}
+	if s.Now.Sub(since) >= limit {
+		q.giveUp(r, "no endpoint can serve the request")
+		return
+	}
+	r.Avoid = nil
+	r.NextTry = s.Now.Add(pauseAfter(r.Waits))
+	r.Waits++
+	q.keep(r)
+}
+
+func (q *queue) keep(r *table.Request) {
+	q.state.Waiting = append(q.state.Waiting, r.ID)
+}
+
+// giveUp ends a request at once with when to come back.
+func (q *queue) giveUp(r *table.Request, reason string) {
+	s := q.state
+	outcome := table.OutcomeRefused
+	if r.Sent {
+		outcome = table.OutcomeFailed
+	} else {
+		s.Counts.Refused++
+	}
+	delete(s.Requests, r.ID)
+	s.Emit(table.Finish{
+		Request:    r.ID,
+		Outcome:    outcome,
+		Reason:     reason,
+		RetryAfter: jitter(s, returnAfter),
+		Mark:       r.Bookmark(),
+	})
+}
+
+// jitter adds up to a half, so that refused callers don't return together.
+func jitter(s *table.State, d time.Duration) time.Duration {
+	return d + time.Duration(s.Random.Int64N(int64(d/2)+1))
+}
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -36,9 +36,10 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		place.Reports{},
 		generate.Intake{},
-		admit.Admit{},
 		generate.Silence{},
+		admit.Admit{},
 		place.Place{},
 	}
 }
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -50,6 +50,9 @@
 	ProbeSent time.Time // zero when no probe is out
 	NextProbe time.Time
 	Avoid     map[jaywind.EndpointID]bool // endpoints that failed this request since its last frame
+	Tries     int                         // attempts opened since the last frame
+	Waits     int                         // times without an endpoint since the last frame
+	NextTry   time.Time                   // earliest time of the next attempt
 	Resumes   int
 }
 
@@ -76,23 +79,12 @@
 	}
 }
 
-// Endpoint is what is known of an engine or service beyond its rule.
-type Endpoint struct {
-	ID         jaywind.EndpointID
-	Inflight   int // own attempts that are open
-	Load       jaywind.Load
-	LoadAt     time.Time // when Load was received
-	Leaving    bool
-	Failures   int       // since the last success
-	ClosedTill time.Time // the breaker keeps new work away until then
-	Gaps       Gaps
-}
+const bytesPerToken = 4 // of a prompt whose tokens are not known
 
-// Organisation is what is known of an organisation beyond its rule.
-type Organisation struct {
-	Name   jaywind.Organisation
-	Tokens float64   // requests that may start now
-	Filled time.Time // when Tokens was last brought up to date
-	Served float64   // virtual time in the fair queue
-	Active int       // requests that are not ended
+// Prefill estimates the tokens that an engine computes before the next one, unless it resumes its own stream.
+func (r *Request) Prefill() int {
+	if r.Reuse {
+		return 0
+	}
+	return len(r.Prompt)/bytesPerToken + len(r.Tokens)
 }
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,9 +22,13 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
+	Seat          Seat
+	Rings         Rings
+	Pools         map[jaywind.Model]*Pool
 
-	Queued []jaywind.RequestID // wait for admission, oldest first
-	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
+	Queued  []jaywind.RequestID // wait for admission, oldest first
+	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
+	Waiting []jaywind.RequestID // found no endpoint, tried again on a full tick
 
 	Stopping bool // a graceful shutdown has begun
 	Counts   Counts
@@ -40,6 +44,8 @@
 	Reused    int // resumes on the same engine's own stream
 	Recounted int // prefix tokens that an engine had to compute again
 	Refused   int
+	Paced     int // times that a resume waited for the prefills before it
+	Abandoned int // resumes given up because the backlog was too long
 }
 
 // New returns an empty state whose choices follow from seed.
@@ -49,6 +55,7 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
+		Pools:         map[jaywind.Model]*Pool{},
 	}
 }
 
