burn: report on service-level burn, metrics for scrapers

Routers count good and bad outcomes of six objectives in 10 s buckets; the report sums routers over 5 minutes and an hour and alarms when both windows burn.

--- a/cmd/jaywind/main.go
+++ b/cmd/jaywind/main.go
@@ -34,6 +34,7 @@
 var commands = map[string]command{
 	"apply":   {"puts a rules file in force", "jaywind apply -settings vm1.toml -rules rules.txt", apply},
 	"ask":     {"asks for a generation and checks the answer", "jaywind ask -entry http://127.0.0.1:8101 -model heat fins for 40 W", ask},
+	"burn":    {"reports service-level burn", "jaywind burn -settings vm1.toml -plot burn.png", burnReport},
 	"check":   {"finds all faults in settings and rules", "jaywind check -settings vm1.toml -rules rules.txt", check},
 	"route":   {"runs a router", "jaywind route -settings vm1.toml", route},
 	"version": {"prints the version", "jaywind version", version},
--- /dev/null
+++ b/embed/meter.go
@@ -0,0 +1,151 @@
+package embed
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+	"jaywind/internal/operator/burn"
+)
+
+const sampleSize = 1028 // values that a histogram keeps
+
+// meter turns the events and commands of the loop into metrics and outcomes of objectives.
+type meter struct {
+	registry metrics.Registry
+	recorder burn.Recorder
+
+	tokens   metrics.Counter
+	outcomes map[table.Outcome]metrics.Counter
+	gauges   map[string]metrics.Gauge
+	first    metrics.Histogram // microseconds
+	gap      metrics.Histogram // microseconds
+	resume   metrics.Histogram // microseconds
+	running  map[jaywind.RequestID]*running
+}
+
+// running is what the meter remembers of a request.
+type running struct {
+	arrived time.Time
+	last    time.Time // of the last token; zero before the first
+	attempt jaywind.Attempt
+}
+
+var outcomeNames = map[table.Outcome]string{
+	table.OutcomeWhole:    "whole",
+	table.OutcomeRefused:  "refused",
+	table.OutcomeFailed:   "failed",
+	table.OutcomeMismatch: "mismatch",
+	table.OutcomeGone:     "gone",
+}
+
+func newMeter() *meter {
+	m := &meter{
+		registry: metrics.NewRegistry(),
+		outcomes: map[table.Outcome]metrics.Counter{},
+		gauges:   map[string]metrics.Gauge{},
+		running:  map[jaywind.RequestID]*running{},
+	}
+	m.tokens = metrics.GetOrRegisterCounter("tokens", m.registry)
+	m.first = m.histogram("first_us")
+	m.gap = m.histogram("gap_us")
+	m.resume = m.histogram("resume_us")
+	for o, name := range outcomeNames {
+		m.outcomes[o] = metrics.GetOrRegisterCounter("requests."+name, m.registry)
+	}
+	return m
+}
+
+func (m *meter) histogram(name string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewUniformSample(sampleSize))
+}
+
+// observe sees the events and commands of one tick.
+func (m *meter) observe(s *table.State, events []table.Event, commands []table.Command) {
+	for _, e := range events {
+		if a, ok := e.(table.Arrived); ok {
+			m.running[a.Ask.ID] = &running{arrived: s.Now}
+		}
+	}
+	for _, c := range commands {
+		switch c := c.(type) {
+		case table.Deliver:
+			m.token(c, s.Now)
+		case table.Finish:
+			m.finish(c, s.Now)
+		}
+	}
+	if s.Full {
+		m.counts(s)
+	}
+}
+
+func (m *meter) token(c table.Deliver, now time.Time) {
+	m.tokens.Inc(1)
+	r := m.running[c.Mark.Request]
+	if r == nil {
+		return
+	}
+	switch {
+	case r.last.IsZero() && c.Mark.Position == 1:
+		d := now.Sub(r.arrived)
+		m.first.Update(d.Microseconds())
+		m.recorder.Add(burn.First, d <= burn.FirstLimit, now)
+	case r.last.IsZero():
+		// The first token after a reconnect is neither a first token nor a gap.
+	case c.Mark.Attempt != r.attempt:
+		d := now.Sub(r.last)
+		m.resume.Update(d.Microseconds())
+		m.recorder.Add(burn.Resume, d <= burn.ResumeLimit, now)
+	default:
+		d := now.Sub(r.last)
+		m.gap.Update(d.Microseconds())
+		m.recorder.Add(burn.Gap, d <= burn.GapLimit, now)
+	}
+	r.last = now
+	r.attempt = c.Mark.Attempt
+}
+
+func (m *meter) finish(c table.Finish, now time.Time) {
+	delete(m.running, c.Request)
+	m.outcomes[c.Outcome].Inc(1)
+	switch c.Outcome {
+	case table.OutcomeWhole, table.OutcomeFailed, table.OutcomeMismatch:
+		m.recorder.Add(burn.Whole, c.Outcome == table.OutcomeWhole, now)
+	}
+}
+
+// counts shows the core's own totals.
+func (m *meter) counts(s *table.State) {
+	m.set("active", len(s.Requests))
+	m.set("queued", len(s.Queued))
+	m.set("ready", len(s.Ready))
+	m.set("stray", s.Counts.Stray)
+	m.set("resumed", s.Counts.Resumed)
+	m.set("reused", s.Counts.Reused)
+	m.set("recounted", s.Counts.Recounted)
+	m.set("rules", int(s.RulesVersion))
+}
+
+func (m *meter) set(name string, v int) {
+	g := m.gauges[name]
+	if g == nil {
+		g = metrics.GetOrRegisterGauge(name, m.registry)
+		m.gauges[name] = g
+	}
+	g.Update(int64(v))
+}
+
+// Metrics returns the registry that the router writes its metrics to.
+func (r *Router) Metrics() metrics.Registry {
+	r.init()
+	return r.meter.registry
+}
+
+// Burn returns the recorder of the router's service levels.
+func (r *Router) Burn() *burn.Recorder {
+	r.init()
+	return &r.meter.recorder
+}
--- a/embed/router.go
+++ b/embed/router.go
@@ -43,6 +43,7 @@
 	group   conc.WaitGroup
 	parts   []part
 	answers answerSet
+	meter   *meter
 	ready   atomic.Bool
 }
 
@@ -64,6 +65,7 @@
 		r.events = make(chan table.Event, eventBuffer)
 		r.stopped = make(chan struct{})
 		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.meter = newMeter()
 		r.parts = r.newParts()
 	})
 }
@@ -111,7 +113,9 @@
 			batch = append(batch, e)
 		}
 		batch = r.drain(batch)
-		for _, c := range r.core.Step(r.Clock.Now(), full, batch) {
+		commands := r.core.Step(r.Clock.Now(), full, batch)
+		r.meter.observe(r.core.State, batch, commands)
+		for _, c := range commands {
 			r.execute(ctx, c)
 		}
 		r.ready.Store(r.core.State.Rules != nil && !r.core.State.Stopping)
--- /dev/null
+++ b/internal/operator/burn/recorder.go
@@ -0,0 +1,117 @@
+package burn
+
+import (
+	"sync"
+	"time"
+)
+
+// Name is the name of an objective.
+type Name string
+
+// The objectives that routers record.
+const (
+	Whole  Name = "whole"  // answers that came to their end
+	Resume Name = "resume" // losses after which output went on in time
+	First  Name = "first"  // first tokens in time
+	Gap    Name = "gap"    // token gaps in time
+	Lookup Name = "lookup" // idempotent calls to services answered in time
+	Move   Name = "move"   // moves that ended by their time
+)
+
+// The limits that outcomes are judged by.
+const (
+	ResumeLimit = 4 * time.Second
+	FirstLimit  = 860 * time.Millisecond
+	GapLimit    = 34 * time.Millisecond
+	LookupLimit = time.Second
+)
+
+// The windows over which burn rates are worked out.
+const (
+	ShortWindow = 5 * time.Minute
+	LongWindow  = time.Hour
+)
+
+const (
+	bucketWidth = 10 * time.Second
+	bucketCount = int(LongWindow/bucketWidth) + 1
+)
+
+// Count is how many outcomes were good and how many there were.
+type Count struct {
+	Good  uint64 `json:"good"`
+	Total uint64 `json:"total"`
+}
+
+func (c *Count) add(o Count) {
+	c.Good += o.Good
+	c.Total += o.Total
+}
+
+// Counts are the outcomes of one router in both windows.
+type Counts struct {
+	Short map[Name]Count `json:"short"`
+	Long  map[Name]Count `json:"long"`
+}
+
+// Recorder keeps outcomes for the length of the long window; its zero value works.
+type Recorder struct {
+	mu     sync.Mutex
+	series map[Name]*[bucketCount]bucket
+}
+
+type bucket struct {
+	number int64 // of the bucket's time since the epoch
+	count  Count
+}
+
+// Add records one outcome.
+func (r *Recorder) Add(n Name, good bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.series == nil {
+		r.series = map[Name]*[bucketCount]bucket{}
+	}
+	s := r.series[n]
+	if s == nil {
+		s = &[bucketCount]bucket{}
+		r.series[n] = s
+	}
+	number := bucketNumber(now)
+	b := &s[number%int64(bucketCount)]
+	if b.number != number {
+		*b = bucket{number: number}
+	}
+	b.count.Total++
+	if good {
+		b.count.Good++
+	}
+}
+
+func bucketNumber(t time.Time) int64 {
+	return t.UnixNano() / int64(bucketWidth)
+}
+
+// Counts returns the outcomes of both windows up to now.
+func (r *Recorder) Counts(now time.Time) Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := Counts{Short: map[Name]Count{}, Long: map[Name]Count{}}
+	for n, s := range r.series {
+		out.Short[n] = sum(s, now, ShortWindow)
+		out.Long[n] = sum(s, now, LongWindow)
+	}
+	return out
+}
+
+func sum(s *[bucketCount]bucket, now time.Time, window time.Duration) Count {
+	last := bucketNumber(now)
+	first := last - int64(window/bucketWidth)
+	var total Count
+	for _, b := range s {
+		if b.number > first && b.number <= last {
+			total.add(b.count)
+		}
+	}
+	return total
+}
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -31,6 +31,9 @@
 	for _, u := range s.Fleet.Entries {
 		p.url("fleet.entries", u, true)
 	}
+	for _, u := range s.Fleet.Operators {
+		p.url("fleet.operators", u, true)
+	}
 	if levels := []string{"debug", "info", "warn", "error"}; !slices.Contains(levels, s.Log.Level) {
 		p.at("log.level", "want one of "+strings.Join(levels, ", ")+", got "+strconv.Quote(s.Log.Level))
 	}
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -1,10 +1,6 @@
 package settings
 
-import (
-	"time"
-
-	"jaywind"
-)
+import "jaywind"
 
 // Settings is what a router is told at its start.
 type Settings struct {
@@ -33,8 +29,9 @@
 
 // Fleet names routers to begin with, before the VM list answers.
 type Fleet struct {
-	Seeds   []string `toml:"seeds"`   // fleet addresses, as URLs
-	Entries []string `toml:"entries"` // caller addresses, as URLs
+	Seeds     []string `toml:"seeds"`     // fleet addresses, as URLs
+	Entries   []string `toml:"entries"`   // caller addresses, as URLs
+	Operators []string `toml:"operators"` // operator addresses, as URLs
 }
 
 // Log says what is logged.
@@ -52,14 +49,6 @@
 	Move   float64 `toml:"move"`   // share of moves done or taken back in time
 }
 
-// The limits that the objectives' shares refer to.
-const (
-	ResumeLimit = 4 * time.Second
-	FirstLimit  = 860 * time.Millisecond
-	GapLimit    = 34 * time.Millisecond
-	LookupLimit = time.Second
-)
-
 // Name returns the VM's id.
 func (s Settings) Name() jaywind.VM { return jaywind.VM(s.VM) }
 
