--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"jaywind/internal/standin/fleet"
 )
 
 func main() {
@@ -31,9 +33,9 @@
 }
 
 func run(ctx context.Context, tokens int, gap time.Duration) error {
-	f := &fleet{gap: gap}
-	defer f.close()
-	if err := f.start(ctx); err != nil {
+	f := &fleet.Fleet{Engines: 3, Routers: 3, Gap: gap, Keep: time.Second}
+	defer f.Close()
+	if err := f.Start(ctx); err != nil {
 		return err
 	}
 	s := &show{fleet: f, tokens: tokens}
--- a/cmd/demo/show.go
+++ b/cmd/demo/show.go
@@ -8,6 +8,7 @@
 	"jaywind"
 	"jaywind/internal/client/router"
 	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/fleet"
 )
 
 const seed = jaywind.Seed(7)
@@ -16,7 +17,7 @@
 
 // show asks one question and kills what serves it.
 type show struct {
-	fleet  *fleet
+	fleet  *fleet.Fleet
 	tokens int
 
 	served   int // tokens read
@@ -25,8 +26,8 @@
 }
 
 func (s *show) run(ctx context.Context) error {
-	client := &router.Client{Entries: s.fleet.entries(), OnToken: s.token}
-	question := router.Question{Model: "heat", Prompt: prompt, Limit: s.tokens}
+	client := &router.Client{Entries: s.fleet.Entries(), OnToken: s.token}
+	question := router.Question{Model: fleet.Model, Prompt: prompt, Limit: s.tokens}
 	pinned := seed
 	question.Seed = &pinned
 	answer, err := client.Ask(ctx, question)
@@ -54,24 +55,18 @@
 	s.served++
 	switch s.served {
 	case s.tokens / 3:
-		s.kill(s.fleet.engines, string(m.Endpoint))
+		fmt.Printf("\n--- engine %s is killed ---\n", m.Endpoint)
+		s.fleet.Engine(m.Endpoint).Kill()
 	case 2 * s.tokens / 3:
-		s.kill(s.fleet.routers, s.fleet.routers[0].name)
-	}
-}
-
-func (s *show) kill(nodes []*node, name string) {
-	for _, n := range nodes {
-		if n.name == name {
-			fmt.Printf("\n--- %s is killed ---\n", name)
-			n.kill()
-		}
+		n := s.fleet.RouterNodes[0]
+		fmt.Printf("\n--- router %s is killed ---\n", n.Name)
+		n.Kill()
 	}
 }
 
 // compare counts how the answer differs from the one that the engines must give.
 func (s *show) compare(answer *router.Answer) (missing, repeated int) {
-	want := engine.Whole("v1", seed, prompt, 0, s.tokens)
+	want := engine.Whole(fleet.Version, seed, prompt, 0, s.tokens)
 	for i, t := range want {
 		switch {
 		case i >= len(answer.Tokens):
--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,102 @@
+// Command measure drives load and faults against stand-ins and prints one table.
+//
+//	measure -quick
+//	measure -study resume -csv resume.csv
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"jaywind/internal/measure/overhead"
+	"jaywind/internal/measure/report"
+	"jaywind/internal/measure/resume"
+)
+
+// study is one group of rows.
+type study func(ctx context.Context, quick bool) ([]report.Row, error)
+
+var studies = map[string]study{
+	"overhead": measureOverhead,
+	"resume":   measureResume,
+}
+
+func main() {
+	quick := flag.Bool("quick", false, "run few of each, within 45 s in all")
+	name := flag.String("study", "", "run one `study` only: "+strings.Join(names(), ", "))
+	file := flag.String("csv", "", "also write the table to this `file`")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx, *quick, *name, *file)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func names() []string {
+	return slices.Sorted(maps.Keys(studies))
+}
+
+func run(ctx context.Context, quick bool, only, file string) error {
+	if only != "" && studies[only] == nil {
+		return fmt.Errorf("no study %q, want one of %s", only, strings.Join(names(), ", "))
+	}
+	var t report.Table
+	for _, n := range names() {
+		if only != "" && only != n {
+			continue
+		}
+		start := time.Now()
+		rows, err := studies[n](ctx, quick)
+		if err != nil {
+			return fmt.Errorf("%s: %w", n, err)
+		}
+		t.Add(rows...)
+		fmt.Fprintf(os.Stderr, "measure: %s took %s\n", n, time.Since(start).Round(time.Millisecond))
+	}
+	if err := t.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	if file == "" {
+		return nil
+	}
+	return writeCSV(&t, file)
+}
+
+func writeCSV(t *report.Table, file string) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := t.WriteCSV(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func measureResume(ctx context.Context, quick bool) ([]report.Row, error) {
+	s := resume.Study{Runs: 10}
+	if quick {
+		s.Runs = 1
+	}
+	return s.Measure(ctx)
+}
+
+func measureOverhead(ctx context.Context, quick bool) ([]report.Row, error) {
+	s := overhead.Study{Callers: 200}
+	if quick {
+		s.Callers = 50
+	}
+	return s.Measure(ctx)
+}
--- /dev/null
+++ b/internal/measure/report/latency.go
@@ -0,0 +1,65 @@
+package report
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longest = int64(time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+// Latency collects durations from any number of goroutines; its zero value works.
+type Latency struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.Histogram // microseconds
+}
+
+// Add records one duration.
+func (l *Latency) Add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		l.histogram = hdrhistogram.New(1, longest, digits)
+	}
+	_ = l.histogram.RecordValue(min(max(d.Microseconds(), 1), longest))
+}
+
+// Count returns how many durations were recorded.
+func (l *Latency) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		return 0
+	}
+	return int(l.histogram.TotalCount())
+}
+
+// Quantile returns a quantile in milliseconds, or 0 where nothing was recorded.
+func (l *Latency) Quantile(q float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.histogram == nil {
+		return 0
+	}
+	return float64(l.histogram.ValueAtQuantile(q*100)) / 1000
+}
+
+// Rows returns the p50, p95 and p99 as rows of a study's case, with a highest p99 where limit is not 0.
+func (l *Latency) Rows(study, kase string, limit time.Duration) []Row {
+	var rows []Row
+	for _, q := range []struct {
+		name string
+		at   float64
+	}{{"p50", 0.5}, {"p95", 0.95}, {"p99", 0.99}} {
+		r := Row{Study: study, Case: kase, Measure: q.name, Value: l.Quantile(q.at), Unit: "ms"}
+		if limit > 0 && q.name == "p99" {
+			r = r.AtMost(float64(limit.Milliseconds()))
+		}
+		rows = append(rows, r)
+	}
+	return append(rows, Row{Study: study, Case: kase, Measure: "samples", Value: float64(l.Count()), Unit: "1"})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -31,6 +31,7 @@
 	faults Faults
 	opened int // streams opened so far
 	silent int // streams up to this number write nothing more
+	halted bool
 	fence  jaywind.Fence
 	loaded map[jaywind.Version]bool
 	made   int // tokens computed in all
--- /dev/null
+++ b/internal/standin/engine/halt.go
@@ -0,0 +1,14 @@
+package engine
+
+// Halt ends all work at once and takes no more, as the death of the process would.
+func (e *Engine) Halt() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.halted = true
+}
+
+func (e *Engine) isHalted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.halted
+}
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -35,7 +35,7 @@
 func (e *Engine) produce(r *run) {
 	time.Sleep(e.Prefill * time.Duration(len(r.ask.Prefix)) / 1000)
 	e.count(len(r.ask.Prefix))
-	for !r.over(e.keep()) {
+	for !e.isHalted() && !r.over(e.keep()) {
 		time.Sleep(e.gap())
 		e.waitWhilePaused()
 		r.add(e.Salt, e.Version)
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/embed"
+	backend "jaywind/internal/backend/engine"
+	"jaywind/internal/edge/caller"
+	"jaywind/internal/platform/rules"
+	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/store"
+)
+
+const (
+	// Model is the one model that the engines serve.
+	Model = jaywind.Model("heat")
+	// Version is the version that the engines start with.
+	Version = jaywind.Version("v1")
+)
+
+const readyPoll = 5 * time.Millisecond
+
+var domains = []jaywind.Domain{"a", "b", "c", "d"}
+
+// Fleet is all that runs behind a caller; set its fields before Start.
+type Fleet struct {
+	Engines int
+	Routers int
+	Gap     time.Duration // between two tokens of an engine
+	Prefill time.Duration // of an engine for 1,000 tokens
+	Keep    time.Duration // how long an engine goes on without a listener
+
+	Store       store.Store
+	EngineNodes []*EngineNode
+	RouterNodes []*RouterNode
+
+	group conc.WaitGroup
+}
+
+// EngineNode is one engine with its port.
+type EngineNode struct {
+	Node
+	Engine *engine.Engine
+}
+
+// Kill ends an engine at once, as the death of its process would.
+func (n *EngineNode) Kill() {
+	n.Engine.Halt()
+	n.Node.Kill()
+}
+
+// RouterNode is one router with its port for callers.
+type RouterNode struct {
+	Node
+	Router *embed.Router
+
+	stop context.CancelFunc
+}
+
+// Kill ends a router at once, as the death of its process would.
+func (n *RouterNode) Kill() {
+	n.stop()
+	n.Node.Kill()
+}
+
+// Node is a server that can be killed.
+type Node struct {
+	Name    string
+	Address jaywind.Address
+
+	server *http.Server
+}
+
+// Kill cuts all connections of a node at once and takes no new ones.
+func (n *Node) Kill() {
+	_ = n.server.Close()
+}
+
+// Start starts the engines and then the routers, and returns once all routers are ready.
+func (f *Fleet) Start(ctx context.Context) error {
+	for i := range f.Engines {
+		if err := f.startEngine(i); err != nil {
+			return err
+		}
+	}
+	book := rules.Book{Store: &f.Store}
+	if _, err := book.Accept(ctx, rules.Accepted{}, "fleet", f.rules()); err != nil {
+		return err
+	}
+	for i := range f.Routers {
+		if err := f.startRouter(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startEngine(i int) error {
+	e := &engine.Engine{
+		ID:      jaywind.EndpointID(fmt.Sprintf("e%d", i+1)),
+		Model:   Model,
+		Version: Version,
+		Gap:     f.Gap,
+		Prefill: f.Prefill,
+		Keep:    f.Keep,
+	}
+	n, err := f.serve(string(e.ID), e.Handler())
+	if err != nil {
+		return err
+	}
+	f.EngineNodes = append(f.EngineNodes, &EngineNode{Node: n, Engine: e})
+	return nil
+}
+
+func (f *Fleet) rules() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "model %s version=%s # fleet\n", Model, Version)
+	for i, n := range f.EngineNodes {
+		fmt.Fprintf(&b, "endpoint %s model=%s version=%s url=%s domain=%s # fleet\n",
+			n.Name, Model, Version, n.Address, domains[i%len(domains)])
+	}
+	return b.String()
+}
+
+func (f *Fleet) startRouter(ctx context.Context, i int) error {
+	name := fmt.Sprintf("vm%d", i+1)
+	r := &embed.Router{
+		Self:   jaywind.VM(name),
+		Domain: domains[i%len(domains)],
+		Seed:   uint64(i),
+		Engine: &backend.Client{},
+		Store:  &f.Store,
+	}
+	h := &caller.Handler{Router: r, Entries: func(jaywind.Organisation) []jaywind.Address { return f.Entries() }}
+	n, err := f.serve(name, h.Mux())
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	f.RouterNodes = append(f.RouterNodes, &RouterNode{Node: n, Router: r, stop: stop})
+	f.group.Go(func() { _ = r.Run(ctx) })
+	return waitReady(ctx, r)
+}
+
+func waitReady(ctx context.Context, r *embed.Router) error {
+	for !r.Ready() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyPoll):
+		}
+	}
+	return nil
+}
+
+// Entries returns the callers' addresses of all routers, killed ones too.
+func (f *Fleet) Entries() []jaywind.Address {
+	var out []jaywind.Address
+	for _, n := range f.RouterNodes {
+		out = append(out, n.Address)
+	}
+	return out
+}
+
+// Engine returns the engine with an id, or nil.
+func (f *Fleet) Engine(id jaywind.EndpointID) *EngineNode {
+	for _, n := range f.EngineNodes {
+		if n.Name == string(id) {
+			return n
+		}
+	}
+	return nil
+}
+
+// Made returns how many tokens all engines have computed, prefixes included.
+func (f *Fleet) Made() int {
+	total := 0
+	for _, n := range f.EngineNodes {
+		total += n.Engine.Made()
+	}
+	return total
+}
+
+func (f *Fleet) serve(name string, h http.Handler) (Node, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Node{}, err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	f.group.Go(func() { _ = s.Serve(l) })
+	return Node{Name: name, Address: jaywind.Address("http://" + l.Addr().String()), server: s}, nil
+}
+
+// Settle returns once no engine works on anything.
+func (f *Fleet) Settle() {
+	for _, n := range f.EngineNodes {
+		n.Engine.Set(engine.Faults{})
+		n.Engine.Wait()
+	}
+}
+
+// Close kills all nodes and returns when their work has ended.
+func (f *Fleet) Close() {
+	for _, n := range f.RouterNodes {
+		n.Kill()
+	}
+	for _, n := range f.EngineNodes {
+		n.Engine.Set(engine.Faults{})
+		n.Kill()
+	}
+	f.group.Wait()
+}
