fleet/rendezvous: choice of members for a key, and the router's list of them

The keepers of a request's record, the preferred committer of a shard and an organisation's home routers are all chosen from the live members by a key. Consistent hashing with a ring was weighed: it needs virtual nodes to balance over 9 members and says nothing of failure domains. Rendezvous hashing costs a hash for each member and moves only the keys of a lost member.

embed.Router.Members returns the live members; until membership runs, that is the router alone. State.Fleet holds the tables and the notes of the area.

--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -64,6 +64,8 @@
 		Domain: jaywind.Domain(s.Domain),
 		Seed:   seedOf(s.VM),
 		Engine: &engine.Client{},
+		Fleet:  jaywind.Address("http://" + s.Listen.Fleet),
+		Entry:  jaywind.Address("http://" + s.Listen.Caller),
 		Store:  &store.Client{URL: jaywind.Address(s.Store.URL)},
 		Log:    log,
 	}
--- a/embed/router.go
+++ b/embed/router.go
@@ -33,8 +33,10 @@
 	Tick   time.Duration // between full ticks; 20 ms when zero
 	Clock  jaywind.Clock // the machine's when nil
 	Engine jaywind.Engine
-	Store  jaywind.Store // rules are given by SetRules when nil
-	Log    *zap.Logger   // silent when nil
+	Store  jaywind.Store   // rules are given by SetRules when nil
+	Fleet  jaywind.Address // where other routers reach this one; it stays alone when empty
+	Entry  jaywind.Address // where callers reach this one
+	Log    *zap.Logger     // silent when nil
 
 	start   sync.Once
 	core    step.Core
@@ -44,6 +46,7 @@
 	parts   []part
 	answers answerSet
 	ready   atomic.Bool
+	members memberView
 }
 
 // init sets the defaults, whichever method comes first.
@@ -61,6 +64,8 @@
 		r.core.State = table.New(r.Seed)
 		r.core.State.Self = r.Self
 		r.core.State.Domain = r.Domain
+		r.core.State.Fleet.Self = jaywind.Member{VM: r.Self, Domain: r.Domain, Fleet: r.Fleet, Entry: r.Entry}
+		r.members.publish(&r.core.State.Fleet)
 		r.events = make(chan table.Event, eventBuffer)
 		r.stopped = make(chan struct{})
 		r.answers.open = map[jaywind.RequestID]*Answer{}
@@ -114,6 +119,7 @@
 		for _, c := range r.core.Step(r.Clock.Now(), full, batch) {
 			r.execute(ctx, c)
 		}
+		r.members.publish(&r.core.State.Fleet)
 		r.ready.Store(r.core.State.Rules != nil && !r.core.State.Stopping)
 	}
 }
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,6 +22,7 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
+	Fleet         Fleet
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -49,6 +50,7 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
+		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
 	}
 }
 
