move: version and replicas of an unread request

Placement read the version from the model's rule, so a move had no effect. Placement now asks move.VersionFor for the version and move.Narrow for the replicas. A request goes to the new version if the hash of its id is below the move's share, so that a retry of the same id keeps its side.

Weighed: drawing at random, which would move a retried request between the versions, and was ruled out. The set of replicas in use shrinks with the share, so that the load of each is near that of the old version's replicas.

--- /dev/null
+++ b/internal/core/move/version.go
@@ -0,0 +1,143 @@
+package move
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+const (
+	fewReplicas = 4 // below this many, a single one is enough to begin with
+	leastOfMany = 2 // replicas in use at least, so that one fault can be told from a bad version
+)
+
+// VersionFor returns the version that an unread request is to start on, and counts a start on the new one.
+func VersionFor(s *table.State, r *table.Request) jaywind.Version {
+	current := s.Rules.Models[r.Model].Version
+	m := s.Moves[r.Model]
+	if m == nil || current != m.ID.From {
+		return current
+	}
+	switch m.State {
+	case table.MoveDone:
+		return m.ID.To
+	case table.MoveBack:
+		return m.ID.From
+	}
+	if fraction(r.ID) >= m.Share {
+		return m.ID.From
+	}
+	if t := m.Trials[r.ID]; t != nil && t.New {
+		return m.ID.To
+	}
+	if !mayStart(s, m) || !servable(s, m, r) {
+		return m.ID.From
+	}
+	m.Starts++
+	m.Trials[r.ID] = &table.Trial{New: true, Route: r.Route}
+	return m.ID.To
+}
+
+// mayStart tells whether the budget of this router allows one more start before the first proof.
+func mayStart(s *table.State, m *table.Move) bool {
+	return m.Step > 0 || m.Starts < part(s, m)
+}
+
+// part returns this router's part of the budget; the parts of all members add up to about the whole.
+func part(s *table.State, m *table.Move) int {
+	members := max(s.Members, 1)
+	rest := uint64(m.Rule.Budget % members)
+	own := m.Rule.Budget / members
+	if xxhash.Sum64String(string(s.Self)+key(m.ID))%uint64(members) < rest {
+		own++
+	}
+	return own
+}
+
+// servable tells whether some replica of the new version could take the request now.
+func servable(s *table.State, m *table.Move, r *table.Request) bool {
+	for id, e := range s.Rules.Endpoints {
+		if e.Model == m.ID.Model && e.Version == m.ID.To && !r.Avoid[id] && ready(s, m, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// ready tells whether an endpoint reports the new version as loaded and takes new work.
+func ready(s *table.State, m *table.Move, id jaywind.EndpointID) bool {
+	if _, drained := s.Rules.Drains[id]; drained {
+		return false
+	}
+	e := s.Endpoints[id]
+	return e != nil && !e.Leaving && !s.Now.Before(e.ClosedTill) && slices.Contains(e.Load.Loaded, m.ID.To)
+}
+
+func key(id table.MoveID) string {
+	return "/" + string(id.Model) + "/" + string(id.To)
+}
+
+// fraction spreads request ids evenly over [0, 1).
+func fraction(id jaywind.RequestID) float64 {
+	return float64(xxhash.Sum64String(string(id))>>11) / (1 << 53)
+}
+
+// Narrow returns the replicas of the new version that are in use at the present share, or all that are given.
+func Narrow(s *table.State, r *table.Request, usable []rule.Endpoint) []rule.Endpoint {
+	m := s.Moves[r.Model]
+	if m == nil || m.State != table.MoveGoing || r.Pinned() || len(usable) == 0 || usable[0].Version != m.ID.To {
+		return usable
+	}
+	ranked := slices.DeleteFunc(slices.Clone(usable), func(e rule.Endpoint) bool { return !ready(s, m, e.ID) })
+	n := inUse(s, m)
+	if n >= len(ranked) {
+		return ranked
+	}
+	slices.SortFunc(ranked, func(a, b rule.Endpoint) int {
+		return cmp.Compare(rank(m, a.ID), rank(m, b.ID))
+	})
+	return ranked[:n]
+}
+
+func rank(m *table.Move, id jaywind.EndpointID) uint64 {
+	return xxhash.Sum64String(string(id) + key(m.ID))
+}
+
+// inUse returns how many replicas bring the load of each close to that of the old version's.
+func inUse(s *table.State, m *table.Move) int {
+	was, is := replicas(s, m)
+	if m.Share >= 1 {
+		return is
+	}
+	least := min(is, leastOfMany)
+	if is < fewReplicas {
+		least = min(is, 1)
+	}
+	n := int(math.Floor(float64(was) * m.Share / (1 - m.Share)))
+	if m.Suspect {
+		least++
+	}
+	return min(max(n, least), is)
+}
+
+// replicas counts the endpoints of both versions that are not drained.
+func replicas(s *table.State, m *table.Move) (was, is int) {
+	for id, e := range s.Rules.Endpoints {
+		if _, drained := s.Rules.Drains[id]; drained || e.Model != m.ID.Model {
+			continue
+		}
+		switch e.Version {
+		case m.ID.From:
+			was++
+		case m.ID.To:
+			is++
+		}
+	}
+	return was, is
+}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/core/move"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
 )
@@ -95,7 +96,7 @@
 func candidates(s *table.State, r *table.Request) []rule.Endpoint {
 	version := r.Version
 	if !r.Pinned() {
-		version = s.Rules.Models[r.Model].Version
+		version = move.VersionFor(s, r)
 	}
 	var usable []rule.Endpoint
 	for id, e := range s.Rules.Endpoints {
@@ -113,7 +114,7 @@
 		}
 		return 1
 	})
-	return usable
+	return move.Narrow(s, r, usable)
 }
 
 // acceptsWork tells whether an endpoint may receive new work.
--- /dev/null
+++ b/internal/core/table/evidence.go
@@ -0,0 +1,89 @@
+package table
+
+import (
+	"math"
+	"time"
+
+	"jaywind"
+)
+
+// Measure is a kind of outcome by which two versions are compared.
+type Measure int
+
+// The measures.
+const (
+	MeasureFailure Measure = iota // the attempt failed or fell silent
+	MeasureFirst                  // the first token came later than the old version's 0.95 quantile
+	MeasureGap                    // the tokens came slower than the old version's 0.95 quantile
+)
+
+// Pair is a route with a measure.
+type Pair struct {
+	Route   jaywind.Route
+	Measure Measure
+}
+
+// Cell is a pair on one side of a move.
+type Cell struct {
+	Pair
+	New bool
+}
+
+// Tally counts outcomes; By divides the bad ones of the new version by replica.
+type Tally struct {
+	Good uint64
+	Bad  uint64
+	By   map[jaywind.EndpointID]uint64
+}
+
+// Evidence is what a router knows of the outcomes of a move.
+type Evidence struct {
+	Own     map[Cell]Tally         // running totals of this router
+	Heard   map[jaywind.VM]Report  // the last report of each other router
+	Pending map[Cell]Tally         // outcomes of all routers since the last window
+	Scores  map[Pair]*Score        // by route and measure
+	Normal  map[Pair]*Quantile     // 0.95 quantiles of the old version, as this router sees them
+	Rate    float64                // outcomes a second on both sides, smoothed
+	Seen    map[jaywind.Route]bool // routes that carry traffic of the model
+	Window  time.Time              // when the last window was closed
+}
+
+// Score is the CUSUM of one pair over the windows.
+type Score struct {
+	Sum    float64
+	By     map[jaywind.EndpointID]float64 // what each replica has added since Sum was last zero
+	OldAll float64                        // outcomes on the old version, decayed
+	OldBad float64
+}
+
+// Quantile follows the 0.95 quantile of positive durations.
+type Quantile struct {
+	Value time.Duration
+	Count int
+}
+
+const (
+	quantileTail  = 0.05
+	quantileGain  = 0.03 // relative step of a settled estimate
+	quantileFirst = 10   // observations of which the largest is the first estimate
+)
+
+// Observe adds one duration.
+func (q *Quantile) Observe(d time.Duration) {
+	q.Count++
+	if q.Count <= quantileFirst {
+		q.Value = max(q.Value, d)
+		return
+	}
+	gain := max(quantileGain, 1/float64(q.Count))
+	step := -gain * quantileTail
+	if d > q.Value {
+		step = gain * (1 - quantileTail)
+	}
+	q.Value = time.Duration(float64(q.Value) * math.Exp(step))
+}
+
+// Settled tells whether enough was observed to compare with.
+func (q *Quantile) Settled() bool {
+	return q != nil && q.Count >= 2*quantileFirst
+}
--- /dev/null
+++ b/internal/core/table/move.go
@@ -0,0 +1,133 @@
+package table
+
+import (
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+)
+
+// MoveID identifies one move of a model; a rule with another time is another move.
+type MoveID struct {
+	Model jaywind.Model
+	From  jaywind.Version
+	To    jaywind.Version
+	By    int64 // Unix seconds
+}
+
+// MoveState is how far a move has got.
+type MoveState string
+
+// The states of a move; the last two are final.
+const (
+	MoveGoing MoveState = "going"
+	MoveDone  MoveState = "done"
+	MoveBack  MoveState = "taken back"
+)
+
+// Move is one move of a model's traffic between versions.
+type Move struct {
+	ID       MoveID
+	Rule     rule.Move
+	State    MoveState
+	Reason   string
+	Started  time.Time
+	Ended    time.Time
+	Share    float64 // of the traffic, that may go to the new version
+	Step     int     // of the growth
+	StepAt   time.Time
+	Suspect  bool // growth is stopped and the share halved
+	Known    bool // no final state is on record, as the store or a peer has said
+	Recorded bool // the final state is in the store
+
+	Starts   int // on the new version by this router
+	Proof    Proof
+	Evidence Evidence
+	Trials   map[jaywind.RequestID]*Trial
+	AskedAt  time.Time // when the record was last asked for or written
+	ToldAt   time.Time // when the last report was emitted
+}
+
+// Proof counts the outcomes on the new version that speak for it.
+type Proof struct {
+	Step   uint64                   // outcomes since the step began
+	Loaded uint64                   // outcomes at a load per replica like the old version's
+	Routes map[jaywind.Route]uint64 // outcomes on each route
+}
+
+// Trial is a request that is observed for a move.
+type Trial struct {
+	New      bool
+	Route    jaywind.Route
+	Attempt  jaywind.Attempt
+	Endpoint jaywind.EndpointID
+	Opened   time.Time
+	First    time.Time // when the attempt's first frame came
+	Last     time.Time // when its last frame came
+	Frames   int       // of the attempt
+	Judged   bool      // the attempt has counted as a failure or success
+}
+
+// Report is a router's running totals for a move, as it tells them to the others.
+type Report struct {
+	Move    MoveID
+	From    jaywind.VM
+	Life    int64 // distinguishes the lives of a router, Unix nanoseconds
+	Started int64 // of the move as known there, Unix nanoseconds
+	Step    int
+	State   MoveState
+	Reason  string
+	Tallies map[Cell]Tally
+}
+
+// Reported is a Report of another router.
+type Reported struct{ Report Report }
+
+// Recorded is what the store holds of a move; State is MoveGoing when it holds nothing.
+type Recorded struct {
+	Move   MoveID
+	State  MoveState
+	Reason string
+	At     time.Time
+}
+
+// Stalled says that an ordered load did not come true by its time.
+type Stalled struct {
+	Move   MoveID
+	Reason string
+}
+
+// Tell spreads a report to all routers.
+type Tell struct{ Report Report }
+
+// Recall asks the store for the final state of a move.
+type Recall struct{ Move MoveID }
+
+// Record writes the final state of a move into the store, unless another is there.
+type Record struct {
+	Move   MoveID
+	State  MoveState
+	Reason string
+	At     time.Time
+}
+
+// Want is the state that an endpoint should come to.
+type Want struct {
+	Move     MoveID
+	Endpoint jaywind.EndpointID
+	At       jaywind.Address
+	Fenced   bool
+	Version  jaywind.Version
+	Loaded   bool
+}
+
+// Steer hands the wanted states of all moves to the steward.
+type Steer struct{ Wants []Want }
+
+func (Reported) event() {}
+func (Recorded) event() {}
+func (Stalled) event()  {}
+func (Tell) command()   {}
+func (Recall) command() {}
+func (Record) command() {}
+func (Steer) command()  {}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,6 +22,8 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
+	Moves         map[jaywind.Model]*Move
+	Members       int // live routers, this one included; 0 when not known
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -49,6 +51,7 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
+		Moves:         map[jaywind.Model]*Move{},
 	}
 }
 
