--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -23,6 +23,8 @@
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
 	Fleet         Fleet
+	Moves         map[jaywind.Model]*Move
+	Members       int // live routers, this one included; 0 when not known
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -51,6 +53,7 @@
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
 		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
+		Moves:         map[jaywind.Model]*Move{},
 	}
 }
 
