claim: once-only calls claimed in the core, shards of claims and group commit

The core decides on calls to plain services in one system: a claim is committed before bytes leave, an answer is recorded after. Claims live in shards of the platform's store, one compare-and-swap for a batch. A nonce comes with the ask and not from the state's seeded source: a router that restarts with the same seed would draw the nonces of its earlier life again and take their claims for its own. A released nonce stays released, so that a commit delayed past its claimant's refusal can't revive the claim.

--- /dev/null
+++ b/internal/core/claim/send.go
@@ -0,0 +1,156 @@
+package claim
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+// sendNext hands the call to an endpoint that has not been tried, or ends it.
+func sendNext(s *table.State, c *table.ServiceCall) {
+	e, found := choose(s, c)
+	if !found {
+		abandon(s, c, "no endpoint of the service can be reached")
+		return
+	}
+	earn(s, c, e.ID)
+	send(s, c, e)
+}
+
+func send(s *table.State, c *table.ServiceCall, e rule.Endpoint) {
+	c.Phase = table.CallSending
+	c.Endpoint = e.ID
+	c.Tried[e.ID] = true
+	c.Sent = s.Now
+	c.Try++
+	s.Endpoints[e.ID].Inflight++
+	x := c.Ask.Exchange
+	x.NotAfter = c.Ask.Deadline
+	x.Shared = c.Mode == table.ModeRepeat
+	s.Emit(table.Send{Request: c.Ask.ID, Try: c.Try, Endpoint: e.ID, At: e.URL, Exchange: x, Limit: sendLimit(s, c)})
+}
+
+// sendLimit lets a call that may not be repeated outlive its caller, so that its answer is recorded.
+func sendLimit(s *table.State, c *table.ServiceCall) time.Duration {
+	left := c.Ask.Deadline.Sub(s.Now)
+	if c.Mode == table.ModeRepeat {
+		return left
+	}
+	return left + settleGrace
+}
+
+// choose returns the untried endpoint with the fewest open calls, and one that has just failed only last.
+func choose(s *table.State, c *table.ServiceCall) (rule.Endpoint, bool) {
+	var usable []rule.Endpoint
+	for id, e := range s.Rules.Endpoints {
+		if e.Kind == rule.KindService && e.Service == c.Ask.Service && !c.Tried[id] && acceptsWork(s, id) {
+			usable = append(usable, e)
+		}
+	}
+	if len(usable) == 0 {
+		return rule.Endpoint{}, false
+	}
+	slices.SortFunc(usable, func(a, b rule.Endpoint) int {
+		x, y := s.Endpoints[a.ID], s.Endpoints[b.ID]
+		return cmp.Or(cmp.Compare(penalty(s, x), penalty(s, y)), cmp.Compare(x.Inflight, y.Inflight), cmp.Compare(a.ID, b.ID))
+	})
+	return usable[0], true
+}
+
+// penalty is how long the breaker still keeps work away from an endpoint.
+func penalty(s *table.State, e *table.Endpoint) time.Duration {
+	return max(0, e.ClosedTill.Sub(s.Now))
+}
+
+func acceptsWork(s *table.State, id jaywind.EndpointID) bool {
+	if _, drained := s.Rules.Drains[id]; drained {
+		return false
+	}
+	e := s.Endpoints[id]
+	return e != nil && !e.Leaving
+}
+
+// counts tells whether a reply decides: one of the current try, or a good one to an idempotent call.
+func counts(c *table.ServiceCall, e table.Replied) bool {
+	return c.Try == e.Try || c.Mode == table.ModeRepeat && e.Err == nil
+}
+
+// takeReply ends a try.
+func takeReply(s *table.State, e table.Replied) {
+	c := s.Calls[e.Request]
+	if c == nil || c.Phase != table.CallSending || !counts(c, e) {
+		return
+	}
+	release(s, c, e.Err == nil)
+	switch {
+	case e.Err == nil:
+		answer(s, c, e.Reply)
+	case c.Mode == table.ModeRepeat:
+		retry(s, c)
+	case errors.Is(e.Err, jaywind.ErrNotSent):
+		sendElsewhere(s, c)
+	default:
+		settle(s, c, jaywind.ClaimUnknown, jaywind.Reply{})
+		respond(s, c, unknown("the call was sent and its answer was lost"))
+	}
+}
+
+// release closes the current try; a failed one counts against its endpoint.
+func release(s *table.State, c *table.ServiceCall, healthy bool) {
+	e := s.Endpoints[c.Endpoint]
+	if e == nil {
+		return
+	}
+	e.Inflight--
+	if healthy {
+		e.Failures = 0
+		e.ClosedTill = time.Time{}
+		return
+	}
+	e.Failures++
+	e.ClosedTill = s.Now.Add(breakerFirst << min(e.Failures-1, breakerShift))
+}
+
+func answer(s *table.State, c *table.ServiceCall, r jaywind.Reply) {
+	kept := r
+	if len(r.Body) > replyLimit {
+		kept = jaywind.Reply{}
+	}
+	settle(s, c, jaywind.ClaimAnswered, kept)
+	respond(s, c, table.Respond{Result: table.ResultReply, Reply: r})
+}
+
+func settle(s *table.State, c *table.ServiceCall, state jaywind.ClaimState, r jaywind.Reply) {
+	if c.Mode != table.ModeClaimed {
+		return
+	}
+	claim := claimOf(c, state)
+	claim.Reply = r
+	s.Emit(table.Settle{Claim: claim})
+}
+
+// sendElsewhere tries another endpoint after one that took no byte.
+func sendElsewhere(s *table.State, c *table.ServiceCall) {
+	if c.Responded || !s.Now.Before(c.Ask.Deadline) {
+		abandon(s, c, "the deadline has passed")
+		return
+	}
+	sendNext(s, c)
+}
+
+// watchSent answers for an endpoint that has not.
+func watchSent(s *table.State, c *table.ServiceCall) {
+	late := !s.Now.Before(c.Ask.Deadline)
+	switch {
+	case c.Mode == table.ModeRepeat && (late || s.Now.Sub(c.Sent) >= tryLimit):
+		release(s, c, false)
+		retry(s, c)
+	case late && !c.Responded:
+		respondEarly(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
+	}
+}
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jaywind/internal/core/admit"
+	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
@@ -40,5 +41,6 @@
 		admit.Admit{},
 		generate.Silence{},
 		place.Place{},
+		claim.Claim{},
 	}
 }
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,6 +22,8 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
+	Calls         map[jaywind.RequestID]*ServiceCall
+	Retries       map[RetryKey]*RetryBudget
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -49,6 +51,8 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
+		Calls:         map[jaywind.RequestID]*ServiceCall{},
+		Retries:       map[RetryKey]*RetryBudget{},
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/ledger/committer.go
@@ -0,0 +1,140 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/platform/claims"
+)
+
+const (
+	defaultInterval = 40 * time.Millisecond // between two swaps of a shard, when claims wait
+	batchLimit      = 256                   // claims in one swap
+	queueLimit      = 4096                  // claims that may wait for a shard
+	batchTimeout    = 3 * time.Second
+)
+
+// Committer commits claims in groups; set its fields before the first Commit.
+type Committer struct {
+	Store    jaywind.Store
+	Clock    jaywind.Clock // the machine's when nil
+	Interval time.Duration // between two swaps of a shard, when claims wait; 40 ms when zero
+
+	mu     sync.Mutex
+	shards [claims.Shards]queue
+	group  conc.WaitGroup
+}
+
+// queue holds the claims that wait for a shard's next swap.
+type queue struct {
+	shard   claims.Shard
+	waiting []*waiter
+	running bool
+}
+
+type waiter struct {
+	ctx   context.Context
+	claim jaywind.Claim
+	done  chan result // holds one
+}
+
+type result struct {
+	claim jaywind.Claim
+	err   error
+}
+
+// Commit records a claim and returns what is on record; an error that wraps
+// jaywind.ErrUnknown says that the claim may be recorded now or a little later.
+func (c *Committer) Commit(ctx context.Context, claim jaywind.Claim) (jaywind.Claim, error) {
+	w := &waiter{ctx: ctx, claim: claim, done: make(chan result, 1)}
+	if !c.enqueue(claims.ShardOf(claim.ID()), w) {
+		return jaywind.Claim{}, fmt.Errorf("%w: too many claims wait", jaywind.ErrUnavailable)
+	}
+	select {
+	case r := <-w.done:
+		return r.claim, r.err
+	case <-ctx.Done():
+		return jaywind.Claim{}, fmt.Errorf("%w: %w", jaywind.ErrUnknown, ctx.Err())
+	}
+}
+
+// Wait returns when no commit is under way; no Commit may follow it.
+func (c *Committer) Wait() {
+	c.group.Wait()
+}
+
+func (c *Committer) enqueue(shard int, w *waiter) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := &c.shards[shard]
+	if len(q.waiting) >= queueLimit {
+		return false
+	}
+	q.waiting = append(q.waiting, w)
+	if !q.running {
+		q.running = true
+		q.shard.Store, q.shard.Number, q.shard.Clock = c.Store, shard, c.Clock
+		c.group.Go(func() { c.work(q) })
+	}
+	return true
+}
+
+// work commits batches until no claim waits.
+func (c *Committer) work(q *queue) {
+	for {
+		batch := c.take(q)
+		if batch == nil {
+			return
+		}
+		commitBatch(q, batch)
+		time.Sleep(c.interval())
+	}
+}
+
+func (c *Committer) interval() time.Duration {
+	if c.Interval == 0 {
+		return defaultInterval
+	}
+	return c.Interval
+}
+
+// take returns the waiting claims whose claimants have not given up, or nil when the worker ends.
+func (c *Committer) take(q *queue) []*waiter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var batch []*waiter
+	for len(q.waiting) > 0 && len(batch) < batchLimit {
+		w := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		if w.ctx.Err() == nil {
+			batch = append(batch, w)
+		}
+	}
+	if len(batch) == 0 {
+		q.waiting = nil
+		q.running = false
+	}
+	return batch
+}
+
+func commitBatch(q *queue, batch []*waiter) {
+	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+	defer cancel()
+	wants := make([]jaywind.Claim, 0, len(batch))
+	for _, w := range batch {
+		wants = append(wants, w.claim)
+	}
+	recorded, err := q.shard.Commit(ctx, wants)
+	for i, w := range batch {
+		if err != nil {
+			w.done <- result{err: err}
+			continue
+		}
+		w.done <- result{claim: recorded[i]}
+	}
+}
--- /dev/null
+++ b/internal/platform/claims/shard.go
@@ -0,0 +1,171 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"jaywind"
+)
+
+// Shards is how many shards the claims hash to, and so bounds the store's writes a second.
+const Shards = 8
+
+const (
+	commitRounds = 8         // swaps and reads that one batch may take
+	sealSize     = 64 << 10  // bytes of a head that is due to be sealed
+	mergeCount   = 8         // sealed segments of a shard that are merged into one
+	mergeSize    = 512 << 10 // bytes of segments that are merged together
+	retention    = 48 * time.Hour
+)
+
+// ErrContended is returned when other routers kept winning the swaps of a shard.
+var ErrContended = fmt.Errorf("%w: shard is contended", jaywind.ErrUnavailable)
+
+// ShardOf returns the shard of a key.
+func ShardOf(k jaywind.ClaimKey) int {
+	return int(k.Hash() % Shards)
+}
+
+// Shard reads and commits the claims of one shard; it is for one goroutine at a time.
+type Shard struct {
+	Store  jaywind.Store
+	Number int
+	Clock  jaywind.Clock // the machine's when nil
+
+	loaded   bool
+	head     head
+	revision jaywind.Revision
+	recent   map[jaywind.ClaimKey]jaywind.Claim // the rows of head
+	sealed   map[uint64]map[jaywind.ClaimKey]jaywind.Claim
+}
+
+// Commit records claims in their order and returns what is on record for each afterwards.
+//
+// After an error that wraps jaywind.ErrUnknown some of the claims may be on record.
+func (h *Shard) Commit(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, error) {
+	var unclear error
+	for range commitRounds {
+		out, err := h.try(ctx, wants)
+		switch {
+		case err == nil:
+			return out, nil
+		case errors.Is(err, jaywind.ErrConflict):
+		case errors.Is(err, jaywind.ErrUnknown):
+			unclear = err
+		default:
+			return nil, errors.Join(unclear, err)
+		}
+		h.loaded = false
+	}
+	return nil, errors.Join(unclear, ErrContended)
+}
+
+// try does one round on the head that is known, or on a fresh one.
+func (h *Shard) try(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, error) {
+	fresh := !h.loaded
+	if err := h.load(ctx); err != nil {
+		return nil, err
+	}
+	out, changed := h.merge(wants)
+	if len(changed) == 0 {
+		if fresh || allFinal(out) {
+			return out, nil
+		}
+		h.loaded = false
+		return h.try(ctx, wants)
+	}
+	return out, h.write(ctx, changed)
+}
+
+// allFinal tells whether a known head is as good as a fresh one.
+func allFinal(claims []jaywind.Claim) bool {
+	for _, c := range claims {
+		if !c.Final() {
+			return false
+		}
+	}
+	return true
+}
+
+// merge returns what each claim leads to and the keys whose record changes.
+func (h *Shard) merge(wants []jaywind.Claim) ([]jaywind.Claim, map[jaywind.ClaimKey]jaywind.Claim) {
+	changed := map[jaywind.ClaimKey]jaywind.Claim{}
+	out := make([]jaywind.Claim, 0, len(wants))
+	for _, want := range wants {
+		k := want.ID()
+		old, found := changed[k]
+		if !found {
+			old = h.find(k)
+		}
+		now, differs := old.Then(want)
+		if differs {
+			changed[k] = now
+		}
+		out = append(out, now)
+	}
+	return out, changed
+}
+
+// find returns the latest record of a key, whose state is ClaimNone when there is none.
+func (h *Shard) find(k jaywind.ClaimKey) jaywind.Claim {
+	if c, found := h.recent[k]; found {
+		return c
+	}
+	for i := len(h.head.Sealed) - 1; i >= 0; i-- {
+		if c, found := h.sealed[h.head.Sealed[i].Hash][k]; found {
+			return c
+		}
+	}
+	return jaywind.Claim{}
+}
+
+// load reads the head and the segments that it names, unless they are known.
+func (h *Shard) load(ctx context.Context) error {
+	if h.loaded {
+		return nil
+	}
+	e, err := h.Store.Get(ctx, h.key())
+	if err != nil && !errors.Is(err, jaywind.ErrAbsent) {
+		return err
+	}
+	next := head{Form: form}
+	if err == nil {
+		if next, err = decodeHead(e.Value); err != nil {
+			return err
+		}
+	}
+	if err := h.loadSealed(ctx, next.Sealed); err != nil {
+		return err
+	}
+	h.adopt(next, e.Revision)
+	return nil
+}
+
+func (h *Shard) adopt(next head, revision jaywind.Revision) {
+	h.head = next
+	h.revision = revision
+	h.recent = index(next.Rows)
+	h.loaded = true
+}
+
+func index(rows []row) map[jaywind.ClaimKey]jaywind.Claim {
+	out := make(map[jaywind.ClaimKey]jaywind.Claim, len(rows))
+	for _, r := range rows {
+		c := r.claim()
+		out[c.ID()] = c
+	}
+	return out
+}
+
+func (h *Shard) key() string {
+	return fmt.Sprintf("claims-%d", h.Number)
+}
+
+func (h *Shard) now() time.Time {
+	if h.Clock == nil {
+		return time.Now()
+	}
+	return h.Clock.Now()
+}
--- /dev/null
+++ b/internal/platform/claims/wire.go
@@ -0,0 +1,116 @@
+package claims
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"jaywind"
+)
+
+// ErrForm wraps a failure to decode a value of the store.
+var ErrForm = errors.New("not a segment of claims")
+
+const form = 1 // of the encoding
+
+// row is one claim as it is stored.
+type row struct {
+	Organisation string      `cbor:"1,keyasint"`
+	Service      string      `cbor:"2,keyasint"`
+	Key          string      `cbor:"3,keyasint"`
+	Body         uint64      `cbor:"4,keyasint"`
+	Nonce        uint64      `cbor:"5,keyasint"`
+	State        int         `cbor:"6,keyasint"`
+	Status       int         `cbor:"7,keyasint,omitempty"`
+	Header       http.Header `cbor:"8,keyasint,omitempty"`
+	Reply        []byte      `cbor:"9,keyasint,omitempty"`
+}
+
+// name is a sealed segment's place in the head.
+type name struct {
+	Hash  uint64 `cbor:"1,keyasint"`
+	Size  int    `cbor:"2,keyasint"` // bytes
+	Until int64  `cbor:"3,keyasint"` // seconds of Unix time when it may be dropped
+}
+
+// head is the value of a shard's key.
+type head struct {
+	Form   int    `cbor:"1,keyasint"`
+	Rows   []row  `cbor:"2,keyasint"`
+	Sealed []name `cbor:"3,keyasint,omitempty"` // oldest first
+}
+
+// segment is the value of a sealed segment's key.
+type segment struct {
+	Form int   `cbor:"1,keyasint"`
+	Rows []row `cbor:"2,keyasint"`
+}
+
+func rowOf(c jaywind.Claim) row {
+	return row{
+		Organisation: string(c.Organisation),
+		Service:      string(c.Service),
+		Key:          string(c.Key),
+		Body:         uint64(c.Body),
+		Nonce:        uint64(c.Nonce),
+		State:        int(c.State),
+		Status:       c.Reply.Status,
+		Header:       c.Reply.Header,
+		Reply:        c.Reply.Body,
+	}
+}
+
+func (r row) claim() jaywind.Claim {
+	return jaywind.Claim{
+		Organisation: jaywind.Organisation(r.Organisation),
+		Service:      jaywind.ServiceName(r.Service),
+		Key:          jaywind.IdempotencyKey(r.Key),
+		Body:         jaywind.Digest(r.Body),
+		Nonce:        jaywind.Nonce(r.Nonce),
+		State:        jaywind.ClaimState(r.State),
+		Reply:        jaywind.Reply{Status: r.Status, Header: r.Header, Body: r.Reply},
+	}
+}
+
+// check finds states that this form doesn't know, which must not be read as no claim.
+func check(rows []row) error {
+	for _, r := range rows {
+		if r.State <= int(jaywind.ClaimNone) || r.State > int(jaywind.ClaimUnknown) {
+			return fmt.Errorf("%w: state %d", ErrForm, r.State)
+		}
+	}
+	return nil
+}
+
+func encode(v any) ([]byte, error) {
+	return cbor.Marshal(v)
+}
+
+func decodeHead(value []byte) (head, error) {
+	var h head
+	if err := cbor.Unmarshal(value, &h); err != nil {
+		return head{}, fmt.Errorf("%w: %w", ErrForm, err)
+	}
+	if h.Form != form {
+		return head{}, fmt.Errorf("%w: form %d, want %d", ErrForm, h.Form, form)
+	}
+	return h, check(h.Rows)
+}
+
+func decodeSegment(value []byte) (segment, error) {
+	var g segment
+	if err := cbor.Unmarshal(value, &g); err != nil {
+		return segment{}, fmt.Errorf("%w: %w", ErrForm, err)
+	}
+	if g.Form != form {
+		return segment{}, fmt.Errorf("%w: form %d, want %d", ErrForm, g.Form, form)
+	}
+	return g, check(g.Rows)
+}
+
+func (n name) expired(now time.Time) bool {
+	return now.Unix() >= n.Until
+}
