--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -25,6 +25,8 @@
 	Fleet         Fleet
 	Moves         map[jaywind.Model]*Move
 	Members       int // live routers, this one included; 0 when not known
+	Calls         map[jaywind.RequestID]*ServiceCall
+	Retries       map[RetryKey]*RetryBudget
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -54,6 +56,8 @@
 		Organisations: map[jaywind.Organisation]*Organisation{},
 		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
 		Moves:         map[jaywind.Model]*Move{},
+		Calls:         map[jaywind.RequestID]*ServiceCall{},
+		Retries:       map[RetryKey]*RetryBudget{},
 	}
 }
 
