--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"jaywind/internal/measure/load"
 	"jaywind/internal/measure/overhead"
 	"jaywind/internal/measure/report"
 	"jaywind/internal/measure/resume"
@@ -25,6 +26,7 @@
 type study func(ctx context.Context, quick bool) ([]report.Row, error)
 
 var studies = map[string]study{
+	"load":     measureLoad,
 	"overhead": measureOverhead,
 	"resume":   measureResume,
 }
@@ -100,3 +102,11 @@
 	}
 	return s.Measure(ctx)
 }
+
+func measureLoad(ctx context.Context, quick bool) ([]report.Row, error) {
+	s := load.Study{Seconds: 20}
+	if quick {
+		s.Seconds = 2
+	}
+	return s.Measure(ctx)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -24,6 +24,7 @@
 	Gap     time.Duration // between tokens; 5 ms when zero
 	Prefill time.Duration // for 1,000 tokens of prefix
 	Keep    time.Duration // how long a stream without a listener goes on; 10 s when zero
+	Batch   int           // runs at full speed; more share the speed of these; no limit when zero
 	Salt    uint64        // makes this engine's tokens differ from those of its replicas
 
 	mu     sync.Mutex
@@ -32,6 +33,7 @@
 	opened int // streams opened so far
 	silent int // streams up to this number write nothing more
 	halted bool
+	active int // runs that make tokens
 	fence  jaywind.Fence
 	loaded map[jaywind.Version]bool
 	made   int // tokens computed in all
@@ -72,6 +74,22 @@
 	return e.Gap
 }
 
+// pace returns the time between two tokens of one run with the batch as full as it is now.
+func (e *Engine) pace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Batch == 0 || e.active <= e.Batch {
+		return e.gap()
+	}
+	return e.gap() * time.Duration(e.active) / time.Duration(e.Batch)
+}
+
+func (e *Engine) join(by int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active += by
+}
+
 func (e *Engine) keep() time.Duration {
 	if e.Keep == 0 {
 		return defaultKeep
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -33,10 +33,12 @@
 
 // produce makes tokens until the answer is whole, cancelled or nobody listens.
 func (e *Engine) produce(r *run) {
+	e.join(1)
+	defer e.join(-1)
 	time.Sleep(e.Prefill * time.Duration(len(r.ask.Prefix)) / 1000)
 	e.count(len(r.ask.Prefix))
 	for !e.isHalted() && !r.over(e.keep()) {
-		time.Sleep(e.gap())
+		time.Sleep(e.pace())
 		e.waitWhilePaused()
 		r.add(e.Salt, e.Version)
 		e.count(1)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -36,6 +36,7 @@
 	Routers int
 	Gap     time.Duration // between two tokens of an engine
 	Prefill time.Duration // of an engine for 1,000 tokens
+	Batch   int           // runs that an engine serves at full speed; no limit when zero
 	Keep    time.Duration // how long an engine goes on without a listener
 
 	Store       store.Store
@@ -110,6 +111,7 @@
 		Version: Version,
 		Gap:     f.Gap,
 		Prefill: f.Prefill,
+		Batch:   f.Batch,
 		Keep:    f.Keep,
 	}
 	n, err := f.serve(string(e.ID), e.Handler())
