place: merge the rows of moves, members and once-only calls

Placement asks moves for the version, and narrows to the replicas that a move uses on the whole ring of the new version, since all routers must watch the same few.

--- a/internal/core/place/choose.go
+++ b/internal/core/place/choose.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jaywind"
+	"jaywind/internal/core/move"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
 )
@@ -41,24 +42,32 @@
 	if r.Pinned() {
 		return r.Version
 	}
-	return s.Rules.Models[r.Model].Version
+	return move.VersionFor(s, r)
 }
 
 // candidates returns the endpoints of the window that may serve r; an empty window is widened.
+// The new version of a move is watched on few replicas, the same at all routers, so its whole ring is used.
 func candidates(s *table.State, r *table.Request, g *table.Ring, v jaywind.Version) []*table.Endpoint {
 	if g == nil {
 		return nil
 	}
 	var usable []*table.Endpoint
 	size := g.Size
+	fresh := moving(s, r, v)
+	if fresh {
+		size = len(g.IDs)
+	}
 	for i := 0; i < size; i++ {
-		if e := s.Endpoints[g.At(i)]; e != nil && !r.Avoid[e.ID] && accepts(s, e, v) && mayTry(r, e) {
+		if e := s.Endpoints[g.At(i)]; e != nil && !r.Avoid[e.ID] && accepts(s, e, v) && mayTry(s, r, e) {
 			usable = append(usable, e)
 		}
 		if i == size-1 && len(usable) == 0 {
 			size = min(2*size, len(g.IDs))
 		}
 	}
+	if fresh {
+		return narrow(s, r, usable)
+	}
 	return usable
 }
 
@@ -71,8 +80,8 @@
 }
 
 // mayTry keeps retries of work without tokens within the endpoint's budget.
-func mayTry(r *table.Request, e *table.Endpoint) bool {
-	return r.Tries == 0 || r.Pinned() || e.Retries.Left()
+func mayTry(s *table.State, r *table.Request, e *table.Endpoint) bool {
+	return r.Tries == 0 || r.Pinned() || s.Budget(table.RetryKey{Endpoint: e.ID}).Left()
 }
 
 func pick(s *table.State, r *table.Request, usable []*table.Endpoint) (*table.Endpoint, verdict) {
--- a/internal/core/place/wait.go
+++ b/internal/core/place/wait.go
@@ -49,14 +49,12 @@
 	if r.Pinned() || r.Tries == 0 || q.state.Rules == nil {
 		return true
 	}
-	o, _ := q.state.Account(r.Organisation)
-	return o.Retries.Left()
+	return q.ofOrganisation(r).Left()
 }
 
 // spend counts an attempt that was opened and sets the pause before the next.
 func (q *queue) spend(r *table.Request) {
-	o, _ := q.state.Account(r.Organisation)
-	for _, b := range []*table.Budget{&o.Retries, &q.state.Endpoints[r.Endpoint].Retries} {
+	for _, b := range []*table.RetryBudget{q.ofOrganisation(r), q.state.Budget(table.RetryKey{Endpoint: r.Endpoint})} {
 		if r.Tries == 1 {
 			b.Earn()
 		} else {
@@ -68,6 +66,11 @@
 	}
 }
 
+func (q *queue) ofOrganisation(r *table.Request) *table.RetryBudget {
+	o, _ := q.state.Account(r.Organisation)
+	return q.state.Budget(table.RetryKey{Organisation: o.Name})
+}
+
 func pauseAfter(n int) time.Duration {
 	return min(tryPause<<min(n, maxShift), tryCap)
 }
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jaywind/internal/core/admit"
+	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
@@ -41,5 +42,6 @@
 		generate.Silence{},
 		admit.Admit{},
 		place.Place{},
+		claim.Claim{},
 	}
 }
--- a/internal/core/table/budget.go
+++ b/internal/core/table/budget.go
@@ -1,26 +1,31 @@
 package table
 
-// Budget bounds retries to a share of first attempts; its zero value has the whole reserve.
-type Budget struct {
-	spent float64 // of the reserve
-}
-
 const (
-	budgetReserve = 10  // retries
-	budgetShare   = 0.2 // retries that each first attempt earns
+	retryReserve = 10  // retries that may be spent ahead of first tries
+	retryShare   = 0.1 // retries that one first try earns
 )
 
-// Earn counts a first attempt.
-func (b *Budget) Earn() {
-	b.spent = max(0, b.spent-budgetShare)
+// Earn counts a first try.
+func (b *RetryBudget) Earn() {
+	b.Spent = max(0, b.Spent-retryShare)
 }
 
 // Left tells whether a retry may be spent.
-func (b *Budget) Left() bool {
-	return b.spent+1 <= budgetReserve
+func (b *RetryBudget) Left() bool {
+	return b.Spent+1 <= retryReserve
 }
 
 // Spend counts a retry.
-func (b *Budget) Spend() {
-	b.spent++
+func (b *RetryBudget) Spend() {
+	b.Spent++
+}
+
+// Budget returns the retry budget of an organisation or an endpoint.
+func (s *State) Budget(k RetryKey) *RetryBudget {
+	b := s.Retries[k]
+	if b == nil {
+		b = &RetryBudget{}
+		s.Retries[k] = b
+	}
+	return b
 }
--- a/internal/core/table/endpoint.go
+++ b/internal/core/table/endpoint.go
@@ -17,11 +17,13 @@
 	Leaving  bool
 	Gaps     Gaps
 
+	Failures   int       // of a service's endpoint, since the last success
+	ClosedTill time.Time // the same, no work before
+
 	Breaker  Breaker                      // over failures to reach the endpoint
 	Versions map[jaywind.Version]*Breaker // over failures of the work of a version
 	Refusals int                          // refusals of the endpoint itself since the last success
 	Refused  time.Time                    // no work goes there before, after a refusal
-	Retries  Budget                       // of retries that go to the endpoint
 
 	prefill   float64 // tokens of prompts and prefixes that are still to be computed
 	prefillAt time.Time
--- a/internal/core/table/organisation.go
+++ b/internal/core/table/organisation.go
@@ -9,10 +9,9 @@
 
 // Organisation is what is known of an organisation beyond its rule.
 type Organisation struct {
-	Name    jaywind.Organisation
-	Tokens  float64   // requests that may start now
-	Filled  time.Time // when Tokens was last brought up to date
-	Retries Budget
+	Name   jaywind.Organisation
+	Tokens float64   // requests that may start now
+	Filled time.Time // when Tokens was last brought up to date
 }
 
 // Unlisted stands for all organisations without a rule of their own; a rule of this name limits them together.
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -25,6 +25,11 @@
 	Seat          Seat
 	Rings         Rings
 	Pools         map[jaywind.Model]*Pool
+	Fleet         Fleet
+	Moves         map[jaywind.Model]*Move
+	Members       int // live routers, this one included; 0 when not known
+	Calls         map[jaywind.RequestID]*ServiceCall
+	Retries       map[RetryKey]*RetryBudget
 
 	Queued  []jaywind.RequestID // wait for admission, oldest first
 	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -56,6 +61,10 @@
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
 		Pools:         map[jaywind.Model]*Pool{},
+		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
+		Moves:         map[jaywind.Model]*Move{},
+		Calls:         map[jaywind.RequestID]*ServiceCall{},
+		Retries:       map[RetryKey]*RetryBudget{},
 	}
 }
 
