core/member: membership by gossip, one probe a period

SWIM's form is taken: one direct probe a period of 500 ms in rounds, three members asked to help after 200 ms, suspicion after 900 ms, death 2 s later unless refuted. News goes to three members at once and then rides on usual messages, 10 rows and 8 notes each.

Two departures. A death is decided by each router for itself after its own suspicion; a row that says dead is not taken from others, or the healing of a cut would kill each side in the other's name. A member refutes only over a call that reached it, so one that can speak but not be reached leaves the lists.

--- a/embed/router.go
+++ b/embed/router.go
@@ -33,10 +33,15 @@
 	Tick   time.Duration // between full ticks; 20 ms when zero
 	Clock  jaywind.Clock // the machine's when nil
 	Engine jaywind.Engine
-	Store  jaywind.Store   // rules are given by SetRules when nil
-	Fleet  jaywind.Address // where other routers reach this one; it stays alone when empty
-	Entry  jaywind.Address // where callers reach this one
-	Log    *zap.Logger     // silent when nil
+	Store  jaywind.Store     // rules are given by SetRules when nil
+	Fleet  jaywind.Address   // where other routers reach this one; it stays alone when empty
+	Entry  jaywind.Address   // where callers reach this one
+	Seeds  []jaywind.Address // routers to begin with
+
+	Gossiper  jaywind.Gossiper  // the router stays alone when nil
+	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Directory jaywind.Directory // members are known by gossip only when nil
+	Log       *zap.Logger       // silent when nil
 
 	start   sync.Once
 	core    step.Core
@@ -47,6 +52,7 @@
 	answers answerSet
 	ready   atomic.Bool
 	members memberView
+	gossip  gossip
 }
 
 // init sets the defaults, whichever method comes first.
@@ -65,6 +71,7 @@
 		r.core.State.Self = r.Self
 		r.core.State.Domain = r.Domain
 		r.core.State.Fleet.Self = jaywind.Member{VM: r.Self, Domain: r.Domain, Fleet: r.Fleet, Entry: r.Entry}
+		r.core.State.Fleet.Seeds = r.Seeds
 		r.members.publish(&r.core.State.Fleet)
 		r.events = make(chan table.Event, eventBuffer)
 		r.stopped = make(chan struct{})
@@ -79,6 +86,10 @@
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
 	}
+	r.gossip.router = r
+	if r.Gossiper != nil {
+		parts = append(parts, &r.gossip)
+	}
 	if r.Store != nil {
 		parts = append(parts, &rulebook{router: r})
 	}
--- a/gossip.go
+++ b/gossip.go
@@ -1,6 +1,9 @@
 package jaywind
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Liveness is what is believed of a member.
 type Liveness int
@@ -26,9 +29,14 @@
 
 // Gossip is one message of the membership protocol.
 type Gossip struct {
-	From    Member
-	Members []Member
-	Notes   []Note
+	From     Member
+	Members  []Member
+	Notes    []Note
+	Relay    Address       // the receiver calls this member and says whether it answered
+	Reached  bool          // in a reply: whether the relayed member answered
+	Join     bool          // the sender wants the whole table in the reply
+	Whole    bool          // Members is the whole table
+	StoreAge time.Duration // since any member known to the sender reached the store; negative when none did
 }
 
 // Note is a small fact that is spread to all routers once, such as a verdict on a version.
@@ -43,3 +51,20 @@
 	// Exchange sends a message and returns the other's, within ctx's deadline.
 	Exchange(ctx context.Context, at Address, g Gossip) (Gossip, error)
 }
+
+// ChunkID is the content hash of a part of the rules' text.
+type ChunkID string
+
+// RulesHead names the chunks that make up the text of an accepted set of rules.
+type RulesHead struct {
+	Version RulesVersion
+	Chunks  []ChunkID
+}
+
+// Copier speaks to other routers that hold the accepted rules.
+type Copier interface {
+	// Head returns the head of the highest version that the peer holds.
+	Head(ctx context.Context, at Address) (RulesHead, error)
+	// Chunks returns chunks of that version, in the order asked for.
+	Chunks(ctx context.Context, at Address, ids []ChunkID) ([]string, error)
+}
--- /dev/null
+++ b/internal/core/member/contact.go
@@ -0,0 +1,98 @@
+package member
+
+import (
+	"slices"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// contact calls one address beyond the live members: a seed, a VM of the list, or a member believed dead.
+func contact(s *table.State) {
+	f := &s.Fleet
+	f.NextSeed = s.Now.Add(ContactPeriod)
+	if !f.Settled {
+		f.NextSeed = s.Now.Add(JoinPeriod)
+	}
+	if !f.Settled && len(f.Members) > 0 {
+		settle(s)
+		return
+	}
+	addresses := contacts(f)
+	if len(addresses) == 0 {
+		return
+	}
+	at := addresses[s.Random.IntN(len(addresses))]
+	target := memberAt(s, at)
+	g := message(s, target)
+	g.Join = !f.Settled
+	if target != "" {
+		g.Notes = keptNotes(f)
+	}
+	tell(s, table.Call{Target: target, Purpose: table.PurposeContact}, at, g)
+}
+
+// settle asks a random member for the whole table, until one brings nothing new.
+func settle(s *table.State) {
+	ids := shuffled(s)
+	if len(ids) == 0 {
+		return
+	}
+	g := message(s, ids[0])
+	g.Join = true
+	tell(s, table.Call{Target: ids[0], Purpose: table.PurposeContact}, s.Fleet.Members[ids[0]].Fleet, g)
+}
+
+// contacts returns the addresses of members that may live although they are not known to.
+func contacts(f *table.Fleet) []jaywind.Address {
+	live := map[jaywind.Address]bool{f.Self.Fleet: true}
+	set := map[jaywind.Address]bool{}
+	for _, m := range f.Members {
+		if m.Liveness == jaywind.LivenessDead {
+			set[m.Fleet] = true
+		} else {
+			live[m.Fleet] = true
+		}
+	}
+	for _, a := range f.Seeds {
+		set[a] = true
+	}
+	for _, m := range f.Machines {
+		set[m.Fleet] = true
+	}
+	var out []jaywind.Address
+	for a := range set {
+		if a != "" && !live[a] {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// memberAt returns the member that listens at an address, a live one if there are several.
+func memberAt(s *table.State, at jaywind.Address) jaywind.VM {
+	var found jaywind.VM
+	for _, id := range known(s) {
+		m := s.Fleet.Members[id]
+		if m.Fleet == at && (found == "" || m.Liveness != jaywind.LivenessDead) {
+			found = id
+		}
+	}
+	return found
+}
+
+// takeList keeps the VM list and tells all routers which VMs are leaving.
+func takeList(s *table.State, machines []jaywind.Machine) {
+	f := &s.Fleet
+	f.Machines = machines
+	for _, m := range machines {
+		if m.Leaving && !f.LeavingVMs[m.VM] {
+			f.LeavingVMs[m.VM] = true
+			f.Spread(jaywind.Note{Kind: NoteLeaving, Key: string(m.VM)})
+		}
+	}
+}
+
+// NoteLeaving is the kind of a note that names a VM which the platform's list says is leaving.
+const NoteLeaving = "leaving"
--- /dev/null
+++ b/internal/core/member/member.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"math/bits"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// The times of the protocol.
+const (
+	Period         = 500 * time.Millisecond  // between direct probes
+	DirectLimit    = 200 * time.Millisecond  // for a direct answer, before others are asked to help
+	CallLimit      = 400 * time.Millisecond  // for any one call
+	ProbeLimit     = 900 * time.Millisecond  // from the probe to the suspicion
+	SuspicionLimit = 2 * time.Second         // from the suspicion to the death
+	ContactPeriod  = 2 * time.Second         // between calls beyond the live members
+	JoinPeriod     = 500 * time.Millisecond  // the same while whole tables bring new members
+	SettleLimit    = 4 * time.Second         // from the start until the table can be taken as whole
+	ForgetAfter    = 2 * time.Hour           // from the death, longer than the cuts to live through
+	PauseLimit     = time.Second             // between full ticks; a longer gap is a pause of this router
+	FreshLimit     = 10 * time.Second        // without news of the store before a smaller side stops
+	FetchLimit     = 1500 * time.Millisecond // for rules to arrive from a member
+	wholeInterval  = 100 * time.Millisecond  // between whole tables sent
+)
+
+// The sizes of the protocol.
+const (
+	helpers      = 3  // members asked to probe another
+	pushes       = 3  // members told of news at once
+	rowLimit     = 10 // rows of news in a message
+	sampleLimit  = 3  // random rows in a message, to repair what was missed
+	noteLimit    = 8  // notes in a message
+	noteBytes    = 4096
+	noteKeep     = 256 // notes kept for members that come back
+	spreadFactor = 3   // messages that carry news, for each doubling of the fleet
+)
+
+// Member runs the membership protocol.
+type Member struct{}
+
+// Step handles the messages of the tick and, on a full one, the timers.
+func (Member) Step(s *table.State) {
+	f := &s.Fleet
+	f.NotesIn = nil
+	begin(s)
+	for _, e := range s.Events {
+		switch e := e.(type) {
+		case table.Asked:
+			takeAsk(s, e)
+		case table.Answered:
+			takeAnswer(s, e)
+		case table.Listed:
+			takeList(s, e.Machines)
+		case table.Reached:
+			f.StoreAt = s.Now
+		case table.Fetched:
+			f.FetchAt = time.Time{}
+		}
+	}
+	news := updateSelf(s)
+	news = takeNotes(s) || news
+	if news {
+		push(s)
+	}
+	if s.Full && f.Self.Fleet != "" {
+		watchTimers(s)
+	}
+	f.Cut = isCut(s)
+}
+
+// begin sets the first incarnation from the clock, so that a restarted router goes on above its former self.
+func begin(s *table.State) {
+	f := &s.Fleet
+	if f.Started.IsZero() {
+		f.Started = s.Now
+	}
+	if f.Self.Incarnation == 0 {
+		f.Self.Incarnation = uint64(max(s.Now.UnixMilli(), 1))
+	}
+}
+
+// updateSelf raises the incarnation when the router's own row changes.
+func updateSelf(s *table.State) bool {
+	f := &s.Fleet
+	if f.Self.Rules == s.RulesVersion && f.Self.Leaving == s.Stopping {
+		return false
+	}
+	f.Self.Rules = s.RulesVersion
+	f.Self.Leaving = s.Stopping
+	f.Self.Incarnation++
+	f.Epoch++
+	return true
+}
+
+// spreadOf returns how many messages carry a piece of news.
+func spreadOf(f *table.Fleet) int {
+	return spreadFactor * bits.Len(uint(len(f.Members)+1))
+}
+
+// watchTimers runs what is due, after a pause of this router has been allowed for.
+func watchTimers(s *table.State) {
+	f := &s.Fleet
+	if !f.LastFull.IsZero() && s.Now.Sub(f.LastFull) > PauseLimit {
+		forgivePause(s, s.Now.Sub(f.LastFull))
+	}
+	f.LastFull = s.Now
+	dropCalls(s)
+	watchProbe(s)
+	watchMembers(s)
+	if !s.Now.Before(f.NextPeer) {
+		f.NextPeer = s.Now.Add(Period)
+		startProbe(s)
+	}
+	if !s.Now.Before(f.NextSeed) {
+		contact(s)
+	}
+}
+
+// forgivePause drops what this router could not hear while it was paused.
+func forgivePause(s *table.State, gap time.Duration) {
+	f := &s.Fleet
+	f.Ping = table.Ping{}
+	for _, m := range f.Members {
+		if m.Liveness == jaywind.LivenessSuspect {
+			m.Since = m.Since.Add(gap)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/member/message.go
@@ -0,0 +1,97 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// message returns what is told to a member: this router's row, the other's own row, news, and a random sample.
+func message(s *table.State, to jaywind.VM) jaywind.Gossip {
+	f := &s.Fleet
+	g := jaywind.Gossip{From: f.Self, StoreAge: -1}
+	if !f.StoreAt.IsZero() {
+		g.StoreAge = s.Now.Sub(f.StoreAt)
+	}
+	if m := f.Members[to]; m != nil && m.Liveness != jaywind.LivenessAlive {
+		g.Members = append(g.Members, m.Member)
+	}
+	ids := known(s)
+	g.Members = append(g.Members, newsRows(f, ids, to)...)
+	for range min(sampleLimit, len(ids)) {
+		id := ids[s.Random.IntN(len(ids))]
+		g.Members = append(g.Members, f.Members[id].Member)
+	}
+	g.Notes = newsNotes(f)
+	return g
+}
+
+// known returns the ids of all members in order.
+func known(s *table.State) []jaywind.VM {
+	return slices.Sorted(maps.Keys(s.Fleet.Members))
+}
+
+// newsRows returns the rows that were spread least.
+func newsRows(f *table.Fleet, ids []jaywind.VM, to jaywind.VM) []jaywind.Member {
+	var hot []*table.Member
+	for _, id := range ids {
+		if m := f.Members[id]; m.Spread > 0 && id != to {
+			hot = append(hot, m)
+		}
+	}
+	slices.SortStableFunc(hot, func(a, b *table.Member) int { return cmp.Compare(b.Spread, a.Spread) })
+	var rows []jaywind.Member
+	for _, m := range hot[:min(rowLimit, len(hot))] {
+		m.Spread--
+		rows = append(rows, m.Member)
+	}
+	return rows
+}
+
+// reply answers a message; a stranger that joins gets the whole table, a member believed dead the kept notes.
+func reply(s *table.State, ask uint64, to jaywind.Gossip, reached bool) {
+	f := &s.Fleet
+	g := message(s, to.From.VM)
+	g.Reached = reached
+	if m := f.Members[to.From.VM]; m != nil && m.Liveness == jaywind.LivenessDead {
+		g.Notes = keptNotes(f)
+	}
+	if to.Join && !s.Now.Before(f.JoinGate) {
+		f.JoinGate = s.Now.Add(wholeInterval)
+		g.Whole = true
+		g.Notes = keptNotes(f)
+		g.Members = nil
+		for _, id := range known(s) {
+			g.Members = append(g.Members, f.Members[id].Member)
+		}
+	}
+	s.Emit(table.Reply{Ask: ask, Gossip: g})
+}
+
+// tell sends a message and remembers what its answer is for.
+func tell(s *table.State, c table.Call, at jaywind.Address, g jaywind.Gossip) {
+	f := &s.Fleet
+	f.Number++
+	c.Sent = s.Now
+	f.Calls[f.Number] = &c
+	limit := CallLimit
+	if g.Relay != "" {
+		limit += CallLimit
+	}
+	s.Emit(table.Tell{Number: f.Number, At: at, Gossip: g, Limit: limit})
+}
+
+// push tells a few random members of news at once.
+func push(s *table.State) {
+	f := &s.Fleet
+	if f.Self.Fleet == "" {
+		return
+	}
+	ids := shuffled(s)
+	for _, id := range ids[:min(pushes, len(ids))] {
+		tell(s, table.Call{Target: id, Purpose: table.PurposePush}, f.Members[id].Fleet, message(s, id))
+	}
+}
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -5,6 +5,7 @@
 
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/member"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -36,6 +37,7 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		member.Member{},
 		generate.Intake{},
 		admit.Admit{},
 		generate.Silence{},
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -12,18 +12,70 @@
 type Member struct {
 	jaywind.Member
 	Since  time.Time // when Liveness became what it is
-	Heard  time.Time // when the member itself was last heard
 	Spread int       // messages that may still carry the row
 }
 
+// Note is a note with its spreading state.
+type Note struct {
+	jaywind.Note
+	Spread int // messages that may still carry the note
+}
+
+// Call is a message to another router that waits for its answer.
+type Call struct {
+	Target jaywind.VM // empty when only the address is known
+	Purpose
+	Sent time.Time
+	Ask  uint64 // of the Asked whose reply waits for this call, for a relay
+}
+
+// Purpose is why a message was sent.
+type Purpose int
+
+// The purposes of messages.
+const (
+	PurposeProbe   Purpose = iota // the direct probe of a period
+	PurposeHelp                   // asks another member to probe the target
+	PurposeRelay                  // probes the target on behalf of another member
+	PurposePush                   // spreads news at once
+	PurposeContact                // looks for members beyond the known live ones
+)
+
+// Ping is the direct probe of this period.
+type Ping struct {
+	Target  jaywind.VM // empty when none is
+	Started time.Time
+	Helped  bool // other members were asked to probe it as well
+}
+
 // Fleet is what a router knows of the others and of itself as a member.
 type Fleet struct {
-	Self    jaywind.Member
-	Members map[jaywind.VM]*Member // without Self
-	Epoch   uint64                 // raised with each change of the list of live members
+	Self     jaywind.Member
+	Members  map[jaywind.VM]*Member // without Self
+	Machines []jaywind.Machine      // the VM list as last read
+	Seeds    []jaywind.Address      // members to begin with
+	Epoch    uint64                 // raised with each change of the list of live members
+
+	Ping     Ping
+	Round    []jaywind.VM // members still to be probed in this round
+	Calls    map[uint64]*Call
+	Number   uint64 // of the last call
+	NextPeer time.Time
+	NextSeed time.Time
+	LastFull time.Time // the last full tick, to notice a pause
+	JoinGate time.Time // no whole table is sent before then
+	Started  time.Time // the first tick
+	Settled  bool      // a whole table brought nothing new
+
+	Notes    []*Note         // newest last
+	NoteKeys map[string]bool // of Notes
+	NotesIn  []jaywind.Note  // received for the first time in this tick
+	notesOut []jaywind.Note  // emitted here, not yet taken up by membership
 
-	NotesIn  []jaywind.Note // received for the first time since the last tick
-	notesOut []jaywind.Note // emitted here, not yet taken up by membership
+	StoreAt    time.Time // when any known member last reached the store; zero for never
+	Cut        bool      // on the smaller side of a cut, without the store
+	FetchAt    time.Time // when the last fetch of rules from a member began; zero when none runs
+	LeavingVMs map[jaywind.VM]bool
 }
 
 // Live returns the members that are not dead, with this router, ordered by VM; leaving ones are included.
@@ -49,3 +101,64 @@
 	f.notesOut = nil
 	return out
 }
+
+// Asked is a message from another router that waits for a reply.
+type Asked struct {
+	Ask    uint64
+	Gossip jaywind.Gossip
+}
+
+// Answered is the reply to a Tell, or its failure.
+type Answered struct {
+	Number uint64
+	Gossip jaywind.Gossip
+	Err    error
+}
+
+// Listed is the VM list as the platform last saw it.
+type Listed struct{ Machines []jaywind.Machine }
+
+// Reached says that this router has just reached the store.
+type Reached struct{}
+
+// Fetched says that a Fetch has ended; new rules come as Ruled.
+type Fetched struct{ Err error }
+
+// Tell sends a message to another router.
+type Tell struct {
+	Number uint64
+	At     jaywind.Address
+	Gossip jaywind.Gossip
+	Limit  time.Duration
+}
+
+// Reply answers an Asked.
+type Reply struct {
+	Ask    uint64
+	Gossip jaywind.Gossip
+}
+
+// Fetch asks for the rules that another router holds.
+type Fetch struct {
+	At      jaywind.Address
+	Version jaywind.RulesVersion
+}
+
+func (Asked) event()    {}
+func (Answered) event() {}
+func (Listed) event()   {}
+func (Reached) event()  {}
+func (Fetched) event()  {}
+func (Tell) command()   {}
+func (Reply) command()  {}
+func (Fetch) command()  {}
+
+// NewFleet returns the tables of a router that knows nobody.
+func NewFleet() Fleet {
+	return Fleet{
+		Members:    map[jaywind.VM]*Member{},
+		Calls:      map[uint64]*Call{},
+		NoteKeys:   map[string]bool{},
+		LeavingVMs: map[jaywind.VM]bool{},
+	}
+}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -50,7 +50,7 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
-		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
+		Fleet:         NewFleet(),
 	}
 }
 
