--- /dev/null
+++ b/cmd/jaywind/status.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/client/operator"
+	"jaywind/internal/operator/settings"
+)
+
+const (
+	applyWait  = 10 * time.Second
+	applyPause = 100 * time.Millisecond
+)
+
+func newOperator(s settings.Settings, at string) *operator.Client {
+	if at == "" {
+		at = "http://" + s.Listen.Operator
+	}
+	return &operator.Client{URL: jaywind.Address(at), Secret: s.Secret}
+}
+
+func status(ctx context.Context, c *console) int {
+	f := c.flags()
+	settingsFile := f.String("settings", "", "settings `file` of the router to ask")
+	at := f.String("operator", "", "operator `URL` of the router to ask; that of the settings when empty")
+	asJSON := f.Bool("json", false, "print the status as JSON")
+	if code, more := c.parse(f); !more {
+		return code
+	}
+	s, err := loadSettings(*settingsFile)
+	if err != nil {
+		return c.fail(err)
+	}
+	got, err := newOperator(s, *at).Status(ctx)
+	if err != nil {
+		return c.fail(err)
+	}
+	if *asJSON {
+		_ = json.NewEncoder(c.out).Encode(got)
+		return exitOK
+	}
+	c.printStatus(got)
+	return exitOK
+}
+
+func (c *console) printStatus(s operator.Status) {
+	c.printf("rules version %d at %s; %d of %d routers live\n", s.Rules, s.VM, s.Live, s.Known)
+	switch {
+	case s.Cut:
+		c.printf("cut off: no store, and fewer than half of the routers; new requests are refused\n")
+	case s.Store < 0:
+		c.printf("store: not reached yet\n")
+	default:
+		c.printf("store: last reached %.0f s ago\n", s.Store)
+	}
+	for _, r := range s.Routers {
+		leaving := ""
+		if r.Leaving {
+			leaving = " leaving"
+		}
+		c.printf("router %s domain=%s state=%s rules=%d%s\n", r.VM, r.Domain, r.State, r.Rules, leaving)
+	}
+	for _, id := range s.Leaving {
+		c.printf("endpoint %s leaving\n", id)
+	}
+	for _, m := range s.Moves {
+		c.printf("move %s from=%s to=%s by=%s %s share=%.3f %s\n",
+			m.Model, m.From, m.To, m.By.Format(time.RFC3339), m.State, m.Share, m.Reason)
+	}
+}
+
+// awaitForce waits until all live routers have a version in force and prints how far it got.
+func (c *console) awaitForce(ctx context.Context, o *operator.Client, version jaywind.RulesVersion, wait time.Duration) int {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var last operator.Status
+	var lastErr error
+	for {
+		s, err := o.Status(ctx)
+		if err == nil {
+			last, lastErr = s, nil
+		} else if ctx.Err() == nil {
+			lastErr = err
+		}
+		if len(last.Routers) > 0 && len(behind(last, version)) == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(applyPause):
+			continue
+		}
+		break
+	}
+	if len(last.Routers) == 0 {
+		return c.pending(version, "no router could be asked: "+errorText(lastErr))
+	}
+	return c.printForce(last, version)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "no answer in time"
+	}
+	return err.Error()
+}
+
+// behind returns the routers that count and do not have a version in force.
+func behind(s operator.Status, version jaywind.RulesVersion) []operator.Router {
+	var out []operator.Router
+	for _, r := range s.Routers {
+		gone := r.State == "dead" && r.Leaving
+		if !gone && (r.State != "alive" || r.Rules < uint64(version)) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (c *console) printForce(s operator.Status, version jaywind.RulesVersion) int {
+	late := behind(s, version)
+	holds := s.Known
+	for _, r := range late {
+		what := "has version"
+		if r.State != "alive" {
+			what = "could not be reached (" + r.State + "), had version"
+		}
+		c.printf("router %s %s %d\n", r.VM, what, r.Rules)
+		if r.Rules < uint64(version) {
+			holds--
+		}
+	}
+	c.printf("version %d is in force on %d of %d routers\n", version, holds, s.Known)
+	if 2*holds <= s.Known {
+		return c.pending(version, "no majority of the routers has it")
+	}
+	c.printf("accepted as version %d\n", version)
+	return exitOK
+}
+
+func (c *console) pending(version jaywind.RulesVersion, why string) int {
+	c.printf("version %d is pending: %s\n", version, why)
+	return exitPending
+}
--- a/embed/gossip.go
+++ b/embed/gossip.go
@@ -21,9 +21,9 @@
 
 func (p *gossip) execute(ctx context.Context, c table.Command) bool {
 	switch c := c.(type) {
-	case table.Tell:
+	case table.SendGossip:
 		p.router.group.Go(func() { p.tell(ctx, c) })
-	case table.Reply:
+	case table.ReplyGossip:
 		p.answer(c)
 	default:
 		return false
@@ -31,14 +31,14 @@
 	return true
 }
 
-func (p *gossip) tell(ctx context.Context, c table.Tell) {
+func (p *gossip) tell(ctx context.Context, c table.SendGossip) {
 	ctx, cancel := context.WithTimeout(ctx, c.Limit)
 	defer cancel()
 	g, err := p.router.Gossiper.Exchange(ctx, c.At, c.Gossip)
-	p.router.post(table.Answered{Number: c.Number, Gossip: g, Err: err})
+	p.router.post(table.GossipAnswered{Number: c.Number, Gossip: g, Err: err})
 }
 
-func (p *gossip) answer(c table.Reply) {
+func (p *gossip) answer(c table.ReplyGossip) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if wait := p.asks[c.Ask]; wait != nil {
@@ -71,7 +71,7 @@
 	r.init()
 	ask, wait := r.gossip.register()
 	defer r.gossip.forget(ask)
-	if !r.post(table.Asked{Ask: ask, Gossip: g}) {
+	if !r.post(table.GossipAsked{Ask: ask, Gossip: g}) {
 		return jaywind.Gossip{}, ErrStopped
 	}
 	select {
--- a/embed/router.go
+++ b/embed/router.go
@@ -43,16 +43,20 @@
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Log       *zap.Logger       // silent when nil
 
-	start   sync.Once
-	core    step.Core
-	events  chan table.Event
-	stopped chan struct{}
-	group   conc.WaitGroup
-	parts   []part
-	answers answerSet
-	ready   atomic.Bool
-	members memberView
-	gossip  gossip
+	start    sync.Once
+	core     step.Core
+	events   chan table.Event
+	looks    chan func() // run between two ticks
+	stopped  chan struct{}
+	group    conc.WaitGroup
+	parts    []part
+	answers  answerSet
+	meter    *meter
+	ready    atomic.Bool
+	stopping atomic.Bool
+	members  memberView
+	gossip   gossip
+	rulebook rulebook
 }
 
 // init sets the defaults, whichever method comes first.
@@ -74,8 +78,10 @@
 		r.core.State.Fleet.Seeds = r.Seeds
 		r.members.publish(&r.core.State.Fleet)
 		r.events = make(chan table.Event, eventBuffer)
+		r.looks = make(chan func())
 		r.stopped = make(chan struct{})
 		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.meter = newMeter()
 		r.parts = r.newParts()
 	})
 }
@@ -90,8 +96,12 @@
 	if r.Gossiper != nil {
 		parts = append(parts, &r.gossip)
 	}
-	if r.Store != nil {
-		parts = append(parts, &rulebook{router: r})
+	if r.Directory != nil {
+		parts = append(parts, &directory{router: r})
+	}
+	r.rulebook.router = r
+	if r.Store != nil || r.Copier != nil {
+		parts = append(parts, &r.rulebook)
 	}
 	return parts
 }
@@ -121,16 +131,22 @@
 		select {
 		case <-ctx.Done():
 			return
+		case look := <-r.looks:
+			look()
+			continue
 		case <-ticker.C:
 			full = true
 		case e := <-r.events:
 			batch = append(batch, e)
 		}
 		batch = r.drain(batch)
-		for _, c := range r.core.Step(r.Clock.Now(), full, batch) {
+		commands := r.core.Step(r.Clock.Now(), full, batch)
+		r.meter.observe(r.core.State, batch, commands)
+		for _, c := range commands {
 			r.execute(ctx, c)
 		}
 		r.members.publish(&r.core.State.Fleet)
+		r.stopping.Store(r.core.State.Stopping)
 		r.ready.Store(r.core.State.Rules != nil && !r.core.State.Stopping)
 	}
 }
--- a/internal/core/member/contact.go
+++ b/internal/core/member/contact.go
@@ -29,7 +29,7 @@
 	if target != "" {
 		g.Notes = keptNotes(f)
 	}
-	tell(s, table.Call{Target: target, Purpose: table.PurposeContact}, at, g)
+	tell(s, table.GossipCall{Target: target, Purpose: table.PurposeContact}, at, g)
 }
 
 // settle asks a random member for the whole table, until one brings nothing new.
@@ -40,7 +40,7 @@
 	}
 	g := message(s, ids[0])
 	g.Join = true
-	tell(s, table.Call{Target: ids[0], Purpose: table.PurposeContact}, s.Fleet.Members[ids[0]].Fleet, g)
+	tell(s, table.GossipCall{Target: ids[0], Purpose: table.PurposeContact}, s.Fleet.Members[ids[0]].Fleet, g)
 }
 
 // contacts returns the addresses of members that may live although they are not known to.
@@ -73,7 +73,7 @@
 // memberAt returns the member that listens at an address, a live one if there are several.
 func memberAt(s *table.State, at jaywind.Address) jaywind.VM {
 	var found jaywind.VM
-	for _, id := range known(s) {
+	for _, id := range s.Fleet.Order {
 		m := s.Fleet.Members[id]
 		if m.Fleet == at && (found == "" || m.Liveness != jaywind.LivenessDead) {
 			found = id
@@ -81,18 +81,3 @@
 	}
 	return found
 }
-
-// takeList keeps the VM list and tells all routers which VMs are leaving.
-func takeList(s *table.State, machines []jaywind.Machine) {
-	f := &s.Fleet
-	f.Machines = machines
-	for _, m := range machines {
-		if m.Leaving && !f.LeavingVMs[m.VM] {
-			f.LeavingVMs[m.VM] = true
-			f.Spread(jaywind.Note{Kind: NoteLeaving, Key: string(m.VM)})
-		}
-	}
-}
-
-// NoteLeaving is the kind of a note that names a VM which the platform's list says is leaving.
-const NoteLeaving = "leaving"
--- a/internal/core/member/cut.go
+++ b/internal/core/member/cut.go
@@ -44,5 +44,5 @@
 		return
 	}
 	f.FetchAt = s.Now
-	s.Emit(table.Fetch{At: from.Fleet, Version: from.Rules})
+	s.Emit(table.FetchRules{At: from.Fleet, Version: from.Rules})
 }
--- a/internal/core/member/fleet_test.go
+++ b/internal/core/member/fleet_test.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -97,15 +96,15 @@
 	Member{}.Step(n.state)
 	for _, c := range n.state.Take() {
 		switch c := c.(type) {
-		case table.Tell:
+		case table.SendGossip:
 			n.count(c.Gossip)
 			f.send(i, c)
-		case table.Reply:
+		case table.ReplyGossip:
 			n.count(c.Gossip)
 			f.answer(c)
-		case table.Fetch:
+		case table.FetchRules:
 			n.state.RulesVersion = max(n.state.RulesVersion, c.Version)
-			n.inbox = append(n.inbox, table.Fetched{})
+			n.inbox = append(n.inbox, table.RulesFetched{})
 		}
 	}
 }
@@ -115,21 +114,21 @@
 	n.rows += len(g.Members) + 1
 }
 
-func (f *fleet) send(from int, c table.Tell) {
+func (f *fleet) send(from int, c table.SendGossip) {
 	to, known := f.at[c.At]
 	if !known || f.nodes[to].down || f.isCut(from, to) {
-		f.late = append(f.late, late{f.now.Add(c.Limit), from, table.Answered{Number: c.Number, Err: errCut}})
+		f.late = append(f.late, late{f.now.Add(c.Limit), from, table.GossipAnswered{Number: c.Number, Err: errCut}})
 		return
 	}
 	f.asks++
 	f.reply[f.asks] = exchange{from, to, c.Number}
-	f.nodes[to].inbox = append(f.nodes[to].inbox, table.Asked{Ask: f.asks, Gossip: c.Gossip})
+	f.nodes[to].inbox = append(f.nodes[to].inbox, table.GossipAsked{Ask: f.asks, Gossip: c.Gossip})
 }
 
-func (f *fleet) answer(c table.Reply) {
+func (f *fleet) answer(c table.ReplyGossip) {
 	x := f.reply[c.Ask]
 	delete(f.reply, c.Ask)
-	f.nodes[x.from].inbox = append(f.nodes[x.from].inbox, table.Answered{Number: x.number, Gossip: c.Gossip})
+	f.nodes[x.from].inbox = append(f.nodes[x.from].inbox, table.GossipAnswered{Number: x.number, Gossip: c.Gossip})
 }
 
 func (f *fleet) isCut(from, to int) bool { return f.cut != nil && f.cut(from, to) }
@@ -169,8 +168,3 @@
 func only(i int) func(int) bool { return func(j int) bool { return j == i } }
 
 func others(i int) func(int) bool { return func(j int) bool { return j != i } }
-
-func median(d []time.Duration) time.Duration {
-	slices.SortFunc(d, cmp.Compare[time.Duration])
-	return d[len(d)/2]
-}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -22,6 +22,7 @@
 	PauseLimit     = time.Second             // between full ticks; a longer gap is a pause of this router
 	FreshLimit     = 10 * time.Second        // without news of the store before a smaller side stops
 	FetchLimit     = 1500 * time.Millisecond // for rules to arrive from a member
+	lookPeriod     = 100 * time.Millisecond  // between looks at suspicions
 	wholeInterval  = 100 * time.Millisecond  // between whole tables sent
 )
 
@@ -47,15 +48,15 @@
 	begin(s)
 	for _, e := range s.Events {
 		switch e := e.(type) {
-		case table.Asked:
+		case table.GossipAsked:
 			takeAsk(s, e)
-		case table.Answered:
+		case table.GossipAnswered:
 			takeAnswer(s, e)
-		case table.Listed:
-			takeList(s, e.Machines)
-		case table.Reached:
+		case table.MachinesListed:
+			f.Machines = e.Machines
+		case table.StoreReached:
 			f.StoreAt = s.Now
-		case table.Fetched:
+		case table.RulesFetched:
 			f.FetchAt = time.Time{}
 		}
 	}
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -236,7 +236,7 @@
 			}
 			for range 30 {
 				if c.store >= 0 {
-					f.nodes[c.store].inbox = append(f.nodes[c.store].inbox, table.Reached{})
+					f.nodes[c.store].inbox = append(f.nodes[c.store].inbox, table.StoreReached{})
 				}
 				f.run(time.Second)
 			}
--- a/internal/core/member/merge.go
+++ b/internal/core/member/merge.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"time"
 
 	"jaywind"
@@ -68,6 +69,8 @@
 		m.Spread = spreadOf(f)
 	}
 	f.Members[row.VM] = m
+	at, _ := slices.BinarySearch(f.Order, row.VM)
+	f.Order = slices.Insert(f.Order, at, row.VM)
 	f.Epoch++
 }
 
@@ -96,12 +99,16 @@
 	}
 	g := message(s, from.VM)
 	g.Relay = f.Self.Fleet
-	tell(s, table.Call{Target: from.VM, Purpose: table.PurposePush}, from.Fleet, g)
+	tell(s, table.GossipCall{Target: from.VM, Purpose: table.PurposePush}, from.Fleet, g)
 }
 
 // watchMembers turns suspicions into deaths and forgets the long dead.
 func watchMembers(s *table.State) {
 	f := &s.Fleet
+	if s.Now.Before(f.NextLook) {
+		return
+	}
+	f.NextLook = s.Now.Add(lookPeriod)
 	for id, m := range f.Members {
 		age := s.Now.Sub(m.Since)
 		switch m.Liveness {
@@ -112,6 +119,8 @@
 		case jaywind.LivenessDead:
 			if age >= ForgetAfter {
 				delete(f.Members, id)
+				at, _ := slices.BinarySearch(f.Order, id)
+				f.Order = slices.Delete(f.Order, at, at+1)
 			}
 		}
 	}
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"jaywind"
@@ -19,7 +18,7 @@
 	if m := f.Members[to]; m != nil && m.Liveness != jaywind.LivenessAlive {
 		g.Members = append(g.Members, m.Member)
 	}
-	ids := known(s)
+	ids := f.Order
 	g.Members = append(g.Members, newsRows(f, ids, to)...)
 	for range min(sampleLimit, len(ids)) {
 		id := ids[s.Random.IntN(len(ids))]
@@ -29,11 +28,6 @@
 	return g
 }
 
-// known returns the ids of all members in order.
-func known(s *table.State) []jaywind.VM {
-	return slices.Sorted(maps.Keys(s.Fleet.Members))
-}
-
 // newsRows returns the rows that were spread least.
 func newsRows(f *table.Fleet, ids []jaywind.VM, to jaywind.VM) []jaywind.Member {
 	var hot []*table.Member
@@ -64,15 +58,15 @@
 		g.Whole = true
 		g.Notes = keptNotes(f)
 		g.Members = nil
-		for _, id := range known(s) {
+		for _, id := range f.Order {
 			g.Members = append(g.Members, f.Members[id].Member)
 		}
 	}
-	s.Emit(table.Reply{Ask: ask, Gossip: g})
+	s.Emit(table.ReplyGossip{Ask: ask, Gossip: g})
 }
 
 // tell sends a message and remembers what its answer is for.
-func tell(s *table.State, c table.Call, at jaywind.Address, g jaywind.Gossip) {
+func tell(s *table.State, c table.GossipCall, at jaywind.Address, g jaywind.Gossip) {
 	f := &s.Fleet
 	f.Number++
 	c.Sent = s.Now
@@ -81,7 +75,7 @@
 	if g.Relay != "" {
 		limit += CallLimit
 	}
-	s.Emit(table.Tell{Number: f.Number, At: at, Gossip: g, Limit: limit})
+	s.Emit(table.SendGossip{Number: f.Number, At: at, Gossip: g, Limit: limit})
 }
 
 // push tells a few random members of news at once.
@@ -92,6 +86,6 @@
 	}
 	ids := shuffled(s)
 	for _, id := range ids[:min(pushes, len(ids))] {
-		tell(s, table.Call{Target: id, Purpose: table.PurposePush}, f.Members[id].Fleet, message(s, id))
+		tell(s, table.GossipCall{Target: id, Purpose: table.PurposePush}, f.Members[id].Fleet, message(s, id))
 	}
 }
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -1,8 +1,6 @@
 package member
 
 import (
-	"slices"
-
 	"jaywind"
 	"jaywind/internal/core/table"
 )
@@ -18,7 +16,7 @@
 		return
 	}
 	f.Ping = table.Ping{Target: m.VM, Started: s.Now}
-	tell(s, table.Call{Target: m.VM, Purpose: table.PurposeProbe}, m.Fleet, message(s, m.VM))
+	tell(s, table.GossipCall{Target: m.VM, Purpose: table.PurposeProbe}, m.Fleet, message(s, m.VM))
 }
 
 // nextTarget takes members in random order, each once in a round, so that detection time is bounded.
@@ -40,12 +38,11 @@
 // shuffled returns the ids of the live members in random order.
 func shuffled(s *table.State) []jaywind.VM {
 	var ids []jaywind.VM
-	for id, m := range s.Fleet.Members {
-		if m.Liveness != jaywind.LivenessDead {
+	for _, id := range s.Fleet.Order {
+		if s.Fleet.Members[id].Liveness != jaywind.LivenessDead {
 			ids = append(ids, id)
 		}
 	}
-	slices.Sort(ids)
 	s.Random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	return ids
 }
@@ -86,7 +83,7 @@
 		g := message(s, id)
 		g.Relay = target.Fleet
 		g.Members = append(g.Members, target.Member)
-		tell(s, table.Call{Target: target.VM, Purpose: table.PurposeHelp}, f.Members[id].Fleet, g)
+		tell(s, table.GossipCall{Target: target.VM, Purpose: table.PurposeHelp}, f.Members[id].Fleet, g)
 	}
 }
 
@@ -98,7 +95,7 @@
 }
 
 // takeAnswer handles the reply to a message of this router.
-func takeAnswer(s *table.State, e table.Answered) {
+func takeAnswer(s *table.State, e table.GossipAnswered) {
 	f := &s.Fleet
 	c := f.Calls[e.Number]
 	if c == nil {
@@ -123,11 +120,11 @@
 }
 
 // takeAsk answers a message of another router, after the relay that it may ask for.
-func takeAsk(s *table.State, e table.Asked) {
+func takeAsk(s *table.State, e table.GossipAsked) {
 	merge(s, e.Gossip, true)
 	if at := e.Gossip.Relay; at != "" {
 		target, g := relayTo(s, at)
-		tell(s, table.Call{Target: target, Purpose: table.PurposeRelay, Ask: e.Ask}, at, g)
+		tell(s, table.GossipCall{Target: target, Purpose: table.PurposeRelay, Ask: e.Ask}, at, g)
 		return
 	}
 	reply(s, e.Ask, e.Gossip, false)
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jaywind/internal/core/admit"
+	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/member"
 	"jaywind/internal/core/place"
@@ -38,9 +39,11 @@
 	return []table.System{
 		Rules{},
 		member.Member{},
+		member.Leave{},
 		generate.Intake{},
 		admit.Admit{},
 		generate.Silence{},
 		place.Place{},
+		claim.Claim{},
 	}
 }
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -21,12 +21,12 @@
 	Spread int // messages that may still carry the note
 }
 
-// Call is a message to another router that waits for its answer.
-type Call struct {
+// GossipCall is a message to another router that waits for its answer.
+type GossipCall struct {
 	Target jaywind.VM // empty when only the address is known
 	Purpose
 	Sent time.Time
-	Ask  uint64 // of the Asked whose reply waits for this call, for a relay
+	Ask  uint64 // of the GossipAsked whose reply waits for this call, for a relay
 }
 
 // Purpose is why a message was sent.
@@ -52,16 +52,18 @@
 type Fleet struct {
 	Self     jaywind.Member
 	Members  map[jaywind.VM]*Member // without Self
+	Order    []jaywind.VM           // the keys of Members in order
 	Machines []jaywind.Machine      // the VM list as last read
 	Seeds    []jaywind.Address      // members to begin with
 	Epoch    uint64                 // raised with each change of the list of live members
 
 	Ping     Ping
 	Round    []jaywind.VM // members still to be probed in this round
-	Calls    map[uint64]*Call
+	Calls    map[uint64]*GossipCall
 	Number   uint64 // of the last call
 	NextPeer time.Time
 	NextSeed time.Time
+	NextLook time.Time // at suspicions
 	LastFull time.Time // the last full tick, to notice a pause
 	JoinGate time.Time // no whole table is sent before then
 	Started  time.Time // the first tick
@@ -102,62 +104,62 @@
 	return out
 }
 
-// Asked is a message from another router that waits for a reply.
-type Asked struct {
+// GossipAsked is a message from another router that waits for a reply.
+type GossipAsked struct {
 	Ask    uint64
 	Gossip jaywind.Gossip
 }
 
-// Answered is the reply to a Tell, or its failure.
-type Answered struct {
+// GossipAnswered is the reply to a SendGossip, or its failure.
+type GossipAnswered struct {
 	Number uint64
 	Gossip jaywind.Gossip
 	Err    error
 }
 
-// Listed is the VM list as the platform last saw it.
-type Listed struct{ Machines []jaywind.Machine }
+// MachinesListed is the VM list as the platform last saw it.
+type MachinesListed struct{ Machines []jaywind.Machine }
 
-// Reached says that this router has just reached the store.
-type Reached struct{}
+// StoreReached says that this router has just reached the store.
+type StoreReached struct{}
 
-// Fetched says that a Fetch has ended; new rules come as Ruled.
-type Fetched struct{ Err error }
+// RulesFetched says that a FetchRules has ended; new rules come as Ruled.
+type RulesFetched struct{ Err error }
 
-// Tell sends a message to another router.
-type Tell struct {
+// SendGossip sends a message to another router.
+type SendGossip struct {
 	Number uint64
 	At     jaywind.Address
 	Gossip jaywind.Gossip
 	Limit  time.Duration
 }
 
-// Reply answers an Asked.
-type Reply struct {
+// ReplyGossip answers a GossipAsked.
+type ReplyGossip struct {
 	Ask    uint64
 	Gossip jaywind.Gossip
 }
 
-// Fetch asks for the rules that another router holds.
-type Fetch struct {
+// FetchRules asks for the rules that another router holds.
+type FetchRules struct {
 	At      jaywind.Address
 	Version jaywind.RulesVersion
 }
 
-func (Asked) event()    {}
-func (Answered) event() {}
-func (Listed) event()   {}
-func (Reached) event()  {}
-func (Fetched) event()  {}
-func (Tell) command()   {}
-func (Reply) command()  {}
-func (Fetch) command()  {}
+func (GossipAsked) event()    {}
+func (GossipAnswered) event() {}
+func (MachinesListed) event() {}
+func (StoreReached) event()   {}
+func (RulesFetched) event()   {}
+func (SendGossip) command()   {}
+func (ReplyGossip) command()  {}
+func (FetchRules) command()   {}
 
 // NewFleet returns the tables of a router that knows nobody.
 func NewFleet() Fleet {
 	return Fleet{
 		Members:    map[jaywind.VM]*Member{},
-		Calls:      map[uint64]*Call{},
+		Calls:      map[uint64]*GossipCall{},
 		NoteKeys:   map[string]bool{},
 		LeavingVMs: map[jaywind.VM]bool{},
 	}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -23,6 +23,10 @@
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
 	Fleet         Fleet
+	Moves         map[jaywind.Model]*Move
+	Members       int // live routers, this one included; 0 when not known
+	Calls         map[jaywind.RequestID]*ServiceCall
+	Retries       map[RetryKey]*RetryBudget
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -51,6 +55,9 @@
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
 		Fleet:         NewFleet(),
+		Moves:         map[jaywind.Model]*Move{},
+		Calls:         map[jaywind.RequestID]*ServiceCall{},
+		Retries:       map[RetryKey]*RetryBudget{},
 	}
 }
 
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -21,12 +23,16 @@
 	entriesKeep  = 5 * time.Second  // how long a caller may keep the list of entries
 	defaultLimit = 256              // tokens
 	maxLimit     = 1 << 17          // tokens
+
+	stoppingRetry = time.Second // another entry can be asked at once
+	waitPeriod    = 20 * time.Millisecond
 )
 
 // router is what the handler needs of a router.
 type router interface {
 	Generate(ctx context.Context, ask table.Ask) (*embed.Answer, error)
 	Ready() bool
+	Stopping() bool
 }
 
 // Handler serves callers; set its fields before Mux is called.
@@ -35,6 +41,8 @@
 	Entries func(jaywind.Organisation) []jaywind.Address // the entries that an organisation should use
 	Clock   jaywind.Clock                                // the machine's when nil
 	Log     *zap.Logger                                  // silent when nil
+
+	active atomic.Int64 // requests for work that are not answered
 }
 
 // Mux returns the HTTP interface for callers.
@@ -46,13 +54,46 @@
 		h.Log = zap.NewNop()
 	}
 	m := httprouter.New()
-	m.POST("/v1/completions", h.complete)
+	m.POST("/v1/completions", h.work(h.complete))
 	m.GET("/v1/entries", h.entries)
 	m.GET("/healthz", h.health)
 	m.GET("/readyz", h.ready)
 	return m
 }
 
+// work counts a request for work, so that a shutdown waits for it, and refuses it when the router is stopping.
+func (h *Handler) work(next httprouter.Handle) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+		h.active.Add(1)
+		defer h.active.Add(-1)
+		if h.Router.Stopping() {
+			h.refuseStopping(w, r)
+			return
+		}
+		next(w, r, p)
+	}
+}
+
+// refuseStopping sends a caller to another entry; the request was certainly not run.
+func (h *Handler) refuseStopping(w http.ResponseWriter, r *http.Request) {
+	p := problemOf("not_run", "this router is stopping", false, stoppingRetry)
+	if others := h.Entries(organisationOf(r)); len(others) > 0 {
+		p.Entry = string(others[0])
+	}
+	w.Header().Set("Retry-After", strconv.Itoa(int(stoppingRetry.Seconds())))
+	writeJSON(w, http.StatusServiceUnavailable, failure{Error: p})
+}
+
+// Wait returns when no request for work is left, or ctx ends.
+func (h *Handler) Wait(ctx context.Context) {
+	for h.active.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(waitPeriod):
+		}
+	}
+}
+
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.WriteHeader(http.StatusNoContent)
 }
