--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -51,6 +51,9 @@
 	if s.Stopping {
 		return "this router is stopping"
 	}
+	if s.Fleet.Cut {
+		return "this router is cut off from the store and from most routers"
+	}
 	if s.Rules == nil {
 		return "no rules are known yet"
 	}
--- a/internal/core/rule/parse.go
+++ b/internal/core/rule/parse.go
@@ -95,6 +95,7 @@
 	}
 	e.URL = readAddress(l, "url")
 	e.Domain = jaywind.Domain(l.text("domain"))
+	e.VM = jaywind.VM(l.optional("vm", ""))
 	e.Fenced = l.oneOf("fenced", "no", "yes", "no") == "yes"
 	s.Endpoints[e.ID] = e
 }
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,7 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/member"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -38,6 +39,8 @@
 	return []table.System{
 		Rules{},
 		place.Reports{},
+		member.Member{},
+		member.Leave{},
 		generate.Intake{},
 		generate.Silence{},
 		admit.Admit{},
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -61,7 +61,7 @@
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
 		Pools:         map[jaywind.Model]*Pool{},
-		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
+		Fleet:         NewFleet(),
 		Moves:         map[jaywind.Model]*Move{},
 		Calls:         map[jaywind.RequestID]*ServiceCall{},
 		Retries:       map[RetryKey]*RetryBudget{},
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -92,8 +92,8 @@
 			return err
 		}
 	}
-	book := rules.Book{Store: &f.Store}
-	if _, err := book.Accept(ctx, rules.Accepted{}, "fleet", f.rules()); err != nil {
+	book := rules.Book{Store: &f.Store, Nonce: "fleet"}
+	if _, err := book.Accept(ctx, rules.Accepted{}, f.rules()); err != nil {
 		return err
 	}
 	for i := range f.Routers {
