move: evidence, growth and states of a move

Watch counts the outcomes of attempts on both versions, Decide sums them over routers in windows and judges them by a CUSUM for each route and measure.

--- /dev/null
+++ b/internal/core/move/grow.go
@@ -0,0 +1,174 @@
+package move
+
+import (
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// step is one stage of the growth: the share of the traffic, and the most that thin traffic raises it to.
+type step struct {
+	share float64
+	most  float64
+}
+
+var steps = []step{
+	{share: 0.01, most: 0.1},
+	{share: 0.05, most: 0.25},
+	{share: 0.2, most: 0.5},
+	{share: 0.5, most: 0.75},
+	{share: 1, most: 1},
+}
+
+const (
+	stepProof   = 100  // outcomes on the new version for each step
+	routeProof  = 40   // outcomes on each route before the last step
+	thinRoute   = 0.02 // of the old version's traffic, below which a route needs no proof of its own
+	loadProof   = 100  // outcomes at a load per replica like the old version's before the end
+	likeLoad    = 0.7  // of the old version's load per replica, that counts as like it
+	paceShare   = 0.8  // of the time left, that the steps left are spread over
+	marginShare = 0.05 // of a move's time, kept for recording its end
+	mostMargin  = 10 * time.Second
+	rateWindows = 30  // that the smoothed rates go back
+	fewWindows  = 20  // before which thin traffic is not told from a start
+	mostThin    = 0.9 // of a step's time, within which thin traffic should give its proof
+)
+
+func newProof() table.Proof {
+	return table.Proof{Routes: map[jaywind.Route]table.Passed{}}
+}
+
+// deadline is when a move that has not ended is taken back.
+func deadline(m *table.Move) time.Time {
+	return m.Rule.By.Add(-margin(m) / 2)
+}
+
+func margin(m *table.Move) time.Duration {
+	whole := m.Rule.By.Sub(m.Began)
+	return min(time.Duration(float64(whole)*marginShare), mostMargin)
+}
+
+// stepTime is how long the present step lasts, so that the steps left fit in the time left.
+func stepTime(m *table.Move) time.Duration {
+	left := m.Rule.By.Add(-margin(m)).Sub(m.StepAt)
+	return time.Duration(float64(left) * paceShare / float64(len(steps)-m.Step))
+}
+
+// noteProof counts the window's outcomes on the new version for the present step.
+func noteProof(s *table.State, m *table.Move) {
+	var all, ended float64
+	loaded := likeOld(s, m)
+	for c, t := range m.Evidence.Pending {
+		n := t.Good + t.Bad
+		all += float64(n)
+		if c.Measure != table.MeasureFailure {
+			continue
+		}
+		ended += float64(n)
+		passed := m.Proof.Routes[c.Route]
+		if !c.New {
+			passed.Old += n
+			m.Proof.Routes[c.Route] = passed
+			continue
+		}
+		passed.New += n
+		m.Proof.Routes[c.Route] = passed
+		m.Proof.Step += n
+		if loaded {
+			m.Proof.Loaded += n
+		}
+	}
+	seconds := max(s.Now.Sub(m.Evidence.Window).Seconds(), windowLength.Seconds())
+	if m.Evidence.Window.IsZero() {
+		seconds = windowLength.Seconds()
+	}
+	m.Evidence.Windows++
+	gain := 1 / float64(min(m.Evidence.Windows, rateWindows))
+	m.Evidence.Rate += (all/seconds - m.Evidence.Rate) * gain
+	m.Evidence.Ended += (ended/seconds - m.Evidence.Ended) * gain
+}
+
+// likeOld tells whether the replicas in use carry about the load of the old version's.
+func likeOld(s *table.State, m *table.Move) bool {
+	if m.Share >= 1 {
+		return true
+	}
+	was, is := replicas(s, m)
+	if was == 0 || is == 0 {
+		return false
+	}
+	ratio := m.Share / (1 - m.Share) * float64(was) / float64(inUse(s, m))
+	return ratio >= likeLoad
+}
+
+// grow enters the next step once the present one has its proof and its time.
+func grow(s *table.State, m *table.Move) {
+	if !m.Known {
+		return
+	}
+	m.Share = shareOf(s, m)
+	if s.Now.Sub(m.StepAt) < stepTime(m) || !proved(m) {
+		return
+	}
+	if m.Step < len(steps)-1 {
+		enter(s, m, m.Step+1)
+		return
+	}
+	if m.Proof.Loaded < loadProof {
+		return
+	}
+	m.Proposed = true
+	ask(s, m, 1, table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
+}
+
+func enter(s *table.State, m *table.Move, n int) {
+	m.Step = n
+	m.StepAt = s.Now
+	m.Proof.Step = 0
+	m.Proof.Loaded = 0
+	m.Share = shareOf(s, m)
+}
+
+// proved tells whether the step's outcomes are enough.
+func proved(m *table.Move) bool {
+	if m.Proof.Step < uint64(need(m)) {
+		return false
+	}
+	return m.Step < len(steps)-2 || routesProved(m)
+}
+
+func need(m *table.Move) int {
+	if m.Step == 0 {
+		return min(stepProof, m.Rule.Budget/2)
+	}
+	return stepProof
+}
+
+// routesProved tells whether each route that carries traffic has outcomes of its own.
+func routesProved(m *table.Move) bool {
+	var all uint64
+	for _, p := range m.Proof.Routes {
+		all += p.Old + p.New
+	}
+	for _, p := range m.Proof.Routes {
+		if p.New < routeProof && float64(p.Old+p.New) >= thinRoute*float64(all) {
+			return false
+		}
+	}
+	return true
+}
+
+// shareOf returns the share of the present step; thin traffic and few replicas raise it up to the step's most.
+func shareOf(s *table.State, m *table.Move) float64 {
+	st := steps[m.Step]
+	share := st.share
+	if seconds := stepTime(m).Seconds() * mostThin; m.Evidence.Windows >= fewWindows && m.Evidence.Ended > 0 && seconds > 0 {
+		share = max(share, float64(need(m))/(m.Evidence.Ended*seconds))
+	}
+	if was, is := replicas(s, m); was > 0 && is >= fewReplicas {
+		least := likeLoad * leastOfMany / float64(was)
+		share = max(share, least/(1+least))
+	}
+	return min(share, st.most)
+}
--- /dev/null
+++ b/internal/core/move/steer.go
@@ -0,0 +1,48 @@
+package move
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// unloadAfter is how long the old version stays loaded after the end of a move, so that all routers know of it.
+const unloadAfter = 30 * time.Second
+
+// steer emits the wanted states of all endpoints of moving models.
+func steer(s *table.State) {
+	if len(s.Moves) == 0 || s.Now.Sub(s.Steered) < windowLength {
+		return
+	}
+	s.Steered = s.Now
+	var wants []table.Want
+	for id, e := range s.Rules.Endpoints {
+		m := s.Moves[e.Model]
+		if m == nil || e.Version != m.ID.From && e.Version != m.ID.To {
+			continue
+		}
+		loaded, settled := wanted(s, m, e.Version)
+		if !settled {
+			continue
+		}
+		wants = append(wants, table.Want{
+			Move: m.ID, Endpoint: id, At: e.URL, Fenced: e.Fenced, Version: e.Version, Loaded: loaded,
+		})
+	}
+	slices.SortFunc(wants, func(a, b table.Want) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	s.Emit(table.Steer{Wants: wants})
+}
+
+// wanted tells whether a version is to be loaded, and whether that is settled yet.
+func wanted(s *table.State, m *table.Move, v jaywind.Version) (loaded, settled bool) {
+	if v == s.Rules.Models[m.ID.Model].Version && m.State != table.MoveDone {
+		return true, true
+	}
+	if m.State == table.MoveGoing || v == m.ID.To && m.State == table.MoveDone || v == m.ID.From && m.State == table.MoveBack {
+		return true, true
+	}
+	return false, m.Recorded && s.Now.Sub(m.Ended) >= unloadAfter
+}
--- /dev/null
+++ b/internal/core/move/watch.go
@@ -0,0 +1,184 @@
+package move
+
+import (
+	"errors"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+const (
+	silenceLimit = 2 * time.Second // of an attempt; beyond it the attempt counts as failed
+	firstFactor  = 5               // silence before the first token, as a multiple of its old 0.95 quantile
+	gapFrames    = 32              // frames whose mean gap is compared
+	leastFrames  = 8               // the same for an answer that is shorter
+)
+
+// Watch counts the outcomes of attempts on both versions of each move; it runs before intake.
+type Watch struct{}
+
+// Step looks at the frames and losses of the tick, and at silent attempts on a full one.
+func (Watch) Step(s *table.State) {
+	if len(s.Moves) == 0 {
+		return
+	}
+	for _, e := range s.Events {
+		switch e := e.(type) {
+		case table.Framed:
+			noteFrame(s, e)
+		case table.Lost:
+			noteLoss(s, e)
+		case table.Gone:
+			forget(s, e.Request)
+		}
+	}
+	if s.Full {
+		noteSilence(s)
+	}
+}
+
+// find returns the trial of a request's current attempt, if its model is moving.
+func find(s *table.State, id jaywind.RequestID) (*table.Move, *table.Trial, *table.Request) {
+	r := s.Requests[id]
+	if r == nil {
+		return nil, nil, nil
+	}
+	m := s.Moves[r.Model]
+	if m == nil || m.State != table.MoveGoing || r.Attempt == 0 || !listening(r) {
+		return nil, nil, nil
+	}
+	if r.Version != m.ID.From && r.Version != m.ID.To {
+		return nil, nil, nil
+	}
+	t := m.Trials[id]
+	if t == nil {
+		t = &table.Trial{}
+		m.Trials[id] = t
+	}
+	if t.Attempt != r.Attempt {
+		rebind(s, m, t, r)
+	}
+	return m, t, r
+}
+
+func listening(r *table.Request) bool {
+	return r.Phase == table.PhaseOpening || r.Phase == table.PhaseStreaming || r.Phase == table.PhaseProbing
+}
+
+// rebind takes up a new attempt; one that was left for another endpoint has failed.
+func rebind(s *table.State, m *table.Move, t *table.Trial, r *table.Request) {
+	if t.Attempt != 0 && !t.Judged && !r.Reuse {
+		count(s, m, t, table.MeasureFailure, true)
+	}
+	*t = table.Trial{
+		New:      r.Version == m.ID.To,
+		Route:    r.Route,
+		Attempt:  r.Attempt,
+		Endpoint: r.Endpoint,
+		Opened:   r.Opened,
+		Last:     s.Now,
+	}
+}
+
+func noteFrame(s *table.State, e table.Framed) {
+	m, t, r := find(s, e.Request)
+	if t == nil || e.Attempt != t.Attempt {
+		return
+	}
+	t.Last = s.Now
+	t.Frames++
+	if t.Frames == 1 {
+		t.First = s.Now
+		if !r.Pinned() && !r.Reuse {
+			compare(s, m, t, table.MeasureFirst, s.Now.Sub(t.Opened))
+		}
+	}
+	if t.Frames == gapFrames || e.Frame.End && t.Frames >= leastFrames && t.Frames < gapFrames {
+		compare(s, m, t, table.MeasureGap, s.Now.Sub(t.First)/time.Duration(t.Frames-1))
+	}
+	if e.Frame.End && !t.Judged {
+		t.Judged = true
+		count(s, m, t, table.MeasureFailure, false)
+	}
+}
+
+func noteLoss(s *table.State, e table.Lost) {
+	m, t, _ := find(s, e.Request)
+	if t == nil || e.Attempt != t.Attempt || t.Judged {
+		return
+	}
+	if errors.Is(e.Err, jaywind.ErrNoStream) {
+		return
+	}
+	t.Judged = true
+	count(s, m, t, table.MeasureFailure, true)
+}
+
+func forget(s *table.State, id jaywind.RequestID) {
+	for _, m := range s.Moves {
+		delete(m.Trials, id)
+	}
+}
+
+// noteSilence counts attempts that have gone silent as failures while they are still open.
+func noteSilence(s *table.State) {
+	for _, m := range s.Moves {
+		for id := range m.Trials {
+			if s.Requests[id] == nil {
+				delete(m.Trials, id)
+			}
+		}
+	}
+	for id := range s.Requests {
+		m, t, _ := find(s, id)
+		if t == nil || t.Judged || s.Now.Sub(t.Last) < limitOf(m, t) {
+			continue
+		}
+		t.Judged = true
+		count(s, m, t, table.MeasureFailure, true)
+	}
+}
+
+func limitOf(m *table.Move, t *table.Trial) time.Duration {
+	normal := m.Evidence.Normal[table.Pair{Route: t.Route, Measure: table.MeasureFirst}]
+	if t.Frames > 0 || normal == nil {
+		return silenceLimit
+	}
+	return max(silenceLimit, firstFactor*normal.Value)
+}
+
+// compare makes a duration binary against the old version's 0.95 quantile.
+func compare(s *table.State, m *table.Move, t *table.Trial, k table.Measure, d time.Duration) {
+	pair := table.Pair{Route: t.Route, Measure: k}
+	normal := m.Evidence.Normal[pair]
+	if normal == nil {
+		normal = &table.Quantile{}
+		m.Evidence.Normal[pair] = normal
+	}
+	if normal.Settled() {
+		count(s, m, t, k, d > normal.Value)
+	}
+	if !t.New {
+		normal.Observe(d)
+	}
+}
+
+// count adds an outcome to the totals of this router and to the open window.
+func count(s *table.State, m *table.Move, t *table.Trial, k table.Measure, bad bool) {
+	cell := table.Cell{Pair: table.Pair{Route: t.Route, Measure: k}, New: t.New}
+	one := table.Tally{Good: 1}
+	if bad {
+		one = table.Tally{Bad: 1, By: map[table.Source]uint64{sourceOf(s, t): 1}}
+	}
+	add(m.Evidence.Own, cell, one, maxSources)
+	add(m.Evidence.Pending, cell, one, 0)
+}
+
+// sourceOf names what a failure is put down to: a replica of the new version, a failure domain of the old one.
+func sourceOf(s *table.State, t *table.Trial) table.Source {
+	if t.New {
+		return table.Source(t.Endpoint)
+	}
+	return table.Source(s.Rules.Endpoints[t.Endpoint].Domain)
+}
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -5,6 +5,7 @@
 
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -36,9 +37,11 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		move.Watch{},
 		generate.Intake{},
 		admit.Admit{},
 		generate.Silence{},
+		move.Decide{},
 		place.Place{},
 	}
 }
--- a/internal/core/table/evidence.go
+++ b/internal/core/table/evidence.go
@@ -17,6 +17,19 @@
 	MeasureGap                    // the tokens came slower than the old version's 0.95 quantile
 )
 
+// String returns what a bad outcome of the measure is called.
+func (m Measure) String() string {
+	switch m {
+	case MeasureFailure:
+		return "failures"
+	case MeasureFirst:
+		return "late first tokens"
+	case MeasureGap:
+		return "slow tokens"
+	}
+	return "unknown"
+}
+
 // Pair is a route with a measure.
 type Pair struct {
 	Route   jaywind.Route
@@ -29,31 +42,36 @@
 	New bool
 }
 
-// Tally counts outcomes; By divides the bad ones of the new version by replica.
+// Source is what a bad outcome is put down to: an endpoint of the new version, a failure domain of the old one.
+type Source string
+
+// Tally counts outcomes; By divides the bad ones by source.
 type Tally struct {
 	Good uint64
 	Bad  uint64
-	By   map[jaywind.EndpointID]uint64
+	By   map[Source]uint64
 }
 
 // Evidence is what a router knows of the outcomes of a move.
 type Evidence struct {
-	Own     map[Cell]Tally         // running totals of this router
-	Heard   map[jaywind.VM]Report  // the last report of each other router
-	Pending map[Cell]Tally         // outcomes of all routers since the last window
-	Scores  map[Pair]*Score        // by route and measure
-	Normal  map[Pair]*Quantile     // 0.95 quantiles of the old version, as this router sees them
-	Rate    float64                // outcomes a second on both sides, smoothed
-	Seen    map[jaywind.Route]bool // routes that carry traffic of the model
-	Window  time.Time              // when the last window was closed
+	Own     map[Cell]Tally        // running totals of this router
+	Heard   map[jaywind.VM]Report // the last report of each other router
+	Pending map[Cell]Tally        // outcomes of all routers since the last window
+	Scores  map[Pair]*Score       // by route and measure
+	Normal  map[Pair]*Quantile    // 0.95 quantiles of the old version, as this router sees them
+	Rate    float64               // outcomes a second on all pairs, smoothed
+	Ended   float64               // answers a second on both versions, smoothed
+	Windows int                   // closed so far
+	Window  time.Time             // when the last window was closed
 }
 
 // Score is the CUSUM of one pair over the windows.
 type Score struct {
-	Sum    float64
-	By     map[jaywind.EndpointID]float64 // what each replica has added since Sum was last zero
-	OldAll float64                        // outcomes on the old version, decayed
-	OldBad float64
+	Sum     float64
+	By      map[Source]float64 // what each replica has added since Sum was last zero
+	OldAll  float64            // outcomes on the old version, decayed
+	OldBad  float64
+	Domains map[Source]float64 // bad outcomes on the old version by failure domain, decayed
 }
 
 // Quantile follows the 0.95 quantile of positive durations.
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -31,13 +31,15 @@
 	Rule     rule.Move
 	State    MoveState
 	Reason   string
-	Started  time.Time
+	Began    time.Time // as far as any router knows
+	Started  time.Time // of this router's row
 	Ended    time.Time
 	Share    float64 // of the traffic, that may go to the new version
 	Step     int     // of the growth
 	StepAt   time.Time
 	Suspect  bool // growth is stopped and the share halved
 	Known    bool // no final state is on record, as the store or a peer has said
+	Proposed bool // the new version has proved itself and the store is asked to record it
 	Recorded bool // the final state is in the store
 
 	Starts   int // on the new version by this router
@@ -46,13 +48,20 @@
 	Trials   map[jaywind.RequestID]*Trial
 	AskedAt  time.Time // when the record was last asked for or written
 	ToldAt   time.Time // when the last report was emitted
+	Told     uint64    // reports emitted
 }
 
 // Proof counts the outcomes on the new version that speak for it.
 type Proof struct {
 	Step   uint64                   // outcomes since the step began
 	Loaded uint64                   // outcomes at a load per replica like the old version's
-	Routes map[jaywind.Route]uint64 // outcomes on each route
+	Routes map[jaywind.Route]Passed // outcomes on each route
+}
+
+// Passed counts the outcomes of one route on each version.
+type Passed struct {
+	Old uint64
+	New uint64
 }
 
 // Trial is a request that is observed for a move.
@@ -72,8 +81,9 @@
 type Report struct {
 	Move    MoveID
 	From    jaywind.VM
-	Life    int64 // distinguishes the lives of a router, Unix nanoseconds
-	Started int64 // of the move as known there, Unix nanoseconds
+	Life    int64  // distinguishes the lives of a router, Unix nanoseconds
+	Number  uint64 // of the report within the life
+	Began   int64  // of the move as known there, Unix nanoseconds
 	Step    int
 	State   MoveState
 	Reason  string
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -23,7 +23,8 @@
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
 	Moves         map[jaywind.Model]*Move
-	Members       int // live routers, this one included; 0 when not known
+	Steered       time.Time // when the wanted states of endpoints were last emitted
+	Members       int       // live routers, this one included; 0 when not known
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
