--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jaywind/internal/core/admit"
+	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
@@ -43,5 +44,6 @@
 		generate.Silence{},
 		move.Decide{},
 		place.Place{},
+		claim.Claim{},
 	}
 }
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,9 +22,12 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
+	Fleet         Fleet
 	Moves         map[jaywind.Model]*Move
 	Steered       time.Time // when the wanted states of endpoints were last emitted
 	Members       int       // live routers, this one included; 0 when not known
+	Calls         map[jaywind.RequestID]*ServiceCall
+	Retries       map[RetryKey]*RetryBudget
 
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -52,7 +55,10 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
+		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
 		Moves:         map[jaywind.Model]*Move{},
+		Calls:         map[jaywind.RequestID]*ServiceCall{},
+		Retries:       map[RetryKey]*RetryBudget{},
 	}
 }
 
