moves: seeded study of moves between versions

A small model of one model's traffic drives the systems of package move on eight routers in virtual time.

--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -135,17 +135,19 @@
 
 // takeReport adds another router's totals; a verdict from it counts at once.
 func takeReport(s *table.State, m *table.Move, r table.Report) {
-	if m.State != table.MoveGoing || r.From == s.Self {
+	if r.From == s.Self || m.Recorded {
 		return
 	}
 	m.Known = true
-	if r.State == table.MoveBack {
-		takeBack(s, m, r.Reason)
+	if r.Final {
+		settle(s, m, r.State, r.Reason)
+		return
+	}
+	if m.State != table.MoveGoing {
 		return
 	}
-	if r.State == table.MoveDone {
-		finish(s, m, table.MoveDone, r.Reason)
-		m.Recorded = true
+	if r.State == table.MoveBack {
+		takeBack(s, m, r.Reason)
 		return
 	}
 	hear(s, m, r)
@@ -163,14 +165,20 @@
 	if e.State == table.MoveGoing {
 		return
 	}
-	if m.State != e.State {
-		finish(s, m, e.State, e.Reason)
-		m.Ended = e.At
+	if m.Recorded {
+		return
 	}
-	if !m.Recorded {
-		m.Recorded = true
-		s.Emit(table.Tell{Report: report(s, m)})
+	settle(s, m, e.State, e.Reason)
+	s.Emit(table.Tell{Report: report(s, m)})
+}
+
+// settle takes over the state that the store holds.
+func settle(s *table.State, m *table.Move, state table.MoveState, reason string) {
+	if m.State != state {
+		finish(s, m, state, reason)
 	}
+	m.Reason = reason
+	m.Recorded = true
 }
 
 // advance does what is due for one move.
--- a/internal/core/move/grow.go
+++ b/internal/core/move/grow.go
@@ -14,7 +14,7 @@
 }
 
 var steps = []step{
-	{share: 0.01, most: 0.1},
+	{share: 0.005, most: 0.1},
 	{share: 0.05, most: 0.25},
 	{share: 0.2, most: 0.5},
 	{share: 0.5, most: 0.75},
@@ -166,7 +166,7 @@
 	if seconds := stepTime(m).Seconds() * mostThin; m.Evidence.Windows >= fewWindows && m.Evidence.Ended > 0 && seconds > 0 {
 		share = max(share, float64(need(m))/(m.Evidence.Ended*seconds))
 	}
-	if was, is := replicas(s, m); was > 0 && is >= fewReplicas {
+	if was, is := replicas(s, m); m.Step > 0 && was > 0 && is >= fewReplicas {
 		least := likeLoad * leastOfMany / float64(was)
 		share = max(share, least/(1+least))
 	}
--- a/internal/core/move/judge.go
+++ b/internal/core/move/judge.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"jaywind"
-	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
 )
 
@@ -41,14 +40,14 @@
 // closeWindow judges the outcomes since the last window and returns how far the worst score is to the threshold.
 func closeWindow(s *table.State, m *table.Move) (worst float64, pair table.Pair) {
 	limit := threshold(s, m)
-	_, is := replicas(s, m)
+	z := sizes(s, m)
 	for _, p := range pairsOf(m) {
 		sc := m.Evidence.Scores[p]
 		if sc == nil {
 			sc = &table.Score{}
 			m.Evidence.Scores[p] = sc
 		}
-		j := judge{state: s, pair: p, score: sc, limit: limit, several: is > 1}
+		j := judge{state: s, pair: p, score: sc, limit: limit, several: z.New > 1, domains: z.Domains}
 		j.window(m.Evidence.Pending[table.Cell{Pair: p}], m.Evidence.Pending[table.Cell{Pair: p, New: true}])
 		if part := sc.Sum / limit; part > worst {
 			worst = part
@@ -84,6 +83,7 @@
 	score   *table.Score
 	limit   float64
 	several bool // the new version has several replicas
+	domains int
 }
 
 func (j *judge) window(old, recent table.Tally) {
@@ -159,18 +159,10 @@
 		return 0
 	}
 	bad := j.score.Domains[table.Source(e.Domain)]
-	good := max(j.score.OldAll-j.score.OldBad, 0) / float64(domains(j.state.Rules))
+	good := max(j.score.OldAll-j.score.OldBad, 0) / float64(max(j.domains, 1))
 	return min(bad/(bad+good+fewOutcomes/4), mostNormal)
 }
 
-func domains(s *rule.Set) int {
-	found := map[jaywind.Domain]bool{}
-	for _, e := range s.Endpoints {
-		found[e.Domain] = true
-	}
-	return max(len(found), 1)
-}
-
 func worse(rate, odds float64) float64 {
 	o := rate / (1 - rate) * odds
 	return o / (1 + o)
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -59,7 +59,9 @@
 		before = table.Report{}
 	}
 	for c, t := range r.Tallies {
-		add(m.Evidence.Pending, c, since(t, before.Tallies[c]), 0)
+		if fresh := since(t, before.Tallies[c]); fresh.Good+fresh.Bad > 0 {
+			add(m.Evidence.Pending, c, fresh, 0)
+		}
 	}
 }
 
@@ -75,6 +77,7 @@
 		Step:    m.Step,
 		State:   m.State,
 		Reason:  m.Reason,
+		Final:   m.Recorded,
 		Tallies: make(map[table.Cell]table.Tally, len(m.Evidence.Own)),
 	}
 	for c, t := range m.Evidence.Own {
--- a/internal/core/move/version.go
+++ b/internal/core/move/version.go
@@ -128,16 +128,30 @@
 
 // replicas counts the endpoints of both versions that are not drained.
 func replicas(s *table.State, m *table.Move) (was, is int) {
+	z := sizes(s, m)
+	return z.Old, z.New
+}
+
+// sizes counts once for each set of rules.
+func sizes(s *table.State, m *table.Move) table.Sizes {
+	if m.Sizes.Rules == s.Rules {
+		return m.Sizes
+	}
+	z := table.Sizes{Rules: s.Rules}
+	domains := map[jaywind.Domain]bool{}
 	for id, e := range s.Rules.Endpoints {
+		domains[e.Domain] = true
 		if _, drained := s.Rules.Drains[id]; drained || e.Model != m.ID.Model {
 			continue
 		}
 		switch e.Version {
 		case m.ID.From:
-			was++
+			z.Old++
 		case m.ID.To:
-			is++
+			z.New++
 		}
 	}
-	return was, is
+	z.Domains = len(domains)
+	m.Sizes = z
+	return z
 }
--- a/internal/core/move/watch.go
+++ b/internal/core/move/watch.go
@@ -69,7 +69,7 @@
 // rebind takes up a new attempt; one that was left for another endpoint has failed.
 func rebind(s *table.State, m *table.Move, t *table.Trial, r *table.Request) {
 	if t.Attempt != 0 && !t.Judged && !r.Reuse {
-		count(s, m, t, table.MeasureFailure, true)
+		Count(s, m, t, table.MeasureFailure, true)
 	}
 	*t = table.Trial{
 		New:      r.Version == m.ID.To,
@@ -91,15 +91,15 @@
 	if t.Frames == 1 {
 		t.First = s.Now
 		if !r.Pinned() && !r.Reuse {
-			compare(s, m, t, table.MeasureFirst, s.Now.Sub(t.Opened))
+			Compare(s, m, t, table.MeasureFirst, s.Now.Sub(t.Opened))
 		}
 	}
 	if t.Frames == gapFrames || e.Frame.End && t.Frames >= leastFrames && t.Frames < gapFrames {
-		compare(s, m, t, table.MeasureGap, s.Now.Sub(t.First)/time.Duration(t.Frames-1))
+		Compare(s, m, t, table.MeasureGap, s.Now.Sub(t.First)/time.Duration(t.Frames-1))
 	}
 	if e.Frame.End && !t.Judged {
 		t.Judged = true
-		count(s, m, t, table.MeasureFailure, false)
+		Count(s, m, t, table.MeasureFailure, false)
 	}
 }
 
@@ -112,7 +112,7 @@
 		return
 	}
 	t.Judged = true
-	count(s, m, t, table.MeasureFailure, true)
+	Count(s, m, t, table.MeasureFailure, true)
 }
 
 func forget(s *table.State, id jaywind.RequestID) {
@@ -136,7 +136,7 @@
 			continue
 		}
 		t.Judged = true
-		count(s, m, t, table.MeasureFailure, true)
+		Count(s, m, t, table.MeasureFailure, true)
 	}
 }
 
@@ -148,8 +148,8 @@
 	return max(silenceLimit, firstFactor*normal.Value)
 }
 
-// compare makes a duration binary against the old version's 0.95 quantile.
-func compare(s *table.State, m *table.Move, t *table.Trial, k table.Measure, d time.Duration) {
+// Compare makes a duration binary against the old version's 0.95 quantile.
+func Compare(s *table.State, m *table.Move, t *table.Trial, k table.Measure, d time.Duration) {
 	pair := table.Pair{Route: t.Route, Measure: k}
 	normal := m.Evidence.Normal[pair]
 	if normal == nil {
@@ -157,15 +157,15 @@
 		m.Evidence.Normal[pair] = normal
 	}
 	if normal.Settled() {
-		count(s, m, t, k, d > normal.Value)
+		Count(s, m, t, k, d > normal.Value)
 	}
 	if !t.New {
 		normal.Observe(d)
 	}
 }
 
-// count adds an outcome to the totals of this router and to the open window.
-func count(s *table.State, m *table.Move, t *table.Trial, k table.Measure, bad bool) {
+// Count adds one outcome of a trial to the totals of this router and to the open window.
+func Count(s *table.State, m *table.Move, t *table.Trial, k table.Measure, bad bool) {
 	cell := table.Cell{Pair: table.Pair{Route: t.Route, Measure: k}, New: t.New}
 	one := table.Tally{Good: 1}
 	if bad {
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -42,6 +42,7 @@
 	Proposed bool // the new version has proved itself and the store is asked to record it
 	Recorded bool // the final state is in the store
 
+	Sizes    Sizes
 	Starts   int // on the new version by this router
 	Proof    Proof
 	Evidence Evidence
@@ -58,6 +59,14 @@
 	Routes map[jaywind.Route]Passed // outcomes on each route
 }
 
+// Sizes counts the endpoints that the rules hold for a move.
+type Sizes struct {
+	Rules   *rule.Set // that were counted
+	Old     int       // replicas of the old version that are not drained
+	New     int       // the same of the new version
+	Domains int
+}
+
 // Passed counts the outcomes of one route on each version.
 type Passed struct {
 	Old uint64
@@ -87,6 +96,7 @@
 	Step    int
 	State   MoveState
 	Reason  string
+	Final   bool // the state is in the store
 	Tallies map[Cell]Tally
 }
 
--- /dev/null
+++ b/internal/measure/moves/run.go
@@ -0,0 +1,245 @@
+package moves
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/move"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+const (
+	reportLag   = 1500 * time.Millisecond
+	noticeDead  = time.Second     // until placement leaves a dead replica alone
+	hangNotice  = 2 * time.Second // until an attempt without a frame counts as failed
+	normalFail  = 0.004
+	firstMedian = 300 * time.Millisecond
+	firstSpread = 0.4
+	gapMedian   = 25 * time.Millisecond
+	gapSpread   = 0.2
+	meanTokens  = 160
+	longShare   = 0.03
+	longTokens  = 3000
+	doubleSlow  = 1.3
+	aftermath   = 15 * time.Second // that are still run after the end of a move
+)
+
+var routes = []struct {
+	name  jaywind.Route
+	share float64
+}{{"risk", 0.5}, {"clause", 0.3}, {"board", 0.2}}
+
+// run is one move.
+type run struct {
+	load    Load
+	kind    Kind
+	random  *rand.Rand
+	start   time.Time
+	now     time.Time
+	routers []*table.State
+	inbox   map[int][]delivery // by tick
+	pending map[int][]outcome  // by tick
+	tick    int
+	record  *table.Recorded
+	inUse   [][]rule.Endpoint // of the new version, by router
+	chosen  []float64         // share for which inUse was chosen, by router
+	old     []rule.Endpoint
+	flight  map[jaywind.EndpointID]int
+	dead    map[jaywind.EndpointID]int // tick of death
+	turns   int                        // tick at which a later fault or the surroundings' fault strikes
+	shown   shown
+	settled int // tick at which all routers knew the recorded end
+}
+
+type delivery struct {
+	to    int
+	event table.Event
+}
+
+type outcome struct {
+	router  int
+	trial   *table.Trial
+	measure table.Measure
+	took    time.Duration
+	bad     bool
+	final   bool
+}
+
+func newRun(l Load, k Kind, seed uint64) *run {
+	u := &run{
+		load:    l,
+		kind:    k,
+		random:  rand.New(rand.NewPCG(seed, 7)),
+		start:   time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC),
+		inbox:   map[int][]delivery{},
+		pending: map[int][]outcome{},
+		flight:  map[jaywind.EndpointID]int{},
+		dead:    map[jaywind.EndpointID]int{},
+		inUse:   make([][]rule.Endpoint, l.Routers),
+		chosen:  make([]float64, l.Routers),
+	}
+	u.now = u.start
+	u.shown.limit = math.Log(2 * 3 * l.Rate * l.Length.Seconds())
+	u.shown.tick = l.Tick
+	u.turns = int((0.1 + 0.6*u.random.Float64()) * float64(l.Length/u.load.Tick))
+	set := u.rules()
+	for i := range l.Routers {
+		s := table.New(seed*1000 + uint64(i))
+		s.Self = jaywind.VM(fmt.Sprintf("vm%d", i))
+		s.Rules = set
+		s.Members = l.Routers
+		s.Steered = u.start.Add(24 * time.Hour) // no orders here
+		for id, e := range set.Endpoints {
+			s.Endpoints[id] = &table.Endpoint{ID: id, Load: jaywind.Load{Loaded: []jaywind.Version{e.Version}}}
+		}
+		u.routers = append(u.routers, s)
+	}
+	return u
+}
+
+func (u *run) rules() *rule.Set {
+	set := rule.New()
+	set.Models["heat"] = rule.Model{Name: "heat", Version: "v1"}
+	set.Moves["heat"] = rule.Move{Model: "heat", From: "v1", To: "v2", By: u.start.Add(u.load.Length), Budget: 200}
+	for i := range 2 * u.load.Replicas {
+		e := rule.Endpoint{
+			ID:      jaywind.EndpointID(fmt.Sprintf("e%d", i)),
+			Kind:    rule.KindEngine,
+			Model:   "heat",
+			Version: "v1",
+			Domain:  jaywind.Domain(fmt.Sprintf("d%d", i%u.load.Domains)),
+		}
+		if i >= u.load.Replicas {
+			e.Version = "v2"
+		} else {
+			u.old = append(u.old, e)
+		}
+		set.Endpoints[e.ID] = e
+	}
+	return set
+}
+
+// play runs the move to its end and a little further.
+func (u *run) play() {
+	last := int(u.load.Length/u.load.Tick) + 20
+	for u.tick = 0; u.tick < last; u.tick++ {
+		u.now = u.start.Add(time.Duration(u.tick) * u.load.Tick)
+		if u.tick == u.turns {
+			u.strike()
+		}
+		u.bury()
+		for i := range u.routers {
+			u.step(i)
+		}
+		delete(u.inbox, u.tick)
+		u.arrive()
+		if u.settled == 0 && u.over() {
+			u.settled = u.tick
+		}
+		if u.settled > 0 && u.tick > u.settled+int(aftermath/u.load.Tick) {
+			return
+		}
+	}
+}
+
+// step runs the systems of one router and carries its commands.
+func (u *run) step(i int) {
+	s := u.routers[i]
+	var events []table.Event
+	for _, d := range u.inbox[u.tick] {
+		if d.to == i {
+			events = append(events, d.event)
+		}
+	}
+	s.Begin(u.now, true, events)
+	move.Decide{}.Step(s)
+	if m := s.Moves["heat"]; m.Share != u.chosen[i] || u.tick%int(time.Second*10/u.load.Tick) == 0 {
+		u.chosen[i] = m.Share
+		u.choose(i)
+	}
+	for _, c := range s.Take() {
+		u.carry(i, c)
+	}
+}
+
+func (u *run) choose(i int) {
+	s := u.routers[i]
+	var all []rule.Endpoint
+	for _, e := range s.Rules.Endpoints {
+		if e.Version == "v2" {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b rule.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	u.inUse[i] = move.Narrow(s, &table.Request{Model: "heat"}, all)
+}
+
+func (u *run) carry(i int, c table.Command) {
+	switch c := c.(type) {
+	case table.Tell:
+		at := u.tick + int(reportLag/u.load.Tick)
+		for j := range u.routers {
+			if j != i {
+				u.inbox[at] = append(u.inbox[at], delivery{j, table.Reported{Report: c.Report}})
+			}
+		}
+	case table.Recall:
+		u.reply(i, table.Recorded{Move: c.Move, State: table.MoveGoing})
+	case table.Record:
+		if u.record == nil {
+			u.record = &table.Recorded{Move: c.Move, State: c.State, Reason: c.Reason, At: c.At}
+		}
+		u.reply(i, *u.record)
+	}
+}
+
+func (u *run) reply(i int, e table.Recorded) {
+	if u.record != nil {
+		e = *u.record
+	}
+	u.inbox[u.tick+1] = append(u.inbox[u.tick+1], delivery{i, e})
+}
+
+func (u *run) move(i int) *table.Move { return u.routers[i].Moves["heat"] }
+
+func (u *run) over() bool {
+	for i := range u.routers {
+		if m := u.move(i); m == nil || !m.Recorded {
+			return false
+		}
+	}
+	return true
+}
+
+// arrive starts the requests of the tick and counts the outcomes that are due.
+func (u *run) arrive() {
+	rate := u.load.Rate
+	if u.kind.Double && u.tick >= u.turns {
+		rate *= 2
+	}
+	for range poisson(u.random, rate*u.load.Tick.Seconds()) {
+		u.request()
+	}
+	for _, o := range u.pending[u.tick] {
+		u.settle(o)
+	}
+	delete(u.pending, u.tick)
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	if mean > 30 {
+		return max(int(math.Round(mean+math.Sqrt(mean)*r.NormFloat64())), 0)
+	}
+	limit := math.Exp(-mean)
+	n := 0
+	for p := r.Float64(); p > limit; p *= r.Float64() {
+		n++
+	}
+	return n
+}
