steward: records of moves, orders under a lease, paced loads

Decide emitted commands that no part took. The new part spreads reports as notes, reads and writes the record of a move, and hands wanted states to a steward. One of three routers chosen by rendezvous holds the steward's lease, so that the store's calls don't grow with the fleet.

Weighed: orders from each router, safe by read-back alone; ruled out, as two routers with different rules would load and unload by turns.

--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -17,6 +17,7 @@
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
+	"jaywind/internal/platform/weights"
 )
 
 const (
@@ -69,6 +70,9 @@
 		Store:  &store.Client{URL: jaywind.Address(s.Store.URL)},
 		Log:    log,
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	h := &caller.Handler{Router: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r)))
 	fleet.Protocols = cbor.Protocols()
--- /dev/null
+++ b/embed/moves.go
@@ -0,0 +1,116 @@
+package embed
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"jaywind/internal/core/move"
+	"jaywind/internal/core/table"
+	"jaywind/internal/fleet/rendezvous"
+	"jaywind/internal/platform/steward"
+)
+
+const stewards = 3 // routers that try for the steward's lease
+
+// moves spreads reports, keeps the record of moves and steers the endpoints.
+type moves struct {
+	router  *Router
+	records steward.Records
+	steward *steward.Steward
+}
+
+func newMoves(r *Router) *moves {
+	p := &moves{router: r}
+	if r.Store == nil {
+		return p
+	}
+	p.records = steward.Records{Store: r.Store}
+	p.steward = &steward.Steward{
+		Self:     r.Self,
+		Store:    r.Store,
+		Engine:   r.Engine,
+		Weights:  r.Weights,
+		Clock:    r.Clock,
+		Log:      r.Log,
+		Eligible: p.eligible,
+		Stalled:  func(e table.Stalled) { r.post(e) },
+	}
+	return p
+}
+
+// eligible keeps the number of routers that ask for the lease constant in a growing fleet.
+func (p *moves) eligible() bool {
+	for _, m := range rendezvous.Pick("steward", p.router.Members(), stewards, "") {
+		if m.VM == p.router.Self {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *moves) run(ctx context.Context) {
+	if p.steward != nil {
+		p.steward.Run(ctx)
+	}
+}
+
+// execute is called by the loop, so that it may put notes into the state.
+func (p *moves) execute(ctx context.Context, c table.Command) bool {
+	switch c := c.(type) {
+	case table.Tell:
+		p.tell(c.Report)
+	case table.Recall:
+		p.router.group.Go(func() { p.recall(ctx, c) })
+	case table.Record:
+		p.router.group.Go(func() { p.record(ctx, c) })
+	case table.Steer:
+		if p.steward != nil {
+			p.steward.SetWants(c.Wants)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *moves) tell(r table.Report) {
+	if r.State != table.MoveGoing {
+		p.router.Log.Info("moves: move has ended", zap.String("model", string(r.Move.Model)),
+			zap.String("version", string(r.Move.To)), zap.String("state", string(r.State)), zap.String("reason", r.Reason))
+	}
+	n, err := move.EncodeReport(r)
+	if err != nil {
+		p.router.Log.Error("moves: report not encoded", zap.Error(err))
+		return
+	}
+	p.router.core.State.Fleet.Spread(n)
+}
+
+// recall reads the record; without a store, nothing is on record.
+func (p *moves) recall(ctx context.Context, c table.Recall) {
+	if p.records.Store == nil {
+		p.router.post(table.Recorded{Move: c.Move, State: table.MoveGoing})
+		return
+	}
+	stands, err := p.records.Read(ctx, c.Move)
+	if err != nil {
+		p.router.Log.Warn("moves: record not read", zap.Error(err))
+		return
+	}
+	p.router.post(stands)
+}
+
+// record writes the end of a move; without a store it stands as it is.
+func (p *moves) record(ctx context.Context, c table.Record) {
+	if p.records.Store == nil {
+		p.router.post(table.Recorded{Move: c.Move, State: c.State, Reason: c.Reason, At: c.At})
+		return
+	}
+	stands, err := p.records.Write(ctx, c)
+	if err != nil {
+		p.router.Log.Warn("moves: end not recorded", zap.Error(err))
+		return
+	}
+	p.router.post(stands)
+}
--- a/embed/router.go
+++ b/embed/router.go
@@ -27,16 +27,17 @@
 
 // Router is one router of the fleet; set its fields before Run.
 type Router struct {
-	Self   jaywind.VM
-	Domain jaywind.Domain
-	Seed   uint64
-	Tick   time.Duration // between full ticks; 20 ms when zero
-	Clock  jaywind.Clock // the machine's when nil
-	Engine jaywind.Engine
-	Store  jaywind.Store   // rules are given by SetRules when nil
-	Fleet  jaywind.Address // where other routers reach this one; it stays alone when empty
-	Entry  jaywind.Address // where callers reach this one
-	Log    *zap.Logger     // silent when nil
+	Self    jaywind.VM
+	Domain  jaywind.Domain
+	Seed    uint64
+	Tick    time.Duration // between full ticks; 20 ms when zero
+	Clock   jaywind.Clock // the machine's when nil
+	Engine  jaywind.Engine
+	Store   jaywind.Store   // rules are given by SetRules when nil
+	Weights jaywind.Weights // loads of versions are not paced when nil
+	Fleet   jaywind.Address // where other routers reach this one; it stays alone when empty
+	Entry   jaywind.Address // where callers reach this one
+	Log     *zap.Logger     // silent when nil
 
 	start   sync.Once
 	core    step.Core
@@ -80,6 +81,7 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		newMoves(r),
 	}
 	if r.Store != nil {
 		parts = append(parts, &rulebook{router: r})
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -30,6 +30,7 @@
 	for _, e := range s.Events {
 		handle(s, e)
 	}
+	handleNotes(s)
 	if !s.Full {
 		return
 	}
--- a/internal/core/move/grow.go
+++ b/internal/core/move/grow.go
@@ -112,6 +112,9 @@
 		return
 	}
 	if m.Step < len(steps)-1 {
+		if !enoughLoaded(s, m, steps[m.Step+1].share) {
+			return
+		}
 		enter(s, m, m.Step+1)
 		return
 	}
@@ -122,6 +125,24 @@
 	ask(s, m, 1, table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
 }
 
+// enoughLoaded tells whether the new version has the replicas to carry a share, by the load reports known here.
+func enoughLoaded(s *table.State, m *table.Move, share float64) bool {
+	known, loaded := 0, 0
+	for id, e := range s.Rules.Endpoints {
+		if e.Model != m.ID.Model || e.Version != m.ID.To || s.Endpoints[id] == nil {
+			continue
+		}
+		if _, drained := s.Rules.Drains[id]; drained {
+			continue
+		}
+		known++
+		if ready(s, m, id) {
+			loaded++
+		}
+	}
+	return loaded > 0 && float64(loaded) >= float64(known)*share*likeLoad
+}
+
 func enter(s *table.State, m *table.Move, n int) {
 	m.Step = n
 	m.StepAt = s.Now
--- /dev/null
+++ b/internal/core/move/note.go
@@ -0,0 +1,142 @@
+package move
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// NoteKind is the kind of the notes that carry reports.
+const NoteKind = "move"
+
+const noteLimit = 2048 // bytes of a note's value
+
+// ErrNote is returned for a note that does not hold a report.
+var ErrNote = errors.New("not a report of a move")
+
+// wireReport is a table.Report as a note's value.
+type wireReport struct {
+	Model   string     `cbor:"1,keyasint"`
+	Old     string     `cbor:"2,keyasint"`
+	New     string     `cbor:"3,keyasint"`
+	By      int64      `cbor:"4,keyasint"`
+	From    string     `cbor:"5,keyasint"`
+	Life    int64      `cbor:"6,keyasint"`
+	Number  uint64     `cbor:"7,keyasint"`
+	Began   int64      `cbor:"8,keyasint"`
+	Step    int        `cbor:"9,keyasint"`
+	State   string     `cbor:"10,keyasint"`
+	Reason  string     `cbor:"11,keyasint,omitempty"`
+	Final   bool       `cbor:"12,keyasint,omitempty"`
+	Tallies []wireCell `cbor:"13,keyasint,omitempty"`
+}
+
+type wireCell struct {
+	_       struct{} `cbor:",toarray"`
+	Route   string
+	Measure int
+	New     bool
+	Good    uint64
+	Bad     uint64
+	By      map[string]uint64
+}
+
+// EncodeReport returns a report as a note; cells that do not fit are left out.
+func EncodeReport(r table.Report) (jaywind.Note, error) {
+	w := wireOf(r)
+	for {
+		value, err := cbor.Marshal(w)
+		if err != nil {
+			return jaywind.Note{}, err
+		}
+		if len(value) <= noteLimit || len(w.Tallies) == 0 {
+			return jaywind.Note{Kind: NoteKind, Key: w.From + key(r.Move), Value: value}, nil
+		}
+		w.Tallies = w.Tallies[:len(w.Tallies)*3/4]
+	}
+}
+
+func wireOf(r table.Report) wireReport {
+	w := wireReport{
+		Model: string(r.Move.Model), Old: string(r.Move.From), New: string(r.Move.To), By: r.Move.By,
+		From: string(r.From), Life: r.Life, Number: r.Number, Began: r.Began,
+		Step: r.Step, State: string(r.State), Reason: r.Reason, Final: r.Final,
+	}
+	for _, c := range slices.SortedFunc(maps.Keys(r.Tallies), compareCells) {
+		t := r.Tallies[c]
+		cell := wireCell{Route: string(c.Route), Measure: int(c.Measure), New: c.New, Good: t.Good, Bad: t.Bad}
+		for name, n := range t.By {
+			if cell.By == nil {
+				cell.By = map[string]uint64{}
+			}
+			cell.By[string(name)] = n
+		}
+		w.Tallies = append(w.Tallies, cell)
+	}
+	return w
+}
+
+// compareCells puts the new version's failures first, which are left out last.
+func compareCells(a, b table.Cell) int {
+	if a.New != b.New {
+		if a.New {
+			return -1
+		}
+		return 1
+	}
+	return comparePairs(table.Pair{Route: a.Route, Measure: a.Measure}, table.Pair{Route: b.Route, Measure: b.Measure})
+}
+
+// DecodeReport reads a note, or returns an error that wraps ErrNote.
+func DecodeReport(n jaywind.Note) (table.Report, error) {
+	if n.Kind != NoteKind || len(n.Value) > noteLimit {
+		return table.Report{}, fmt.Errorf("%w: kind %q, %d bytes", ErrNote, n.Kind, len(n.Value))
+	}
+	var w wireReport
+	if err := cbor.Unmarshal(n.Value, &w); err != nil {
+		return table.Report{}, fmt.Errorf("%w: %w", ErrNote, err)
+	}
+	state := table.MoveState(w.State)
+	if state != table.MoveGoing && state != table.MoveDone && state != table.MoveBack {
+		return table.Report{}, fmt.Errorf("%w: state %q", ErrNote, w.State)
+	}
+	r := table.Report{
+		Move: table.MoveID{Model: jaywind.Model(w.Model), From: jaywind.Version(w.Old), To: jaywind.Version(w.New), By: w.By},
+		From: jaywind.VM(w.From), Life: w.Life, Number: w.Number, Began: w.Began,
+		Step: max(w.Step, 0), State: state, Reason: w.Reason, Final: w.Final,
+		Tallies: make(map[table.Cell]table.Tally, len(w.Tallies)),
+	}
+	for _, c := range w.Tallies {
+		cell := table.Cell{Pair: table.Pair{Route: jaywind.Route(c.Route), Measure: table.Measure(c.Measure)}, New: c.New}
+		if _, known := standards[cell.Measure]; !known {
+			continue // a measure that a newer release has added
+		}
+		t := table.Tally{Good: c.Good, Bad: c.Bad}
+		for name, n := range c.By {
+			if t.By == nil {
+				t.By = map[table.Source]uint64{}
+			}
+			t.By[table.Source(name)] = n
+		}
+		r.Tallies[cell] = t
+	}
+	return r, nil
+}
+
+// handleNotes takes the reports among the notes that were heard.
+func handleNotes(s *table.State) {
+	for _, n := range s.Fleet.NotesIn {
+		if n.Kind != NoteKind {
+			continue
+		}
+		if r, err := DecodeReport(n); err == nil {
+			handle(s, table.Reported{Report: r})
+		}
+	}
+}
--- a/internal/core/move/steer.go
+++ b/internal/core/move/steer.go
@@ -12,6 +12,8 @@
 // unloadAfter is how long the old version stays loaded after the end of a move, so that all routers know of it.
 const unloadAfter = 30 * time.Second
 
+const loadShare = 0.25 // of a move's time, within which the new version should be loaded
+
 // steer emits the wanted states of all endpoints of moving models.
 func steer(s *table.State) {
 	if len(s.Moves) == 0 || s.Now.Sub(s.Steered) < windowLength {
@@ -30,13 +32,21 @@
 			continue
 		}
 		wants = append(wants, table.Want{
-			Move: m.ID, Endpoint: id, At: e.URL, Fenced: e.Fenced, Version: e.Version, Loaded: loaded,
+			Move: m.ID, Endpoint: id, At: e.URL, Fenced: e.Fenced, Version: e.Version, Loaded: loaded, Due: due(m, e.Version),
 		})
 	}
 	slices.SortFunc(wants, func(a, b table.Want) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	s.Emit(table.Steer{Wants: wants})
 }
 
+// due returns the time by which the new version should be loaded.
+func due(m *table.Move, v jaywind.Version) time.Time {
+	if v != m.ID.To || m.State != table.MoveGoing {
+		return time.Time{}
+	}
+	return m.Began.Add(time.Duration(float64(m.Rule.By.Sub(m.Began)) * loadShare))
+}
+
 // wanted tells whether a version is to be loaded, and whether that is settled yet.
 func wanted(s *table.State, m *table.Move, v jaywind.Version) (loaded, settled bool) {
 	if v == s.Rules.Models[m.ID.Model].Version && m.State != table.MoveDone {
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -139,6 +139,7 @@
 	Fenced   bool
 	Version  jaywind.Version
 	Loaded   bool
+	Due      time.Time // when the new version should be loaded; zero for no time
 }
 
 // Steer hands the wanted states of all moves to the steward.
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -25,6 +25,7 @@
 	p.distinct(s.Listen)
 	p.url("store.url", s.Store.URL, true)
 	p.url("directory.url", s.Directory.URL, false)
+	p.url("weights.url", s.Weights.URL, false)
 	for _, u := range s.Fleet.Seeds {
 		p.url("fleet.seeds", u, true)
 	}
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -10,6 +10,7 @@
 	Listen     Listen     `toml:"listen"`
 	Store      Peer       `toml:"store"`
 	Directory  Peer       `toml:"directory"`
+	Weights    Peer       `toml:"weights"` // loads of versions are not paced when empty
 	Fleet      Fleet      `toml:"fleet"`
 	Log        Log        `toml:"log"`
 	Objectives Objectives `toml:"objectives"`
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -33,6 +33,7 @@
 	silent int // streams up to this number write nothing more
 	halted bool
 	fence  jaywind.Fence
+	orders Orders
 	loaded map[jaywind.Version]bool
 	made   int // tokens computed in all
 	group  conc.WaitGroup
--- a/internal/standin/engine/order.go
+++ b/internal/standin/engine/order.go
@@ -24,6 +24,30 @@
 	Action  string `json:"action"`
 }
 
+// Orders are the switches for how the engine treats orders.
+type Orders struct {
+	Unfenced bool          // obey old fencing numbers
+	Lose     int           // answer so many orders and do nothing
+	LoadTime time.Duration // from the order until the version is loaded
+}
+
+// SetOrders replaces the switches for orders.
+func (e *Engine) SetOrders(o Orders) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = o
+}
+
+// SetLoaded replaces the loaded versions.
+func (e *Engine) SetLoaded(versions ...jaywind.Version) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.loaded)
+	for _, v := range versions {
+		e.loaded[v] = true
+	}
+}
+
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	e.waitWhilePaused()
 	e.mu.Lock()
@@ -48,16 +72,31 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if jaywind.Fence(o.Fence) < e.fence {
+	if jaywind.Fence(o.Fence) < e.fence && !e.orders.Unfenced {
 		http.Error(w, "fencing number is old", http.StatusConflict)
 		return
 	}
-	e.fence = jaywind.Fence(o.Fence)
-	switch jaywind.Action(o.Action) {
+	e.fence = max(e.fence, jaywind.Fence(o.Fence))
+	w.WriteHeader(http.StatusNoContent)
+	if e.orders.Lose > 0 {
+		e.orders.Lose--
+		return
+	}
+	e.obey(jaywind.Action(o.Action), jaywind.Version(o.Version))
+}
+
+// obey brings about the wanted state; the caller holds mu.
+func (e *Engine) obey(a jaywind.Action, v jaywind.Version) {
+	switch a {
 	case jaywind.ActionLoad:
-		e.loaded[jaywind.Version(o.Version)] = true
+		after := e.orders.LoadTime
+		e.group.Go(func() {
+			time.Sleep(after)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.loaded[v] = true
+		})
 	case jaywind.ActionUnload:
-		delete(e.loaded, jaywind.Version(o.Version))
+		delete(e.loaded, v)
 	}
-	w.WriteHeader(http.StatusNoContent)
 }
