--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -20,6 +20,7 @@
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 	"jaywind/internal/platform/vms"
+	"jaywind/internal/platform/weights"
 )
 
 const (
@@ -124,6 +125,9 @@
 	for _, u := range s.Fleet.Seeds {
 		r.Seeds = append(r.Seeds, jaywind.Address(u))
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	if s.Directory.URL != "" {
 		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
 	}
--- a/embed/router.go
+++ b/embed/router.go
@@ -40,6 +40,7 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Log       *zap.Logger       // silent when nil
 
@@ -91,6 +92,7 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		newMoves(r),
 	}
 	r.gossip.router = r
 	if r.Gossiper != nil {
