claim: fault matrix, calls to plain services over http

The matrix plays each fault at each step, and pairs of them, over three routers in virtual time on the code that commits claims in production.

--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -13,8 +13,10 @@
 	"jaywind"
 	"jaywind/embed"
 	"jaywind/internal/backend/engine"
+	"jaywind/internal/backend/service"
 	"jaywind/internal/edge/caller"
 	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/ledger"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 )
@@ -59,16 +61,22 @@
 
 // serve runs a router with its ports until ctx ends.
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
+	platform := &store.Client{URL: jaywind.Address(s.Store.URL)}
+	committer := &ledger.Committer{Store: platform}
+	defer committer.Wait()
 	r := &embed.Router{
 		Self:   s.Name(),
 		Domain: jaywind.Domain(s.Domain),
 		Seed:   seedOf(s.VM),
 		Engine: &engine.Client{},
-		Store:  &store.Client{URL: jaywind.Address(s.Store.URL)},
+		Store:  platform,
 		Log:    log,
+
+		Service: &service.Client{},
+		Claims:  &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)}},
 	}
-	h := &caller.Handler{Router: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
-	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r)))
+	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
+	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
 	fleet.Protocols = cbor.Protocols()
 	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), fleet}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -96,8 +104,9 @@
 }
 
 // newFleetMux returns the handlers for calls from other routers.
-func newFleetMux(_ *embed.Router) http.Handler {
+func newFleetMux(_ *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
+	m.Handle(ledger.Path, ledger.NewHandler(committer))
 	return m
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,7 @@
 // Command standin runs one stand-in for an outside system as a process.
 //
 //	standin engine -listen 127.0.0.1:9101 -id e1 -model heat -version v1
+//	standin service -listen 127.0.0.1:9301 -name s1
 //	standin store -listen 127.0.0.1:9200
 //
 // Faults are switched by POST /faults with the switches as JSON.
@@ -21,12 +22,14 @@
 
 	"jaywind"
 	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
 )
 
 var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
-	"engine": engineFlags,
-	"store":  storeFlags,
+	"engine":  engineFlags,
+	"service": serviceFlags,
+	"store":   storeFlags,
 }
 
 func main() {
@@ -41,7 +44,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) == 0 || kinds[args[0]] == nil {
-		return errors.New("want a kind: engine or store")
+		return errors.New("want a kind: engine, service or store")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
@@ -85,3 +88,8 @@
 func storeFlags(*flag.FlagSet) func() http.Handler {
 	return func() http.Handler { return (&store.Store{}).Handler() }
 }
+
+func serviceFlags(f *flag.FlagSet) func() http.Handler {
+	name := f.String("name", "s1", "`name` that the replies tell")
+	return func() http.Handler { return (&service.Service{Name: *name}).Handler() }
+}
--- a/embed/router.go
+++ b/embed/router.go
@@ -36,6 +36,9 @@
 	Store  jaywind.Store // rules are given by SetRules when nil
 	Log    *zap.Logger   // silent when nil
 
+	Service jaywind.Service // no calls to plain services when nil
+	Claims  Committer       // no once-only calls when nil
+
 	start   sync.Once
 	core    step.Core
 	events  chan table.Event
@@ -43,6 +46,7 @@
 	group   conc.WaitGroup
 	parts   []part
 	answers answerSet
+	calls   callSet
 	ready   atomic.Bool
 }
 
@@ -64,6 +68,7 @@
 		r.events = make(chan table.Event, eventBuffer)
 		r.stopped = make(chan struct{})
 		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.calls.open = map[jaywind.RequestID]chan table.Respond{}
 		r.parts = r.newParts()
 	})
 }
@@ -73,6 +78,8 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
+		&claimant{router: r},
 	}
 	if r.Store != nil {
 		parts = append(parts, &rulebook{router: r})
--- a/internal/core/claim/answer.go
+++ b/internal/core/claim/answer.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"net/url"
 	"strings"
 	"time"
 
@@ -15,12 +16,19 @@
 		return table.ModeRepeat
 	}
 	v := set.Services[a.Service]
-	if a.Key != "" || v.Once && strings.HasPrefix(a.Exchange.Path, v.Path) {
+	if a.Key != "" || v.Once && below(a.Exchange.Path, v.Path) {
 		return table.ModeClaimed
 	}
 	return table.ModeSingle
 }
 
+// below tells whether an escaped path is under a prefix; one that can't be read is taken to be.
+func below(escaped, prefix string) bool {
+	escaped, _, _ = strings.Cut(escaped, "?")
+	path, err := url.PathUnescape(escaped)
+	return err != nil || strings.HasPrefix(path, prefix)
+}
+
 // refuse answers a call that can't be run here and tells whether it did.
 func refuse(s *table.State, c *table.ServiceCall) bool {
 	switch {
@@ -80,5 +88,5 @@
 	if r.Status == 0 {
 		return unknown("the call has run and its reply was too large to be kept")
 	}
-	return table.Respond{Result: table.ResultReply, Reply: r}
+	return table.Respond{Result: table.ResultReply, Reply: r, Replayed: true}
 }
--- a/internal/core/claim/retry.go
+++ b/internal/core/claim/retry.go
@@ -28,37 +28,38 @@
 	if c.Try > 0 || c.Mode != table.ModeRepeat {
 		return
 	}
-	for _, b := range budgets(s, c.Ask.Organisation, id) {
-		b.Spent = max(0, b.Spent-retryShare)
+	for _, k := range keysOf(c.Ask.Organisation, id) {
+		if b := s.Retries[k]; b != nil {
+			b.Spent -= retryShare
+			drop(s, k)
+		}
+	}
+}
+
+// drop forgets a budget that is whole again.
+func drop(s *table.State, k table.RetryKey) {
+	if s.Retries[k].Spent <= 0 {
+		delete(s.Retries, k)
 	}
 }
 
 // spend takes one retry from the budgets of the organisation and of the endpoint that failed.
 func spend(s *table.State, o jaywind.Organisation, id jaywind.EndpointID) bool {
-	pair := budgets(s, o, id)
-	for _, b := range pair {
-		if b.Spent+1 > retryReserve {
+	keys := keysOf(o, id)
+	for _, k := range keys {
+		if b := s.Retries[k]; b != nil && b.Spent+1 > retryReserve {
 			return false
 		}
 	}
-	for _, b := range pair {
-		b.Spent++
+	for _, k := range keys {
+		if s.Retries[k] == nil {
+			s.Retries[k] = &table.RetryBudget{}
+		}
+		s.Retries[k].Spent++
 	}
 	return true
 }
 
-func budgets(s *table.State, o jaywind.Organisation, id jaywind.EndpointID) [2]*table.RetryBudget {
-	return [2]*table.RetryBudget{
-		budget(s, table.RetryKey{Organisation: o}),
-		budget(s, table.RetryKey{Endpoint: id}),
-	}
-}
-
-func budget(s *table.State, k table.RetryKey) *table.RetryBudget {
-	b := s.Retries[k]
-	if b == nil {
-		b = &table.RetryBudget{}
-		s.Retries[k] = b
-	}
-	return b
+func keysOf(o jaywind.Organisation, id jaywind.EndpointID) [2]table.RetryKey {
+	return [2]table.RetryKey{{Organisation: o}, {Endpoint: id}}
 }
--- /dev/null
+++ b/internal/core/claim/world_test.go
@@ -0,0 +1,319 @@
+package claim_test
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/claim"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+	"jaywind/internal/platform/claims"
+)
+
+const (
+	hop      = time.Millisecond // of a message
+	tick     = 200 * time.Millisecond
+	deadline = 10 * time.Second // of a call after its arrival
+	ending   = 60 * time.Second // of a run, long after all deadlines
+)
+
+// step is a place on the way of the first request where a fault strikes.
+type step int // in the order of the way
+
+const (
+	stepClaim  step = iota // the claim is about to be handed to the store
+	stepCommit             // the store has it, the router does not know
+	stepSend               // the router is about to send
+	stepRun                // the service has run the call
+	stepReply              // the reply is under way
+	stepRecord             // the answer is about to be recorded
+	steps
+)
+
+// world is some routers, a store and two service endpoints in virtual time.
+type world struct {
+	now     time.Duration
+	queue   actions
+	order   int
+	store   *fakeStore
+	nodes   []*node
+	faults  map[step][]func(*world, *node)
+	refuse  map[jaywind.EndpointID]bool
+	service func(n int) (time.Duration, error) // how the nth run ends; nil for at once and well
+	runs    map[jaywind.IdempotencyKey]int
+	runsOf  map[jaywind.RequestID]int
+	answers map[jaywind.RequestID]table.Respond
+	told    map[jaywind.RequestID]time.Duration
+	gone    map[jaywind.RequestID]bool // callers that went away
+}
+
+type action struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type actions []action
+
+func (a actions) Len() int { return len(a) }
+func (a actions) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// node is one router with its I/O.
+type node struct {
+	world  *world
+	state  *table.State
+	shard  claims.Shard
+	asks   map[jaywind.RequestID]table.ServiceAsk
+	dead   bool
+	paused time.Duration // until then
+
+	ticking bool // a full tick is due
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func newWorld(nodes int) *world {
+	w := &world{
+		store:   &fakeStore{entries: map[string]jaywind.Entry{}},
+		faults:  map[step][]func(*world, *node){},
+		refuse:  map[jaywind.EndpointID]bool{},
+		runs:    map[jaywind.IdempotencyKey]int{},
+		runsOf:  map[jaywind.RequestID]int{},
+		answers: map[jaywind.RequestID]table.Respond{},
+		told:    map[jaywind.RequestID]time.Duration{},
+		gone:    map[jaywind.RequestID]bool{},
+	}
+	w.store.world = w
+	set, _ := rule.Parse("test", "service bind path=/bind once=yes # test\n"+
+		"endpoint s1 kind=service service=bind url=http://127.0.0.1:1 domain=a # test\n"+
+		"endpoint s2 kind=service service=bind url=http://127.0.0.1:2 domain=b # test\n")
+	for i := range nodes {
+		n := &node{world: w, state: table.New(uint64(i)), asks: map[jaywind.RequestID]table.ServiceAsk{}}
+		n.state.Rules = set
+		n.state.Endpoints = map[jaywind.EndpointID]*table.Endpoint{"s1": {ID: "s1"}, "s2": {ID: "s2"}}
+		n.shard = claims.Shard{Store: w.store}
+		w.nodes = append(w.nodes, n)
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, action{w.now + d, w.order, run})
+}
+
+func (w *world) runUntil(end time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		a := heap.Pop(&w.queue).(action)
+		w.now = a.at
+		a.run()
+	}
+	w.now = end
+}
+
+// strike lets the faults of a step happen to the first request, once.
+func (w *world) strike(at step, n *node) {
+	struck := w.faults[at]
+	delete(w.faults, at)
+	for _, f := range struck {
+		f(w, n)
+	}
+}
+
+// after runs an action of the router's process, which a pause delays and a crash drops.
+func (n *node) after(d time.Duration, run func()) {
+	n.world.after(d, func() {
+		switch {
+		case n.dead:
+		case n.world.now < n.paused:
+			n.after(n.paused-n.world.now, run)
+		default:
+			run()
+		}
+	})
+}
+
+// ticks runs full ticks while there are calls.
+func (n *node) ticks() {
+	if n.ticking {
+		return
+	}
+	n.ticking = true
+	n.after(tick, func() {
+		n.ticking = false
+		n.step(true)
+		if len(n.state.Calls) > 0 {
+			n.ticks()
+		}
+	})
+}
+
+func (n *node) step(full bool, events ...table.Event) {
+	n.state.Begin(epoch.Add(n.world.now), full, events)
+	claim.Claim{}.Step(n.state)
+	for _, c := range n.state.Take() {
+		n.execute(c)
+	}
+}
+
+func (n *node) post(e table.Event) { n.after(hop, func() { n.step(false, e) }) }
+
+// ask lets a caller make a call with the key k.
+func (n *node) ask(id jaywind.RequestID, body jaywind.Digest) {
+	a := table.ServiceAsk{
+		ID: id, Service: "bind", Key: "k", Body: body, Nonce: jaywind.Nonce(len(id)*1000 + int(id[len(id)-1])),
+		Exchange: jaywind.Exchange{Method: "POST", Path: "/bind"}, Deadline: epoch.Add(n.world.now + deadline),
+	}
+	n.asks[id] = a
+	n.step(false, table.ServiceArrived{Ask: a})
+	n.ticks()
+}
+
+func (n *node) execute(c table.Command) {
+	w := n.world
+	switch c := c.(type) {
+	case table.Commit:
+		n.after(hop, func() {
+			n.strike(c.Request, stepClaim, func() { n.commit(c) })
+		})
+	case table.Settle:
+		n.strike("a", stepRecord, func() { n.settle(c.Claim) })
+	case table.Send:
+		n.strike(c.Request, stepSend, func() { n.after(hop, func() { n.send(c) }) })
+	case table.Respond:
+		w.answers[c.Request] = c
+		w.told[c.Request] = w.now
+	}
+}
+
+// strike runs the faults of a step if it is on the way of the first request, and goes on if the router can.
+func (n *node) strike(id jaywind.RequestID, at step, proceed func()) {
+	if id == "a" && n == n.world.nodes[0] {
+		n.world.strike(at, n)
+	}
+	n.after(0, proceed)
+}
+
+func (n *node) commit(c table.Commit) {
+	recorded, err := n.shard.Commit(context.Background(), []jaywind.Claim{c.Claim})
+	e := table.Claimed{Request: c.Request, Err: err}
+	if err == nil {
+		e.Claim = recorded[0]
+	}
+	n.strike(c.Request, stepCommit, func() { n.post(e) })
+}
+
+func (n *node) settle(c jaywind.Claim) {
+	if _, err := n.shard.Commit(context.Background(), []jaywind.Claim{c}); err != nil && n.world.now < ending {
+		n.after(500*time.Millisecond, func() { n.settle(c) })
+	}
+}
+
+func (n *node) send(c table.Send) {
+	w := n.world
+	late := !epoch.Add(w.now).Before(c.Exchange.NotAfter)
+	if late || w.refuse[c.Endpoint] {
+		n.post(table.Replied{Request: c.Request, Try: c.Try, Err: jaywind.ErrNotSent})
+		return
+	}
+	w.runs[n.asks[c.Request].Key]++
+	w.runsOf[c.Request]++
+	var delay time.Duration
+	var err error
+	if w.service != nil {
+		delay, err = w.service(w.runsOf[c.Request])
+	}
+	e := table.Replied{Request: c.Request, Try: c.Try, Reply: jaywind.Reply{Status: 201, Body: []byte("bound")}, Err: err}
+	n.strike(c.Request, stepRun, func() {})
+	w.after(hop+delay, func() {
+		n.strike(c.Request, stepReply, func() { n.post(e) })
+	})
+}
+
+// fakeStore is a store whose next operations can be bent.
+type fakeStore struct {
+	entries map[string]jaywind.Entry
+	counter int
+	before  func(write bool) (bend, bool) // nil for none
+	world   *world
+}
+
+// bend is what happens to one operation.
+type bend int
+
+const (
+	bendDown  bend = iota // refused before it takes effect
+	bendLost              // takes effect, the reply is lost
+	bendDrop              // is lost before it takes effect, which is not known
+	bendDelay             // takes effect three seconds later, which is not known
+)
+
+func (s *fakeStore) bend(write bool) (bend, bool) {
+	if s.before == nil {
+		return 0, false
+	}
+	return s.before(write)
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (jaywind.Entry, error) {
+	if _, bent := s.bend(false); bent {
+		return jaywind.Entry{}, jaywind.ErrUnavailable
+	}
+	e, found := s.entries[key]
+	if !found {
+		return jaywind.Entry{}, jaywind.ErrAbsent
+	}
+	return e, nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, key string, value []byte, old jaywind.Revision) (jaywind.Revision, error) {
+	b, bent := s.bend(true)
+	if !bent {
+		return s.apply(key, value, old)
+	}
+	switch b {
+	case bendDown:
+		return "", jaywind.ErrUnavailable
+	case bendLost:
+		_, _ = s.apply(key, value, old)
+	case bendDelay:
+		s.world.after(3*time.Second, func() { _, _ = s.apply(key, value, old) })
+	}
+	return "", jaywind.ErrUnknown
+}
+
+func (s *fakeStore) apply(key string, value []byte, old jaywind.Revision) (jaywind.Revision, error) {
+	if s.entries[key].Revision != old {
+		return "", jaywind.ErrConflict
+	}
+	s.counter++
+	revision := jaywind.Revision(fmt.Sprint(s.counter))
+	s.entries[key] = jaywind.Entry{Key: key, Value: value, Revision: revision}
+	return revision, nil
+}
+
+func (s *fakeStore) Watch(context.Context, string, jaywind.Revision) (jaywind.Entry, error) {
+	return jaywind.Entry{}, jaywind.ErrUnavailable
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (jaywind.LeaseID, error) {
+	return "", jaywind.ErrUnavailable
+}
+
+func (s *fakeStore) Renew(context.Context, jaywind.LeaseID) error { return jaywind.ErrUnavailable }
+
+func (s *fakeStore) SwapLeased(context.Context, string, []byte, jaywind.Revision, jaywind.LeaseID) (jaywind.Revision, error) {
+	return "", jaywind.ErrUnavailable
+}
--- a/internal/core/table/claim.go
+++ b/internal/core/table/claim.go
@@ -124,6 +124,7 @@
 	Request    jaywind.RequestID
 	Result     Result
 	Reply      jaywind.Reply // of ResultReply
+	Replayed   bool          // Reply was on record from an earlier call
 	Reason     string
 	RetryAfter time.Duration
 }
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -31,10 +31,11 @@
 
 // Handler serves callers; set its fields before Mux is called.
 type Handler struct {
-	Router  router
-	Entries func(jaywind.Organisation) []jaywind.Address // the entries that an organisation should use
-	Clock   jaywind.Clock                                // the machine's when nil
-	Log     *zap.Logger                                  // silent when nil
+	Router   router
+	Services services                                     // plain services are not served when nil
+	Entries  func(jaywind.Organisation) []jaywind.Address // the entries that an organisation should use
+	Clock    jaywind.Clock                                // the machine's when nil
+	Log      *zap.Logger                                  // silent when nil
 }
 
 // Mux returns the HTTP interface for callers.
@@ -48,6 +49,7 @@
 	m := httprouter.New()
 	m.POST("/v1/completions", h.complete)
 	m.GET("/v1/entries", h.entries)
+	h.handleServices(m)
 	m.GET("/healthz", h.health)
 	m.GET("/readyz", h.ready)
 	return m
--- a/internal/fleet/ledger/router.go
+++ b/internal/fleet/ledger/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,8 +29,8 @@
 	limited, cancel := context.WithTimeout(ctx, remoteLimit)
 	recorded, err := r.Remote.Commit(limited, at, claim)
 	cancel()
-	if err == nil || errors.Is(err, jaywind.ErrUnavailable) {
-		return recorded, err
+	if err == nil {
+		return recorded, nil
 	}
 	return r.Local.Commit(ctx, claim)
 }
--- a/internal/fleet/ledger/wire.go
+++ b/internal/fleet/ledger/wire.go
@@ -59,7 +59,7 @@
 	serve := func(ctx context.Context, r *connect.Request[entry]) (*connect.Response[entry], error) {
 		want := r.Msg.claim()
 		if want.State <= jaywind.ClaimNone || want.State > jaywind.ClaimUnknown || want.Key == "" {
-			return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("State or Key: not those of a claim"))
+			return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("want a claim with a known State and a Key"))
 		}
 		recorded, err := c.Commit(ctx, want)
 		if err != nil {
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,142 @@
+package service
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+const bodyLimit = 4 << 20 // bytes of a call
+
+// Faults are the switches of the stand-in.
+type Faults struct {
+	Cut    bool          `json:"cut"`    // the connection is cut after the call was run
+	Slow   time.Duration `json:"slow"`   // a call takes this much longer to answer, in nanoseconds
+	Before bool          `json:"before"` // Slow passes before the call is run, not after
+	Fail   bool          `json:"fail"`   // every call is run and answered by status 500
+}
+
+// Service is a plain service in memory; its zero value works.
+type Service struct {
+	Name string // told in each reply
+
+	mu     sync.Mutex
+	faults Faults
+	runs   map[string]int
+	total  int
+}
+
+// Set replaces the faults.
+func (s *Service) Set(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns how often calls with a key were run.
+func (s *Service) Runs(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// Total returns how many calls were run.
+func (s *Service) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+// Handler returns the HTTP interface of the service, with POST /faults for the switches.
+func (s *Service) Handler() http.Handler {
+	m := httprouter.New()
+	m.GET("/runs/:key", s.serveRuns)
+	m.POST("/faults", s.serveFaults)
+	m.NotFound = http.HandlerFunc(s.serve)
+	m.HandleMethodNotAllowed = false
+	m.RedirectTrailingSlash = false
+	m.RedirectFixedPath = false
+	return m
+}
+
+type answer struct {
+	By     string `json:"by"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+	Run    int    `json:"run"` // count of runs in all
+}
+
+// serve runs any other call.
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+	if err != nil {
+		return
+	}
+	f := s.current()
+	if f.Before && !pause(r, f.Slow) {
+		return
+	}
+	n := s.count(r.Header.Get("Idempotency-Key"))
+	if !f.Before && !pause(r, f.Slow) {
+		return
+	}
+	if f.Cut {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if f.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	_ = json.NewEncoder(w).Encode(answer{By: s.Name, Method: r.Method, Path: r.URL.Path, Body: string(body), Run: n})
+}
+
+func (s *Service) current() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Service) count(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = map[string]int{}
+	}
+	s.total++
+	if key != "" {
+		s.runs[key]++
+	}
+	return s.total
+}
+
+// pause waits and tells whether the caller is still there.
+func pause(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+	_, _ = fmt.Fprintln(w, s.Runs(p.ByName("key")))
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(f)
+}
