--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -64,17 +64,21 @@
 	platform := &store.Client{URL: jaywind.Address(s.Store.URL)}
 	committer := &ledger.Committer{Store: platform}
 	defer committer.Wait()
+	claims := &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)}}
 	r := &embed.Router{
 		Self:   s.Name(),
 		Domain: jaywind.Domain(s.Domain),
 		Seed:   seedOf(s.VM),
 		Engine: &engine.Client{},
+		Fleet:  jaywind.Address("http://" + s.Listen.Fleet),
+		Entry:  jaywind.Address("http://" + s.Listen.Caller),
 		Store:  platform,
 		Log:    log,
 
 		Service: &service.Client{},
-		Claims:  &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)}},
+		Claims:  claims,
 	}
+	claims.Members = r.Members
 	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
 	fleet.Protocols = cbor.Protocols()
--- a/internal/fleet/ledger/router.go
+++ b/internal/fleet/ledger/router.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jaywind"
+	"jaywind/internal/fleet/rendezvous"
 	"jaywind/internal/platform/claims"
 )
 
@@ -16,8 +16,8 @@
 type Router struct {
 	Self    jaywind.VM
 	Local   *Committer
-	Remote  jaywind.Ledger                        // nil to commit everything here
-	Members func() map[jaywind.VM]jaywind.Address // the routers that are alive; nil for none but Self
+	Remote  jaywind.Ledger          // nil to commit everything here
+	Members func() []jaywind.Member // the routers that are alive; nil for none but Self
 }
 
 // Commit records a claim and returns what is on record, or an error like Committer.Commit.
@@ -40,17 +40,9 @@
 	if r.Remote == nil || r.Members == nil {
 		return "", false
 	}
-	members := r.Members()
-	best, most := r.Self, score(r.Self, shard)
-	for vm := range members {
-		if n := score(vm, shard); n > most || n == most && vm < best {
-			best, most = vm, n
-		}
+	picked := rendezvous.Pick("claims-"+strconv.Itoa(shard), r.Members(), 1, "")
+	if len(picked) == 0 || picked[0].VM == r.Self {
+		return "", false
 	}
-	return members[best], best != r.Self
-}
-
-// score is the rendezvous weight of a router for a shard.
-func score(vm jaywind.VM, shard int) uint64 {
-	return xxhash.Sum64(append([]byte(vm), 0, byte(shard)))
+	return picked[0].Fleet, true
 }
