--- a/embed/router.go
+++ b/embed/router.go
@@ -40,6 +40,8 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Service   jaywind.Service   // no calls to plain services when nil
+	Claims    Committer         // no once-only calls when nil
 	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Log       *zap.Logger       // silent when nil
@@ -52,6 +54,7 @@
 	group    conc.WaitGroup
 	parts    []part
 	answers  answerSet
+	calls    callSet
 	meter    *meter
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -82,6 +85,7 @@
 		r.looks = make(chan func())
 		r.stopped = make(chan struct{})
 		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.calls.open = map[jaywind.RequestID]chan table.Respond{}
 		r.meter = newMeter()
 		r.parts = r.newParts()
 	})
@@ -93,6 +97,8 @@
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
 		newMoves(r),
+		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
+		&claimant{router: r},
 	}
 	r.gossip.router = r
 	if r.Gossiper != nil {
