--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -19,6 +19,8 @@
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/operator/burn"
+	"jaywind/internal/operator/scrape"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 	"jaywind/internal/platform/vms"
@@ -69,10 +71,16 @@
 	defer committer.Wait()
 	r := newRouter(s, log, committer)
 	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
-	o := &operator.Handler{Router: r, Secret: s.Secret}
+	o := &operator.Handler{
+		Router:  r,
+		Secret:  s.Secret,
+		Metrics: scrape.Handler(r.Metrics()),
+		Burn:    burn.Handler(r.Burn(), jaywind.SystemClock{}),
+	}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
 	fleet.Protocols = cbor.Protocols()
 	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), newServer(s.Listen.Operator, o.Mux()), fleet}
+	servers[1].Protocols = cbor.Protocols()
 	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group conc.WaitGroup
--- a/internal/edge/operator/handler.go
+++ b/internal/edge/operator/handler.go
@@ -30,7 +30,8 @@
 type Handler struct {
 	Router  router
 	Secret  string
-	Metrics http.Handler // serves /metrics; an empty page when nil
+	Metrics http.Handler // serves /metrics; not served when nil
+	Burn    http.Handler // serves /burn; not served when nil
 }
 
 // Mux returns the HTTP interface for operators.
@@ -38,20 +39,18 @@
 	m := httprouter.New()
 	m.GET("/v1/status", h.status)
 	m.GET("/v1/rules", h.rules)
-	m.Handler(http.MethodGet, "/metrics", h.metrics())
+	if h.Metrics != nil {
+		m.Handler(http.MethodGet, "/metrics", h.Metrics)
+	}
+	if h.Burn != nil {
+		m.Handler(http.MethodGet, "/burn", h.Burn)
+	}
 	open := httprouter.New()
 	open.GET("/healthz", health)
 	open.NotFound = cbor.Guard(h.Secret, m)
 	return http.MaxBytesHandler(open, bodyLimit)
 }
 
-func (h *Handler) metrics() http.Handler {
-	if h.Metrics != nil {
-		return h.Metrics
-	}
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-}
-
 func health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/measure/load/baseline.go
+++ b/internal/measure/load/baseline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -32,7 +33,7 @@
 			token()
 			continue
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return err
