generate: a fault matrix, and what it asked for

Cause: the core had no test of its own. Reading it against the promises also showed faults: a caller that came back to the same router before the loss of its old connection was seen had its new answer ended with the old one's last word; an engine's stream of another run of the same request could be resumed and mixed in, since only the end carries a digest; a wrong total at the end was resumed for ever; work for a lost caller was dropped at once.

Now: each connection of a caller is a listener, and a running generation is handed on to a new one (from its bookmark, or from 0), or kept for 3 s and then cancelled. Token frames may carry the running digest, and one that doesn't fit is of another generation. Connections to one engine and endpoints left are bounded between two tokens. An engine that answers no probe while all its streams are silent loses all of them at once and gets no new work for 2 s; while others go on, only the one stream moves. A live engine that makes nothing is left after 1.3 s if none of its streams moves, after 6 s if others do, since it may only have put this one behind them. A slow caller's buffer holds 4096 events. Ruled out: calling an engine dead on one lost probe, which recomputes all its streams for one lost packet.

Not proved: an engine stuck on one stream alone while others on it go on is left after 6 s, more than the target.

--- a/embed/answer.go
+++ b/embed/answer.go
@@ -8,6 +8,8 @@
 	"jaywind/internal/core/table"
 )
 
+const answerBuffer = 4096 // events that may wait for a slow reader
+
 // Event is one token of an answer, or its final word.
 type Event struct {
 	Token jaywind.Token
@@ -17,12 +19,14 @@
 
 // Answer is what a router hands to one caller.
 type Answer struct {
-	id     jaywind.RequestID
-	router *Router
+	id       jaywind.RequestID
+	listener table.Listener
+	router   *Router
 
 	mu     sync.Mutex
 	events []Event
 	read   int
+	extra  int           // events that were there when the reader came
 	wake   chan struct{} // holds a value while there may be something to read
 	closed bool
 }
@@ -54,17 +58,31 @@
 	e = a.events[a.read]
 	a.events[a.read] = Event{}
 	a.read++
+	if a.read == len(a.events) {
+		a.events = a.events[:0]
+		a.read = 0
+		a.extra = 0
+	}
 	return e, true, false
 }
 
-func (a *Answer) push(e Event, last bool) {
+// push adds an event; a reader that is too far behind is cut off and may come back with its bookmark.
+func (a *Answer) push(e Event, again, last bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
 		return
 	}
+	if again {
+		a.extra++
+	}
 	a.events = append(a.events, e)
 	a.closed = last
+	if len(a.events)-a.read > answerBuffer+a.extra {
+		a.events = nil
+		a.read = 0
+		a.closed = true
+	}
 	a.signal()
 }
 
@@ -86,15 +104,15 @@
 // Close tells the router that the caller is gone, unless the answer has ended.
 func (a *Answer) Close() {
 	if a.router.answers.remove(a) {
-		a.router.post(table.Gone{Request: a.id})
+		a.router.post(table.Gone{Request: a.id, Listener: a.listener})
 	}
 }
 
 // Generate asks for a generation; the caller reads the answer and closes it.
 func (r *Router) Generate(_ context.Context, ask table.Ask) (*Answer, error) {
 	r.init()
-	a := &Answer{id: ask.ID, router: r, wake: make(chan struct{}, 1)}
-	r.answers.add(a)
+	a := r.answers.add(r, ask.ID)
+	ask.Listener = a.listener
 	if !r.post(table.Arrived{Ask: ask}) {
 		return nil, ErrStopped
 	}
@@ -103,47 +121,62 @@
 
 // answerSet holds the answers that callers read.
 type answerSet struct {
-	mu   sync.Mutex
-	open map[jaywind.RequestID]*Answer
+	mu      sync.Mutex
+	last    table.Listener
+	open    map[table.Listener]*Answer
+	current map[jaywind.RequestID]table.Listener // where the core's output goes
 }
 
-// add replaces an older answer to the same request, which then ends.
-func (s *answerSet) add(a *Answer) {
+func (s *answerSet) add(r *Router, id jaywind.RequestID) *Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old := s.open[a.id]; old != nil {
-		old.close()
-	}
-	s.open[a.id] = a
+	s.last++
+	a := &Answer{id: id, listener: s.last, router: r, wake: make(chan struct{}, 1)}
+	s.open[a.listener] = a
+	return a
+}
+
+func (s *answerSet) join(c table.Join) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current[c.Request] = c.Listener
 }
 
 func (s *answerSet) remove(a *Answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open[a.id] != a {
-		return false
-	}
-	delete(s.open, a.id)
-	return true
+	_, open := s.open[a.listener]
+	delete(s.open, a.listener)
+	return open
 }
 
 func (s *answerSet) deliver(c table.Deliver) {
 	s.mu.Lock()
-	a := s.open[c.Mark.Request]
+	a := s.open[s.current[c.Mark.Request]]
 	s.mu.Unlock()
 	if a != nil {
-		a.push(Event{Token: c.Token, Mark: c.Mark}, false)
+		a.push(Event{Token: c.Token, Mark: c.Mark}, c.Again, false)
 	}
 }
 
 func (s *answerSet) finish(c table.Finish) {
+	if a := s.take(c); a != nil {
+		a.push(Event{Mark: c.Mark, Final: &c}, true, true)
+	}
+}
+
+// take removes the answer that a final word is for.
+func (s *answerSet) take(c table.Finish) *Answer {
 	s.mu.Lock()
-	a := s.open[c.Request]
-	delete(s.open, c.Request)
-	s.mu.Unlock()
-	if a != nil {
-		a.push(Event{Mark: c.Mark, Final: &c}, true)
+	defer s.mu.Unlock()
+	listener := c.Listener
+	if listener == 0 {
+		listener = s.current[c.Request]
+		delete(s.current, c.Request)
 	}
+	a := s.open[listener]
+	delete(s.open, listener)
+	return a
 }
 
 func (s *answerSet) closeAll() {
--- a/embed/callers.go
+++ b/embed/callers.go
@@ -17,6 +17,8 @@
 
 func (p *callers) execute(_ context.Context, c table.Command) bool {
 	switch c := c.(type) {
+	case table.Join:
+		p.router.answers.join(c)
 	case table.Deliver:
 		p.router.answers.deliver(c)
 	case table.Finish:
--- a/embed/router.go
+++ b/embed/router.go
@@ -63,7 +63,8 @@
 		r.core.State.Domain = r.Domain
 		r.events = make(chan table.Event, eventBuffer)
 		r.stopped = make(chan struct{})
-		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.answers.open = map[table.Listener]*Answer{}
+		r.answers.current = map[jaywind.RequestID]table.Listener{}
 		r.parts = r.newParts()
 	})
 }
--- a/engine.go
+++ b/engine.go
@@ -43,7 +43,7 @@
 	Position Position // of the token; at the end, the total
 	Token    Token
 	End      bool
-	Digest   Digest // at the end only, over the whole answer
+	Digest   Digest // over the answer up to and with this frame; 0 on a token where the engine gives none
 }
 
 // Progress is how far an engine has got with a request.
--- a/internal/backend/engine/wire.go
+++ b/internal/backend/engine/wire.go
@@ -98,15 +98,17 @@
 		Attempt:  jaywind.Attempt(c.Attempt),
 		Position: jaywind.Position(c.Position),
 	}
-	if c.Choices[0].Finish == nil {
+	f.End = c.Choices[0].Finish != nil
+	if !f.End {
 		f.Token = tokenOf(piece{ID: c.Token, Text: c.Choices[0].Text, Bytes: c.Bytes})
+	}
+	if c.Digest == "" && !f.End {
 		return f, nil
 	}
 	digest, err := strconv.ParseUint(c.Digest, 16, 64)
 	if err != nil {
 		return jaywind.Frame{}, fmt.Errorf("%w: digest: %w", jaywind.ErrFrame, err)
 	}
-	f.End = true
 	f.Digest = jaywind.Digest(digest)
 	return f, nil
 }
--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -24,67 +24,11 @@
 		case table.Probed:
 			takeProbe(s, e)
 		case table.Gone:
-			dropCaller(s, e.Request)
+			dropCaller(s, e)
 		}
 	}
 }
 
-func arrive(s *table.State, a table.Ask) {
-	if old := s.Requests[a.ID]; old != nil {
-		// The caller has come back on a new connection before the loss of
-		// the old one was seen; the new connection gets its own answer.
-		end(s, old, table.Finish{Outcome: table.OutcomeGone, Reason: "the caller reconnected"})
-	}
-	r := &table.Request{
-		ID:           a.ID,
-		Organisation: a.Organisation,
-		Model:        a.Model,
-		Route:        a.Route,
-		Prompt:       a.Prompt,
-		Limit:        a.Limit,
-		Seed:         a.Seed,
-		Priority:     a.Priority,
-		Deadline:     a.Deadline,
-		Arrived:      s.Now,
-	}
-	s.Requests[r.ID] = r
-	if a.Mark == nil {
-		s.Queued = append(s.Queued, r.ID)
-		return
-	}
-	rejoin(s, r, a)
-}
-
-// rejoin takes up a generation that another router began.
-func rejoin(s *table.State, r *table.Request, a table.Ask) {
-	m := *a.Mark
-	if len(a.Prefix) < int(m.Position) {
-		end(s, r, table.Finish{Outcome: table.OutcomeMismatch, Reason: "the tokens before the bookmark are not known here"})
-		return
-	}
-	if jaywind.DigestOf(a.Prefix[:m.Position]) != m.Digest {
-		end(s, r, table.Finish{Outcome: table.OutcomeMismatch, Reason: "the tokens before the bookmark do not match its digest"})
-		return
-	}
-	r.Seed = m.Seed
-	r.Version = m.Version
-	r.Attempt = m.Attempt
-	r.Endpoint = m.Endpoint
-	r.Sent = true
-	r.BrokenAt = s.Now
-	r.LastFrame = s.Now
-	r.Tokens = append(r.Tokens, a.Prefix[:m.Position]...)
-	r.Digest = m.Digest
-	for _, t := range a.Prefix[m.Position:] {
-		keepToken(s, r, t)
-	}
-	if m.Position == 0 {
-		s.Queued = append(s.Queued, r.ID)
-		return
-	}
-	suspect(s, r)
-}
-
 // takeFrame is the only place where a token becomes part of an answer.
 func takeFrame(s *table.State, e table.Framed) {
 	r := s.Requests[e.Request]
@@ -93,25 +37,27 @@
 		return
 	}
 	f := e.Frame
-	if f.Request != r.ID || f.Attempt != r.Attempt {
+	if f.Request != r.ID || f.Attempt != r.Attempt || f.Position > r.Position() {
 		s.Counts.Stray++
-		breakStream(s, r, "frame of another request")
+		resumeHere(s, r)
 		return
 	}
 	if f.Position < r.Position() {
 		s.Counts.Stray++
 		return
 	}
-	if f.Position > r.Position() {
-		s.Counts.Stray++
-		breakStream(s, r, "frame skips a position")
-		return
-	}
-	noteFrame(s, r)
 	if f.End {
+		noteFrame(s, r)
 		takeEnd(s, r, f)
 		return
 	}
+	if f.Digest != 0 && f.Digest != r.Digest.Add(f.Token) {
+		// The engine's stream is of another generation of this request.
+		s.Counts.Stray++
+		moveAway(s, r)
+		return
+	}
+	noteFrame(s, r)
 	keepToken(s, r, f.Token)
 }
 
@@ -119,13 +65,14 @@
 	return r.Phase == table.PhaseOpening || r.Phase == table.PhaseStreaming || r.Phase == table.PhaseProbing
 }
 
-// noteFrame records that the stream is alive.
+// noteFrame records that the stream is alive and got further.
 func noteFrame(s *table.State, r *table.Request) {
 	if e := s.Endpoints[r.Endpoint]; e != nil {
 		if r.Phase == table.PhaseStreaming {
 			e.Gaps.Observe(s.Now.Sub(r.LastFrame))
 		}
 		e.Failures = 0
+		e.LastFrame = s.Now
 	}
 	r.Phase = table.PhaseStreaming
 	r.LastFrame = s.Now
@@ -133,6 +80,8 @@
 	r.ProbeSent = time.Time{}
 	r.NextProbe = time.Time{}
 	r.Probes = 0
+	r.Reopens = 0
+	r.Moves = 0
 	r.Avoid = nil
 }
 
@@ -140,13 +89,39 @@
 	r.Tokens = append(r.Tokens, t)
 	r.Digest = r.Digest.Add(t)
 	s.Counts.Taken++
-	s.Emit(table.Deliver{Token: t, Mark: r.Bookmark()})
+	if r.CatchUp != nil {
+		catchUp(s, r)
+		return
+	}
+	deliver(s, r, table.Deliver{Token: t, Mark: r.Bookmark()})
+}
+
+// catchUp checks the tokens taken again once they reach the caller's bookmark.
+func catchUp(s *table.State, r *table.Request) {
+	if r.Position() < r.CatchUp.Position {
+		return
+	}
+	if r.Digest != r.CatchUp.Digest {
+		end(s, r, table.Finish{Outcome: table.OutcomeMismatch, Reason: "the tokens made again do not match the bookmark"})
+		return
+	}
+	r.CatchUp = nil
+}
+
+func deliver(s *table.State, r *table.Request, d table.Deliver) {
+	if r.Listener != 0 {
+		s.Emit(d)
+	}
 }
 
 func takeEnd(s *table.State, r *table.Request, f jaywind.Frame) {
 	if f.Digest != r.Digest {
 		reason := fmt.Sprintf("the engine's digest %x is not that of the answer, %x", f.Digest, r.Digest)
-		end(s, r, table.Finish{Outcome: table.OutcomeFailed, Reason: reason})
+		end(s, r, table.Finish{Outcome: table.OutcomeFailed, Reason: reason, RetryAfter: returnAfter})
+		return
+	}
+	if r.CatchUp != nil {
+		end(s, r, table.Finish{Outcome: table.OutcomeMismatch, Reason: "the answer ends before the bookmark"})
 		return
 	}
 	end(s, r, table.Finish{Outcome: table.OutcomeWhole})
@@ -160,16 +135,10 @@
 	handleLoss(s, r, e.Err)
 }
 
-func dropCaller(s *table.State, id jaywind.RequestID) {
-	if r := s.Requests[id]; r != nil {
-		end(s, r, table.Finish{Outcome: table.OutcomeGone, Reason: "the caller went away"})
-	}
-}
-
-// end closes a request with its final answer.
+// end closes a request with its final answer; the engine's work goes on only for a whole answer.
 func end(s *table.State, r *table.Request, f table.Finish) {
 	if listening(r) {
-		release(s, r, f.Outcome != table.OutcomeFailed)
+		release(s, r, f.Outcome == table.OutcomeWhole)
 	}
 	r.Phase = table.PhaseEnded
 	f.Request = r.ID
--- /dev/null
+++ b/internal/core/generate/world_test.go
@@ -0,0 +1,340 @@
+package generate_test
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/step"
+	"jaywind/internal/core/table"
+	standin "jaywind/internal/standin/engine"
+)
+
+const (
+	beat       = 5 * time.Millisecond  // the world's step
+	fullEvery  = 4                     // beats
+	tokenGap   = 20 * time.Millisecond // of an engine
+	prefill    = 200 * time.Millisecond
+	wholeLimit = 40 // tokens
+	prompt     = "fins"
+)
+
+var (
+	errReset   = errors.New("connection reset")
+	errTimeout = errors.New("no answer")
+)
+
+// world plays engines and callers against cores in virtual time.
+type world struct {
+	t       *testing.T
+	now     time.Time
+	beats   int
+	routers []*router
+	engines map[jaywind.EndpointID]*engine
+	conns   []*conn
+	callers map[jaywind.RequestID]*caller
+	opens   int
+	limit   int // tokens of an answer
+}
+
+type router struct {
+	core    step.Core
+	pending []pending
+}
+
+type pending struct {
+	at    time.Time
+	event table.Event
+}
+
+// engine makes tokens that depend on its own salt.
+type engine struct {
+	id       jaywind.EndpointID
+	salt     uint64
+	gap      time.Duration
+	dead     bool      // connections are refused
+	muteTill time.Time // takes connections and answers nothing
+	refuse   bool
+	noResume bool
+	deaf     int // probes to lose
+	runs     map[jaywind.RequestID]*run
+}
+
+type run struct {
+	call   jaywind.Call
+	tokens []jaywind.Token
+	next   time.Time
+}
+
+// conn is one stream; frames of one that the router has closed still arrive late.
+type conn struct {
+	router int
+	engine *engine
+	run    *run
+	call   jaywind.Call
+	sent   int
+	ended  bool
+	mute   bool
+	tamper func(jaywind.Frame) []jaywind.Frame // the next frame
+}
+
+// caller reads one answer and checks each token.
+type caller struct {
+	router   int
+	listener table.Listener
+	tokens   []jaywind.Token
+	mark     jaywind.Bookmark
+	finals   []table.Finish
+	last     time.Time
+	longest  time.Duration
+	away     bool
+}
+
+func newWorld(t *testing.T, routers int) *world {
+	w := &world{t: t, now: time.Unix(1000, 0), engines: map[jaywind.EndpointID]*engine{}, callers: map[jaywind.RequestID]*caller{}, limit: wholeLimit}
+	for i, id := range []jaywind.EndpointID{"e1", "e2", "e3"} {
+		w.engines[id] = &engine{id: id, salt: uint64(i), gap: tokenGap, runs: map[jaywind.RequestID]*run{}}
+	}
+	for range routers {
+		w.routers = append(w.routers, &router{core: step.Core{State: table.New(7)}})
+	}
+	w.rule(1, "e1", "e2", "e3")
+	return w
+}
+
+// rule puts rules with these replicas in force everywhere.
+func (w *world) rule(version jaywind.RulesVersion, ids ...jaywind.EndpointID) {
+	set := rule.New()
+	set.Models["heat"] = rule.Model{Name: "heat", Version: "v1"}
+	for _, id := range ids {
+		set.Endpoints[id] = rule.Endpoint{ID: id, Kind: rule.KindEngine, Model: "heat", Version: "v1", URL: jaywind.Address(id)}
+	}
+	for i := range w.routers {
+		w.post(i, 0, table.Ruled{Version: version, Set: set})
+	}
+}
+
+func (w *world) post(router int, after time.Duration, e table.Event) {
+	r := w.routers[router]
+	r.pending = append(r.pending, pending{w.now.Add(after), e})
+}
+
+// ask connects a caller to a router, with what it has read when it comes back.
+func (w *world) ask(id jaywind.RequestID, router int, prefix bool) {
+	c := w.callers[id]
+	if c == nil {
+		c = &caller{last: w.now}
+		w.callers[id] = c
+	}
+	c.router = router
+	c.listener++
+	c.away = false
+	a := table.Ask{ID: id, Model: "heat", Prompt: prompt, Limit: w.limit, Seed: 3, Listener: c.listener}
+	if len(c.tokens) > 0 {
+		mark := c.mark
+		a.Mark = &mark
+	}
+	if prefix {
+		a.Prefix = slices.Clone(c.tokens)
+	}
+	w.post(router, 0, table.Arrived{Ask: a})
+}
+
+// leave disconnects a caller.
+func (w *world) leave(id jaywind.RequestID) {
+	c := w.callers[id]
+	c.away = true
+	w.post(c.router, 0, table.Gone{Request: id, Listener: c.listener})
+}
+
+func (w *world) beat() {
+	w.now = w.now.Add(beat)
+	w.beats++
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		w.engines[id].work(w.now)
+	}
+	for _, c := range slices.Clone(w.conns) {
+		w.send(c)
+	}
+	for i, r := range w.routers {
+		var due []table.Event
+		r.pending = slices.DeleteFunc(r.pending, func(p pending) bool {
+			if p.at.After(w.now) {
+				return false
+			}
+			due = append(due, p.event)
+			return true
+		})
+		for _, c := range r.core.Step(w.now, w.beats%fullEvery == 0, due) {
+			w.execute(i, c)
+		}
+	}
+}
+
+// work makes the tokens that are due.
+func (e *engine) work(now time.Time) {
+	if e.dead || now.Before(e.muteTill) {
+		return
+	}
+	for _, u := range e.runs {
+		for len(u.tokens) < u.call.Limit && !u.next.After(now) {
+			d := jaywind.DigestOf(u.tokens)
+			u.tokens = append(u.tokens, standin.Next(u.call.Version, u.call.Seed, u.call.Prompt, e.salt, d))
+			u.next = u.next.Add(e.gap)
+			if u.next.Before(now) {
+				u.next = now.Add(e.gap)
+			}
+		}
+	}
+}
+
+// send delivers what a stream has to say; the end comes one step after the last token.
+func (w *world) send(c *conn) {
+	if c.ended || c.mute || c.engine.dead || w.now.Before(c.engine.muteTill) {
+		return
+	}
+	if c.sent == len(c.run.tokens) && c.sent == c.call.Limit {
+		c.ended = true
+		w.emit(c, jaywind.Frame{Position: jaywind.Position(c.sent), End: true, Digest: jaywind.DigestOf(c.run.tokens)})
+		return
+	}
+	for c.sent < len(c.run.tokens) {
+		at := c.sent
+		c.sent++
+		w.emit(c, jaywind.Frame{Position: jaywind.Position(at), Token: c.run.tokens[at]})
+	}
+}
+
+func (w *world) emit(c *conn, f jaywind.Frame) {
+	f.Request, f.Attempt = c.call.Request, c.call.Attempt
+	frames := []jaywind.Frame{f}
+	if c.tamper != nil {
+		frames = c.tamper(f)
+		c.tamper = nil
+	}
+	for _, f := range frames {
+		w.post(c.router, 0, table.Framed{Request: c.call.Request, Attempt: c.call.Attempt, Frame: f})
+	}
+}
+
+func (w *world) execute(router int, c table.Command) {
+	switch c := c.(type) {
+	case table.Open:
+		w.opens++
+		w.open(router, c)
+	case table.Cancel:
+		e := w.engines[jaywind.EndpointID(c.At)]
+		if u := e.runs[c.Request]; u != nil && !c.KeepWork && !e.dead && !w.now.Before(e.muteTill) && u.call.Attempt <= c.Attempt {
+			delete(e.runs, c.Request)
+		}
+	case table.Probe:
+		w.probe(router, c)
+	case table.Deliver:
+		w.callers[c.Mark.Request].take(w, router, c)
+	case table.Finish:
+		if a := w.callers[c.Request]; a.router == router && c.Outcome != table.OutcomeGone {
+			a.finals = append(a.finals, c)
+		}
+	}
+}
+
+func (w *world) open(router int, c table.Open) {
+	e := w.engines[c.Endpoint]
+	lose := func(err error) {
+		w.post(router, 0, table.Lost{Request: c.Call.Request, Attempt: c.Call.Attempt, Err: err})
+	}
+	u := e.runs[c.Call.Request]
+	switch {
+	case e.dead:
+		lose(jaywind.ErrNotSent)
+		return
+	case e.refuse:
+		lose(jaywind.ErrBusy)
+		return
+	case c.Call.Resume && (u == nil || e.noResume):
+		lose(jaywind.ErrNoStream)
+		return
+	case !c.Call.Resume:
+		u = &run{call: c.Call, tokens: slices.Clone(c.Call.Prefix), next: w.now.Add(prefill)}
+		e.runs[c.Call.Request] = u
+	}
+	u.call.Attempt = max(u.call.Attempt, c.Call.Attempt)
+	w.conns = append(w.conns, &conn{router: router, engine: e, run: u, call: c.Call, sent: int(c.Call.From)})
+}
+
+func (w *world) probe(router int, c table.Probe) {
+	e := w.engines[jaywind.EndpointID(c.At)]
+	answer := table.Probed{Request: c.Request, Attempt: c.Attempt}
+	u := e.runs[c.Request]
+	after := time.Duration(0)
+	switch {
+	case e.dead:
+		answer.Err = errReset
+	case w.now.Before(e.muteTill) || e.deaf > 0:
+		e.deaf--
+		answer.Err = errTimeout
+		after = c.Limit
+	case u == nil:
+		answer.Err = jaywind.ErrNoStream
+	default:
+		answer.Progress = jaywind.Progress{Position: jaywind.Position(len(u.tokens)), Done: len(u.tokens) == u.call.Limit}
+	}
+	w.post(router, after, answer)
+}
+
+// take checks a token against what its engine makes after exactly the tokens before it.
+func (c *caller) take(w *world, router int, d table.Deliver) {
+	w.t.Helper()
+	if router != c.router || c.away {
+		return
+	}
+	m := d.Mark
+	before := jaywind.DigestOf(c.tokens)
+	if int(m.Position) != len(c.tokens)+1 || m.Digest != before.Add(d.Token) {
+		w.t.Fatalf("token at position %d with %d read", m.Position, len(c.tokens))
+	}
+	if !w.made(m, before, d) {
+		w.t.Fatalf("token at position %d is of another generation", m.Position)
+	}
+	if c.mark.Version != "" && (m.Version != c.mark.Version || m.Seed != c.mark.Seed) {
+		w.t.Fatalf("version or seed changed at position %d", m.Position)
+	}
+	c.longest = max(c.longest, w.now.Sub(c.last))
+	c.last = w.now
+	c.tokens = append(c.tokens, d.Token)
+	c.mark = m
+}
+
+// made tells whether some engine makes the token; a repeated one bears the present endpoint's name.
+func (w *world) made(m jaywind.Bookmark, before jaywind.Digest, d table.Deliver) bool {
+	for id, e := range w.engines {
+		if (d.Again || id == m.Endpoint) && standin.Next(m.Version, m.Seed, prompt, e.salt, before) == d.Token {
+			return true
+		}
+	}
+	return false
+}
+
+// current returns the newest stream of r1.
+func (w *world) current() *conn {
+	for _, c := range slices.Backward(w.conns) {
+		if c.call.Request == "r1" {
+			return c
+		}
+	}
+	return nil
+}
+
+// cut resets the connections of an engine, or one of them.
+func (w *world) cut(e *engine, only *conn) {
+	for _, c := range w.conns {
+		if c.engine == e && (only == nil || c == only) && !c.ended {
+			c.ended = true
+			w.post(c.router, 0, table.Lost{Request: c.call.Request, Attempt: c.call.Attempt, Err: errReset})
+		}
+	}
+}
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -39,6 +39,7 @@
 		generate.Intake{},
 		admit.Admit{},
 		generate.Silence{},
+		generate.Pinned{},
 		place.Place{},
 	}
 }
--- a/internal/core/table/command.go
+++ b/internal/core/table/command.go
@@ -36,6 +36,7 @@
 type Deliver struct {
 	Token jaywind.Token
 	Mark  jaywind.Bookmark // the place after the token
+	Again bool             // taken before this listener joined
 }
 
 // Outcome is how a request ended.
@@ -57,6 +58,7 @@
 	Reason     string
 	RetryAfter time.Duration // when to come back, on a refusal or failure
 	Mark       jaywind.Bookmark
+	Listener   Listener // 0 for the one that the answer goes to
 }
 
 func (Open) command()    {}
--- a/internal/core/table/event.go
+++ b/internal/core/table/event.go
@@ -23,6 +23,9 @@
 	Deadline     time.Time         // zero for none
 	Mark         *jaywind.Bookmark // where the caller has read to, on a reconnect
 	Prefix       []jaywind.Token   // the tokens from 0 to at least Mark.Position, where known
+	Listener     Listener          // the connection that the answer goes to
+	Retry        bool              // asked before, perhaps at another router
+	Keeps        bool              // the caller sends back the tokens that it has read
 }
 
 // Arrived is a request that a caller has just made.
@@ -51,7 +54,10 @@
 }
 
 // Gone says that the caller of a request has disconnected.
-type Gone struct{ Request jaywind.RequestID }
+type Gone struct {
+	Request  jaywind.RequestID
+	Listener Listener // 0 for the one that the answer goes to
+}
 
 // Ruled is a set of rules that was read from the store or heard from a peer.
 type Ruled struct {
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -16,6 +16,7 @@
 	PhaseOpening                // an attempt is opened, no frame yet
 	PhaseStreaming              // frames arrive
 	PhaseProbing                // the stream broke or is silent; the engine is being asked
+	PhaseRecalling              // peers are being asked for the tokens before the bookmark
 	PhaseEnded
 )
 
@@ -51,6 +52,14 @@
 	NextProbe time.Time
 	Avoid     map[jaywind.EndpointID]bool // endpoints that failed this request since its last frame
 	Resumes   int
+	Reopens   int              // connections to one endpoint since the last token
+	Moves     int              // endpoints left since the last token
+	Made      jaywind.Position // how far the endpoint of the attempt is known to be
+
+	Listener Listener          // 0 while the caller is gone
+	GoneAt   time.Time         // when the caller went
+	Keeps    bool              // the caller sends back the tokens that it has read
+	CatchUp  *jaywind.Bookmark // tokens up to here are taken again but not delivered
 }
 
 // Position returns the next position to take.
@@ -84,6 +93,7 @@
 	LoadAt     time.Time // when Load was received
 	Leaving    bool
 	Failures   int       // since the last success
+	LastFrame  time.Time // on any stream
 	ClosedTill time.Time // the breaker keeps new work away until then
 	Gaps       Gaps
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -105,10 +105,13 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	s := writer{w: w, control: http.NewResponseController(w), engine: e, number: e.nextStream()}
 	s.flush()
+	before, _, _, _ := u.view(0)
+	digest := jaywind.DigestOf(before[:min(from, len(before))])
 	for {
 		tokens, whole, ended, changed := u.view(from)
 		for _, t := range tokens {
-			if !s.write(r, tokenChunk(u.ask.Request, a, from, t)) {
+			digest = digest.Add(t)
+			if !s.write(r, tokenChunk(u.ask.Request, a, from, t, digest)) {
 				return
 			}
 			from++
--- a/internal/standin/engine/wire.go
+++ b/internal/standin/engine/wire.go
@@ -53,7 +53,7 @@
 	Done     bool `json:"done"`
 }
 
-func tokenChunk(request string, a jaywind.Attempt, position int, t jaywind.Token) chunk {
+func tokenChunk(request string, a jaywind.Attempt, position int, t jaywind.Token, d jaywind.Digest) chunk {
 	return chunk{
 		Request:  request,
 		Object:   "text_completion",
@@ -61,6 +61,7 @@
 		Position: position,
 		Token:    int64(t.ID),
 		Choices:  []choice{{Text: t.Text}},
+		Digest:   strconv.FormatUint(uint64(d), 16),
 	}
 }
 
