--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -15,6 +15,7 @@
 	"jaywind/internal/backend/engine"
 	"jaywind/internal/edge/caller"
 	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/journal"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 )
@@ -68,6 +69,8 @@
 		Entry:  jaywind.Address("http://" + s.Listen.Caller),
 		Store:  &store.Client{URL: jaywind.Address(s.Store.URL)},
 		Log:    log,
+
+		Journal: &journal.Client{HTTP: cbor.NewHTTPClient(s.Secret)},
 	}
 	h := &caller.Handler{Router: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r)))
@@ -98,8 +101,9 @@
 }
 
 // newFleetMux returns the handlers for calls from other routers.
-func newFleetMux(_ *embed.Router) http.Handler {
+func newFleetMux(r *embed.Router) http.Handler {
 	m := http.NewServeMux()
+	journal.Register(m, r.Records())
 	return m
 }
 
--- a/embed/answer.go
+++ b/embed/answer.go
@@ -14,6 +14,7 @@
 type Event struct {
 	Token jaywind.Token
 	Mark  jaywind.Bookmark // the place after the token
+	Tail  string           // the bytes of a cut rune before the token
 	Final *table.Finish    // set in the last event only
 }
 
@@ -155,7 +156,7 @@
 	a := s.open[s.current[c.Mark.Request]]
 	s.mu.Unlock()
 	if a != nil {
-		a.push(Event{Token: c.Token, Mark: c.Mark}, c.Again, false)
+		a.push(Event{Token: c.Token, Mark: c.Mark, Tail: c.Tail}, c.Again, false)
 	}
 }
 
--- a/embed/meter.go
+++ b/embed/meter.go
@@ -83,6 +83,9 @@
 }
 
 func (m *meter) token(c table.Deliver, now time.Time) {
+	if c.Again {
+		return
+	}
 	m.tokens.Inc(1)
 	r := m.running[c.Mark.Request]
 	if r == nil {
@@ -109,6 +112,9 @@
 }
 
 func (m *meter) finish(c table.Finish, now time.Time) {
+	if c.Listener != 0 {
+		return // the request itself goes on
+	}
 	delete(m.running, c.Request)
 	m.outcomes[c.Outcome].Inc(1)
 	switch c.Outcome {
--- a/embed/router.go
+++ b/embed/router.go
@@ -14,6 +14,7 @@
 	"jaywind"
 	"jaywind/internal/core/step"
 	"jaywind/internal/core/table"
+	"jaywind/internal/fleet/journal"
 )
 
 const (
@@ -38,6 +39,8 @@
 	Entry  jaywind.Address // where callers reach this one
 	Log    *zap.Logger     // silent when nil
 
+	Journal jaywind.Journal // reaches the peers that keep records; none are kept when nil
+
 	start   sync.Once
 	core    step.Core
 	events  chan table.Event
@@ -45,6 +48,7 @@
 	group   conc.WaitGroup
 	parts   []part
 	answers answerSet
+	book    journal.Book
 	meter   *meter
 	ready   atomic.Bool
 	members memberView
@@ -81,6 +85,7 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		&journaler{router: r},
 	}
 	if r.Store != nil {
 		parts = append(parts, &rulebook{router: r})
--- a/internal/client/router/exchange.go
+++ b/internal/client/router/exchange.go
@@ -40,6 +40,7 @@
 	last     time.Time // of the last token
 	pauses   *backoff.ExponentialBackOff
 	failed   jaywind.Address // the entry of the last connection that broke
+	posted   bool            // a router may know the question
 }
 
 // rotate puts the entry that was just tried last.
@@ -182,6 +183,11 @@
 	if q.Route != "" {
 		request.Header.Set("X-Route", string(q.Route))
 	}
+	request.Header.Set("X-Keeps-Tokens", "1")
+	if e.posted {
+		request.Header.Set("X-Retry", "1")
+	}
+	e.posted = true
 	if len(e.answer.Tokens) > 0 {
 		request.Header.Set("Last-Event-ID", e.answer.Mark.String())
 		e.answer.Resumed++
--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -23,6 +23,8 @@
 			loseStream(s, e)
 		case table.Probed:
 			takeProbe(s, e)
+		case table.Recalled:
+			takeRecord(s, e)
 		case table.Gone:
 			dropCaller(s, e)
 		}
@@ -93,7 +95,8 @@
 		catchUp(s, r)
 		return
 	}
-	deliver(s, r, table.Deliver{Token: t, Mark: r.Bookmark()})
+	tail := jaywind.Tail(r.Tokens[:len(r.Tokens)-1])
+	deliver(s, r, table.Deliver{Token: t, Mark: r.Bookmark(), Tail: tail})
 }
 
 // catchUp checks the tokens taken again once they reach the caller's bookmark.
--- a/internal/core/generate/join.go
+++ b/internal/core/generate/join.go
@@ -7,13 +7,20 @@
 	"jaywind/internal/core/table"
 )
 
+const reconnected = "the caller reconnected"
+
 // arrive takes up a caller's connection: a new request, or one that goes on.
 func arrive(s *table.State, a table.Ask) {
-	if r := s.Requests[a.ID]; r != nil {
-		rejoinHere(s, r, a)
+	old := s.Requests[a.ID]
+	if old != nil && !behind(old) {
+		rejoinHere(s, old, a)
 		return
 	}
 	r := newRequest(s, a)
+	if old != nil {
+		r.Attempt = old.Attempt
+		end(s, old, table.Finish{Listener: old.Listener, Outcome: table.OutcomeGone, Reason: reconnected})
+	}
 	s.Requests[r.ID] = r
 	s.Emit(table.Join{Request: r.ID, Listener: a.Listener})
 	switch {
@@ -43,6 +50,11 @@
 	}
 }
 
+// behind tells whether the tokens that the caller has read are not known here yet.
+func behind(r *table.Request) bool {
+	return r.Phase == table.PhaseRecalling || r.CatchUp != nil
+}
+
 // rejoinHere hands a running generation on to a new connection of its caller.
 func rejoinHere(s *table.State, r *table.Request, a table.Ask) {
 	if reason := stranger(r, a); reason != "" {
@@ -50,7 +62,7 @@
 		return
 	}
 	if r.Listener != 0 {
-		s.Emit(table.Finish{Request: r.ID, Listener: r.Listener, Outcome: table.OutcomeGone, Reason: "the caller reconnected"})
+		s.Emit(table.Finish{Request: r.ID, Listener: r.Listener, Outcome: table.OutcomeGone, Reason: reconnected})
 	}
 	r.Listener = a.Listener
 	r.GoneAt = time.Time{}
@@ -70,7 +82,7 @@
 	if a.Mark == nil {
 		return ""
 	}
-	if r.CatchUp != nil || a.Mark.Position > r.Position() {
+	if a.Mark.Position > r.Position() {
 		return "the bookmark is ahead of what is known here; come back with the tokens before it"
 	}
 	if jaywind.DigestOf(r.Tokens[:a.Mark.Position]) != a.Mark.Digest {
@@ -86,7 +98,8 @@
 	for i, t := range r.Tokens[from:] {
 		mark.Position = from + jaywind.Position(i) + 1
 		mark.Digest = mark.Digest.Add(t)
-		deliver(s, r, table.Deliver{Token: t, Mark: mark, Again: true})
+		tail := jaywind.Tail(r.Tokens[:mark.Position-1])
+		deliver(s, r, table.Deliver{Token: t, Mark: mark, Tail: tail, Again: true})
 	}
 }
 
@@ -114,19 +127,13 @@
 func pin(s *table.State, r *table.Request, m jaywind.Bookmark) {
 	r.Seed = m.Seed
 	r.Version = m.Version
-	r.Attempt = (m.Attempt/attemptBlock + 1) * attemptBlock
+	r.Attempt = max(r.Attempt, (m.Attempt/attemptBlock+1)*attemptBlock)
 	r.Endpoint = m.Endpoint
 	r.Sent = true
 	r.BrokenAt = s.Now
 	r.LastFrame = s.Now
 }
 
-// recall asks the peers that hold the record of a request.
-func recall(s *table.State, r *table.Request, a table.Ask) {
-	end(s, r, table.Finish{Outcome: table.OutcomeMismatch, Reason: "the tokens before the bookmark are not known here"})
-	_ = a
-}
-
 // dropCaller lets the work go on for a while, so that the caller may come back to it.
 func dropCaller(s *table.State, e table.Gone) {
 	r := s.Requests[e.Request]
--- a/internal/core/generate/limits.go
+++ b/internal/core/generate/limits.go
@@ -13,6 +13,7 @@
 	ProbeLimit   = 300 * time.Millisecond  // time for the engine to answer a probe
 	ProbeWait    = 200 * time.Millisecond  // between probes of an engine that answers but makes nothing
 	StallLimit   = 1300 * time.Millisecond // silence of all its streams after which such an engine is left
+	RecallLimit  = 300 * time.Millisecond  // time for peers to answer after the loss of a router
 	PlaceLimit   = 100 * time.Millisecond  // time to find another endpoint
 	FirstLimit   = 2 * time.Second         // prefill and first token on the other endpoint
 	ResumeTarget = 4 * time.Second         // the whole
--- a/internal/core/generate/matrix_test.go
+++ b/internal/core/generate/matrix_test.go
@@ -81,9 +81,12 @@
 		w.beat()
 		each()
 	}
-	for settled := w.now.Add(2 * generate.GoneLimit); w.now.Before(settled); {
+	for settled := w.now.Add(2 * generate.GoneLimit); w.now.Before(settled) && !w.idle(); {
 		w.beat()
 	}
+	for range 100 {
+		w.beat() // what is late comes now
+	}
 }
 
 func check(t *testing.T, w *world, bound time.Duration) {
@@ -92,7 +95,7 @@
 	c := w.callers["r1"]
 	is.Equal(len(c.finals), 1) // exactly one final word
 	is.Equal(c.finals[0].Outcome, table.OutcomeWhole)
-	is.Equal(len(c.tokens), wholeLimit)
+	is.Equal(len(c.tokens), w.limit)
 	is.Equal(c.finals[0].Mark.Digest, jaywind.DigestOf(c.tokens))
 	is.True(c.longest <= bound) // output goes on in time
 	for _, r := range w.routers {
--- a/internal/core/generate/world_test.go
+++ b/internal/core/generate/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -11,6 +12,7 @@
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/step"
 	"jaywind/internal/core/table"
+	"jaywind/internal/fleet/journal"
 	standin "jaywind/internal/standin/engine"
 )
 
@@ -39,9 +41,11 @@
 	callers map[jaywind.RequestID]*caller
 	opens   int
 	limit   int // tokens of an answer
+	keepers map[jaywind.VM]*journal.Book
 }
 
 type router struct {
+	lost    bool
 	core    step.Core
 	pending []pending
 }
@@ -99,9 +103,14 @@
 	for i, id := range []jaywind.EndpointID{"e1", "e2", "e3"} {
 		w.engines[id] = &engine{id: id, salt: uint64(i), gap: tokenGap, runs: map[jaywind.RequestID]*run{}}
 	}
-	for range routers {
-		w.routers = append(w.routers, &router{core: step.Core{State: table.New(7)}})
+	for i := range routers {
+		state := table.New(7)
+		state.Self = jaywind.VM(fmt.Sprint("vm", i))
+		state.Domain = "a"
+		state.Fleet.Self = jaywind.Member{VM: state.Self, Domain: "a"}
+		w.routers = append(w.routers, &router{core: step.Core{State: state}})
 	}
+	w.keepers = map[jaywind.VM]*journal.Book{"vm7": {}, "vm8": {}, "vm9": {}}
 	w.rule(1, "e1", "e2", "e3")
 	return w
 }
@@ -133,7 +142,7 @@
 	c.router = router
 	c.listener++
 	c.away = false
-	a := table.Ask{ID: id, Model: "heat", Prompt: prompt, Limit: w.limit, Seed: 3, Listener: c.listener}
+	a := table.Ask{ID: id, Retry: c.listener > 1, Model: "heat", Prompt: prompt, Limit: w.limit, Seed: 3, Listener: c.listener}
 	if len(c.tokens) > 0 {
 		mark := c.mark
 		a.Mark = &mark
@@ -161,6 +170,12 @@
 		w.send(c)
 	}
 	for i, r := range w.routers {
+		if r.lost {
+			continue
+		}
+		if len(r.core.State.Fleet.Members) != len(w.keepers) || w.beats%200 == 0 {
+			w.gather(r.core.State)
+		}
 		var due []table.Event
 		r.pending = slices.DeleteFunc(r.pending, func(p pending) bool {
 			if p.at.After(w.now) {
@@ -175,6 +190,34 @@
 	}
 }
 
+// gather keeps the peers alive in a router's view of the fleet.
+func (w *world) gather(s *table.State) {
+	s.Fleet.Members = map[jaywind.VM]*table.Member{}
+	for i, vm := range slices.Sorted(maps.Keys(w.keepers)) {
+		m := jaywind.Member{VM: vm, Domain: jaywind.Domain(fmt.Sprint("d", i)), Fleet: jaywind.Address(vm)}
+		s.Fleet.Members[vm] = &table.Member{Member: m, Since: w.now, Heard: w.now}
+	}
+}
+
+// recall answers with the longest record that a keeper has.
+func (w *world) recall(c table.RecallRecord) table.Recalled {
+	best := table.Recalled{Request: c.Request, Err: jaywind.ErrAbsent}
+	for _, m := range c.Peers {
+		if w.keepers[m.VM] == nil {
+			continue
+		}
+		if r, err := w.keepers[m.VM].Recall(c.Request); err == nil && (best.Err != nil || r.Mark.Position > best.Record.Mark.Position) {
+			best.Record, best.Err = r, nil
+		}
+	}
+	return best
+}
+
+// idle tells whether no router has a request.
+func (w *world) idle() bool {
+	return !slices.ContainsFunc(w.routers, func(r *router) bool { return !r.lost && len(r.core.State.Requests) > 0 })
+}
+
 // work makes the tokens that are due.
 func (e *engine) work(now time.Time) {
 	if e.dead || now.Before(e.muteTill) {
@@ -233,6 +276,10 @@
 		}
 	case table.Probe:
 		w.probe(router, c)
+	case table.Keep:
+		w.post(router, 0, table.Kept{Peer: c.Peer, Gaps: w.keepers[c.Peer].Keep(c.Records)})
+	case table.RecallRecord:
+		w.post(router, 0, w.recall(c))
 	case table.Deliver:
 		w.callers[c.Mark.Request].take(w, router, c)
 	case table.Finish:
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,7 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/journal"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -42,6 +43,7 @@
 		generate.Silence{},
 		generate.Pinned{},
 		place.Place{},
+		journal.Journal{},
 		claim.Claim{},
 	}
 }
--- a/internal/core/table/command.go
+++ b/internal/core/table/command.go
@@ -36,6 +36,7 @@
 type Deliver struct {
 	Token jaywind.Token
 	Mark  jaywind.Bookmark // the place after the token
+	Tail  string           // the bytes of a cut rune before the token
 	Again bool             // taken before this listener joined
 }
 
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -69,7 +69,7 @@
 
 // Pinned tells whether the generation may only go on with its version.
 func (r *Request) Pinned() bool {
-	return len(r.Tokens) > 0
+	return len(r.Tokens) > 0 || r.CatchUp != nil
 }
 
 // Bookmark returns the bookmark of the last token taken.
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -31,6 +31,8 @@
 	Queued []jaywind.RequestID // wait for admission, oldest first
 	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
 
+	Journal Journal
+
 	Stopping bool // a graceful shutdown has begun
 	Counts   Counts
 
--- a/internal/edge/caller/complete.go
+++ b/internal/edge/caller/complete.go
@@ -60,6 +60,7 @@
 	handler *Handler
 	ask     table.Ask
 	started bool
+	tail    string // the bytes of a rune that are not written yet
 }
 
 // stream writes the events of an answer as they come, and comments while none do.
@@ -88,9 +89,12 @@
 }
 
 func (o *output) writeToken(e embed.Event) error {
-	c := o.chunk(e.Token.Text, nil)
+	// The text holds whole runes only; where it is not the token's, the bytes tell.
+	var whole string
+	whole, o.tail = jaywind.SplitRunes(e.Tail + e.Token.Text)
+	c := o.chunk(whole, nil)
 	c.Token = int64(e.Token.ID)
-	if !utf8.ValidString(e.Token.Text) {
+	if whole != e.Token.Text || !utf8.ValidString(whole) {
 		c.Bytes = []byte(e.Token.Text)
 	}
 	return o.writeChunk(e.Mark, c)
@@ -100,7 +104,7 @@
 	f := e.Final
 	if f.Outcome == table.OutcomeWhole {
 		finish := "stop"
-		c := o.chunk("", &finish)
+		c := o.chunk(o.tail, &finish)
 		c.Usage = &usage{Completion: int(e.Mark.Position)}
 		c.Digest = strconv.FormatUint(uint64(e.Mark.Digest), 16)
 		if o.writeChunk(e.Mark, c) == nil {
--- /dev/null
+++ b/internal/edge/caller/complete_test.go
@@ -0,0 +1,142 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/embed"
+	"jaywind/internal/core/rule"
+)
+
+// script is an engine that always has the same answer.
+type script struct {
+	jaywind.Engine
+	tokens []jaywind.Token
+}
+
+func (s script) Open(_ context.Context, _ jaywind.Address, c jaywind.Call) (jaywind.Stream, error) {
+	return &lines{tokens: s.tokens, call: c, next: int(c.From)}, nil
+}
+
+func (s script) Probe(context.Context, jaywind.Address, jaywind.RequestID) (jaywind.Progress, error) {
+	return jaywind.Progress{Position: jaywind.Position(len(s.tokens)), Done: true}, nil
+}
+
+func (s script) Cancel(context.Context, jaywind.Address, jaywind.RequestID, jaywind.Attempt) error {
+	return nil
+}
+
+type lines struct {
+	tokens []jaywind.Token
+	call   jaywind.Call
+	next   int
+}
+
+func (l *lines) Next() (jaywind.Frame, error) {
+	f := jaywind.Frame{Request: l.call.Request, Attempt: l.call.Attempt, Position: jaywind.Position(l.next)}
+	switch {
+	case l.next < len(l.tokens):
+		f.Token = l.tokens[l.next]
+	case l.next == len(l.tokens):
+		f.End = true
+		f.Digest = jaywind.DigestOf(l.tokens)
+	default:
+		return f, io.EOF
+	}
+	l.next++
+	return f, nil
+}
+
+func (l *lines) Close() error { return nil }
+
+func newServer(t *testing.T, tokens []jaywind.Token) *httptest.Server {
+	r := &embed.Router{Self: "vm1", Engine: script{tokens: tokens}}
+	set := rule.New()
+	set.Models["m"] = rule.Model{Name: "m", Version: "v"}
+	set.Endpoints["e"] = rule.Endpoint{ID: "e", Kind: rule.KindEngine, Model: "m", Version: "v", URL: "http://127.0.0.1:1"}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = r.Run(ctx) })
+	r.SetRules(1, set)
+	s := httptest.NewServer((&Handler{Router: r}).Mux())
+	t.Cleanup(func() { cancel(); group.Wait(); s.Close() })
+	return s
+}
+
+// read takes up to limit events with a token and returns the text, the tokens and the last event's id.
+func read(t *testing.T, s *httptest.Server, mark string, limit int) (text string, tokens []jaywind.Token, last string) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	body := `{"model":"m","prompt":"p","stream":true,"max_tokens":4}`
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/v1/completions", strings.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set("X-Request-Id", "r1")
+	request.Header.Set("Last-Event-ID", mark)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	is.Equal(response.StatusCode, http.StatusOK)
+	for lines := bufio.NewScanner(response.Body); len(tokens) < limit && lines.Scan(); {
+		if id, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			last = id
+		}
+		data, found := strings.CutPrefix(lines.Text(), "data: {")
+		if !found {
+			continue
+		}
+		var c chunk
+		is.NoErr(json.Unmarshal([]byte("{"+data), &c))
+		text += c.Choices[0].Text
+		if c.Choices[0].Finish == nil {
+			tokens = append(tokens, piece{ID: c.Token, Text: c.Choices[0].Text, Bytes: c.Bytes}.token())
+		}
+	}
+	return text, tokens, last
+}
+
+func TestCutRunes(t *testing.T) {
+	tests := map[string]struct {
+		texts []string
+		want  string
+	}{
+		"no cut":              {texts: []string{"a", "é", "b", "c"}, want: "aébc"},
+		"cut in two":          {texts: []string{"a\xc3", "\xa9", "b", "c"}, want: "aéb" + "c"},
+		"cut in four":         {texts: []string{"\xf0", "\x9f", "\x98", "\x80"}, want: "😀"},
+		"empty token between": {texts: []string{"a\xc3", "", "\xa9b", "c"}, want: "aébc"},
+		"never completed":     {texts: []string{"a", "b", "c", "\xe2\x82"}, want: "abc\ufffd\ufffd"},
+		"not UTF-8":           {texts: []string{"a", "\xff", "b", "c"}, want: "a\ufffdbc"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var all []jaywind.Token
+			for _, text := range c.texts {
+				all = append(all, jaywind.Token{Text: text}) // without ids
+			}
+			for cut := range len(all) {
+				is := is.New(t)
+				s := newServer(t, all)
+				var before string
+				var tokens []jaywind.Token
+				var mark string
+				if cut > 0 {
+					before, tokens, mark = read(t, s, "", cut)
+				}
+				after, rest, _ := read(t, s, mark, len(all)+1)
+				is.Equal(before+after, c.want) // text alone is whole across the reconnect
+				is.Equal(append(tokens, rest...), all)
+			}
+		})
+	}
+}
--- a/internal/edge/caller/wire.go
+++ b/internal/edge/caller/wire.go
@@ -82,6 +82,8 @@
 		Prompt:       c.Prompt,
 		Limit:        c.Limit,
 		Seed:         seed,
+		Retry:        r.Header.Get("X-Retry") != "",
+		Keeps:        r.Header.Get("X-Keeps-Tokens") != "",
 	}
 	if c.Seed != nil {
 		a.Seed = jaywind.Seed(*c.Seed)
--- /dev/null
+++ b/internal/fleet/journal/journal_test.go
@@ -0,0 +1,163 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/fleet/cbor"
+)
+
+const secret = "0123456789abcdef"
+
+func serve(t testing.TB, b *Book) *httptest.Server {
+	m := http.NewServeMux()
+	Register(m, b)
+	s := httptest.NewUnstartedServer(cbor.Guard(secret, m))
+	s.Config.Protocols = cbor.Protocols()
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// entry makes the record of some of the tokens "0", "1" … with the second byte of a rune cut off.
+func entry(a jaywind.Attempt, from, to int) jaywind.Record {
+	r := jaywind.Record{Request: "r1", Organisation: "o", Model: "m", From: jaywind.Position(from)}
+	for i := range to {
+		token := jaywind.Token{ID: jaywind.TokenID(i), Text: fmt.Sprint(i, "\xc3")}
+		r.Mark.Digest = r.Mark.Digest.Add(token)
+		if i >= from {
+			r.Tokens = append(r.Tokens, token)
+		}
+	}
+	r.Mark.Request, r.Mark.Attempt, r.Mark.Position = "r1", a, jaywind.Position(to)
+	return r
+}
+
+func TestJournal(t *testing.T) {
+	ended := jaywind.Record{Request: "r1", Mark: entry(1, 0, 0).Mark, Ended: true}
+	tests := map[string]struct {
+		keep []jaywind.Record
+		gap  bool            // after the last
+		want *jaywind.Record // nil for none
+	}{
+		"nothing kept":                {},
+		"one batch":                   {keep: []jaywind.Record{entry(1, 0, 3)}, want: ptr(entry(1, 0, 3))},
+		"two batches":                 {keep: []jaywind.Record{entry(1, 0, 3), entry(1, 3, 5)}, want: ptr(entry(1, 0, 5))},
+		"second batch sent again":     {keep: []jaywind.Record{entry(1, 0, 3), entry(1, 3, 5), entry(1, 3, 5)}, want: ptr(entry(1, 0, 5))},
+		"first batch lost":            {keep: []jaywind.Record{entry(1, 3, 5)}, gap: true},
+		"middle batch lost":           {keep: []jaywind.Record{entry(1, 0, 2), entry(1, 3, 5)}, gap: true, want: ptr(entry(1, 0, 2))},
+		"late batch of older attempt": {keep: []jaywind.Record{entry(9, 0, 3), entry(1, 0, 2)}, want: ptr(entry(9, 0, 3))},
+		"late end of older attempt":   {keep: []jaywind.Record{entry(9, 0, 3), ended}, want: ptr(entry(9, 0, 3))},
+		"ended":                       {keep: []jaywind.Record{entry(1, 0, 3), ended}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, &Book{})
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			client := &Client{HTTP: cbor.NewHTTPClient(secret)}
+			defer client.HTTP.CloseIdleConnections()
+			at := jaywind.Address(s.URL)
+			gap := false
+			for _, r := range c.keep {
+				gaps, err := client.Keep(ctx, at, []jaywind.Record{r})
+				is.NoErr(err)
+				gap = len(gaps) > 0
+			}
+			is.Equal(gap, c.gap)
+			got, err := client.Recall(ctx, at, "r1")
+			if c.want == nil {
+				is.True(errors.Is(err, jaywind.ErrAbsent))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got, *c.want)
+		})
+	}
+}
+
+func ptr(r jaywind.Record) *jaywind.Record { return &r }
+
+func TestBookForgets(t *testing.T) {
+	tests := map[string]struct {
+		wait  time.Duration
+		other int // tokens of another record
+		known bool
+	}{
+		"soon":            {wait: time.Second, known: true},
+		"without news":    {wait: recordKeep},
+		"too many tokens": {wait: time.Second, other: tokenLimit},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &Book{}
+				b.Keep([]jaywind.Record{entry(1, 0, 3)})
+				time.Sleep(c.wait)
+				b.Keep([]jaywind.Record{{Request: "r2", Tokens: make([]jaywind.Token, c.other)}})
+				_, err := b.Recall("r1")
+				is.Equal(err == nil, c.known)
+				is.True(b.tokens <= tokenLimit)
+			})
+		})
+	}
+}
+
+// BenchmarkKeep sends batches of 15 tokens of one request and reports the bytes on the wire.
+func BenchmarkKeep(b *testing.B) {
+	s := serve(b, &Book{})
+	var sent atomic.Int64
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return &counter{Conn: c, sent: &sent}, err
+	}
+	client := &Client{HTTP: &http.Client{Transport: signed{&http.Transport{Protocols: protocols, DialContext: dial}}}}
+	const tokens = 15
+	for i := 0; b.Loop(); i++ {
+		r := entry(1, 0, tokens)
+		if _, err := client.Keep(context.Background(), jaywind.Address(s.URL), []jaywind.Record{r}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(sent.Load())/float64(b.N), "B/message")
+}
+
+type signed struct{ next http.RoundTripper }
+
+func (s signed) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Header.Set("Authorization", "Bearer "+secret)
+	return s.next.RoundTrip(r)
+}
+
+// counter counts the bytes of a connection, both ways.
+type counter struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (c *counter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+func (c *counter) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
--- a/journal.go
+++ b/journal.go
@@ -15,8 +15,8 @@
 
 // Journal speaks to the peers that keep the records of requests.
 type Journal interface {
-	// Keep hands over a batch of records.
-	Keep(ctx context.Context, at Address, records []Record) error
+	// Keep hands over a batch of records and returns the requests of which the peer lacks the tokens before.
+	Keep(ctx context.Context, at Address, records []Record) (gaps []RequestID, err error)
 	// Recall returns what a peer keeps of a request, or ErrAbsent.
 	Recall(ctx context.Context, at Address, id RequestID) (Record, error)
 }
--- a/token.go
+++ b/token.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -12,6 +13,30 @@
 	Text string
 }
 
+// SplitRunes cuts text before a last rune whose bytes are not all there.
+func SplitRunes(text string) (whole, rest string) {
+	for i := len(text) - 1; i >= 0 && i > len(text)-utf8.UTFMax; i-- {
+		if !utf8.RuneStart(text[i]) {
+			continue
+		}
+		if utf8.FullRuneInString(text[i:]) {
+			return text, ""
+		}
+		return text[:i], text[i:]
+	}
+	return text, ""
+}
+
+// Tail returns the bytes at the end of a sequence of tokens that begin a rune without ending it.
+func Tail(tokens []Token) string {
+	text := ""
+	for i := len(tokens) - 1; i >= 0 && len(text) < utf8.UTFMax; i-- {
+		text = tokens[i].Text + text
+	}
+	_, rest := SplitRunes(text)
+	return rest
+}
+
 // Digest is a running hash over all tokens before a position; a new generation starts at 0.
 type Digest uint64
 
