--- a/internal/backend/engine/wire.go
+++ b/internal/backend/engine/wire.go
@@ -67,6 +67,12 @@
 	Action  string `json:"action"`
 }
 
+// nameOf returns what the engine knows the work by: runs of one request that
+// different routers began must not take each other's place.
+func nameOf(w jaywind.Work) string {
+	return string(w.Request) + "." + strconv.FormatUint(uint64(w.Run), 10)
+}
+
 func completionOf(c jaywind.Call) completion {
 	w := completion{
 		Model:    string(c.Model),
@@ -75,7 +81,7 @@
 		Seed:     uint64(c.Seed),
 		Limit:    c.Limit,
 		Stream:   true,
-		Request:  string(c.Request),
+		Request:  nameOf(c.Work()),
 		Attempt:  uint64(c.Attempt),
 		Priority: int(c.Priority),
 	}
--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -69,11 +69,12 @@
 
 // noteFrame records that the stream is alive and got further.
 func noteFrame(s *table.State, r *table.Request) {
+	notePace(s, r)
 	if e := s.Endpoints[r.Endpoint]; e != nil {
 		if r.Phase == table.PhaseStreaming {
 			e.Gaps.Observe(s.Now.Sub(r.LastFrame))
 		}
-		e.Failures = 0
+		e.Succeed(r.Version)
 		e.LastFrame = s.Now
 	}
 	r.Phase = table.PhaseStreaming
@@ -85,6 +86,8 @@
 	r.Reopens = 0
 	r.Moves = 0
 	r.Avoid = nil
+	r.Tries = 0
+	r.Waits = 0
 }
 
 func keepToken(s *table.State, r *table.Request, t jaywind.Token) {
--- a/internal/core/generate/join.go
+++ b/internal/core/generate/join.go
@@ -128,6 +128,7 @@
 	r.Seed = m.Seed
 	r.Version = m.Version
 	r.Attempt = max(r.Attempt, (m.Attempt/attemptBlock+1)*attemptBlock)
+	r.Run = m.Run
 	r.Endpoint = m.Endpoint
 	r.Sent = true
 	r.BrokenAt = s.Now
--- a/internal/core/generate/limits.go
+++ b/internal/core/generate/limits.go
@@ -26,7 +26,6 @@
 	silenceFactor = 4                // silence limit as a multiple of the engine's 0.99 gap
 	patience      = 6 * time.Second  // for a live engine that prefills or has put the stream behind others
 	firstStall    = 15 * time.Second // the same for an answer's first token
-	breakerOpen   = 2 * time.Second  // a dead endpoint receives no new work
 	returnAfter   = 2 * time.Second  // when the caller of a failed request may come back
 
 	maxReopens   = 2       // connections to one engine without a token before it is left
--- a/internal/core/generate/matrix_test.go
+++ b/internal/core/generate/matrix_test.go
@@ -22,7 +22,7 @@
 	"connection goes silent": func(_ *world, c *conn) { c.mute = true },
 	"connection is reset":    func(w *world, c *conn) { w.cut(c.engine, c) },
 	"silent and probe lost":  func(_ *world, c *conn) { c.mute = true; c.engine.deaf = 1 },
-	"reset and stream gone":  func(w *world, c *conn) { delete(c.engine.runs, c.call.Request); w.cut(c.engine, c) },
+	"reset and stream gone":  func(w *world, c *conn) { delete(c.engine.runs, c.call.Work()); w.cut(c.engine, c) },
 	"reset, resume refused":  func(w *world, c *conn) { c.engine.noResume = true; w.cut(c.engine, c) },
 	"reset, engine refuses":  func(w *world, c *conn) { c.engine.refuse = true; w.cut(c.engine, c) },
 	"engine is slow":         func(_ *world, c *conn) { c.engine.gap = 700 * time.Millisecond },
--- a/internal/core/generate/pinned.go
+++ b/internal/core/generate/pinned.go
@@ -1,13 +1,17 @@
 package generate
 
-import "jaywind/internal/core/table"
+import (
+	"slices"
+
+	"jaywind/internal/core/table"
+)
 
 // Pinned ends generations that no endpoint in the rules can go on with.
 type Pinned struct{}
 
 // Step looks at each request that waits for an endpoint.
 func (Pinned) Step(s *table.State) {
-	for _, id := range s.Ready {
+	for _, id := range slices.Concat(s.Ready, s.Waiting) {
 		r := s.Requests[id]
 		if r == nil || r.Phase != table.PhaseReady || !r.Pinned() || served(s, r) {
 			continue
--- a/internal/core/generate/recall.go
+++ b/internal/core/generate/recall.go
@@ -42,6 +42,7 @@
 func later(m, record jaywind.Bookmark) jaywind.Bookmark {
 	if record.Attempt > m.Attempt {
 		m.Attempt = record.Attempt
+		m.Run = record.Run
 		m.Endpoint = record.Endpoint
 	}
 	return m
--- a/internal/core/generate/recovery.go
+++ b/internal/core/generate/recovery.go
@@ -13,9 +13,12 @@
 // handleLoss decides what a broken stream means.
 func handleLoss(s *table.State, r *table.Request, err error) {
 	switch {
+	case errors.Is(err, jaywind.ErrBusy):
+		turnAway(s, r)
 	case errors.Is(err, jaywind.ErrNotSent):
+		noteMiss(s, r)
 		leaveDead(s, r)
-	case errors.Is(err, jaywind.ErrNoStream), errors.Is(err, jaywind.ErrBusy):
+	case errors.Is(err, jaywind.ErrNoStream):
 		moveAway(s, r)
 	default:
 		r.Opened = time.Time{}
@@ -43,7 +46,7 @@
 	if e == nil || s.Now.Sub(e.LastFrame) < silenceLimit(e) {
 		return
 	}
-	e.ClosedTill = s.Now.Add(breakerOpen)
+	e.Lose(s.Now, s.Random)
 	for _, id := range slices.Sorted(maps.Keys(s.Requests)) {
 		o := s.Requests[id]
 		if o.Endpoint == e.ID && listening(o) && o.Held {
@@ -66,13 +69,9 @@
 	}
 	release(s, r, false)
 	if e := s.Endpoints[r.Endpoint]; e != nil {
-		e.Failures++
+		e.Fail(r.Version, s.Now, s.Random)
 	}
-	if r.Avoid == nil {
-		r.Avoid = map[jaywind.EndpointID]bool{}
-	}
-	r.Avoid[r.Endpoint] = true
-	r.Reuse = false
+	avoidHere(r)
 	r.Reopens = 0
 	requeue(s, r)
 }
@@ -84,7 +83,7 @@
 	}
 	r.Held = false
 	if address, known := addressOf(s, r.Endpoint); known {
-		s.Emit(table.Cancel{Request: r.ID, Attempt: r.Attempt, At: address, KeepWork: keep})
+		s.Emit(table.Cancel{Request: r.ID, Attempt: r.Attempt, Run: r.Run, At: address, KeepWork: keep})
 	}
 }
 
--- a/internal/core/generate/recovery_test.go
+++ b/internal/core/generate/recovery_test.go
@@ -70,11 +70,11 @@
 			}
 			if c.moved {
 				is.Equal(on(w, e.id), 0)
-				is.True(state.Endpoints[e.id].ClosedTill.After(w.now))
+				is.True(state.Endpoints[e.id].Breaker.Open(w.now))
 				return
 			}
 			is.Equal(on(w, e.id), before-1)
-			is.True(!state.Endpoints[e.id].ClosedTill.After(w.now))
+			is.True(!state.Endpoints[e.id].Breaker.Open(w.now))
 		})
 	}
 }
@@ -134,13 +134,13 @@
 	w.leave("r1")
 	gone := w.now
 	for w.now.Sub(gone) < generate.GoneLimit {
-		is.True(e.runs["r1"] != nil)
+		is.True(e.runs[work("r1", 1)] != nil)
 		w.beat()
 	}
 	for range 2 * fullEvery {
 		w.beat()
 	}
-	is.True(e.runs["r1"] == nil)
+	is.True(e.runs[work("r1", 1)] == nil)
 	is.Equal(len(w.routers[0].core.State.Requests), 0)
 }
 
--- a/internal/core/generate/silence.go
+++ b/internal/core/generate/silence.go
@@ -60,7 +60,7 @@
 	r.Phase = table.PhaseProbing
 	r.ProbeSent = s.Now
 	r.Probes++
-	s.Emit(table.Probe{Request: r.ID, Attempt: r.Attempt, At: address, Limit: ProbeLimit})
+	s.Emit(table.Probe{Request: r.ID, Attempt: r.Attempt, Run: r.Run, At: address, Limit: ProbeLimit})
 }
 
 // takeProbe decides between waiting, resuming on the same engine and leaving it.
--- a/internal/core/generate/world_test.go
+++ b/internal/core/generate/world_test.go
@@ -65,7 +65,7 @@
 	refuse   bool
 	noResume bool
 	deaf     int // probes to lose
-	runs     map[jaywind.RequestID]*run
+	runs     map[jaywind.Work]*run
 }
 
 type run struct {
@@ -101,7 +101,7 @@
 func newWorld(t *testing.T, routers int) *world {
 	w := &world{t: t, now: time.Unix(1000, 0), engines: map[jaywind.EndpointID]*engine{}, callers: map[jaywind.RequestID]*caller{}, limit: wholeLimit}
 	for i, id := range []jaywind.EndpointID{"e1", "e2", "e3"} {
-		w.engines[id] = &engine{id: id, salt: uint64(i), gap: tokenGap, runs: map[jaywind.RequestID]*run{}}
+		w.engines[id] = &engine{id: id, salt: uint64(i), gap: tokenGap, runs: map[jaywind.Work]*run{}}
 	}
 	for i := range routers {
 		state := table.New(7)
@@ -195,7 +195,7 @@
 	s.Fleet.Members = map[jaywind.VM]*table.Member{}
 	for i, vm := range slices.Sorted(maps.Keys(w.keepers)) {
 		m := jaywind.Member{VM: vm, Domain: jaywind.Domain(fmt.Sprint("d", i)), Fleet: jaywind.Address(vm)}
-		s.Fleet.Members[vm] = &table.Member{Member: m, Since: w.now, Heard: w.now}
+		s.Fleet.Members[vm] = &table.Member{Member: m, Since: w.now}
 	}
 }
 
@@ -271,8 +271,8 @@
 		w.open(router, c)
 	case table.Cancel:
 		e := w.engines[jaywind.EndpointID(c.At)]
-		if u := e.runs[c.Request]; u != nil && !c.KeepWork && !e.dead && !w.now.Before(e.muteTill) && u.call.Attempt <= c.Attempt {
-			delete(e.runs, c.Request)
+		if u := e.runs[work(c.Request, c.Run)]; u != nil && !c.KeepWork && !e.dead && !w.now.Before(e.muteTill) && u.call.Attempt <= c.Attempt {
+			delete(e.runs, work(c.Request, c.Run))
 		}
 	case table.Probe:
 		w.probe(router, c)
@@ -289,12 +289,16 @@
 	}
 }
 
+func work(id jaywind.RequestID, run jaywind.Attempt) jaywind.Work {
+	return jaywind.Work{Request: id, Run: run}
+}
+
 func (w *world) open(router int, c table.Open) {
 	e := w.engines[c.Endpoint]
 	lose := func(err error) {
 		w.post(router, 0, table.Lost{Request: c.Call.Request, Attempt: c.Call.Attempt, Err: err})
 	}
-	u := e.runs[c.Call.Request]
+	u := e.runs[c.Call.Work()]
 	switch {
 	case e.dead:
 		lose(jaywind.ErrNotSent)
@@ -307,7 +311,7 @@
 		return
 	case !c.Call.Resume:
 		u = &run{call: c.Call, tokens: slices.Clone(c.Call.Prefix), next: w.now.Add(prefill)}
-		e.runs[c.Call.Request] = u
+		e.runs[c.Call.Work()] = u
 	}
 	u.call.Attempt = max(u.call.Attempt, c.Call.Attempt)
 	w.conns = append(w.conns, &conn{router: router, engine: e, run: u, call: c.Call, sent: int(c.Call.From)})
@@ -316,7 +320,7 @@
 func (w *world) probe(router int, c table.Probe) {
 	e := w.engines[jaywind.EndpointID(c.At)]
 	answer := table.Probed{Request: c.Request, Attempt: c.Attempt}
-	u := e.runs[c.Request]
+	u := e.runs[work(c.Request, c.Run)]
 	after := time.Duration(0)
 	switch {
 	case e.dead:
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -7,6 +7,7 @@
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/journal"
+	"jaywind/internal/core/member"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -38,9 +39,12 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		place.Reports{},
+		member.Member{},
+		member.Leave{},
 		generate.Intake{},
-		admit.Admit{},
 		generate.Silence{},
+		admit.Admit{},
 		generate.Pinned{},
 		place.Place{},
 		journal.Journal{},
--- a/internal/core/table/command.go
+++ b/internal/core/table/command.go
@@ -20,6 +20,7 @@
 type Cancel struct {
 	Request  jaywind.RequestID
 	Attempt  jaywind.Attempt
+	Run      jaywind.Attempt
 	At       jaywind.Address
 	KeepWork bool // close the connection only
 }
@@ -28,6 +29,7 @@
 type Probe struct {
 	Request jaywind.RequestID
 	Attempt jaywind.Attempt
+	Run     jaywind.Attempt
 	At      jaywind.Address
 	Limit   time.Duration
 }
--- a/internal/edge/caller/complete_test.go
+++ b/internal/edge/caller/complete_test.go
@@ -29,11 +29,11 @@
 	return &lines{tokens: s.tokens, call: c, next: int(c.From)}, nil
 }
 
-func (s script) Probe(context.Context, jaywind.Address, jaywind.RequestID) (jaywind.Progress, error) {
+func (s script) Probe(context.Context, jaywind.Address, jaywind.Work) (jaywind.Progress, error) {
 	return jaywind.Progress{Position: jaywind.Position(len(s.tokens)), Done: true}, nil
 }
 
-func (s script) Cancel(context.Context, jaywind.Address, jaywind.RequestID, jaywind.Attempt) error {
+func (s script) Cancel(context.Context, jaywind.Address, jaywind.Work, jaywind.Attempt) error {
 	return nil
 }
 
