--- a/embed/router.go
+++ b/embed/router.go
@@ -41,6 +41,7 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Journal   jaywind.Journal   // reaches the peers that keep records; none are kept when nil
 	Log       *zap.Logger       // silent when nil
@@ -96,6 +97,7 @@
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
 		&journaler{router: r},
+		newMoves(r),
 	}
 	r.gossip.router = r
 	if r.Gossiper != nil {
--- a/internal/core/generate/matrix_test.go
+++ b/internal/core/generate/matrix_test.go
@@ -52,11 +52,11 @@
 			return []jaywind.Frame{altered(f, func(f *jaywind.Frame) { f.End = true; f.Position++ }), f}
 		}
 	},
-	"caller comes back here": func(w *world, _ *conn) { w.leave("r1"); w.ask("r1", w.callers["r1"].router, false) },
+	"caller comes back here": func(w *world, _ *conn) { w.leave(); w.ask("r1", w.callers["r1"].router, false) },
 	"caller comes back here before it is missed": func(w *world, _ *conn) {
 		w.ask("r1", w.callers["r1"].router, false)
 	},
-	"caller comes back elsewhere": func(w *world, _ *conn) { w.leave("r1"); w.ask("r1", 1, true) },
+	"caller comes back elsewhere": func(w *world, _ *conn) { w.leave(); w.ask("r1", 1, true) },
 	"router is lost":              func(w *world, _ *conn) { w.ask("r1", 1, true) },
 }
 
--- a/internal/core/generate/recall_test.go
+++ b/internal/core/generate/recall_test.go
@@ -110,7 +110,7 @@
 	for len(w.callers["r1"].tokens) < 10 {
 		w.beat()
 	}
-	w.leave("r1")
+	w.leave()
 	faults["connection is reset"](w, w.current())
 	for range 20 {
 		w.beat() // the old router opens another attempt
--- a/internal/core/generate/recovery_test.go
+++ b/internal/core/generate/recovery_test.go
@@ -131,7 +131,7 @@
 	}
 	e := w.current().engine
 	e.gap = time.Second
-	w.leave("r1")
+	w.leave()
 	gone := w.now
 	for w.now.Sub(gone) < generate.GoneLimit {
 		is.True(e.runs[work("r1", 1)] != nil)
--- a/internal/core/generate/world_test.go
+++ b/internal/core/generate/world_test.go
@@ -153,11 +153,11 @@
 	w.post(router, 0, table.Arrived{Ask: a})
 }
 
-// leave disconnects a caller.
-func (w *world) leave(id jaywind.RequestID) {
-	c := w.callers[id]
+// leave disconnects the caller of r1.
+func (w *world) leave() {
+	c := w.callers["r1"]
 	c.away = true
-	w.post(c.router, 0, table.Gone{Request: id, Listener: c.listener})
+	w.post(c.router, 0, table.Gone{Request: "r1", Listener: c.listener})
 }
 
 func (w *world) beat() {
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -8,6 +8,7 @@
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/journal"
 	"jaywind/internal/core/member"
+	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -42,9 +43,11 @@
 		place.Reports{},
 		member.Member{},
 		member.Leave{},
+		move.Watch{},
 		generate.Intake{},
 		generate.Silence{},
 		admit.Admit{},
+		move.Decide{},
 		generate.Pinned{},
 		place.Place{},
 		journal.Journal{},
