--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -18,6 +18,7 @@
 	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/gossip"
+	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
 	"jaywind/internal/operator/burn"
 	"jaywind/internal/operator/scrape"
@@ -136,6 +137,7 @@
 		Claims:   claims,
 		Store:    committer.Store,
 		Log:      log,
+		Journal:  &journal.Client{HTTP: cbor.NewHTTPClient(s.Secret)},
 	}
 	claims.Members = r.Members
 	for _, u := range s.Fleet.Seeds {
@@ -153,6 +155,7 @@
 // newFleetMux returns the handlers for calls from other routers.
 func newFleetMux(r *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
+	journal.Register(m, r.Records())
 	m.Handle("/fleet/", gossip.NewHandler(r))
 	m.Handle(ledger.Path, ledger.NewHandler(committer))
 	return m
--- a/engine.go
+++ b/engine.go
@@ -21,10 +21,18 @@
 // ErrFrame wraps a frame that breaks the stream's form.
 var ErrFrame = errors.New("bad frame")
 
+// Work is what an engine does for one request since the attempt that began it;
+// two routers that run the same request have work of their own at an engine.
+type Work struct {
+	Request RequestID
+	Run     Attempt // the attempt that began it
+}
+
 // Call asks an engine for the part of a generation from a position on.
 type Call struct {
 	Request  RequestID
 	Attempt  Attempt
+	Run      Attempt // the attempt that began the work; Attempt itself, unless resuming
 	Model    Model
 	Version  Version
 	Prompt   string
@@ -36,6 +44,9 @@
 	Prefix   []Token  // the exact tokens before From, when not resuming
 }
 
+// Work returns the work that the call begins or resumes.
+func (c Call) Work() Work { return Work{Request: c.Request, Run: c.Run} }
+
 // Frame is one message of an engine's stream: a token, or the end.
 type Frame struct {
 	Request  RequestID
@@ -43,7 +54,7 @@
 	Position Position // of the token; at the end, the total
 	Token    Token
 	End      bool
-	Digest   Digest // at the end only, over the whole answer
+	Digest   Digest // over the answer up to and with this frame; 0 on a token where the engine gives none
 }
 
 // Progress is how far an engine has got with a request.
@@ -92,10 +103,10 @@
 type Engine interface {
 	// Open starts or resumes a stream; errors wrap ErrNotSent, ErrNoStream or ErrBusy where that is known.
 	Open(ctx context.Context, at Address, c Call) (Stream, error)
-	// Probe asks over a new connection how far a request has got, or returns ErrNoStream.
-	Probe(ctx context.Context, at Address, id RequestID) (Progress, error)
-	// Cancel ends the work of a request for all attempts up to a.
-	Cancel(ctx context.Context, at Address, id RequestID, a Attempt) error
+	// Probe asks over a new connection how far some work has got, or returns ErrNoStream.
+	Probe(ctx context.Context, at Address, w Work) (Progress, error)
+	// Cancel ends work unless an attempt after a has resumed it.
+	Cancel(ctx context.Context, at Address, w Work, a Attempt) error
 	// Load reads the engine's load report.
 	Load(ctx context.Context, at Address) (Load, error)
 	// Order gives an order, or returns ErrFenced.
--- a/internal/core/table/endpoint.go
+++ b/internal/core/table/endpoint.go
@@ -17,6 +17,8 @@
 	Leaving  bool
 	Gaps     Gaps
 
+	LastFrame time.Time // on any stream
+
 	Failures   int       // of a service's endpoint, since the last success
 	ClosedTill time.Time // the same, no work before
 
