embed: once-only calls on the whole path, merged with membership

Two routers, a store and two endpoints of a service on loopback: a repeat at the other router replays the recorded reply, another body is refused, a store that is down is a refusal at once, routers that can't reach each other commit by themselves. A router that drains waits for calls to services as well.

--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -15,10 +15,13 @@
 	"jaywind/internal/backend/engine"
 	"jaywind/internal/backend/service"
 	"jaywind/internal/edge/caller"
+	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/fleet/ledger"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
+	"jaywind/internal/platform/vms"
 )
 
 const (
@@ -59,31 +62,21 @@
 	return config.Build()
 }
 
-// serve runs a router with its ports until ctx ends.
+// serve runs a router with its ports until ctx ends, and then until its work is finished.
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
 	platform := &store.Client{URL: jaywind.Address(s.Store.URL)}
 	committer := &ledger.Committer{Store: platform}
 	defer committer.Wait()
-	claims := &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)}}
-	r := &embed.Router{
-		Self:   s.Name(),
-		Domain: jaywind.Domain(s.Domain),
-		Seed:   seedOf(s.VM),
-		Engine: &engine.Client{},
-		Fleet:  jaywind.Address("http://" + s.Listen.Fleet),
-		Entry:  jaywind.Address("http://" + s.Listen.Caller),
-		Store:  platform,
-		Log:    log,
-
-		Service: &service.Client{},
-		Claims:  claims,
-	}
-	claims.Members = r.Members
-	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
+	r := newRouter(s, log)
+	r.Store = platform
+	r.Service = &service.Client{}
+	r.Claims = newClaims(s, r, committer)
+	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
+	o := &operator.Handler{Router: r, Secret: s.Secret}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
 	fleet.Protocols = cbor.Protocols()
-	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), fleet}
-	ctx, cancel := context.WithCancelCause(ctx)
+	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), newServer(s.Listen.Operator, o.Mux()), fleet}
+	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group conc.WaitGroup
 	for _, v := range servers {
@@ -93,23 +86,71 @@
 			}
 		})
 	}
+	group.Go(func() { drain(ctx, running, r, h, log); cancel(nil) })
 	log.Info("router: serving callers", zap.String("address", s.Listen.Caller))
-	err := r.Run(ctx)
+	err := r.Run(running)
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer stop()
 	for _, v := range servers {
 		_ = v.Shutdown(closing)
 	}
 	group.Wait()
-	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
+	if cause := context.Cause(running); err == nil && !errors.Is(cause, context.Canceled) {
 		return cause
 	}
 	return err
 }
 
+// drain waits for the signal to stop, and then until what the router has is finished.
+func drain(ctx, running context.Context, r *embed.Router, h *caller.Handler, log *zap.Logger) {
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return
+	}
+	log.Info("router: stopping, nothing new is taken")
+	if r.Drain(running) == nil {
+		h.Wait(running)
+	}
+	log.Info("router: all work is finished")
+}
+
+func newRouter(s settings.Settings, log *zap.Logger) *embed.Router {
+	peers := &gossip.Client{HTTP: cbor.NewHTTPClient(s.Secret)}
+	r := &embed.Router{
+		Self:     s.Name(),
+		Domain:   jaywind.Domain(s.Domain),
+		Seed:     seedOf(s.VM),
+		Engine:   &engine.Client{},
+		Fleet:    jaywind.Address("http://" + s.Listen.Fleet),
+		Entry:    jaywind.Address("http://" + s.Listen.Caller),
+		Gossiper: peers,
+		Copier:   peers,
+		Log:      log,
+	}
+	for _, u := range s.Fleet.Seeds {
+		r.Seeds = append(r.Seeds, jaywind.Address(u))
+	}
+	if s.Directory.URL != "" {
+		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
+	}
+	return r
+}
+
+// newClaims commits claims through the routers that are alive.
+func newClaims(s settings.Settings, r *embed.Router, committer *ledger.Committer) *ledger.Router {
+	return &ledger.Router{
+		Self:    s.Name(),
+		Local:   committer,
+		Remote:  &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)},
+		Members: r.Members,
+	}
+}
+
 // newFleetMux returns the handlers for calls from other routers.
-func newFleetMux(_ *embed.Router, committer *ledger.Committer) http.Handler {
+func newFleetMux(r *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
+	m.Handle("/fleet/", gossip.NewHandler(r))
 	m.Handle(ledger.Path, ledger.NewHandler(committer))
 	return m
 }
@@ -131,10 +172,14 @@
 	return h.Sum64()
 }
 
-func entriesOf(s settings.Settings) []jaywind.Address {
-	out := []jaywind.Address{jaywind.Address("http://" + s.Listen.Caller)}
+// entriesOf returns the home routers of an organisation, or the settings' entries while no router is known.
+func entriesOf(r *embed.Router, o jaywind.Organisation, s settings.Settings) []jaywind.Address {
+	if homes := r.Entries(o); len(homes) > 0 {
+		return homes
+	}
+	var out []jaywind.Address
 	for _, e := range s.Fleet.Entries {
-		if a := jaywind.Address(e); a != out[0] {
+		if a := jaywind.Address(e); a != r.Entry {
 			out = append(out, a)
 		}
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 //	standin engine -listen 127.0.0.1:9101 -id e1 -model heat -version v1
 //	standin service -listen 127.0.0.1:9301 -name s1
 //	standin store -listen 127.0.0.1:9200
+//	standin vms -listen 127.0.0.1:9300 -lag 5s
 //
 // Faults are switched by POST /faults with the switches as JSON.
 package main
@@ -24,12 +25,14 @@
 	"jaywind/internal/standin/engine"
 	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
+	"jaywind/internal/standin/vms"
 )
 
 var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
 	"engine":  engineFlags,
 	"service": serviceFlags,
 	"store":   storeFlags,
+	"vms":     vmsFlags,
 }
 
 func main() {
@@ -44,7 +47,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) == 0 || kinds[args[0]] == nil {
-		return errors.New("want a kind: engine, service or store")
+		return errors.New("want a kind: engine, service, store or vms")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
@@ -93,3 +96,8 @@
 	name := f.String("name", "s1", "`name` that the replies tell")
 	return func() http.Handler { return (&service.Service{Name: *name}).Handler() }
 }
+
+func vmsFlags(f *flag.FlagSet) func() http.Handler {
+	lag := f.Duration("lag", 0, "time from a change to its appearance")
+	return func() http.Handler { return (&vms.List{Lag: *lag}).Handler() }
+}
--- a/embed/router.go
+++ b/embed/router.go
@@ -33,25 +33,33 @@
 	Tick   time.Duration // between full ticks; 20 ms when zero
 	Clock  jaywind.Clock // the machine's when nil
 	Engine jaywind.Engine
-	Store  jaywind.Store   // rules are given by SetRules when nil
-	Fleet  jaywind.Address // where other routers reach this one; it stays alone when empty
-	Entry  jaywind.Address // where callers reach this one
-	Log    *zap.Logger     // silent when nil
-
-	Service jaywind.Service // no calls to plain services when nil
-	Claims  Committer       // no once-only calls when nil
-
-	start   sync.Once
-	core    step.Core
-	events  chan table.Event
-	stopped chan struct{}
-	group   conc.WaitGroup
-	parts   []part
-	answers answerSet
-	calls   callSet
-	meter   *meter
-	ready   atomic.Bool
-	members memberView
+	Store  jaywind.Store     // rules are given by SetRules when nil
+	Fleet  jaywind.Address   // where other routers reach this one; it stays alone when empty
+	Entry  jaywind.Address   // where callers reach this one
+	Seeds  []jaywind.Address // routers to begin with
+
+	Gossiper  jaywind.Gossiper  // the router stays alone when nil
+	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Directory jaywind.Directory // members are known by gossip only when nil
+	Service   jaywind.Service   // no calls to plain services when nil
+	Claims    Committer         // no once-only calls when nil
+	Log       *zap.Logger       // silent when nil
+
+	start    sync.Once
+	core     step.Core
+	events   chan table.Event
+	looks    chan func() // run between two ticks
+	stopped  chan struct{}
+	group    conc.WaitGroup
+	parts    []part
+	answers  answerSet
+	calls    callSet
+	meter    *meter
+	ready    atomic.Bool
+	stopping atomic.Bool
+	members  memberView
+	gossip   gossip
+	rulebook rulebook
 }
 
 // init sets the defaults, whichever method comes first.
@@ -70,8 +78,10 @@
 		r.core.State.Self = r.Self
 		r.core.State.Domain = r.Domain
 		r.core.State.Fleet.Self = jaywind.Member{VM: r.Self, Domain: r.Domain, Fleet: r.Fleet, Entry: r.Entry}
+		r.core.State.Fleet.Seeds = r.Seeds
 		r.members.publish(&r.core.State.Fleet)
 		r.events = make(chan table.Event, eventBuffer)
+		r.looks = make(chan func())
 		r.stopped = make(chan struct{})
 		r.answers.open = map[jaywind.RequestID]*Answer{}
 		r.calls.open = map[jaywind.RequestID]chan table.Respond{}
@@ -88,8 +98,16 @@
 		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
 		&claimant{router: r},
 	}
-	if r.Store != nil {
-		parts = append(parts, &rulebook{router: r})
+	r.gossip.router = r
+	if r.Gossiper != nil {
+		parts = append(parts, &r.gossip)
+	}
+	if r.Directory != nil {
+		parts = append(parts, &directory{router: r})
+	}
+	r.rulebook.router = r
+	if r.Store != nil || r.Copier != nil {
+		parts = append(parts, &r.rulebook)
 	}
 	return parts
 }
@@ -119,6 +137,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case look := <-r.looks:
+			look()
+			continue
 		case <-ticker.C:
 			full = true
 		case e := <-r.events:
@@ -131,6 +152,7 @@
 			r.execute(ctx, c)
 		}
 		r.members.publish(&r.core.State.Fleet)
+		r.stopping.Store(r.core.State.Stopping)
 		r.ready.Store(r.core.State.Rules != nil && !r.core.State.Stopping)
 	}
 }
--- /dev/null
+++ b/embed/services_test.go
@@ -0,0 +1,155 @@
+package embed_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/embed"
+	backend "jaywind/internal/backend/service"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/edge/caller"
+	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/standin/service"
+	"jaywind/internal/standin/store"
+)
+
+const secret = "0123456789abcdef"
+
+// serviceBench is two routers before one store and two endpoints of a service, all on loopback.
+type serviceBench struct {
+	store   *store.Store
+	service *service.Service // behind both endpoints, so that it counts all runs
+	entries [2]string
+	fleet   [2]*httptest.Server
+}
+
+func newServiceBench(t *testing.T) *serviceBench {
+	t.Helper()
+	b := &serviceBench{store: &store.Store{}, service: &service.Service{}}
+	text := "service bind path=/bind once=yes # test\n"
+	for _, id := range []string{"s1", "s2"} {
+		s := httptest.NewServer(b.service.Handler())
+		t.Cleanup(s.Close)
+		text += fmt.Sprintf("endpoint %s kind=service service=bind url=%s domain=a # test\n", id, s.URL)
+	}
+	set, findings := rule.Parse("test", text)
+	is.New(t).Equal(len(findings), 0)
+	var members []jaywind.Member
+	for i := range b.entries {
+		vm := jaywind.VM(fmt.Sprint("vm", i+1))
+		committer := &ledger.Committer{Store: b.store}
+		m := http.NewServeMux()
+		m.Handle(ledger.Path, ledger.NewHandler(committer))
+		b.fleet[i] = httptest.NewUnstartedServer(cbor.Guard(secret, m))
+		b.fleet[i].Config.Protocols = cbor.Protocols()
+		b.fleet[i].Start()
+		members = append(members, jaywind.Member{VM: vm, Fleet: jaywind.Address(b.fleet[i].URL)})
+		client := cbor.NewHTTPClient(secret)
+		r := &embed.Router{Self: vm, Service: &backend.Client{}}
+		r.Claims = &ledger.Router{
+			Self: vm, Local: committer, Remote: &ledger.Client{HTTP: client},
+			Members: func() []jaywind.Member { return members },
+		}
+		entry := httptest.NewServer((&caller.Handler{Router: r, Services: r}).Mux())
+		b.entries[i] = entry.URL
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		group.Go(func() { _ = r.Run(ctx) })
+		r.SetRules(1, set)
+		t.Cleanup(func() {
+			entry.Close()
+			cancel()
+			group.Wait()
+			committer.Wait()
+			client.CloseIdleConnections()
+			b.fleet[i].Close()
+		})
+	}
+	return b
+}
+
+// call makes a call at an entry and returns the status and the error's code or the header that tells a replay.
+func (b *serviceBench) call(is *is.I, entry int, method, path, key, body string) (int, string) {
+	is.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, b.entries[entry]+"/services/bind"+path, strings.NewReader(body))
+	is.NoErr(err)
+	r.Header.Set("X-Request-Timeout", "2")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode, response.Header.Get("Idempotent-Replayed") + response.Header.Get("Retry-After")
+}
+
+func TestServiceCalls(t *testing.T) {
+	type want struct {
+		status int
+		header string
+	}
+	tests := map[string]struct {
+		store   store.Faults
+		service service.Faults
+		strike  func(b *serviceBench)
+		method  string // POST when empty
+		path    string // /bind when empty
+		key     string
+		body    string // of the repeat
+		first   want
+		repeat  want // at the other entry
+		runs    int  // of both calls
+	}{
+		"once":                            {key: "k", first: want{200, ""}, repeat: want{200, "true"}, runs: 1},
+		"another body":                    {key: "k", body: "other", first: want{200, ""}, repeat: want{422, ""}, runs: 1},
+		"no key":                          {first: want{400, ""}, repeat: want{400, ""}},
+		"key outside the rule":            {path: "/note", key: "k", first: want{200, ""}, repeat: want{200, "true"}, runs: 1},
+		"single":                          {path: "/note", first: want{200, ""}, repeat: want{200, ""}, runs: 2},
+		"path in another spelling":        {path: "/note/../bind", first: want{400, ""}, repeat: want{400, ""}},
+		"escaped spelling":                {path: "/%62ind", first: want{400, ""}, repeat: want{400, ""}},
+		"lookup":                          {method: "GET", first: want{200, ""}, repeat: want{200, ""}, runs: 2},
+		"store down":                      {store: store.Faults{Down: true}, key: "k", first: want{503, "1"}, repeat: want{503, "1"}},
+		"reply of the store lost":         {store: store.Faults{Lose: 1}, key: "k", first: want{200, ""}, repeat: want{200, "true"}, runs: 1},
+		"service cuts":                    {service: service.Faults{Cut: true}, key: "k", first: want{504, "1"}, repeat: want{504, "1"}, runs: 1},
+		"answer comes after the deadline": {service: service.Faults{Slow: 3 * time.Second}, key: "k", first: want{504, "1"}, repeat: want{200, "true"}, runs: 1},
+		"routers can't speak": {strike: func(b *serviceBench) { b.fleet[0].Close(); b.fleet[1].Close() },
+			key: "k", first: want{200, ""}, repeat: want{200, "true"}, runs: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newServiceBench(t)
+			b.store.Set(c.store)
+			b.service.Set(c.service)
+			if c.strike != nil {
+				c.strike(b)
+			}
+			method, path := c.method, c.path
+			if method == "" {
+				method = http.MethodPost
+			}
+			if path == "" {
+				path = "/bind"
+			}
+			status, header := b.call(is, 0, method, path, c.key, "")
+			is.Equal(want{status, strings.Replace(header, "2", "1", 1)}, c.first)
+			time.Sleep(200 * time.Millisecond) // until the answer is recorded
+			status, header = b.call(is, 1, method, path, c.key, c.body)
+			is.Equal(want{status, strings.Replace(header, "2", "1", 1)}, c.repeat)
+			is.Equal(b.service.Total(), c.runs)
+		})
+	}
+}
--- a/internal/core/move/version.go
+++ b/internal/core/move/version.go
@@ -76,7 +76,7 @@
 		return false
 	}
 	e := s.Endpoints[id]
-	return e != nil && !e.Leaving && !s.Now.Before(e.ClosedTill) && slices.Contains(e.Load.Loaded, m.ID.To)
+	return e != nil && e.Accepts(m.ID.To, s.Now) && slices.Contains(e.Load.Loaded, m.ID.To)
 }
 
 func key(id table.MoveID) string {
--- a/internal/core/rule/set.go
+++ b/internal/core/rule/set.go
@@ -35,7 +35,8 @@
 	Service jaywind.ServiceName
 	URL     jaywind.Address
 	Domain  jaywind.Domain
-	Fenced  bool // whether it refuses an order that carries an old fencing number
+	VM      jaywind.VM // where it runs, as the VM list names it; may be empty
+	Fenced  bool       // whether it refuses an order that carries an old fencing number
 	Asked   string
 }
 
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,7 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/member"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -37,9 +38,12 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		place.Reports{},
+		member.Member{},
+		member.Leave{},
 		generate.Intake{},
-		admit.Admit{},
 		generate.Silence{},
+		admit.Admit{},
 		place.Place{},
 		claim.Claim{},
 	}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,14 +22,18 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
+	Seat          Seat
+	Rings         Rings
+	Pools         map[jaywind.Model]*Pool
 	Fleet         Fleet
 	Moves         map[jaywind.Model]*Move
 	Members       int // live routers, this one included; 0 when not known
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
 
-	Queued []jaywind.RequestID // wait for admission, oldest first
-	Ready  []jaywind.RequestID // wait for an endpoint, most urgent first
+	Queued  []jaywind.RequestID // wait for admission, oldest first
+	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
+	Waiting []jaywind.RequestID // found no endpoint, tried again on a full tick
 
 	Stopping bool // a graceful shutdown has begun
 	Counts   Counts
@@ -45,6 +49,8 @@
 	Reused    int // resumes on the same engine's own stream
 	Recounted int // prefix tokens that an engine had to compute again
 	Refused   int
+	Paced     int // times that a resume waited for the prefills before it
+	Abandoned int // resumes given up because the backlog was too long
 }
 
 // New returns an empty state whose choices follow from seed.
@@ -54,7 +60,8 @@
 		Requests:      map[jaywind.RequestID]*Request{},
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
-		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
+		Pools:         map[jaywind.Model]*Pool{},
+		Fleet:         NewFleet(),
 		Moves:         map[jaywind.Model]*Move{},
 		Calls:         map[jaywind.RequestID]*ServiceCall{},
 		Retries:       map[RetryKey]*RetryBudget{},
--- a/internal/edge/caller/service.go
+++ b/internal/edge/caller/service.go
@@ -39,7 +39,7 @@
 		return
 	}
 	for _, method := range serviceMethods {
-		m.Handle(method, "/services/:service/*path", h.callService)
+		m.Handle(method, "/services/:service/*path", h.work(h.callService))
 	}
 }
 
