--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -22,6 +22,7 @@
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 	"jaywind/internal/platform/vms"
+	"jaywind/internal/platform/weights"
 )
 
 const (
@@ -64,13 +65,9 @@
 
 // serve runs a router with its ports until ctx ends, and then until its work is finished.
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	platform := &store.Client{URL: jaywind.Address(s.Store.URL)}
-	committer := &ledger.Committer{Store: platform}
+	committer := &ledger.Committer{Store: &store.Client{URL: jaywind.Address(s.Store.URL)}}
 	defer committer.Wait()
-	r := newRouter(s, log)
-	r.Store = platform
-	r.Service = &service.Client{}
-	r.Claims = newClaims(s, r, committer)
+	r := newRouter(s, log, committer)
 	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
 	o := &operator.Handler{Router: r, Secret: s.Secret}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
@@ -115,7 +112,8 @@
 	log.Info("router: all work is finished")
 }
 
-func newRouter(s settings.Settings, log *zap.Logger) *embed.Router {
+func newRouter(s settings.Settings, log *zap.Logger, committer *ledger.Committer) *embed.Router {
+	claims := &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)}}
 	peers := &gossip.Client{HTTP: cbor.NewHTTPClient(s.Secret)}
 	r := &embed.Router{
 		Self:     s.Name(),
@@ -126,27 +124,24 @@
 		Entry:    jaywind.Address("http://" + s.Listen.Caller),
 		Gossiper: peers,
 		Copier:   peers,
+		Service:  &service.Client{},
+		Claims:   claims,
+		Store:    committer.Store,
 		Log:      log,
 	}
+	claims.Members = r.Members
 	for _, u := range s.Fleet.Seeds {
 		r.Seeds = append(r.Seeds, jaywind.Address(u))
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	if s.Directory.URL != "" {
 		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
 	}
 	return r
 }
 
-// newClaims commits claims through the routers that are alive.
-func newClaims(s settings.Settings, r *embed.Router, committer *ledger.Committer) *ledger.Router {
-	return &ledger.Router{
-		Self:    s.Name(),
-		Local:   committer,
-		Remote:  &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)},
-		Members: r.Members,
-	}
-}
-
 // newFleetMux returns the handlers for calls from other routers.
 func newFleetMux(r *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -92,12 +92,12 @@
 	return func() http.Handler { return (&store.Store{}).Handler() }
 }
 
-func serviceFlags(f *flag.FlagSet) func() http.Handler {
-	name := f.String("name", "s1", "`name` that the replies tell")
-	return func() http.Handler { return (&service.Service{Name: *name}).Handler() }
-}
-
 func vmsFlags(f *flag.FlagSet) func() http.Handler {
 	lag := f.Duration("lag", 0, "time from a change to its appearance")
 	return func() http.Handler { return (&vms.List{Lag: *lag}).Handler() }
 }
+
+func serviceFlags(f *flag.FlagSet) func() http.Handler {
+	name := f.String("name", "s1", "`name` that the replies tell")
+	return func() http.Handler { return (&service.Service{Name: *name}).Handler() }
+}
--- a/embed/router.go
+++ b/embed/router.go
@@ -40,6 +40,9 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Service   jaywind.Service   // no calls to plain services when nil
+	Claims    Committer         // no once-only calls when nil
+	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Service   jaywind.Service   // no calls to plain services when nil
 	Claims    Committer         // no once-only calls when nil
@@ -95,6 +98,7 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		newMoves(r),
 		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
 		&claimant{router: r},
 	}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -27,7 +27,8 @@
 	Pools         map[jaywind.Model]*Pool
 	Fleet         Fleet
 	Moves         map[jaywind.Model]*Move
-	Members       int // live routers, this one included; 0 when not known
+	Steered       time.Time // when the wanted states of endpoints were last emitted
+	Members       int       // live routers, this one included; 0 when not known
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
 
