--- a/embed/router.go
+++ b/embed/router.go
@@ -44,8 +44,6 @@
 	Claims    Committer         // no once-only calls when nil
 	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
-	Service   jaywind.Service   // no calls to plain services when nil
-	Claims    Committer         // no once-only calls when nil
 	Log       *zap.Logger       // silent when nil
 
 	start    sync.Once
