--- a/embed/status.go
+++ b/embed/status.go
@@ -19,7 +19,7 @@
 	Live      int              // of Known
 	Cut       bool             // on the smaller side of a cut, without the store
 	StoreAge  time.Duration    // since a known member reached the store; negative for never
-	Requests  int              // that are not ended
+	Requests  int              // generations and calls that are not ended
 	Stopping  bool
 	Leaving   []jaywind.EndpointID // endpoints that get no new work
 	Endpoints int
@@ -50,7 +50,7 @@
 
 func statusOf(s *table.State) Status {
 	f := &s.Fleet
-	out := Status{Self: f.Self, Cut: f.Cut, StoreAge: -1, Requests: len(s.Requests), Stopping: s.Stopping}
+	out := Status{Self: f.Self, Cut: f.Cut, StoreAge: -1, Requests: len(s.Requests) + len(s.Calls), Stopping: s.Stopping}
 	out.Live, out.Known = member.Quorum(f)
 	if !f.StoreAt.IsZero() {
 		out.StoreAge = s.Now.Sub(f.StoreAt)
