--- /dev/null
+++ b/internal/platform/rules/book_test.go
@@ -0,0 +1,198 @@
+package rules
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/standin/store"
+)
+
+// textOf returns rules of n organisations, the i-th with another rate.
+func textOf(n, i int) string {
+	var b strings.Builder
+	for j := range n {
+		rate := 5
+		if j == i {
+			rate = 6
+		}
+		fmt.Fprintf(&b, "organisation o%05d rate=%d burst=10 weight=1 # sales desk\n", j, rate)
+	}
+	return b.String()
+}
+
+const (
+	few  = 10
+	many = 27000 // organisations; more than a value of the store holds
+)
+
+func TestAccept(t *testing.T) {
+	tests := map[string]struct {
+		faults store.Faults
+		rival  bool // another writer commits between read and write
+		want   error
+	}{
+		"no fault":                       {},
+		"reply to a write is lost":       {faults: store.Faults{Lose: 1}},
+		"replies to two writes are lost": {faults: store.Faults{Lose: 2}},
+		"another edit was first":         {rival: true, want: jaywind.ErrConflict},
+		"another edit first, reply lost": {rival: true, faults: store.Faults{Lose: 1}, want: jaywind.ErrConflict},
+		"store down":                     {faults: store.Faults{Down: true}, want: jaywind.ErrUnavailable},
+	}
+	for name, c := range tests {
+		for _, size := range []int{few, many} {
+			t.Run(fmt.Sprint(name, " at ", size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ctx := context.Background()
+					s := &store.Store{}
+					first, err := Book{Store: s, Nonce: "n1"}.Accept(ctx, Accepted{}, textOf(size, 0))
+					is.NoErr(err)
+					if c.rival {
+						_, err := Book{Store: s, Nonce: "n2"}.Accept(ctx, first, textOf(size, 1))
+						is.NoErr(err)
+					}
+					s.Set(c.faults)
+					_, err = Book{Store: s, Nonce: "n3"}.Accept(ctx, first, textOf(size, 2))
+					is.True(errors.Is(err, c.want))
+					s.Set(store.Faults{})
+					got, err := Book{Store: s}.Read(ctx)
+					is.NoErr(err)
+					switch {
+					case c.rival:
+						is.Equal(got.Text, textOf(size, 1))
+						is.Equal(got.Version, jaywind.RulesVersion(2))
+					case c.want != nil:
+						is.Equal(got.Text, textOf(size, 0))
+					default:
+						is.Equal(got.Text, textOf(size, 2))
+						is.Equal(got.Version, jaywind.RulesVersion(2))
+					}
+				})
+			})
+		}
+	}
+}
+
+// overtaken lets another writer commit on top before a lost reply can be settled.
+type overtaken struct {
+	*store.Store
+	after func()
+}
+
+func (s *overtaken) Swap(ctx context.Context, key string, value []byte, old jaywind.Revision) (jaywind.Revision, error) {
+	revision, err := s.Store.Swap(ctx, key, value, old)
+	if key == headKey && s.after != nil {
+		then := s.after
+		s.after = nil
+		then()
+		return "", jaywind.ErrUnknown
+	}
+	return revision, err
+}
+
+func TestLostReplyIsSettledAfterTheNextVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		s := &overtaken{Store: &store.Store{}}
+		s.after = func() {
+			mine, err := Book{Store: s.Store}.Read(ctx)
+			is.NoErr(err)
+			_, err = Book{Store: s.Store, Nonce: "n2"}.Accept(ctx, mine, textOf(few, 1))
+			is.NoErr(err)
+		}
+		accepted, err := Book{Store: s, Nonce: "n1"}.Accept(ctx, Accepted{}, textOf(few, 0))
+		is.NoErr(err)
+		is.Equal(accepted.Version, jaywind.RulesVersion(1))
+	})
+}
+
+// killed fails all writes after a number of them, as the death of the writer would.
+type killed struct {
+	*store.Store
+	left int
+}
+
+func (s *killed) Swap(ctx context.Context, key string, value []byte, old jaywind.Revision) (jaywind.Revision, error) {
+	if s.left--; s.left < 0 {
+		return "", jaywind.ErrUnavailable
+	}
+	return s.Store.Swap(ctx, key, value, old)
+}
+
+func TestChunksLeftOverAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx := context.Background()
+		const rounds = 5
+		s := &store.Store{}
+		current, err := Book{Store: s, Nonce: "first"}.Accept(ctx, Accepted{}, textOf(many, 0))
+		is.NoErr(err)
+		for i := range rounds {
+			// A writer is killed after its first chunks, and another one commits.
+			dying := &killed{Store: s, left: 20}
+			_, err := Book{Store: dying, Nonce: fmt.Sprint("dying", i)}.Accept(ctx, current, strings.ReplaceAll(textOf(many, i), "sales", "other"))
+			is.True(errors.Is(err, jaywind.ErrUnavailable))
+			current, err = Book{Store: s, Nonce: fmt.Sprint("next", i)}.Accept(ctx, current, textOf(many, i+1))
+			is.NoErr(err)
+		}
+		pause(ctx, 2*sweepTTL)
+		inUse := map[string]bool{}
+		for _, l := range current.head.Chunks {
+			inUse[l.Key] = true
+		}
+		for i := range rounds {
+			for j := range len(current.head.Chunks) + 5 {
+				for _, nonce := range []string{"first", fmt.Sprint("dying", i), fmt.Sprint("next", i)} {
+					_, err := s.Get(ctx, chunkKey(nonce, j))
+					is.True(err != nil || inUse[chunkKey(nonce, j)])
+				}
+			}
+		}
+		got, err := Book{Store: s}.Read(ctx)
+		is.NoErr(err)
+		is.Equal(got.Text, textOf(many, rounds))
+	})
+}
+
+func TestAnEditChangesFewChunks(t *testing.T) {
+	is := is.New(t)
+	before := map[jaywind.ChunkID]bool{}
+	for _, id := range IDsOf(Split(textOf(many, 0))) {
+		before[id] = true
+	}
+	for _, i := range []int{1, 13000, 26999} {
+		changed := 0
+		bytes := 0
+		for _, c := range Split(textOf(many, i)) {
+			is.True(len(c) <= ChunkLimit+200)
+			if !before[IDOf(c)] {
+				changed++
+				bytes += len(c)
+			}
+		}
+		is.True(changed <= 4) // the line that is undone and the one that is edited
+		t.Logf("line %d: %d of %d chunks, %d bytes", i, changed, len(before), bytes)
+	}
+}
+
+func TestDiff(t *testing.T) {
+	tests := map[string]struct{ older, newer, want string }{
+		"same":    {"a\nb\n", "a\nb\n", ""},
+		"added":   {"a\n", "a\nb\n", "+ b\n"},
+		"removed": {"a\nb\n", "b\n", "- a\n"},
+		"changed": {"a\nb\n", "a\nc\n", "- b\n+ c\n"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(Diff(c.older, c.newer), c.want)
+		})
+	}
+}
