--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -38,11 +38,12 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		place.Reports{},
 		member.Member{},
 		member.Leave{},
 		generate.Intake{},
-		admit.Admit{},
 		generate.Silence{},
+		admit.Admit{},
 		place.Place{},
 		claim.Claim{},
 	}
