--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -13,13 +13,18 @@
 	"jaywind"
 	"jaywind/embed"
 	"jaywind/internal/backend/engine"
+	"jaywind/internal/backend/service"
 	"jaywind/internal/edge/caller"
 	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/gossip"
+	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/operator/burn"
+	"jaywind/internal/operator/scrape"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 	"jaywind/internal/platform/vms"
+	"jaywind/internal/platform/weights"
 )
 
 const (
@@ -62,12 +67,20 @@
 
 // serve runs a router with its ports until ctx ends, and then until its work is finished.
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	r := newRouter(s, log)
-	h := &caller.Handler{Router: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
-	o := &operator.Handler{Router: r, Secret: s.Secret}
-	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r)))
+	committer := &ledger.Committer{Store: &store.Client{URL: jaywind.Address(s.Store.URL)}}
+	defer committer.Wait()
+	r := newRouter(s, log, committer)
+	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
+	o := &operator.Handler{
+		Router:  r,
+		Secret:  s.Secret,
+		Metrics: scrape.Handler(r.Metrics()),
+		Burn:    burn.Handler(r.Burn(), jaywind.SystemClock{}),
+	}
+	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
 	fleet.Protocols = cbor.Protocols()
 	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), newServer(s.Listen.Operator, o.Mux()), fleet}
+	servers[1].Protocols = cbor.Protocols()
 	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group conc.WaitGroup
@@ -107,7 +120,8 @@
 	log.Info("router: all work is finished")
 }
 
-func newRouter(s settings.Settings, log *zap.Logger) *embed.Router {
+func newRouter(s settings.Settings, log *zap.Logger, committer *ledger.Committer) *embed.Router {
+	claims := &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: cbor.NewHTTPClient(s.Secret)}}
 	peers := &gossip.Client{HTTP: cbor.NewHTTPClient(s.Secret)}
 	r := &embed.Router{
 		Self:     s.Name(),
@@ -118,12 +132,18 @@
 		Entry:    jaywind.Address("http://" + s.Listen.Caller),
 		Gossiper: peers,
 		Copier:   peers,
-		Store:    &store.Client{URL: jaywind.Address(s.Store.URL)},
+		Service:  &service.Client{},
+		Claims:   claims,
+		Store:    committer.Store,
 		Log:      log,
 	}
+	claims.Members = r.Members
 	for _, u := range s.Fleet.Seeds {
 		r.Seeds = append(r.Seeds, jaywind.Address(u))
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	if s.Directory.URL != "" {
 		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
 	}
@@ -131,9 +151,10 @@
 }
 
 // newFleetMux returns the handlers for calls from other routers.
-func newFleetMux(r *embed.Router) http.Handler {
+func newFleetMux(r *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
 	m.Handle("/fleet/", gossip.NewHandler(r))
+	m.Handle(ledger.Path, ledger.NewHandler(committer))
 	return m
 }
 
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -7,6 +7,7 @@
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
 	"jaywind/internal/core/member"
+	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -41,9 +42,11 @@
 		place.Reports{},
 		member.Member{},
 		member.Leave{},
+		move.Watch{},
 		generate.Intake{},
 		generate.Silence{},
 		admit.Admit{},
+		move.Decide{},
 		place.Place{},
 		claim.Claim{},
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -35,6 +35,7 @@
 	halted bool
 	active int // runs that make tokens
 	fence  jaywind.Fence
+	orders Orders
 	loaded map[jaywind.Version]bool
 	made   int // tokens computed in all
 	group  conc.WaitGroup
