--- a/cmd/jaywind/main.go
+++ b/cmd/jaywind/main.go
@@ -36,6 +36,9 @@
 	"ask":     {"asks for a generation and checks the answer", "jaywind ask -entry http://127.0.0.1:8101 -model heat fins for 40 W", ask},
 	"burn":    {"reports service-level burn", "jaywind burn -settings vm1.toml -plot burn.png", burnReport},
 	"check":   {"finds all faults in settings and rules", "jaywind check -settings vm1.toml -rules rules.txt", check},
+	"entries": {"asks which entries an organisation should use", "jaywind entries -entry http://127.0.0.1:8101 -organisation lagos", entries},
+	"rules":   {"prints the rules in force with their version", "jaywind rules -settings vm1.toml", printRules},
+	"status":  {"prints routers, moves and what is leaving", "jaywind status -settings vm1.toml", status},
 	"route":   {"runs a router", "jaywind route -settings vm1.toml", route},
 	"version": {"prints the version", "jaywind version", version},
 }
--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -14,9 +14,12 @@
 	"jaywind/embed"
 	"jaywind/internal/backend/engine"
 	"jaywind/internal/edge/caller"
+	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
+	"jaywind/internal/platform/vms"
 	"jaywind/internal/platform/weights"
 )
 
@@ -58,26 +61,15 @@
 	return config.Build()
 }
 
-// serve runs a router with its ports until ctx ends.
+// serve runs a router with its ports until ctx ends, and then until its work is finished.
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	r := &embed.Router{
-		Self:   s.Name(),
-		Domain: jaywind.Domain(s.Domain),
-		Seed:   seedOf(s.VM),
-		Engine: &engine.Client{},
-		Fleet:  jaywind.Address("http://" + s.Listen.Fleet),
-		Entry:  jaywind.Address("http://" + s.Listen.Caller),
-		Store:  &store.Client{URL: jaywind.Address(s.Store.URL)},
-		Log:    log,
-	}
-	if s.Weights.URL != "" {
-		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
-	}
-	h := &caller.Handler{Router: r, Log: log, Entries: func(jaywind.Organisation) []jaywind.Address { return entriesOf(s) }}
+	r := newRouter(s, log)
+	h := &caller.Handler{Router: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
+	o := &operator.Handler{Router: r, Secret: s.Secret}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r)))
 	fleet.Protocols = cbor.Protocols()
-	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), fleet}
-	ctx, cancel := context.WithCancelCause(ctx)
+	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), newServer(s.Listen.Operator, o.Mux()), fleet}
+	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group conc.WaitGroup
 	for _, v := range servers {
@@ -87,23 +79,65 @@
 			}
 		})
 	}
+	group.Go(func() { drain(ctx, running, r, h, log); cancel(nil) })
 	log.Info("router: serving callers", zap.String("address", s.Listen.Caller))
-	err := r.Run(ctx)
+	err := r.Run(running)
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer stop()
 	for _, v := range servers {
 		_ = v.Shutdown(closing)
 	}
 	group.Wait()
-	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
+	if cause := context.Cause(running); err == nil && !errors.Is(cause, context.Canceled) {
 		return cause
 	}
 	return err
 }
 
+// drain waits for the signal to stop, and then until what the router has is finished.
+func drain(ctx, running context.Context, r *embed.Router, h *caller.Handler, log *zap.Logger) {
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return
+	}
+	log.Info("router: stopping, nothing new is taken")
+	if r.Drain(running) == nil {
+		h.Wait(running)
+	}
+	log.Info("router: all work is finished")
+}
+
+func newRouter(s settings.Settings, log *zap.Logger) *embed.Router {
+	peers := &gossip.Client{HTTP: cbor.NewHTTPClient(s.Secret)}
+	r := &embed.Router{
+		Self:     s.Name(),
+		Domain:   jaywind.Domain(s.Domain),
+		Seed:     seedOf(s.VM),
+		Engine:   &engine.Client{},
+		Fleet:    jaywind.Address("http://" + s.Listen.Fleet),
+		Entry:    jaywind.Address("http://" + s.Listen.Caller),
+		Gossiper: peers,
+		Copier:   peers,
+		Store:    &store.Client{URL: jaywind.Address(s.Store.URL)},
+		Log:      log,
+	}
+	for _, u := range s.Fleet.Seeds {
+		r.Seeds = append(r.Seeds, jaywind.Address(u))
+	}
+	if s.Directory.URL != "" {
+		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
+	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
+	return r
+}
+
 // newFleetMux returns the handlers for calls from other routers.
-func newFleetMux(_ *embed.Router) http.Handler {
+func newFleetMux(r *embed.Router) http.Handler {
 	m := http.NewServeMux()
+	m.Handle("/fleet/", gossip.NewHandler(r))
 	return m
 }
 
@@ -124,10 +158,14 @@
 	return h.Sum64()
 }
 
-func entriesOf(s settings.Settings) []jaywind.Address {
-	out := []jaywind.Address{jaywind.Address("http://" + s.Listen.Caller)}
+// entriesOf returns the home routers of an organisation, or the settings' entries while no router is known.
+func entriesOf(r *embed.Router, o jaywind.Organisation, s settings.Settings) []jaywind.Address {
+	if homes := r.Entries(o); len(homes) > 0 {
+		return homes
+	}
+	var out []jaywind.Address
 	for _, e := range s.Fleet.Entries {
-		if a := jaywind.Address(e); a != out[0] {
+		if a := jaywind.Address(e); a != r.Entry {
 			out = append(out, a)
 		}
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 //
 //	standin engine -listen 127.0.0.1:9101 -id e1 -model heat -version v1
 //	standin store -listen 127.0.0.1:9200
+//	standin vms -listen 127.0.0.1:9300 -lag 5s
 //
 // Faults are switched by POST /faults with the switches as JSON.
 package main
@@ -22,11 +23,13 @@
 	"jaywind"
 	"jaywind/internal/standin/engine"
 	"jaywind/internal/standin/store"
+	"jaywind/internal/standin/vms"
 )
 
 var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
 	"engine": engineFlags,
 	"store":  storeFlags,
+	"vms":    vmsFlags,
 }
 
 func main() {
@@ -41,7 +44,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) == 0 || kinds[args[0]] == nil {
-		return errors.New("want a kind: engine or store")
+		return errors.New("want a kind: engine, store or vms")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
@@ -85,3 +88,8 @@
 func storeFlags(*flag.FlagSet) func() http.Handler {
 	return func() http.Handler { return (&store.Store{}).Handler() }
 }
+
+func vmsFlags(f *flag.FlagSet) func() http.Handler {
+	lag := f.Duration("lag", 0, "time from a change to its appearance")
+	return func() http.Handler { return (&vms.List{Lag: *lag}).Handler() }
+}
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,7 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/member"
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
@@ -38,11 +39,14 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		place.Reports{},
+		member.Member{},
+		member.Leave{},
 		move.Watch{},
 		generate.Intake{},
-		admit.Admit{},
 		generate.Silence{},
 		move.Decide{},
+		admit.Admit{},
 		place.Place{},
 		claim.Claim{},
 	}
--- /dev/null
+++ b/internal/platform/vms/doc.go
@@ -0,0 +1,5 @@
+// Package vms reads the platform's list of VMs, over HTTP as JSON.
+//
+//	c := &vms.Client{URL: "http://10.0.0.9:9300"}
+//	machines, err := c.List(ctx)
+package vms
