--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -149,6 +149,9 @@
 	if s.Directory.URL != "" {
 		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	return r
 }
 
