--- /dev/null
+++ b/internal/edge/ports/router.go
@@ -0,0 +1,51 @@
+package ports
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/embed"
+	"jaywind/internal/backend/engine"
+	"jaywind/internal/backend/service"
+	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/gossip"
+	"jaywind/internal/fleet/journal"
+	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/operator/settings"
+	"jaywind/internal/platform/vms"
+	"jaywind/internal/platform/weights"
+)
+
+// newRouter returns a router with the adapters that its settings ask for.
+func newRouter(s settings.Settings, log *zap.Logger, committer *ledger.Committer) *embed.Router {
+	client := cbor.NewHTTPClient(s.Secret)
+	peers := &gossip.Client{HTTP: client}
+	claims := &ledger.Router{Self: s.Name(), Local: committer, Remote: &ledger.Client{HTTP: client}}
+	r := &embed.Router{
+		Self:     s.Name(),
+		Domain:   jaywind.Domain(s.Domain),
+		Seed:     xxhash.Sum64String(s.VM),
+		Engine:   &engine.Client{},
+		Service:  &service.Client{},
+		Fleet:    jaywind.Address("http://" + s.Listen.Fleet),
+		Entry:    jaywind.Address("http://" + s.Listen.Caller),
+		Gossiper: peers,
+		Copier:   peers,
+		Claims:   claims,
+		Journal:  &journal.Client{HTTP: client},
+		Store:    committer.Store,
+		Log:      log,
+	}
+	claims.Members = r.Members
+	for _, u := range s.Fleet.Seeds {
+		r.Seeds = append(r.Seeds, jaywind.Address(u))
+	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
+	if s.Directory.URL != "" {
+		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
+	}
+	return r
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -12,8 +12,8 @@
 
 	"jaywind"
 	"jaywind/embed"
-	backend "jaywind/internal/backend/engine"
-	"jaywind/internal/edge/caller"
+	"jaywind/internal/edge/ports"
+	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/rules"
 	"jaywind/internal/standin/engine"
 	"jaywind/internal/standin/store"
@@ -26,7 +26,11 @@
 	Version = jaywind.Version("v1")
 )
 
-const readyPoll = 5 * time.Millisecond
+const (
+	readyPoll = 5 * time.Millisecond
+	anyPort   = "127.0.0.1:0"
+	secret    = "secret-of-the-stand-in"
+)
 
 var domains = []jaywind.Domain{"a", "b", "c", "d"}
 
@@ -58,19 +62,15 @@
 	n.Node.Kill()
 }
 
-// RouterNode is one router with its port for callers.
+// RouterNode is one router with its ports.
 type RouterNode struct {
-	Node
-	Router *embed.Router
-
-	stop context.CancelFunc
+	Name    string
+	Address jaywind.Address // for callers
+	Daemon  *ports.Daemon
 }
 
 // Kill ends a router at once, as the death of its process would.
-func (n *RouterNode) Kill() {
-	n.stop()
-	n.Node.Kill()
-}
+func (n *RouterNode) Kill() { n.Daemon.Kill() }
 
 // Node is a server that can be killed.
 type Node struct {
@@ -133,23 +133,31 @@
 }
 
 func (f *Fleet) startRouter(ctx context.Context, i int) error {
-	name := fmt.Sprintf("vm%d", i+1)
-	r := &embed.Router{
-		Self:   jaywind.VM(name),
-		Domain: domains[i%len(domains)],
-		Seed:   uint64(i),
-		Engine: &backend.Client{},
-		Store:  &f.Store,
-	}
-	h := &caller.Handler{Router: r, Entries: func(jaywind.Organisation) []jaywind.Address { return f.Entries() }}
-	n, err := f.serve(name, h.Mux())
-	if err != nil {
+	d := &ports.Daemon{Store: &f.Store, Settings: f.settings(i)}
+	if err := d.Listen(); err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(ctx)
-	f.RouterNodes = append(f.RouterNodes, &RouterNode{Node: n, Router: r, stop: stop})
-	f.group.Go(func() { _ = r.Run(ctx) })
-	return waitReady(ctx, r)
+	n := &RouterNode{
+		Name:    d.Settings.VM,
+		Address: jaywind.Address("http://" + d.Settings.Listen.Caller),
+		Daemon:  d,
+	}
+	f.RouterNodes = append(f.RouterNodes, n)
+	f.group.Go(func() { _ = d.Run(ctx) })
+	return waitReady(ctx, d.Router())
+}
+
+func (f *Fleet) settings(i int) settings.Settings {
+	s := settings.Settings{
+		VM:     fmt.Sprintf("vm%d", i+1),
+		Domain: string(domains[i%len(domains)]),
+		Secret: secret,
+		Listen: settings.Listen{Caller: anyPort, Operator: anyPort, Fleet: anyPort},
+	}
+	if len(f.RouterNodes) > 0 {
+		s.Fleet.Seeds = []string{"http://" + f.RouterNodes[0].Daemon.Settings.Listen.Fleet}
+	}
+	return s
 }
 
 func waitReady(ctx context.Context, r *embed.Router) error {
