demo: an order is placed twice and run once; ports: bytes between routers counted

The fleet on loopback has service endpoints, and the port for other routers counts its bytes in and out for /metrics.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,5 +1,6 @@
 // Command demo shows the whole path on loopback in one process: three routers,
-// three engines, a store; a long generation streams to the terminal while its
+// three engines, a store, a service; an order
+// is placed twice under one key and run once; a long generation streams to the terminal while its
 // engine is killed and then its router.
 //
 // It exits with 0 only if the answer is whole.
@@ -33,11 +34,14 @@
 }
 
 func run(ctx context.Context, tokens int, gap time.Duration) error {
-	f := &fleet.Fleet{Engines: 3, Routers: 3, Gap: gap, Keep: time.Second}
+	f := &fleet.Fleet{Engines: 3, Services: 2, Routers: 3, Gap: gap, Keep: time.Second}
 	defer f.Close()
 	if err := f.Start(ctx); err != nil {
 		return err
 	}
+	if err := order(ctx, f); err != nil {
+		return err
+	}
 	s := &show{fleet: f, tokens: tokens}
 	return s.run(ctx)
 }
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -89,6 +89,8 @@
 	for i, h := range []http.Handler{d.callers.Mux(), operators.Mux(), fleet} {
 		d.ports[i].server = newServer(h)
 	}
+	last := &d.ports[len(d.ports)-1]
+	last.listener = newCountingListener(last.listener, d.router.Metrics())
 }
 
 // fleetMux returns the handlers for calls from other routers.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/rules"
 	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
 )
 
@@ -24,6 +25,8 @@
 	Model = jaywind.Model("heat")
 	// Version is the version that the engines start with.
 	Version = jaywind.Version("v1")
+	// Service is the one service; calls below /place are once-only.
+	Service = jaywind.ServiceName("orders")
 )
 
 const (
@@ -36,16 +39,18 @@
 
 // Fleet is all that runs behind a caller; set its fields before Start.
 type Fleet struct {
-	Engines int
-	Routers int
-	Gap     time.Duration // between two tokens of an engine
-	Prefill time.Duration // of an engine for 1,000 tokens
-	Batch   int           // runs that an engine serves at full speed; no limit when zero
-	Keep    time.Duration // how long an engine goes on without a listener
+	Engines  int
+	Services int // endpoints of the service Service
+	Routers  int
+	Gap      time.Duration // between two tokens of an engine
+	Prefill  time.Duration // of an engine for 1,000 tokens
+	Batch    int           // runs that an engine serves at full speed; no limit when zero
+	Keep     time.Duration // how long an engine goes on without a listener
 
-	Store       store.Store
-	EngineNodes []*EngineNode
-	RouterNodes []*RouterNode
+	Store        store.Store
+	EngineNodes  []*EngineNode
+	ServiceNodes []*ServiceNode
+	RouterNodes  []*RouterNode
 
 	group conc.WaitGroup
 }
@@ -62,6 +67,12 @@
 	n.Node.Kill()
 }
 
+// ServiceNode is one endpoint of the service with its port.
+type ServiceNode struct {
+	Node
+	Service *service.Service
+}
+
 // RouterNode is one router with its ports.
 type RouterNode struct {
 	Name    string
@@ -92,6 +103,11 @@
 			return err
 		}
 	}
+	for i := range f.Services {
+		if err := f.startService(i); err != nil {
+			return err
+		}
+	}
 	book := rules.Book{Store: &f.Store, Nonce: "fleet"}
 	if _, err := book.Accept(ctx, rules.Accepted{}, f.rules()); err != nil {
 		return err
@@ -122,6 +138,16 @@
 	return nil
 }
 
+func (f *Fleet) startService(i int) error {
+	v := &service.Service{Name: fmt.Sprintf("p%d", i+1)}
+	n, err := f.serve(v.Name, v.Handler())
+	if err != nil {
+		return err
+	}
+	f.ServiceNodes = append(f.ServiceNodes, &ServiceNode{Node: n, Service: v})
+	return nil
+}
+
 func (f *Fleet) rules() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "model %s version=%s # fleet\n", Model, Version)
@@ -129,6 +155,13 @@
 		fmt.Fprintf(&b, "endpoint %s model=%s version=%s url=%s domain=%s # fleet\n",
 			n.Name, Model, Version, n.Address, domains[i%len(domains)])
 	}
+	if len(f.ServiceNodes) > 0 {
+		fmt.Fprintf(&b, "service %s path=/place once=yes # fleet\n", Service)
+	}
+	for i, n := range f.ServiceNodes {
+		fmt.Fprintf(&b, "endpoint %s kind=service service=%s url=%s domain=%s # fleet\n",
+			n.Name, Service, n.Address, domains[i%len(domains)])
+	}
 	return b.String()
 }
 
@@ -226,5 +259,8 @@
 		n.Engine.Set(engine.Faults{})
 		n.Kill()
 	}
+	for _, n := range f.ServiceNodes {
+		n.Kill()
+	}
 	f.group.Wait()
 }
