--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"jaywind/internal/measure/control"
 	"jaywind/internal/measure/load"
 	"jaywind/internal/measure/overhead"
 	"jaywind/internal/measure/report"
@@ -26,6 +27,7 @@
 type study func(ctx context.Context, quick bool) ([]report.Row, error)
 
 var studies = map[string]study{
+	"control":  measureControl,
 	"load":     measureLoad,
 	"overhead": measureOverhead,
 	"resume":   measureResume,
@@ -110,3 +112,11 @@
 	}
 	return s.Measure(ctx)
 }
+
+func measureControl(ctx context.Context, quick bool) ([]report.Row, error) {
+	s := control.Study{Sizes: []int{3, 9, 30, 100}, Seconds: 10}
+	if quick {
+		s = control.Study{Sizes: []int{3, 9}, Seconds: 2}
+	}
+	return s.Measure(ctx)
+}
--- a/internal/measure/overhead/study.go
+++ b/internal/measure/overhead/study.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -12,6 +11,7 @@
 	backend "jaywind/internal/backend/engine"
 	"jaywind/internal/client/router"
 	"jaywind/internal/measure/report"
+	"jaywind/internal/measure/usage"
 	"jaywind/internal/operator/burn"
 	"jaywind/internal/standin/fleet"
 )
@@ -84,13 +84,13 @@
 		return nil, err
 	}
 	l := &load{tokens: s.Callers * s.Tokens}
-	before := processorTime()
+	before := usage.Processor()
 	p := pool.New().WithErrors()
 	for i := range s.Callers {
 		p.Go(func() error { return l.read(ctx, f, i, s.Tokens, read) })
 	}
 	err := p.Wait()
-	l.cpu = processorTime() - before
+	l.cpu = usage.Processor() - before
 	return l, err
 }
 
@@ -144,12 +144,3 @@
 		token()
 	}
 }
-
-// processorTime returns the user and system time that the process has used.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- /dev/null
+++ b/internal/measure/usage/usage.go
@@ -0,0 +1,24 @@
+package usage
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// Processor returns the user and system time that the process has used, 0 where that is not known.
+func Processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Heap returns the bytes of live objects after a collection.
+func Heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
