cbor: idle connections between routers close after 5 s

Cause: gossip asks another member each second, each connection stayed open for a minute, and an idle one is pinged every 2 s. At 100 routers a router held about a hundred connections; a trial at 200 in one process ran out of files. Ruled out: the messages themselves, whose size is bounded whatever the fleet's. Peers that are used each tick stay connected.

--- a/internal/fleet/cbor/secret.go
+++ b/internal/fleet/cbor/secret.go
@@ -11,7 +11,7 @@
 	scheme       = "Bearer "
 	pingAfter    = 2 * time.Second // silence on a connection that is then checked by a ping
 	pingTimeout  = time.Second
-	idleLimit    = time.Minute
+	idleLimit    = 5 * time.Second
 	writeTimeout = 2 * time.Second
 )
 
--- a/internal/measure/control/study.go
+++ b/internal/measure/control/study.go
@@ -14,7 +14,7 @@
 
 const (
 	studyName   = "control"
-	settleTime  = 3 * time.Second // for the members to know each other
+	settleTime  = 30 * time.Second // for the members to know each other and connections to be in use or closed
 	engineCount = 3
 )
 
