--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"iter"
@@ -29,7 +31,7 @@
 func (s *stream) Next() (jaywind.Frame, error) {
 	e, err, more := s.next()
 	if err != nil {
-		return jaywind.Frame{}, fmt.Errorf("stream: %w", err)
+		return jaywind.Frame{}, streamError(err)
 	}
 	if !more {
 		return jaywind.Frame{}, io.EOF
@@ -45,6 +47,14 @@
 	return f, err
 }
 
+// streamError marks an event that is longer than frameLimit.
+func streamError(err error) error {
+	if errors.Is(err, bufio.ErrTooLong) {
+		return fmt.Errorf("%w: event: longer than %d bytes", jaywind.ErrFrame, frameLimit)
+	}
+	return fmt.Errorf("stream: %w", err)
+}
+
 // Close ends the connection.
 func (s *stream) Close() error {
 	err := s.body.Close()
--- a/internal/edge/caller/complete_test.go
+++ b/internal/edge/caller/complete_test.go
@@ -140,3 +140,35 @@
 		})
 	}
 }
+
+func TestBadRequests(t *testing.T) {
+	tests := map[string]struct {
+		id, mark, body string
+		want           string // in the message
+	}{
+		"id with a slash":     {id: "a/b", body: `{"model":"m"}`, want: "X-Request-Id"},
+		"id too long":         {id: strings.Repeat("a", idLimit+1), body: `{"model":"m"}`, want: "X-Request-Id"},
+		"mark of another id":  {id: "r2", mark: "r1~1~0~0~0~e~v~0", body: `{"model":"m"}`, want: "Last-Event-ID"},
+		"mark is no bookmark": {id: "r1", mark: "7", body: `{"model":"m"}`, want: "Last-Event-ID"},
+		"no model":            {id: "r1", body: `{}`, want: "model"},
+		"wrong type":          {id: "r1", body: `{"model":"m","max_tokens":"4"}`, want: "max_tokens"},
+		"too many tokens":     {id: "r1", body: `{"model":"m","max_tokens":1000000}`, want: "max_tokens"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, nil)
+			request, err := http.NewRequest(http.MethodPost, s.URL+"/v1/completions", strings.NewReader(c.body))
+			is.NoErr(err)
+			request.Header.Set("X-Request-Id", c.id)
+			request.Header.Set("Last-Event-ID", c.mark)
+			response, err := s.Client().Do(request)
+			is.NoErr(err)
+			defer func() { _ = response.Body.Close() }()
+			text, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusBadRequest)
+			is.True(strings.Contains(string(text), c.want))
+		})
+	}
+}
--- a/internal/edge/caller/wire.go
+++ b/internal/edge/caller/wire.go
@@ -92,6 +92,9 @@
 	if a.Limit == 0 {
 		a.Limit = defaultLimit
 	}
+	if err := checkID(id); err != nil {
+		return a, fmt.Errorf("X-Request-Id: %w", err)
+	}
 	if c.Model == "" {
 		return a, fmt.Errorf("model: missing")
 	}
@@ -116,6 +119,22 @@
 	return a, nil
 }
 
+const idLimit = 128 // bytes of a request id
+
+// checkID keeps out ids that do not survive a URL's path or a header.
+func checkID(id jaywind.RequestID) error {
+	if len(id) > idLimit {
+		return fmt.Errorf("longer than %d bytes", idLimit)
+	}
+	for _, c := range id {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("-_.:", c) {
+			return fmt.Errorf("%q: want letters, digits and -_.: only", c)
+		}
+	}
+	return nil
+}
+
 func writeError(w http.ResponseWriter, status int, code, message string, retry time.Duration) {
 	if retry > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
