--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -42,14 +42,13 @@
 }
 
 // drain reads a stream to its end frame or its error.
-func drain(stream jaywind.Stream) (tokens []jaywind.Token, last jaywind.Frame, err error) {
+func drain(stream jaywind.Stream) (tokens []jaywind.Token, end jaywind.Frame, err error) {
 	for {
 		f, err := stream.Next()
 		if err != nil || f.End {
 			return tokens, f, err
 		}
 		tokens = append(tokens, f.Token)
-		last = f
 	}
 }
 
--- a/internal/client/router/exchange.go
+++ b/internal/client/router/exchange.go
@@ -64,7 +64,9 @@
 func (e *exchange) connect(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.refreshEntries(ctx)
+	if err := e.refreshEntries(ctx); err != nil && len(e.entries) > 1 {
+		return err
+	}
 	watchdog := time.AfterFunc(e.client.silence(), cancel)
 	defer watchdog.Stop()
 	response, err := e.post(ctx)
@@ -196,15 +198,15 @@
 }
 
 // refreshEntries asks the entry at hand which ones to use, once the list at hand is old.
-func (e *exchange) refreshEntries(ctx context.Context) {
+func (e *exchange) refreshEntries(ctx context.Context) error {
 	if time.Now().Before(e.listed) {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
 	list, err := e.client.List(ctx, e.entries[0], e.question.Organisation)
 	if err != nil || len(list.Entries) == 0 {
-		return
+		return err
 	}
 	e.listed = time.Now().Add(list.Keep)
 	fresh := slices.Clone(list.Entries)
@@ -217,4 +219,5 @@
 	if e.entries[0] == e.failed {
 		e.rotate()
 	}
+	return nil
 }
