--- a/embed/router.go
+++ b/embed/router.go
@@ -41,6 +41,8 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Service   jaywind.Service   // no calls to plain services when nil
+	Claims    Committer         // no once-only calls when nil
 	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Journal   jaywind.Journal   // reaches the peers that keep records; none are kept when nil
@@ -54,6 +56,7 @@
 	group    conc.WaitGroup
 	parts    []part
 	answers  answerSet
+	calls    callSet
 	book     journal.Book
 	meter    *meter
 	ready    atomic.Bool
@@ -84,6 +87,7 @@
 		r.events = make(chan table.Event, eventBuffer)
 		r.looks = make(chan func())
 		r.stopped = make(chan struct{})
+		r.calls.open = map[jaywind.RequestID]chan table.Respond{}
 		r.answers.open = map[table.Listener]*Answer{}
 		r.answers.current = map[jaywind.RequestID]table.Listener{}
 		r.meter = newMeter()
@@ -98,6 +102,8 @@
 		&callers{router: r},
 		&journaler{router: r},
 		newMoves(r),
+		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
+		&claimant{router: r},
 	}
 	r.gossip.router = r
 	if r.Gossiper != nil {
--- a/internal/core/move/judge.go
+++ b/internal/core/move/judge.go
@@ -39,7 +39,7 @@
 
 // closeWindow judges the outcomes since the last window and returns how far the worst score is to the threshold.
 func closeWindow(s *table.State, m *table.Move) (worst float64, pair table.Pair) {
-	limit := threshold(s, m)
+	limit := threshold(m)
 	z := sizes(s, m)
 	for _, p := range pairsOf(m) {
 		sc := m.Evidence.Scores[p]
@@ -70,7 +70,7 @@
 }
 
 // threshold follows from the number of outcomes that the whole move will see on all pairs.
-func threshold(s *table.State, m *table.Move) float64 {
+func threshold(m *table.Move) float64 {
 	seconds := m.Rule.By.Sub(m.Began).Seconds()
 	outcomes := max(m.Evidence.Rate*seconds, leastOutcomes)
 	return math.Log(falseAlarms * outcomes)
--- a/internal/measure/moves/run.go
+++ b/internal/measure/moves/run.go
@@ -186,7 +186,7 @@
 		at := u.tick + int(reportLag/u.load.Tick)
 		for j := range u.routers {
 			if j != i {
-				u.inbox[at] = append(u.inbox[at], delivery{j, table.Reported{Report: c.Report}})
+				u.inbox[at] = append(u.inbox[at], delivery{j, table.Reported(c)})
 			}
 		}
 	case table.Recall:
