--- /dev/null
+++ b/cmd/jaywind/answer_test.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/client/router"
+	standin "jaywind/internal/standin/engine"
+)
+
+const (
+	fleetSize    = 3
+	answerTokens = 150
+	struckAt     = 50 // tokens
+	tokenGap     = 10 * time.Millisecond
+	resumeTarget = 4 * time.Second
+)
+
+// fleet is processes that are killed and started again by name.
+type fleet struct {
+	*processes
+	at      map[string]string // addresses by name
+	running map[string]*exec.Cmd
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{processes: &processes{t: t, dir: t.TempDir()}, at: map[string]string{}, running: map[string]*exec.Cmd{}}
+	f.freePorts(4*fleetSize + 1)
+	f.build("./cmd/jaywind", "./cmd/standin")
+	f.running["store"] = f.start("standin", "store", "-listen", f.address("store"))
+	for i := range fleetSize {
+		f.startEngine(fmt.Sprint("e", i+1))
+	}
+	for i := range fleetSize {
+		f.startRouter(fmt.Sprint("vm", i+1))
+	}
+	return f
+}
+
+// address returns a name's address, a free one at first.
+func (f *fleet) address(name string) string {
+	if f.at[name] == "" {
+		f.at[name] = f.port()
+	}
+	return f.at[name]
+}
+
+func (f *fleet) startEngine(id string) {
+	f.running[id] = f.start("standin", "engine", "-listen", f.address(id), "-id", id, "-gap", tokenGap.String(), "-keep", "2s")
+}
+
+func (f *fleet) startRouter(vm string) {
+	var seeds, entries []string
+	for i := range fleetSize {
+		seeds = append(seeds, fmt.Sprintf("%q", "http://"+f.address(fmt.Sprint("vm", i+1, ".fleet"))))
+		entries = append(entries, fmt.Sprintf("%q", "http://"+f.address(fmt.Sprint("vm", i+1, ".caller"))))
+	}
+	text := fmt.Sprintf("vm = %q\ndomain = %q\nsecret = %q\n", vm, "d"+vm, testSecret)
+	text += fmt.Sprintf("[listen]\ncaller = %q\noperator = %q\nfleet = %q\n", f.address(vm+".caller"), f.address(vm+".operator"), f.address(vm+".fleet"))
+	text += fmt.Sprintf("[store]\nurl = \"http://%s\"\n", f.address("store"))
+	text += fmt.Sprintf("[fleet]\nseeds = [%s]\nentries = [%s]\n", strings.Join(seeds, ","), strings.Join(entries, ","))
+	f.running[vm] = f.start("jaywind", "route", "-settings", f.file(vm+".toml", text))
+}
+
+// apply puts the rules in force and waits for all routers.
+func (f *fleet) apply() {
+	text := "model heat version=v1 # test\n"
+	for i := range fleetSize {
+		id := fmt.Sprint("e", i+1)
+		text += fmt.Sprintf("endpoint %s model=heat version=v1 url=http://%s domain=d%d # test\n", id, f.address(id), i+1)
+	}
+	f.await(f.address("vm1.caller"))
+	if out, code := f.run("apply", "-settings", filepath.Join(f.dir, "vm1.toml"), "-rules", f.file("rules.txt", text)); code != exitOK {
+		f.t.Fatalf("apply: exit %d: %s", code, out)
+	}
+	f.waitReady()
+}
+
+func (f *fleet) waitReady() {
+	client := &http.Client{Timeout: time.Second}
+	for i := range fleetSize {
+		url := "http://" + f.address(fmt.Sprint("vm", i+1, ".caller")) + "/readyz"
+		eventually(f.t, readyLimit, url, func() bool {
+			response, err := client.Get(url)
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode < http.StatusMultipleChoices
+		})
+	}
+}
+
+func (f *fleet) signal(name string, s syscall.Signal) {
+	_ = f.running[name].Process.Signal(s)
+}
+
+func (f *fleet) kill(name string) {
+	_ = f.running[name].Process.Kill()
+	_ = f.running[name].Wait()
+}
+
+// named returns the name of the process at an address.
+func (f *fleet) named(address string) string {
+	for name, a := range f.at {
+		if a == address {
+			return strings.TrimSuffix(name, ".caller")
+		}
+	}
+	return ""
+}
+
+// traced notes which router the caller asked last.
+type traced struct{ last string }
+
+var afresh = &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+
+func (t *traced) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method == http.MethodPost {
+		t.last = r.URL.Host
+	}
+	return afresh.RoundTrip(r)
+}
+
+// TestAnswerSurvivesProcesses strikes real processes in mid-answer.
+func TestAnswerSurvivesProcesses(t *testing.T) {
+	f := newFleet(t)
+	f.apply()
+	tests := map[string]struct {
+		strike func(engine, vm string)
+		mend   func(engine, vm string)
+	}{
+		"engine is killed": {
+			strike: func(engine, _ string) { f.kill(engine) },
+			mend:   func(engine, _ string) { f.startEngine(engine); f.await(f.address(engine)) },
+		},
+		"engine is stopped": {
+			strike: func(engine, _ string) { f.signal(engine, syscall.SIGSTOP) },
+			mend:   func(engine, _ string) { f.signal(engine, syscall.SIGCONT) },
+		},
+		"router is killed": {
+			strike: func(_, vm string) { f.kill(vm) },
+			mend:   func(_, vm string) { f.startRouter(vm); f.waitReady() },
+		},
+		"router is stopped": {
+			strike: func(_, vm string) { f.signal(vm, syscall.SIGSTOP) },
+			mend:   func(_, vm string) { f.signal(vm, syscall.SIGCONT); f.waitReady() },
+		},
+		"router and engine are killed": {
+			strike: func(engine, vm string) { f.kill(vm); f.kill(engine) },
+			mend:   func(engine, vm string) { f.startEngine(engine); f.startRouter(vm); f.waitReady() },
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+			defer cancel()
+			trace := &traced{}
+			client := &router.Client{Transport: trace}
+			for i := range fleetSize {
+				client.Entries = append(client.Entries, jaywind.Address("http://"+f.address(fmt.Sprint("vm", i+1, ".caller"))))
+			}
+			var engine, vm string
+			client.OnToken = func(_ jaywind.Token, m jaywind.Bookmark) {
+				if m.Position == struckAt {
+					engine, vm = string(m.Endpoint), f.named(trace.last)
+					c.strike(engine, vm)
+				}
+			}
+			defer func() {
+				if engine != "" {
+					c.mend(engine, vm)
+				}
+			}()
+			seed := jaywind.Seed(3)
+			answer, err := client.Ask(ctx, router.Question{Model: "heat", Prompt: "fins", Limit: answerTokens, Seed: &seed})
+			is.NoErr(err)
+			is.Equal(answer.Tokens, standin.Whole("v1", seed, "fins", 0, answerTokens))
+			is.True(answer.Longest <= resumeTarget)
+			t.Logf("longest gap: %d ms", answer.Longest.Milliseconds())
+		})
+	}
+}
