place: polls at a constant rate, seats, and no spinning on failing endpoints

Cause: nothing read the load reports, and a request that every endpoint refused was tried again in each tick.

Polls go to the endpoints of the router's windows, 8 a second in all at any size, those in use four times as often; weighed against a poll of each endpoint each second, which at 7 models would be 112 a second. The price: an endpoint's own word that it leaves may take 14 s to be read at that size, where rules and refusals are faster.

--- a/embed/router.go
+++ b/embed/router.go
@@ -80,6 +80,7 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		&loads{router: r},
 	}
 	if r.Store != nil {
 		parts = append(parts, &rulebook{router: r})
--- a/internal/core/place/loads.go
+++ b/internal/core/place/loads.go
@@ -50,26 +50,3 @@
 	left := float64(reportStale-age) / float64(reportStale-reportFresh)
 	return min(1, max(0, left))
 }
-
-// Reports takes up the load reports of endpoints.
-type Reports struct{}
-
-// Step handles the reports among the events.
-func (Reports) Step(s *table.State) {
-	for _, e := range s.Events {
-		if e, ok := e.(table.Loaded); ok {
-			takeReport(s, e)
-		}
-	}
-}
-
-func takeReport(s *table.State, e table.Loaded) {
-	p := s.Endpoints[e.Endpoint]
-	if p == nil || e.Err != nil {
-		return
-	}
-	p.Load = e.Load
-	p.LoadAt = s.Now
-	p.Leaving = e.Load.Leaving
-	p.Foreign = max(0, e.Load.Running+e.Load.Queued-p.Inflight)
-}
--- /dev/null
+++ b/internal/core/place/poll.go
@@ -0,0 +1,111 @@
+package place
+
+import (
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+const (
+	pollPeriod = 125 * time.Millisecond // between polls of all endpoints together, whatever their number
+	pollLeast  = 500 * time.Millisecond // between polls of one endpoint
+	pollLimit  = 300 * time.Millisecond // for an endpoint to report
+	pollWeight = 4                      // of endpoints in use against idle ones
+)
+
+// Polls asks the endpoints of the windows for their load, one at a time at a constant rate.
+type Polls struct{}
+
+// Step emits the poll that is due.
+func (Polls) Step(s *table.State) {
+	if !s.Full || s.Rules == nil || s.Now.Before(s.Rings.NextPoll) {
+		return
+	}
+	s.Rings.NextPoll = s.Now.Add(pollPeriod)
+	e := mostDue(s)
+	if e == nil {
+		return
+	}
+	e.Polled = s.Now
+	s.Emit(table.Poll{Endpoint: e.ID, At: s.Rules.Endpoints[e.ID].URL, Limit: pollLimit})
+}
+
+// mostDue returns the endpoint whose report is oldest, with those in use before others.
+func mostDue(s *table.State) *table.Endpoint {
+	var best *table.Endpoint
+	high := time.Duration(0)
+	for _, id := range watched(s) {
+		e := s.Endpoints[id]
+		if e == nil || s.Now.Sub(e.Polled) < pollLeast {
+			continue
+		}
+		age := min(s.Now.Sub(e.Polled), time.Hour)
+		if e.Inflight > 0 {
+			age *= pollWeight
+		}
+		if best == nil || age > high || age == high && e.ID < best.ID {
+			best, high = e, age
+		}
+	}
+	return best
+}
+
+// watched returns the endpoints of all windows, and all that a move brings.
+func watched(s *table.State) []jaywind.EndpointID {
+	refreshRings(s)
+	if s.Rings.Watched != nil {
+		return s.Rings.Watched
+	}
+	for k, g := range s.Rings.ByKey {
+		size := g.Size
+		if m, moves := s.Rules.Moves[k.Model]; moves && m.To == k.Version {
+			size = len(g.IDs)
+		}
+		for i := range size {
+			s.Rings.Watched = append(s.Rings.Watched, g.At(i))
+		}
+	}
+	return s.Rings.Watched
+}
+
+// Reports takes up the load reports of endpoints.
+type Reports struct{}
+
+// Step handles the reports among the events.
+func (Reports) Step(s *table.State) {
+	for _, e := range s.Events {
+		if e, ok := e.(table.Loaded); ok {
+			takeReport(s, e)
+		}
+	}
+}
+
+func takeReport(s *table.State, e table.Loaded) {
+	p := s.Endpoints[e.Endpoint]
+	if p == nil || e.Err != nil {
+		return
+	}
+	p.Load = e.Load
+	p.LoadAt = s.Now
+	p.Leaving = e.Load.Leaving
+	p.Foreign = max(0, e.Load.Running+e.Load.Queued-p.Inflight)
+}
+
+// Seats keeps the router's place among the live routers.
+type Seats struct{}
+
+// Step takes up a changed list of members.
+func (Seats) Step(s *table.State) {
+	if s.Seat.Members > 0 && s.Seat.Epoch == s.Fleet.Epoch {
+		return
+	}
+	live := s.Fleet.Live()
+	s.Seat.Epoch = s.Fleet.Epoch
+	s.Seat.Members = len(live)
+	for i, m := range live {
+		if m.VM == s.Self {
+			s.Seat.Rank = i
+		}
+	}
+}
--- a/internal/core/place/ring.go
+++ b/internal/core/place/ring.go
@@ -19,11 +19,16 @@
 
 // RingOf returns the ring of a model's version, or nil where no endpoint serves it.
 func RingOf(s *table.State, m jaywind.Model, v jaywind.Version) *table.Ring {
+	refreshRings(s)
+	return s.Rings.ByKey[table.RingKey{Model: m, Version: v}]
+}
+
+// refreshRings makes the rings anew when the rules or the members have changed.
+func refreshRings(s *table.State) {
 	g := &s.Rings
 	if g.ByKey == nil || g.Rules != s.RulesVersion || g.Seat != s.Seat {
-		*g = table.Rings{Rules: s.RulesVersion, Seat: s.Seat, ByKey: newRings(s)}
+		*g = table.Rings{Rules: s.RulesVersion, Seat: s.Seat, ByKey: newRings(s), NextPoll: g.NextPoll}
 	}
-	return g.ByKey[table.RingKey{Model: m, Version: v}]
 }
 
 func newRings(s *table.State) map[table.RingKey]*table.Ring {
--- a/internal/core/place/wait.go
+++ b/internal/core/place/wait.go
@@ -11,6 +11,7 @@
 	resumeWait  = 10 * time.Second // for an endpoint, after the last token
 	resumeStart = 2 * time.Second  // for a paced resume to start, so that output goes on in time
 	quickTries  = 3                // attempts in a row without a wait
+	triesLimit  = 6                // attempts without any token
 	tryPause    = 50 * time.Millisecond
 	tryCap      = time.Second
 	returnAfter = 2 * time.Second // what a caller is told when nothing better is known
@@ -26,12 +27,12 @@
 // try opens an attempt, keeps the request waiting or gives it up.
 func (q *queue) try(r *table.Request) {
 	s := q.state
-	if s.Now.Before(r.NextTry) {
-		q.keep(r)
+	if reason := q.spent(r); reason != "" {
+		q.giveUp(r, reason)
 		return
 	}
-	if !q.mayRetry(r) {
-		q.giveUp(r, "the retries of the organisation are spent")
+	if s.Now.Before(r.NextTry) {
+		q.keep(r)
 		return
 	}
 	switch open(s, r) {
@@ -44,12 +45,22 @@
 	}
 }
 
-// mayRetry tells whether a retry of work without tokens is within the budget of its organisation.
-func (q *queue) mayRetry(r *table.Request) bool {
-	if r.Pinned() || r.Tries == 0 || q.state.Rules == nil {
-		return true
+// spent returns why a request may not be tried again, or nothing.
+func (q *queue) spent(r *table.Request) string {
+	switch {
+	case q.state.Rules == nil || r.Tries == 0:
+		return ""
+	case r.Pinned():
+		if q.state.Now.Sub(r.BrokenAt) >= resumeWait {
+			return "no endpoint could go on with the generation"
+		}
+		return ""
+	case r.Tries >= triesLimit:
+		return "no endpoint took the request"
+	case !q.ofOrganisation(r).Left():
+		return "the retries of the organisation are spent"
 	}
-	return q.ofOrganisation(r).Left()
+	return ""
 }
 
 // spend counts an attempt that was opened and sets the pause before the next.
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -37,7 +37,9 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		place.Seats{},
 		place.Reports{},
+		place.Polls{},
 		generate.Intake{},
 		generate.Silence{},
 		admit.Admit{},
--- a/internal/core/table/endpoint.go
+++ b/internal/core/table/endpoint.go
@@ -13,6 +13,7 @@
 	Inflight int // own attempts that are open
 	Load     jaywind.Load
 	LoadAt   time.Time // when Load was received
+	Polled   time.Time // when Load was last asked for
 	Foreign  int       // work of other routers in Load
 	Leaving  bool
 	Gaps     Gaps
@@ -99,3 +100,12 @@
 	}
 	return e.Versions[v]
 }
+
+// Poll asks an endpoint for its load.
+type Poll struct {
+	Endpoint jaywind.EndpointID
+	At       jaywind.Address
+	Limit    time.Duration
+}
+
+func (Poll) command() {}
--- a/internal/core/table/ring.go
+++ b/internal/core/table/ring.go
@@ -1,12 +1,17 @@
 package table
 
-import "jaywind"
+import (
+	"time"
+
+	"jaywind"
+)
 
 // Seat is a router's place among the live routers; zero stands for the only one.
 type Seat struct {
 	Rank    int // from 0, in the order that all routers agree on
 	Members int
-	Homes   int // routers that share the limits of each organisation
+	Homes   int    // routers that share the limits of each organisation
+	Epoch   uint64 // of the list of members
 }
 
 // Part returns the share of an organisation's limits that this router may give.
@@ -37,4 +42,7 @@
 	Rules jaywind.RulesVersion
 	Seat  Seat
 	ByKey map[RingKey]*Ring
+
+	Watched  []jaywind.EndpointID // whose load is polled
+	NextPoll time.Time
 }
