--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"jaywind"
+	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
 
@@ -63,7 +64,7 @@
 // start passes requests on while the pool's limit allows.
 func start(s *table.State, p *table.Pool) {
 	for p.Queued > 0 {
-		if float64(p.Running) >= p.Limit || p.Backlog > 0 {
+		if float64(p.Running) >= p.Limit*p.Usable || p.Backlog > 0 {
 			p.Window.Full = true
 			return
 		}
@@ -92,6 +93,7 @@
 	}
 	for _, m := range slices.Sorted(maps.Keys(s.Pools)) {
 		p := s.Pools[m]
+		p.Usable = place.Usable(s, m)
 		adjust(s, p)
 		expire(s, p)
 		sweep(p)
@@ -109,7 +111,7 @@
 func poolOf(s *table.State, m jaywind.Model) *table.Pool {
 	p := s.Pools[m]
 	if p == nil {
-		p = &table.Pool{Model: m, Lanes: map[jaywind.Organisation]*table.Lane{}}
+		p = &table.Pool{Model: m, Usable: 1, Lanes: map[jaywind.Organisation]*table.Lane{}}
 		s.Pools[m] = p
 	}
 	if p.Limit == 0 {
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -23,7 +23,9 @@
 	probeFactor   = 1.2                    // growth until the limit was once too high
 	rateStep      = 0.5                    // weight of one period in the drain rate
 	baseCreep     = 1.01                   // growth of the best pace a period, so that it is forgotten
-	fewestSamples = 5                      // of first tokens or gaps in a period
+	excessFactor  = 1.1
+	leastUsable   = 0.1 // share of the endpoints that the limit is worked out for
+	fewestSamples = 5   // of first tokens or gaps in a period
 )
 
 func firstLimit(s *table.State, m jaywind.Model) float64 {
@@ -52,20 +54,36 @@
 	if w.Full {
 		noteRate(p, float64(w.Started)/s.Now.Sub(w.Since).Seconds())
 	}
-	share := late(*w)
+	if !excess(p) {
+		p.Limit = max(leastLimit, p.Limit*fall(s, p))
+	}
+	if w.Full && p.Backlog == 0 && late(*w) <= lateShare && queueing(p) < queueHolds {
+		p.Limit = max(p.Limit+1, p.Limit*growth(p), float64(p.Running)/max(p.Usable, leastUsable))
+	}
+	noteBase(p)
+	p.Window = table.Window{Since: s.Now}
+}
+
+// excess tells whether resumes have taken the pool so far over its limit that the limit has no part in it.
+func excess(p *table.Pool) bool {
+	return float64(p.Running) > excessFactor*p.Limit*p.Usable
+}
+
+// fall returns the factor by which late answers or queues at the engines lower the limit.
+func fall(s *table.State, p *table.Pool) float64 {
+	share := late(p.Window)
+	factor := 1.0
 	switch {
 	case share > lateShare:
-		p.Proved = true
-		used := min(p.Limit, float64(p.Running+1))
-		p.Limit = max(leastLimit, leastShare*partOf(s, p.Model), used*(1-min(share*shrinkFactor, shrinkMost)))
+		factor = 1 - min(share*shrinkFactor, shrinkMost)
 	case queueing(p) > queueFalls:
-		p.Proved = true
-		p.Limit = max(leastLimit, p.Limit*easeFactor)
-	case w.Full && p.Backlog == 0 && queueing(p) < queueHolds:
-		p.Limit = max(p.Limit+1, p.Limit*growth(p))
+		factor = easeFactor
+	default:
+		return factor
 	}
-	noteBase(p)
-	p.Window = table.Window{Since: s.Now}
+	p.Proved = true
+	least := leastShare * partOf(s, p.Model) / p.Limit
+	return min(1, max(factor, least))
 }
 
 func growth(p *table.Pool) float64 {
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -9,6 +9,7 @@
 
 const (
 	queueLimit  = 300 * time.Millisecond // that a request may wait for its turn; with table.FirstTarget within the target of 860 ms
+	trustLimit  = 16                     // requests in the queue of a pool
 	lengthLimit = 1024                   // requests in the queue of a pool
 	returnAfter = time.Second            // what a caller is told when nothing better is known, and the least
 	returnCap   = 30 * time.Second
@@ -26,7 +27,8 @@
 		return hold{"generations of lost engines are being resumed", returnAfter}
 	}
 	wait := waitOf(p, o, u)
-	if p.Queued >= lengthLimit || wait > queueLimit {
+	if p.Queued >= lengthLimit || wait > queueLimit && !trusted(p, o) {
+		p.Window.Full = true
 		return hold{"the queue is too long", wait}
 	}
 	if !r.Deadline.IsZero() && s.Now.Add(wait).After(r.Deadline) {
@@ -41,9 +43,15 @@
 	return hold{}
 }
 
+// trusted tells whether a request is queued against the estimate, which may be old when few are queued.
+func trusted(p *table.Pool, o *table.Organisation) bool {
+	l := p.Lanes[o.Name]
+	return p.Queued < trustLimit && (l == nil || len(l.Requests) == 0)
+}
+
 // waitOf estimates how long a new request of an organisation would wait.
 func waitOf(p *table.Pool, o *table.Organisation, u rule.Organisation) time.Duration {
-	if p.Queued == 0 && float64(p.Running) < p.Limit {
+	if p.Queued == 0 && float64(p.Running) < p.Limit*p.Usable {
 		return 0
 	}
 	l := p.Lanes[o.Name]
--- a/internal/core/place/choose.go
+++ b/internal/core/place/choose.go
@@ -79,6 +79,22 @@
 	return e.Accepts(v, s.Now)
 }
 
+// Usable returns the share of a window's endpoints that accept new work of a model.
+func Usable(s *table.State, m jaywind.Model) float64 {
+	v := s.Rules.Models[m].Version
+	g := RingOf(s, m, v)
+	if g == nil {
+		return 0
+	}
+	n := 0
+	for i := range g.Size {
+		if e := s.Endpoints[g.At(i)]; e != nil && accepts(s, e, v) && e.Sound(v, s.Now) {
+			n++
+		}
+	}
+	return float64(n) / float64(g.Size)
+}
+
 // mayTry keeps retries of work without tokens within the endpoint's budget.
 func mayTry(s *table.State, r *table.Request, e *table.Endpoint) bool {
 	return r.Tries == 0 || r.Pinned() || s.Budget(table.RetryKey{Endpoint: e.ID}).Left()
--- a/internal/core/place/poll.go
+++ b/internal/core/place/poll.go
@@ -83,7 +83,11 @@
 
 func takeReport(s *table.State, e table.Loaded) {
 	p := s.Endpoints[e.Endpoint]
-	if p == nil || e.Err != nil {
+	if p == nil {
+		return
+	}
+	p.Silent = e.Err != nil
+	if p.Silent {
 		return
 	}
 	p.Load = e.Load
--- a/internal/core/step/model_test.go
+++ b/internal/core/step/model_test.go
@@ -46,7 +46,7 @@
 	case e.refuse:
 		return jaywind.ErrBusy
 	case c.Resume:
-		return jaywind.ErrNoStream
+		return e.resume(c)
 	}
 	u := &stream{call: c, at: c.From, digest: jaywind.DigestOf(c.Prefix), prefill: float64(len(c.Prompt)/4 + len(c.Prefix))}
 	e.waiting = append(e.waiting, u)
@@ -54,6 +54,27 @@
 	return nil
 }
 
+// resume goes on with a stream from a position, on a new connection.
+func (e *engine) resume(c jaywind.Call) error {
+	u := e.find(c.Request)
+	if u == nil {
+		return jaywind.ErrNoStream
+	}
+	u.call.Attempt = c.Attempt
+	u.at = c.From
+	u.digest = jaywind.DigestOf(slices.Repeat([]jaywind.Token{{Text: "x"}}, int(c.From)))
+	return nil
+}
+
+func (e *engine) find(id jaywind.RequestID) *stream {
+	for _, u := range slices.Concat(e.running, e.waiting) {
+		if u.call.Request == id {
+			return u
+		}
+	}
+	return nil
+}
+
 func (e *engine) cancel(id jaywind.RequestID, a jaywind.Attempt) {
 	old := func(u *stream) bool { return u.call.Request == id && u.call.Attempt <= a }
 	e.running = slices.DeleteFunc(e.running, old)
@@ -64,10 +85,8 @@
 	if e.dead {
 		return jaywind.Progress{}, errSilent
 	}
-	for _, u := range slices.Concat(e.running, e.waiting) {
-		if u.call.Request == id {
-			return jaywind.Progress{Position: u.at}, nil
-		}
+	if u := e.find(id); u != nil {
+		return jaywind.Progress{Position: u.at}, nil
 	}
 	return jaywind.Progress{}, jaywind.ErrNoStream
 }
--- a/internal/core/step/overload_test.go
+++ b/internal/core/step/overload_test.go
@@ -39,7 +39,7 @@
 	got := map[bool][]int{}
 	for _, naive := range []bool{true, false} {
 		for _, factor := range []float64{1, 2} {
-			w := newWorld(fleetSize, noLimits, naive)
+			w := newWorld(naive)
 			got[naive] = append(got[naive], w.goodput(rates{"large": factor * capacity}))
 		}
 	}
@@ -51,7 +51,7 @@
 func TestSmallOrganisationDuringFlood(t *testing.T) {
 	is := is.New(t)
 	for _, naive := range []bool{true, false} {
-		w := newWorld(fleetSize, noLimits, naive)
+		w := newWorld(naive)
 		w.run(warmUp, rates{"large": 3 * capacity})
 		from := w.now
 		w.run(measured, rates{"large": 3 * capacity, "small": 8})
@@ -68,7 +68,7 @@
 // TestRefusalsAreFinalAtOnce checks what callers hear at twice the capacity.
 func TestRefusalsAreFinalAtOnce(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(fleetSize, noLimits, false)
+	w := newWorld(false)
 	w.goodput(rates{"large": 2 * capacity})
 	refused := 0
 	for _, a := range w.answers {
--- a/internal/core/step/world_test.go
+++ b/internal/core/step/world_test.go
@@ -28,6 +28,8 @@
 	gap          time.Duration // longest between two tokens
 	ended        time.Time
 	final        *table.Finish
+	ask          table.Ask
+	again        bool // whether the caller was refused before
 }
 
 func (a *answer) good() bool {
@@ -44,11 +46,14 @@
 	events  []table.Event
 	random  *rand.Rand
 	reports bool
+	long    int // bytes of the prompts of long generations
 	number  int
+	returns bool // whether refused callers come back when they were told to
+	back    []comeback
 }
 
 // newWorld has engines spread over four failure domains.
-func newWorld(engines int, rules string, naive bool) *world {
+func newWorld(naive bool) *world {
 	w := &world{answers: map[jaywind.RequestID]*answer{}, random: rand.New(rand.NewPCG(7, 7)), reports: true}
 	w.now = time.Unix(1e9, 0)
 	w.start = w.now
@@ -56,8 +61,8 @@
 	if naive {
 		w.core.systems = []table.System{Rules{}, generate.Intake{}, generate.Silence{}, random{}}
 	}
-	text := "model heat version=v1 # test\n" + rules
-	for i := range engines {
+	text := "model heat version=v1 # test\n" + noLimits
+	for i := range fleetSize {
 		e := &engine{id: jaywind.EndpointID(fmt.Sprint("e", i))}
 		w.engines = append(w.engines, e)
 		text += fmt.Sprintf("endpoint %s model=heat version=v1 url=http://%s domain=d%d # test\n", e.id, e.id, i%4)
@@ -76,6 +81,7 @@
 		for _, name := range []jaywind.Organisation{"large", "small"} {
 			w.arrive(name, rates[name])
 		}
+		w.askAgain()
 		w.tick()
 	}
 }
@@ -86,19 +92,37 @@
 			return
 		}
 		w.number++
-		limit := 60 + w.random.IntN(80)
+		limit, prompt := 60+w.random.IntN(80), 400
 		if w.random.IntN(100) < 3 {
-			limit = 1500
+			limit, prompt = 1500, max(prompt, w.long)
 		}
-		w.ask(table.Ask{ID: jaywind.RequestID(fmt.Sprint(w.number)), Organisation: name, Model: "heat", Prompt: string(make([]byte, 400)), Limit: limit})
+		w.ask(table.Ask{ID: jaywind.RequestID(fmt.Sprint(w.number)), Organisation: name, Model: "heat", Prompt: string(make([]byte, prompt)), Limit: limit}, false)
 	}
 }
 
-func (w *world) ask(a table.Ask) {
-	w.answers[a.ID] = &answer{organisation: a.Organisation, arrived: w.now}
+// comeback is a caller that was refused.
+type comeback struct {
+	at  time.Time
+	ask table.Ask
+}
+
+func (w *world) ask(a table.Ask, again bool) {
+	w.answers[a.ID] = &answer{organisation: a.Organisation, arrived: w.now, ask: a, again: again}
 	w.events = append(w.events, table.Arrived{Ask: a})
 }
 
+// askAgain lets the callers return whose time has come.
+func (w *world) askAgain() {
+	due := func(b comeback) bool { return !b.at.After(w.now) }
+	for _, b := range w.back {
+		if due(b) {
+			b.ask.ID += "+"
+			w.ask(b.ask, true)
+		}
+	}
+	w.back = slices.DeleteFunc(w.back, due)
+}
+
 func (w *world) tick() {
 	w.now = w.now.Add(modelStep)
 	elapsed := w.now.Sub(w.start)
@@ -122,7 +146,7 @@
 			w.events = append(w.events, table.Lost{Request: c.Call.Request, Attempt: c.Call.Attempt, Err: err})
 		}
 	case table.Cancel:
-		if c.At != "" {
+		if c.At != "" && !c.KeepWork {
 			w.engine(c.At).cancel(c.Request, c.Attempt)
 		}
 	case table.Probe:
@@ -133,6 +157,9 @@
 	case table.Finish:
 		a := w.answers[c.Request]
 		a.ended, a.final = w.now, &c
+		if w.returns && c.Outcome == table.OutcomeRefused {
+			w.back = append(w.back, comeback{at: w.now.Add(c.RetryAfter), ask: a.ask})
+		}
 	}
 }
 
--- a/internal/core/table/breaker.go
+++ b/internal/core/table/breaker.go
@@ -68,9 +68,9 @@
 	}
 }
 
-// Open tells whether the breaker keeps all work away.
-func (b *Breaker) Open(now time.Time) bool {
-	return now.Before(b.till)
+// Closed tells whether the breaker lets all work through.
+func (b *Breaker) Closed() bool {
+	return b.till.IsZero()
 }
 
 // backoff returns the wait after n earlier ones: doubled each time, capped, with jitter of a half.
--- a/internal/core/table/endpoint.go
+++ b/internal/core/table/endpoint.go
@@ -14,6 +14,7 @@
 	Load     jaywind.Load
 	LoadAt   time.Time // when Load was received
 	Polled   time.Time // when Load was last asked for
+	Silent   bool      // the last poll failed
 	Foreign  int       // work of other routers in Load
 	Leaving  bool
 	Gaps     Gaps
@@ -33,6 +34,7 @@
 const (
 	refusalPause = 200 * time.Millisecond // after the first refusal; doubles each time
 	refusalCap   = 5 * time.Second
+	silentWait   = 10 * time.Second // for a trial at an endpoint that used to report and does not
 )
 
 // Refuse keeps work away for a while after the endpoint itself has refused some.
@@ -69,7 +71,19 @@
 		return false
 	}
 	b := e.Versions[v]
-	return b == nil || b.Allows(now)
+	if b == nil {
+		return true
+	}
+	if e.Silent && !e.LoadAt.IsZero() && !b.Closed() && now.Sub(b.till) < silentWait {
+		return false
+	}
+	return b.Allows(now)
+}
+
+// Sound tells whether an endpoint accepts work of a version, and not just a trial.
+func (e *Endpoint) Sound(v jaywind.Version, now time.Time) bool {
+	b := e.Versions[v]
+	return e.Accepts(v, now) && e.Breaker.Closed() && (b == nil || b.Closed())
 }
 
 // Start counts an attempt whose prompt and prefix have that many tokens.
