place: merge membership, moves and services

Members come before seats, seats before placement. go test ./internal/core/... ./embed ./internal/measure/... passes.

--- a/embed/members.go
+++ b/embed/members.go
@@ -1,10 +1,13 @@
 package embed
 
 import (
+	"context"
 	"sync/atomic"
+	"time"
 
 	"jaywind"
 	"jaywind/internal/core/table"
+	"jaywind/internal/fleet/rendezvous"
 )
 
 // memberView holds the last published list of live members.
@@ -28,3 +31,61 @@
 	r.init()
 	return *r.members.list.Load()
 }
+
+const homeEntries = 3 // entries that an organisation is sent to
+
+// Entries returns the home routers of an organisation, spread over failure domains; those in doubt only if there are no others.
+func (r *Router) Entries(o jaywind.Organisation) []jaywind.Address {
+	var sure, doubtful []jaywind.Member
+	for _, m := range r.Members() {
+		switch {
+		case m.Entry == "" || m.Leaving:
+		case m.Liveness == jaywind.LivenessAlive:
+			sure = append(sure, m)
+		default:
+			doubtful = append(doubtful, m)
+		}
+	}
+	if len(sure) == 0 {
+		sure = doubtful
+	}
+	var out []jaywind.Address
+	for _, m := range rendezvous.Pick("organisation/"+string(o), sure, homeEntries, "") {
+		out = append(out, m.Entry)
+	}
+	return out
+}
+
+// Stop asks for a graceful shutdown: nothing new is taken, and what runs goes on.
+func (r *Router) Stop() {
+	r.init()
+	r.post(table.Stop{})
+}
+
+// Stopping tells whether a graceful shutdown has begun.
+func (r *Router) Stopping() bool {
+	return r.stopping.Load()
+}
+
+const (
+	leaveTime   = 2 * time.Second // for the fleet to hear that this router leaves
+	drainPeriod = 50 * time.Millisecond
+)
+
+// Drain begins a graceful shutdown and returns when the fleet has heard of it and no request is left, or ctx ends.
+func (r *Router) Drain(ctx context.Context) error {
+	r.Stop()
+	if r.Gossiper != nil {
+		pause(ctx, leaveTime)
+	}
+	for {
+		s, err := r.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if s.Requests == 0 {
+			return nil
+		}
+		pause(ctx, drainPeriod)
+	}
+}
--- a/internal/core/place/poll.go
+++ b/internal/core/place/poll.go
@@ -92,7 +92,6 @@
 	}
 	p.Load = e.Load
 	p.LoadAt = s.Now
-	p.Leaving = e.Load.Leaving
 	p.Foreign = max(0, e.Load.Running+e.Load.Queued-p.Inflight)
 }
 
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,8 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/member"
+	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
 )
@@ -37,12 +39,16 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
+		member.Member{},
+		member.Leave{},
 		place.Seats{},
 		place.Reports{},
 		place.Polls{},
+		move.Watch{},
 		generate.Intake{},
 		generate.Silence{},
 		admit.Admit{},
+		move.Decide{},
 		place.Place{},
 		claim.Claim{},
 	}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -27,7 +27,8 @@
 	Pools         map[jaywind.Model]*Pool
 	Fleet         Fleet
 	Moves         map[jaywind.Model]*Move
-	Members       int // live routers, this one included; 0 when not known
+	Steered       time.Time // when the wanted states of endpoints were last emitted
+	Members       int       // live routers, this one included; 0 when not known
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
 
@@ -61,7 +62,7 @@
 		Endpoints:     map[jaywind.EndpointID]*Endpoint{},
 		Organisations: map[jaywind.Organisation]*Organisation{},
 		Pools:         map[jaywind.Model]*Pool{},
-		Fleet:         Fleet{Members: map[jaywind.VM]*Member{}},
+		Fleet:         NewFleet(),
 		Moves:         map[jaywind.Model]*Move{},
 		Calls:         map[jaywind.RequestID]*ServiceCall{},
 		Retries:       map[RetryKey]*RetryBudget{},
--- a/internal/edge/caller/wire.go
+++ b/internal/edge/caller/wire.go
@@ -70,6 +70,7 @@
 	Code    string  `json:"code"`
 	Run     bool    `json:"run"`                   // false: certainly not run
 	Retry   float64 `json:"retry_after,omitempty"` // seconds
+	Entry   string  `json:"entry,omitempty"`       // another entry to ask instead
 }
 
 // askOf checks a request and returns what it asks for.
