--- /dev/null
+++ b/internal/core/admit/admit_test.go
@@ -0,0 +1,191 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+var began = time.Unix(1e9, 0)
+
+// newState has four endpoints and organisations that differ in rate and weight.
+func newState() *table.State {
+	s := table.New(1)
+	s.Now = began
+	s.RulesVersion = 1
+	s.Rules = rule.New()
+	s.Rules.Models["heat"] = rule.Model{Name: "heat", Version: "v1"}
+	s.Rules.Organisations["paced"] = rule.Organisation{Name: "paced", Rate: 4, Burst: 8}
+	s.Rules.Organisations["light"] = rule.Organisation{Name: "light", Weight: 1}
+	s.Rules.Organisations["heavy"] = rule.Organisation{Name: "heavy", Weight: 3, Priority: 7}
+	for i := range 4 {
+		id := jaywind.EndpointID(fmt.Sprint("e", i))
+		s.Rules.Endpoints[id] = rule.Endpoint{ID: id, Kind: rule.KindEngine, Model: "heat", Version: "v1"}
+		s.Endpoints[id] = &table.Endpoint{ID: id}
+	}
+	return s
+}
+
+func ask(s *table.State, name jaywind.Organisation, n int) []*table.Request {
+	var out []*table.Request
+	for range n {
+		r := &table.Request{ID: jaywind.RequestID(fmt.Sprint(name, len(s.Requests))), Organisation: name, Model: "heat", Limit: 100, Arrived: s.Now}
+		s.Requests[r.ID] = r
+		s.Queued = append(s.Queued, r.ID)
+		out = append(out, r)
+	}
+	return out
+}
+
+// step runs the system and returns the requests started by organisation, and the refusals.
+func step(s *table.State, now time.Time, full bool) (started map[jaywind.Organisation]int, ends []table.Finish) {
+	s.Begin(now, full, nil)
+	Admit{}.Step(s)
+	started = map[jaywind.Organisation]int{}
+	for _, id := range s.Ready {
+		started[s.Requests[id].Organisation]++
+	}
+	s.Ready = nil
+	for _, c := range s.Take() {
+		ends = append(ends, c.(table.Finish))
+	}
+	return started, ends
+}
+
+// full is a state whose pool has no room and starts one request a second.
+func full(s *table.State) *table.Pool {
+	p := poolOf(s, "heat")
+	p.Limit, p.Running, p.Rate = 4, 4, 1
+	return p
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		set  func(s *table.State, r *table.Request)
+		want string
+		out  table.Outcome
+	}{
+		"stopping":        {func(s *table.State, _ *table.Request) { s.Stopping = true }, "this router is stopping", table.OutcomeRefused},
+		"no rules":        {func(s *table.State, _ *table.Request) { s.Rules = nil }, "no rules are known yet", table.OutcomeRefused},
+		"no model":        {func(_ *table.State, r *table.Request) { r.Model = "cold" }, "no such model: cold", table.OutcomeRefused},
+		"run before":      {func(s *table.State, r *table.Request) { s.Stopping, r.Sent = true, true }, "this router is stopping", table.OutcomeFailed},
+		"resumes waiting": {func(s *table.State, _ *table.Request) { poolOf(s, "heat").Backlog = 1 }, "generations of lost engines are being resumed", table.OutcomeRefused},
+		"queue too long": {func(s *table.State, _ *table.Request) {
+			full(s).Queued = trustLimit
+		}, "the queue is too long", table.OutcomeRefused},
+		"deadline too near": {func(s *table.State, r *table.Request) {
+			full(s).Rate = 10
+			r.Deadline = began.Add(50 * time.Millisecond)
+		}, "the deadline can't be met", table.OutcomeRefused},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState()
+			c.set(s, ask(s, "light", 1)[0])
+			started, ends := step(s, began, false)
+			is.Equal(len(started), 0)
+			is.Equal(len(ends), 1) // in the same tick
+			is.Equal(ends[0].Reason, c.want)
+			is.Equal(ends[0].Outcome, c.out)
+			is.True(ends[0].RetryAfter >= returnAfter)
+		})
+	}
+}
+
+func TestRates(t *testing.T) {
+	tests := map[string]struct {
+		name     jaywind.Organisation
+		homes    int
+		at, then int // started of 20 at once, and of 20 a second later
+	}{
+		"one home":   {name: "paced", at: 8, then: 4},
+		"four homes": {name: "paced", homes: 4, at: 2, then: 1},
+		"no rate":    {name: "light", at: 20, then: 20},
+		"unlisted":   {name: "nobody", at: 20, then: 20},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState()
+			s.Seat.Homes = c.homes
+			poolOf(s, "heat").Limit = 100
+			for i, want := range []int{c.at, c.then} {
+				ask(s, c.name, 20)
+				started, ends := step(s, began.Add(time.Duration(i)*time.Second), false)
+				is.Equal(started[c.name], want)
+				is.Equal(len(ends), 20-want) // the others hear it at once
+			}
+		})
+	}
+}
+
+func TestUnlistedOrganisationsShareOneRow(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	for i := range 1000 {
+		ask(s, jaywind.Organisation(fmt.Sprint("x", i)), 1)
+	}
+	step(s, began, false)
+	is.Equal(len(s.Organisations), 1)
+	is.Equal(len(s.Pools["heat"].Lanes), 1)
+}
+
+func TestLanesTakeTurnsByWeight(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	p := full(s)
+	p.Rate = 0
+	ask(s, "light", 40)
+	ask(s, "heavy", 40)
+	step(s, began, false)
+	p.Limit = 44
+	started, _ := step(s, began.Add(time.Millisecond), true)
+	is.Equal(started["heavy"], 33)
+	is.Equal(started["light"], 11)
+	for _, r := range s.Requests {
+		if r.Organisation == "heavy" && r.Phase == table.PhaseReady {
+			is.Equal(r.Priority, jaywind.Priority(7)) // engines hear the rule's
+		}
+	}
+}
+
+func TestLaneOrder(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	p := full(s)
+	p.Rate = 0
+	asked := ask(s, "light", 3)
+	asked[2].Priority = 5
+	step(s, began, false)
+	is.Equal(p.Lanes["light"].Requests, []jaywind.RequestID{asked[2].ID, asked[0].ID, asked[1].ID})
+}
+
+func TestQueuedRequestsAreNotHeld(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	full(s).Rate = 0
+	ask(s, "light", 20)
+	_, ends := step(s, began, false)
+	is.Equal(len(ends), 0)
+	for i := range 8 { // streams that hold the limit
+		s.Requests[nameOf(i)] = &table.Request{ID: nameOf(i), Model: "heat", Phase: table.PhaseStreaming}
+	}
+	_, ends = step(s, began.Add(queueLimit), true)
+	is.Equal(len(ends), 20)
+	is.Equal(s.Pools["heat"].Queued, 0)
+	after := map[time.Duration]bool{}
+	for _, f := range ends {
+		is.Equal(f.Outcome, table.OutcomeRefused)
+		after[f.RetryAfter] = true
+	}
+	is.True(len(after) > 10) // jitter spreads their return
+}
+
+func nameOf(i int) jaywind.RequestID { return jaywind.RequestID(fmt.Sprint("s", i)) }
--- /dev/null
+++ b/internal/core/step/bench_test.go
@@ -0,0 +1,139 @@
+package step
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/admit"
+	"jaywind/internal/core/generate"
+	"jaywind/internal/core/place"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+// newLoaded has n streams under way at 60 endpoints.
+func newLoaded(tb testing.TB, n int) (*Core, time.Time) {
+	tb.Helper()
+	now := time.Unix(1e9, 0)
+	c := &Core{State: table.New(1)}
+	events := []table.Event{table.Ruled{Version: 1, Set: rulesOf(60, 1)}}
+	for i := range n {
+		events = append(events, table.Arrived{Ask: table.Ask{ID: nameOf(i), Organisation: "o0", Model: "heat", Limit: 1 << 30}})
+	}
+	c.Step(now, true, events)
+	c.State.Pools["heat"].Limit = float64(n)
+	opened := c.Step(now.Add(fullPeriod), true, nil)
+	if len(c.State.Requests) != n {
+		tb.Fatalf("%d requests, %d commands", len(c.State.Requests), len(opened))
+	}
+	return c, now.Add(fullPeriod)
+}
+
+func rulesOf(endpoints, organisations int) *rule.Set {
+	set := rule.New()
+	set.Models["heat"] = rule.Model{Name: "heat", Version: "v1"}
+	for i := range endpoints {
+		id := jaywind.EndpointID(fmt.Sprint("e", i))
+		set.Endpoints[id] = rule.Endpoint{ID: id, Kind: rule.KindEngine, Model: "heat", Version: "v1", Domain: jaywind.Domain(fmt.Sprint(i % 4))}
+	}
+	for i := range organisations {
+		name := jaywind.Organisation(fmt.Sprint("o", i))
+		set.Organisations[name] = rule.Organisation{Name: name, Rate: 1000, Burst: 1000, Weight: 1}
+	}
+	return set
+}
+
+func nameOf(i int) jaywind.RequestID { return jaywind.RequestID(fmt.Sprint("r", i)) }
+
+// frame returns the next token of a stream.
+func frame(c *Core, i int) table.Event {
+	r := c.State.Requests[nameOf(i)]
+	f := jaywind.Frame{Request: r.ID, Attempt: r.Attempt, Position: r.Position(), Token: jaywind.Token{ID: 7}}
+	return table.Framed{Request: r.ID, Attempt: r.Attempt, Frame: f}
+}
+
+var sizes = []int{10, 100, 1000}
+
+func BenchmarkFullTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " in flight"), func(b *testing.B) {
+			c, now := newLoaded(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Step(now, true, nil)
+			}
+		})
+	}
+}
+
+func BenchmarkEarlyTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, " in flight"), func(b *testing.B) {
+			c, now := newLoaded(b, n)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				c.Step(now, false, []table.Event{frame(c, i%n)})
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkRequest has one request admitted, placed, answered with a token and ended.
+func BenchmarkRequest(b *testing.B) {
+	for n, members := range map[int]int{60: 16, 300: 118, 940: 370} {
+		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
+			now := time.Unix(1e9, 0)
+			c := &Core{State: table.New(1)}
+			for i := range members - 1 {
+				m := jaywind.Member{VM: jaywind.VM(fmt.Sprint("vm", i))}
+				c.State.Fleet.Members[m.VM] = &table.Member{Member: m}
+			}
+			c.systems = []table.System{Rules{}, place.Seats{}, place.Reports{}, place.Polls{}, generate.Intake{}, generate.Silence{}, admit.Admit{}, place.Place{}}
+			c.Step(now, true, []table.Event{table.Ruled{Version: 1, Set: rulesOf(n, 1)}})
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(10 * time.Millisecond)
+				c.Step(now, false, []table.Event{table.Arrived{Ask: table.Ask{ID: "r0", Organisation: "o0", Model: "heat", Limit: 9}}})
+				c.Step(now, false, []table.Event{frame(c, 0)})
+				c.Step(now, true, []table.Event{table.Gone{Request: "r0"}})
+			}
+		})
+	}
+}
+
+// TestManyOrganisations has 27,000 organisations ask once each.
+func TestManyOrganisations(t *testing.T) {
+	is := is.New(t)
+	const organisations, memoryLimit = 27000, 16 << 20
+	now := time.Unix(1e9, 0)
+	c := &Core{State: table.New(1)}
+	c.Step(now, true, []table.Event{table.Ruled{Version: 1, Set: rulesOf(60, organisations)}})
+	before := heap()
+	var worst time.Duration
+	for i := range organisations {
+		ask := table.Ask{ID: nameOf(i), Organisation: jaywind.Organisation(fmt.Sprint("o", i)), Model: "heat", Limit: 9}
+		start := time.Now()
+		c.Step(now, i%20 == 0, []table.Event{table.Arrived{Ask: ask}})
+		worst = max(worst, time.Since(start))
+		c.Step(now, false, []table.Event{table.Gone{Request: ask.ID}})
+		now = now.Add(time.Millisecond)
+	}
+	grown := heap() - before
+	t.Logf("%d organisations: %d bytes more, longest tick %v", len(c.State.Organisations), grown, worst)
+	is.Equal(len(c.State.Organisations), organisations)
+	is.True(grown < memoryLimit) // an eighth of a router's memory
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
