--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -18,7 +18,10 @@
 	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/gossip"
+	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/operator/burn"
+	"jaywind/internal/operator/scrape"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/store"
 	"jaywind/internal/platform/vms"
@@ -69,10 +72,16 @@
 	defer committer.Wait()
 	r := newRouter(s, log, committer)
 	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
-	o := &operator.Handler{Router: r, Secret: s.Secret}
+	o := &operator.Handler{
+		Router:  r,
+		Secret:  s.Secret,
+		Metrics: scrape.Handler(r.Metrics()),
+		Burn:    burn.Handler(r.Burn(), jaywind.SystemClock{}),
+	}
 	fleet := newServer(s.Listen.Fleet, cbor.Guard(s.Secret, newFleetMux(r, committer)))
 	fleet.Protocols = cbor.Protocols()
 	servers := []*http.Server{newServer(s.Listen.Caller, h.Mux()), newServer(s.Listen.Operator, o.Mux()), fleet}
+	servers[1].Protocols = cbor.Protocols()
 	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	var group conc.WaitGroup
@@ -128,6 +137,7 @@
 		Claims:   claims,
 		Store:    committer.Store,
 		Log:      log,
+		Journal:  &journal.Client{HTTP: cbor.NewHTTPClient(s.Secret)},
 	}
 	claims.Members = r.Members
 	for _, u := range s.Fleet.Seeds {
@@ -139,12 +149,16 @@
 	if s.Directory.URL != "" {
 		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	return r
 }
 
 // newFleetMux returns the handlers for calls from other routers.
 func newFleetMux(r *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
+	journal.Register(m, r.Records())
 	m.Handle("/fleet/", gossip.NewHandler(r))
 	m.Handle(ledger.Path, ledger.NewHandler(committer))
 	return m
--- a/embed/engines.go
+++ b/embed/engines.go
@@ -81,13 +81,13 @@
 	p.router.group.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, cancelLimit)
 		defer cancel()
-		_ = p.router.Engine.Cancel(ctx, c.At, c.Request, c.Attempt)
+		_ = p.router.Engine.Cancel(ctx, c.At, jaywind.Work{Request: c.Request, Run: c.Run}, c.Attempt)
 	})
 }
 
 func (p *engines) probe(ctx context.Context, c table.Probe) {
 	ctx, cancel := context.WithTimeout(ctx, c.Limit)
 	defer cancel()
-	progress, err := p.router.Engine.Probe(ctx, c.At, c.Request)
+	progress, err := p.router.Engine.Probe(ctx, c.At, jaywind.Work{Request: c.Request, Run: c.Run})
 	p.router.post(table.Probed{Request: c.Request, Attempt: c.Attempt, Progress: progress, Err: err})
 }
--- a/embed/moves.go
+++ b/embed/moves.go
@@ -104,7 +104,7 @@
 // record writes the end of a move; without a store it stands as it is.
 func (p *moves) record(ctx context.Context, c table.Record) {
 	if p.records.Store == nil {
-		p.router.post(table.Recorded{Move: c.Move, State: c.State, Reason: c.Reason, At: c.At})
+		p.router.post(table.Recorded(c))
 		return
 	}
 	stands, err := p.records.Write(ctx, c)
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -14,14 +14,15 @@
 // stream reads the events of one attempt.
 type stream struct {
 	body io.ReadCloser
+	call jaywind.Call
 	next func() (sse.Event, error, bool)
 	stop func()
 }
 
-func newStream(body io.ReadCloser) *stream {
+func newStream(body io.ReadCloser, call jaywind.Call) *stream {
 	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: frameLimit})
 	next, stop := iter.Pull2(events)
-	return &stream{body: body, next: next, stop: stop}
+	return &stream{body: body, call: call, next: next, stop: stop}
 }
 
 // Next returns the next frame.
@@ -37,7 +38,11 @@
 	if err := json.Unmarshal([]byte(e.Data), &c); err != nil {
 		return jaywind.Frame{}, fmt.Errorf("%w: %w", jaywind.ErrFrame, err)
 	}
-	return c.frame()
+	f, err := c.frame()
+	if c.Request == nameOf(s.call.Work()) {
+		f.Request = s.call.Request
+	}
+	return f, err
 }
 
 // Close ends the connection.
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	firstShare    = 8 // requests at each endpoint that a router's part of the fleet starts with
-	leastShare    = 2 // the same, that the limit never falls below
-	leastLimit    = 2 // requests
+	firstShare    = 32 // requests at each endpoint that a router's part of the fleet starts with
+	leastShare    = 2  // the same, that the limit never falls below
+	leastLimit    = 2  // requests
 	adjustPeriod  = 500 * time.Millisecond
 	lateShare     = 0.1 // share of late answers above which the limit falls
 	shrinkFactor  = 0.5 // fall of the limit as a share of the share of late answers
--- a/internal/core/step/world_test.go
+++ b/internal/core/step/world_test.go
@@ -96,7 +96,7 @@
 		if w.random.IntN(100) < 3 {
 			limit, prompt = 1500, max(prompt, w.long)
 		}
-		w.ask(table.Ask{ID: jaywind.RequestID(fmt.Sprint(w.number)), Organisation: name, Model: "heat", Prompt: string(make([]byte, prompt)), Limit: limit}, false)
+		w.ask(table.Ask{ID: jaywind.RequestID(fmt.Sprint(w.number)), Listener: 1, Organisation: name, Model: "heat", Prompt: string(make([]byte, prompt)), Limit: limit}, false)
 	}
 }
 
--- a/internal/core/table/breaker.go
+++ b/internal/core/table/breaker.go
@@ -73,6 +73,11 @@
 	return b.till.IsZero()
 }
 
+// Open tells whether the breaker keeps all work away.
+func (b *Breaker) Open(now time.Time) bool {
+	return now.Before(b.till)
+}
+
 // backoff returns the wait after n earlier ones: doubled each time, capped, with jitter of a half.
 func backoff(n int, first, limit time.Duration, random *rand.Rand) time.Duration {
 	d := min(first<<min(n, maxShift), limit)
