place: rows for paced resumes and retry budgets; admit: rows for the limit

Cause: breaking pace, order, the budgets, or the limit's share of endpoints by hand left all rows green, as the rows under load look at the resumes alone. Tried after this, each on a scratch copy: no pace, no order, no spread by prefill turn TestResumesGoByUrgencyAndPace red ([3000 2500 2000 1000 fresh], [fresh 1000 3000 2000] and [3000 1000 fresh], want [3000 2500 1000 fresh]); late resumes kept: TestResumesThatWouldComeTooLateEndAtOnce (len(ends) > 50); budgets ignored: TestRetryBudgets (1 != 0); limit that ignores lost endpoints: TestLimitFollowsTheEndpointsThatAreUp (40 != 20); limit that falls with resumes or never falls: TestLimit. Without pace the load rows still pass: the modelled engine splits its time between prefill and decoding whatever waits, so the rows do not show that pacing protects the gaps of the survivors.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -189,3 +189,54 @@
 }
 
 func nameOf(i int) jaywind.RequestID { return jaywind.RequestID(fmt.Sprint("s", i)) }
+
+func TestLimit(t *testing.T) {
+	fine := table.Window{Firsts: 100, Gaps: 1000}
+	with := func(change func(w *table.Window)) table.Window {
+		w := fine
+		change(&w)
+		return w
+	}
+	tests := map[string]struct {
+		window  table.Window
+		running int
+		want    func(limit float64) bool // from 100
+	}{
+		"nothing waits":               {window: fine, running: 90, want: func(l float64) bool { return l == 100 }},
+		"requests wait":               {window: with(func(w *table.Window) { w.Full = true }), running: 100, want: func(l float64) bool { return l > 100 }},
+		"first tokens late":           {window: with(func(w *table.Window) { w.Full, w.LateFirsts = true, 40 }), running: 100, want: func(l float64) bool { return l <= 80 }},
+		"gaps late":                   {window: with(func(w *table.Window) { w.Full, w.LateGaps = true, 200 }), running: 100, want: func(l float64) bool { return l <= 90 }},
+		"attempts unanswered":         {window: with(func(w *table.Window) { w.Full, w.Overdue = true, 100 }), running: 100, want: func(l float64) bool { return l <= 75 }},
+		"endpoints refuse":            {window: with(func(w *table.Window) { w.Full, w.Refused = true, 100 }), running: 100, want: func(l float64) bool { return l <= 75 }},
+		"queues at the engines":       {window: with(func(w *table.Window) { w.Full, w.FirstTime = true, 20*time.Second }), running: 100, want: func(l float64) bool { return l < 100 }},
+		"late, but through resumes":   {window: with(func(w *table.Window) { w.LateFirsts = 40 }), running: 150, want: func(l float64) bool { return l == 100 }},
+		"few answers prove nothing":   {window: table.Window{Firsts: 2, LateFirsts: 2}, running: 100, want: func(l float64) bool { return l == 100 }},
+		"in time, resumes over limit": {window: with(func(w *table.Window) { w.Full = true }), running: 150, want: func(l float64) bool { return l >= 150 }},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState()
+			p := poolOf(s, "heat")
+			p.Limit, p.Running, p.Window = 100, c.running, c.window
+			p.Window.Since = began
+			s.Now = began.Add(adjustPeriod)
+			adjust(s, p)
+			t.Logf("limit %.1f", p.Limit)
+			is.True(c.want(p.Limit))
+		})
+	}
+}
+
+func TestLimitFollowsTheEndpointsThatAreUp(t *testing.T) {
+	is := is.New(t)
+	s := newState()
+	poolOf(s, "heat").Limit = 40
+	for range 3 { // the breaker opens
+		s.Endpoints["e1"].Miss(began, s.Random)
+		s.Endpoints["e2"].Miss(began, s.Random)
+	}
+	ask(s, "light", 40)
+	started, _ := step(s, began, true)
+	is.Equal(started["light"], 20)
+}
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -214,3 +214,82 @@
 		is.Equal(len(seen), min(polls, len(s.Rings.Watched))) // each in its turn
 	}
 }
+
+// resume adds a generation whose endpoint was lost when the test began.
+func resume(s *table.State, id string, tokens int) *table.Request {
+	r := add(s, id, "")
+	r.Version, r.Sent, r.BrokenAt, r.Tokens = "v1", true, began, make([]jaywind.Token, tokens)
+	return r
+}
+
+func TestResumesGoByUrgencyAndPace(t *testing.T) {
+	is := is.New(t)
+	s := newState(2, 2)
+	s.Now = began
+	add(s, "fresh", "")
+	for _, tokens := range []int{1000, 3000, 2000, 2500} {
+		resume(s, fmt.Sprint(tokens), tokens)
+	}
+	opens, ends := step(s, began)
+	var ids []jaywind.RequestID
+	for _, o := range opens {
+		ids = append(ids, o.Call.Request)
+	}
+	is.Equal(ids, []jaywind.RequestID{"3000", "2500", "1000", "fresh"}) // 2000 more would make either wait half a second
+	is.True(opens[0].Endpoint != opens[1].Endpoint)                     // spread by prefill
+	is.True(opens[0].Call.Priority > opens[3].Call.Priority)            // engines hear that it is a resume
+	is.Equal(len(ends), 0)
+	opens, _ = step(s, began.Add(paceLimit))
+	is.Equal(len(opens), 1) // the paced one
+}
+
+func TestResumesThatWouldComeTooLateEndAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newState(2, 2)
+	s.Now = began
+	for i := range 100 {
+		resume(s, fmt.Sprint(i), 1000+i)
+	}
+	opens, ends := step(s, began)
+	is.True(len(opens) > 0)
+	is.True(len(ends) > 50) // two engines prefill 32,000 tokens in the time to start
+	for _, f := range ends {
+		is.Equal(f.Outcome, table.OutcomeFailed)
+		is.True(f.RetryAfter >= returnAfter)
+		for _, r := range s.Requests {
+			is.True(f.Mark.Position < r.Position()) // those with the least sunk work
+		}
+	}
+}
+
+func TestRetryBudgets(t *testing.T) {
+	tests := map[string]struct {
+		key    table.RetryKey
+		pinned bool
+		ends   int
+		opens  int
+	}{
+		"left":                         {opens: 1},
+		"organisation's spent":         {key: table.RetryKey{Organisation: table.Unlisted}, ends: 1},
+		"endpoint's spent":             {key: table.RetryKey{Endpoint: "e0"}},
+		"resume, organisation's spent": {key: table.RetryKey{Organisation: table.Unlisted}, pinned: true, opens: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(1, 1)
+			s.Now = began
+			r := add(s, "r", "")
+			if c.pinned {
+				r.Tokens, r.BrokenAt, r.Version = make([]jaywind.Token, 1), began, "v1"
+			}
+			r.Tries = 1
+			for s.Budget(c.key).Left() && c.key != (table.RetryKey{}) {
+				s.Budget(c.key).Spend()
+			}
+			opens, ends := step(s, began)
+			is.Equal(len(opens), c.opens)
+			is.Equal(len(ends), c.ends)
+		})
+	}
+}
