--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -12,10 +12,11 @@
 
 	"jaywind"
 	"jaywind/embed"
-	backend "jaywind/internal/backend/engine"
-	"jaywind/internal/edge/caller"
+	"jaywind/internal/edge/ports"
+	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/rules"
 	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
 )
 
@@ -24,24 +25,32 @@
 	Model = jaywind.Model("heat")
 	// Version is the version that the engines start with.
 	Version = jaywind.Version("v1")
+	// Service is the one service; calls below /place are once-only.
+	Service = jaywind.ServiceName("orders")
 )
 
-const readyPoll = 5 * time.Millisecond
+const (
+	readyPoll = 5 * time.Millisecond
+	anyPort   = "127.0.0.1:0"
+	secret    = "secret-of-the-stand-in"
+)
 
 var domains = []jaywind.Domain{"a", "b", "c", "d"}
 
 // Fleet is all that runs behind a caller; set its fields before Start.
 type Fleet struct {
-	Engines int
-	Routers int
-	Gap     time.Duration // between two tokens of an engine
-	Prefill time.Duration // of an engine for 1,000 tokens
-	Batch   int           // runs that an engine serves at full speed; no limit when zero
-	Keep    time.Duration // how long an engine goes on without a listener
+	Engines  int
+	Services int // endpoints of the service Service
+	Routers  int
+	Gap      time.Duration // between two tokens of an engine
+	Prefill  time.Duration // of an engine for 1,000 tokens
+	Batch    int           // runs that an engine serves at full speed; no limit when zero
+	Keep     time.Duration // how long an engine goes on without a listener
 
-	Store       store.Store
-	EngineNodes []*EngineNode
-	RouterNodes []*RouterNode
+	Store        store.Store
+	EngineNodes  []*EngineNode
+	ServiceNodes []*ServiceNode
+	RouterNodes  []*RouterNode
 
 	group conc.WaitGroup
 }
@@ -58,19 +67,21 @@
 	n.Node.Kill()
 }
 
-// RouterNode is one router with its port for callers.
-type RouterNode struct {
+// ServiceNode is one endpoint of the service with its port.
+type ServiceNode struct {
 	Node
-	Router *embed.Router
+	Service *service.Service
+}
 
-	stop context.CancelFunc
+// RouterNode is one router with its ports.
+type RouterNode struct {
+	Name    string
+	Address jaywind.Address // for callers
+	Daemon  *ports.Daemon
 }
 
 // Kill ends a router at once, as the death of its process would.
-func (n *RouterNode) Kill() {
-	n.stop()
-	n.Node.Kill()
-}
+func (n *RouterNode) Kill() { n.Daemon.Kill() }
 
 // Node is a server that can be killed.
 type Node struct {
@@ -92,6 +103,11 @@
 			return err
 		}
 	}
+	for i := range f.Services {
+		if err := f.startService(i); err != nil {
+			return err
+		}
+	}
 	book := rules.Book{Store: &f.Store, Nonce: "fleet"}
 	if _, err := book.Accept(ctx, rules.Accepted{}, f.rules()); err != nil {
 		return err
@@ -122,6 +138,16 @@
 	return nil
 }
 
+func (f *Fleet) startService(i int) error {
+	v := &service.Service{Name: fmt.Sprintf("p%d", i+1)}
+	n, err := f.serve(v.Name, v.Handler())
+	if err != nil {
+		return err
+	}
+	f.ServiceNodes = append(f.ServiceNodes, &ServiceNode{Node: n, Service: v})
+	return nil
+}
+
 func (f *Fleet) rules() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "model %s version=%s # fleet\n", Model, Version)
@@ -129,27 +155,42 @@
 		fmt.Fprintf(&b, "endpoint %s model=%s version=%s url=%s domain=%s # fleet\n",
 			n.Name, Model, Version, n.Address, domains[i%len(domains)])
 	}
+	if len(f.ServiceNodes) > 0 {
+		fmt.Fprintf(&b, "service %s path=/place once=yes # fleet\n", Service)
+	}
+	for i, n := range f.ServiceNodes {
+		fmt.Fprintf(&b, "endpoint %s kind=service service=%s url=%s domain=%s # fleet\n",
+			n.Name, Service, n.Address, domains[i%len(domains)])
+	}
 	return b.String()
 }
 
 func (f *Fleet) startRouter(ctx context.Context, i int) error {
-	name := fmt.Sprintf("vm%d", i+1)
-	r := &embed.Router{
-		Self:   jaywind.VM(name),
-		Domain: domains[i%len(domains)],
-		Seed:   uint64(i),
-		Engine: &backend.Client{},
-		Store:  &f.Store,
-	}
-	h := &caller.Handler{Router: r, Entries: func(jaywind.Organisation) []jaywind.Address { return f.Entries() }}
-	n, err := f.serve(name, h.Mux())
-	if err != nil {
+	d := &ports.Daemon{Store: &f.Store, Settings: f.settings(i)}
+	if err := d.Listen(); err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(ctx)
-	f.RouterNodes = append(f.RouterNodes, &RouterNode{Node: n, Router: r, stop: stop})
-	f.group.Go(func() { _ = r.Run(ctx) })
-	return waitReady(ctx, r)
+	n := &RouterNode{
+		Name:    d.Settings.VM,
+		Address: jaywind.Address("http://" + d.Settings.Listen.Caller),
+		Daemon:  d,
+	}
+	f.RouterNodes = append(f.RouterNodes, n)
+	f.group.Go(func() { _ = d.Run(ctx) })
+	return waitReady(ctx, d.Router())
+}
+
+func (f *Fleet) settings(i int) settings.Settings {
+	s := settings.Settings{
+		VM:     fmt.Sprintf("vm%d", i+1),
+		Domain: string(domains[i%len(domains)]),
+		Secret: secret,
+		Listen: settings.Listen{Caller: anyPort, Operator: anyPort, Fleet: anyPort},
+	}
+	if len(f.RouterNodes) > 0 {
+		s.Fleet.Seeds = []string{"http://" + f.RouterNodes[0].Daemon.Settings.Listen.Fleet}
+	}
+	return s
 }
 
 func waitReady(ctx context.Context, r *embed.Router) error {
@@ -218,5 +259,8 @@
 		n.Engine.Set(engine.Faults{})
 		n.Kill()
 	}
+	for _, n := range f.ServiceNodes {
+		n.Kill()
+	}
 	f.group.Wait()
 }
