--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -216,10 +216,9 @@
 }
 
 // resume adds a generation whose endpoint was lost when the test began.
-func resume(s *table.State, id string, tokens int) *table.Request {
+func resume(s *table.State, id string, tokens int) {
 	r := add(s, id, "")
 	r.Version, r.Sent, r.BrokenAt, r.Tokens = "v1", true, began, make([]jaywind.Token, tokens)
-	return r
 }
 
 func TestResumesGoByUrgencyAndPace(t *testing.T) {
