--- a/internal/core/table/endpoint.go
+++ b/internal/core/table/endpoint.go
@@ -13,6 +13,8 @@
 	Inflight int // own attempts that are open
 	Load     jaywind.Load
 	LoadAt   time.Time // when Load was received
+	Polled   time.Time // when Load was last asked for
+	Silent   bool      // the last poll failed
 	Foreign  int       // work of other routers in Load
 	Leaving  bool
 	Gaps     Gaps
@@ -34,6 +36,7 @@
 const (
 	refusalPause = 200 * time.Millisecond // after the first refusal; doubles each time
 	refusalCap   = 5 * time.Second
+	silentWait   = 10 * time.Second // for a trial at an endpoint that used to report and does not
 )
 
 // Refuse keeps work away for a while after the endpoint itself has refused some.
@@ -70,7 +73,19 @@
 		return false
 	}
 	b := e.Versions[v]
-	return b == nil || b.Allows(now)
+	if b == nil {
+		return true
+	}
+	if e.Silent && !e.LoadAt.IsZero() && !b.Closed() && now.Sub(b.till) < silentWait {
+		return false
+	}
+	return b.Allows(now)
+}
+
+// Sound tells whether an endpoint accepts work of a version, and not just a trial.
+func (e *Endpoint) Sound(v jaywind.Version, now time.Time) bool {
+	b := e.Versions[v]
+	return e.Accepts(v, now) && e.Breaker.Closed() && (b == nil || b.Closed())
 }
 
 // Start counts an attempt whose prompt and prefix have that many tokens.
@@ -101,3 +116,12 @@
 	}
 	return e.Versions[v]
 }
+
+// Poll asks an endpoint for its load.
+type Poll struct {
+	Endpoint jaywind.EndpointID
+	At       jaywind.Address
+	Limit    time.Duration
+}
+
+func (Poll) command() {}
