store: one contract for both stores, breaker with trials paced by the fleet

The contract runs against the store in memory and the client before its handler. It was red in three rows at first: a key with a slash was not found over HTTP (the handler now takes the rest of the path), and a watch, in memory and over HTTP, slept through the lapse of the key's lease (it now wakes at the next lapse). A value too large is refused before it is sent.

The breaker opens after three failures in a row; trial calls are paced by a jittered backoff whose longest pause grows with the fleet, and a long poll is never the trial, as it would keep the breaker open for 20 s.

--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -67,9 +67,11 @@
 
 // serve runs a router with its ports until ctx ends, and then until its work is finished.
 func serve(ctx context.Context, s settings.Settings, log *zap.Logger) error {
-	committer := &ledger.Committer{Store: &store.Client{URL: jaywind.Address(s.Store.URL)}}
+	platform := &store.Client{URL: jaywind.Address(s.Store.URL)}
+	committer := &ledger.Committer{Store: platform}
 	defer committer.Wait()
 	r := newRouter(s, log, committer)
+	platform.Routers = func() int { return len(r.Members()) }
 	h := &caller.Handler{Router: r, Services: r, Log: log, Entries: func(o jaywind.Organisation) []jaywind.Address { return entriesOf(r, o, s) }}
 	o := &operator.Handler{
 		Router:  r,
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -21,10 +21,15 @@
 	watchSlack = 2 * time.Second  // beyond the long poll's own time
 )
 
+var errSilent = errors.New("long poll is not answered")
+
 // Client is the jaywind.Store that speaks to the service over HTTP.
 type Client struct {
 	URL       jaywind.Address
 	Transport http.RoundTripper // the default one when nil
+	Routers   func() int        // how many share the store, for the pace of trial calls in an outage; 1 when nil
+
+	breaker breaker
 }
 
 var _ jaywind.Store = (*Client)(nil)
@@ -39,7 +44,7 @@
 // Watch polls until the key's revision is other than old.
 func (c *Client) Watch(ctx context.Context, key string, old jaywind.Revision) (jaywind.Entry, error) {
 	for {
-		e, err := c.poll(ctx, key, old)
+		e, err := c.next(ctx, key, old)
 		if errors.Is(err, jaywind.ErrAbsent) && old == "" {
 			continue
 		}
@@ -49,8 +54,16 @@
 	}
 }
 
+// next reads once, by a short call while the breaker is open, so that no long poll stands for the trial.
+func (c *Client) next(ctx context.Context, key string, old jaywind.Revision) (jaywind.Entry, error) {
+	if c.breaker.open() {
+		return c.Get(ctx, key)
+	}
+	return c.poll(ctx, key, old)
+}
+
 func (c *Client) poll(ctx context.Context, key string, old jaywind.Revision) (jaywind.Entry, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchLimit+watchSlack)
+	ctx, cancel := context.WithTimeoutCause(ctx, watchLimit+watchSlack, errSilent)
 	defer cancel()
 	query := url.Values{}
 	query.Set("after", string(old))
@@ -58,7 +71,11 @@
 	return c.read(ctx, key, query)
 }
 
-func (c *Client) read(ctx context.Context, key string, query url.Values) (jaywind.Entry, error) {
+func (c *Client) read(ctx context.Context, key string, query url.Values) (e jaywind.Entry, err error) {
+	if err := c.breaker.admit(time.Now()); err != nil {
+		return jaywind.Entry{}, err
+	}
+	defer func() { c.note(blame(ctx, query, err)) }()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.keyURL(key)+"?"+query.Encode(), nil)
 	if err != nil {
 		return jaywind.Entry{}, err
@@ -89,6 +106,9 @@
 
 // SwapLeased is Swap for a value that is deleted when the lease lapses.
 func (c *Client) SwapLeased(ctx context.Context, key string, value []byte, old jaywind.Revision, id jaywind.LeaseID) (jaywind.Revision, error) {
+	if len(value) > jaywind.MaxValue {
+		return "", jaywind.ErrTooLarge
+	}
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	target := c.keyURL(key)
@@ -141,8 +161,12 @@
 }
 
 // write sends a call that changes the store and says what is known of its effect.
-func (c *Client) write(request *http.Request) (*http.Response, error) {
-	response, err := c.transport().RoundTrip(request)
+func (c *Client) write(request *http.Request) (response *http.Response, err error) {
+	if err := c.breaker.admit(time.Now()); err != nil {
+		return nil, err
+	}
+	defer func() { c.note(err) }()
+	response, err = c.transport().RoundTrip(request)
 	if err != nil {
 		return nil, writeError(err)
 	}
@@ -161,6 +185,29 @@
 	return nil, fmt.Errorf("%w: status %d", jaywind.ErrUnknown, response.StatusCode)
 }
 
+// blame returns what a read tells of the store: nothing, where the caller of a watch has ended it.
+func blame(ctx context.Context, query url.Values, err error) error {
+	if query != nil && ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
+		return context.Canceled
+	}
+	return err
+}
+
+func (c *Client) note(err error) {
+	routers := 1
+	if c.Routers != nil {
+		routers = c.Routers()
+	}
+	c.breaker.note(time.Now(), err, routers)
+}
+
+// Calls returns how many calls the client has made so far.
+func (c *Client) Calls() int {
+	c.breaker.mu.Lock()
+	defer c.breaker.mu.Unlock()
+	return c.breaker.calls
+}
+
 // writeError tells a write that never left from one that may have taken effect.
 func writeError(err error) error {
 	var op *net.OpError
--- /dev/null
+++ b/internal/platform/store/contract_test.go
@@ -0,0 +1,265 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+
+	"jaywind"
+	"jaywind/internal/platform/store"
+	standin "jaywind/internal/standin/store"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// contract is what each jaywind.Store does, with the faults of the store behind it.
+var contract = map[string]func(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store){
+	"absent":                           absent,
+	"write and read":                   writeAndRead,
+	"conflict":                         conflict,
+	"stale entity tag":                 staleTag,
+	"tag of another key":               otherTag,
+	"reply lost after the write":       replyLost,
+	"call lost before the write":       callLost,
+	"outage":                           outage,
+	"slow past the deadline":           slow,
+	"lease lapses":                     leaseLapses,
+	"lease is renewed":                 leaseRenewed,
+	"watch wakes":                      watchWakes,
+	"watch wakes on a lapsed lease":    watchSeesLapse,
+	"watch of a key that is not there": watchAbsent,
+	"watch through an outage":          watchThroughOutage,
+	"watch ends with its context":      watchEnds,
+	"largest value":                    largest,
+	"value too large":                  tooLarge,
+}
+
+func TestContract(t *testing.T) {
+	for name, check := range contract {
+		t.Run("in memory/"+name, func(t *testing.T) {
+			s := &standin.Store{}
+			runContract(t, check, s, s)
+		})
+		t.Run("over http/"+name, func(t *testing.T) {
+			s := &standin.Store{}
+			server := httptest.NewServer(s.Handler())
+			defer server.Close()
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			runContract(t, check, &store.Client{URL: jaywind.Address(server.URL), Transport: transport}, s)
+		})
+	}
+}
+
+func runContract(t *testing.T, check func(context.Context, *is.I, jaywind.Store, *standin.Store), s jaywind.Store, f *standin.Store) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	check(ctx, is.New(t), s, f)
+}
+
+func absent(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	_, err := s.Get(ctx, "k")
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+}
+
+func writeAndRead(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	revision, err := s.Swap(ctx, "a key/of any form?", []byte{0, 255}, "")
+	is.NoErr(err)
+	e, err := s.Get(ctx, "a key/of any form?")
+	is.NoErr(err)
+	is.Equal(e, jaywind.Entry{Key: "a key/of any form?", Value: []byte{0, 255}, Revision: revision})
+}
+
+func conflict(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	_, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.NoErr(err)
+	_, err = s.Swap(ctx, "k", []byte("b"), "")
+	is.True(errors.Is(err, jaywind.ErrConflict))
+	_, err = s.Swap(ctx, "absent", []byte("b"), `"7"`)
+	is.True(errors.Is(err, jaywind.ErrConflict))
+	e, err := s.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(string(e.Value), "a")
+}
+
+func staleTag(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	first, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.NoErr(err)
+	second, err := s.Swap(ctx, "k", []byte("b"), first)
+	is.NoErr(err)
+	back, err := s.Swap(ctx, "k", []byte("a"), second)
+	is.NoErr(err)
+	is.True(back != first) // an equal value is another revision
+	_, err = s.Swap(ctx, "k", []byte("c"), first)
+	is.True(errors.Is(err, jaywind.ErrConflict))
+}
+
+func otherTag(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	first, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.NoErr(err)
+	_, err = s.Swap(ctx, "l", []byte("a"), "")
+	is.NoErr(err)
+	_, err = s.Swap(ctx, "l", []byte("b"), first)
+	is.True(errors.Is(err, jaywind.ErrConflict))
+}
+
+func replyLost(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	f.Set(standin.Faults{Lose: 1})
+	_, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.True(errors.Is(err, jaywind.ErrUnknown))
+	e, err := s.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(string(e.Value), "a")
+}
+
+func callLost(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	f.Set(standin.Faults{Drop: 1})
+	_, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.True(errors.Is(err, jaywind.ErrUnknown))
+	_, err = s.Get(ctx, "k")
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+}
+
+func outage(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	f.Set(standin.Faults{Down: true})
+	_, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.True(errors.Is(err, jaywind.ErrUnavailable))
+	_, err = s.Get(ctx, "k")
+	is.True(errors.Is(err, jaywind.ErrUnavailable))
+	_, err = s.Grant(ctx, time.Second)
+	is.True(errors.Is(err, jaywind.ErrUnavailable))
+	f.Set(standin.Faults{})
+	for err != nil && ctx.Err() == nil { // until a trial call is due
+		_, err = s.Swap(ctx, "k", []byte("a"), "")
+	}
+	is.NoErr(err)
+}
+
+func slow(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	f.Set(standin.Faults{Slow: 5 * time.Second})
+	ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	_, err := s.Get(ctx, "k")
+	is.True(errors.Is(err, jaywind.ErrUnavailable))
+	_, err = s.Swap(ctx, "k", []byte("a"), "")
+	is.True(errors.Is(err, jaywind.ErrUnknown) || errors.Is(err, jaywind.ErrUnavailable))
+	is.True(time.Since(start) < time.Second)
+}
+
+func leaseLapses(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	id, err := s.Grant(ctx, 30*time.Millisecond)
+	is.NoErr(err)
+	_, err = s.SwapLeased(ctx, "k", []byte("a"), "", id)
+	is.NoErr(err)
+	time.Sleep(60 * time.Millisecond)
+	_, err = s.Get(ctx, "k")
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+	is.True(errors.Is(s.Renew(ctx, id), jaywind.ErrLapsed))
+	_, err = s.SwapLeased(ctx, "k", []byte("b"), "", id)
+	is.True(errors.Is(err, jaywind.ErrLapsed))
+}
+
+func leaseRenewed(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	id, err := s.Grant(ctx, 500*time.Millisecond)
+	is.NoErr(err)
+	_, err = s.SwapLeased(ctx, "k", []byte("a"), "", id)
+	is.NoErr(err)
+	for range 4 {
+		time.Sleep(150 * time.Millisecond)
+		is.NoErr(s.Renew(ctx, id))
+	}
+	_, err = s.Get(ctx, "k")
+	is.NoErr(err)
+}
+
+// during runs strike a little after call has begun and returns when both are done.
+func during(call, strike func()) {
+	var group conc.WaitGroup
+	group.Go(func() {
+		time.Sleep(50 * time.Millisecond)
+		strike()
+	})
+	call()
+	group.Wait()
+}
+
+func watchWakes(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.NoErr(err)
+	e, err := s.Watch(ctx, "k", "")
+	is.NoErr(err)
+	is.Equal(e.Revision, first)
+	during(func() { e, err = s.Watch(ctx, "k", first) }, func() {
+		_, _ = f.Swap(ctx, "other", nil, "")
+		_, _ = f.Swap(ctx, "k", []byte("b"), first)
+	})
+	is.NoErr(err)
+	is.Equal(string(e.Value), "b")
+}
+
+func watchSeesLapse(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	id, err := s.Grant(ctx, 30*time.Millisecond)
+	is.NoErr(err)
+	first, err := s.SwapLeased(ctx, "k", []byte("a"), "", id)
+	is.NoErr(err)
+	during(func() { _, err = s.Watch(ctx, "k", first) }, func() {})
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+}
+
+func watchAbsent(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	var e jaywind.Entry
+	var err error
+	during(func() { e, err = s.Watch(ctx, "k", "") }, func() { _, _ = f.Swap(ctx, "k", []byte("a"), "") })
+	is.NoErr(err)
+	is.Equal(string(e.Value), "a")
+}
+
+func watchThroughOutage(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first, err := s.Swap(ctx, "k", []byte("a"), "")
+	is.NoErr(err)
+	during(func() { _, err = s.Watch(ctx, "k", first) }, func() { f.Set(standin.Faults{Down: true}) })
+	is.True(errors.Is(err, jaywind.ErrUnavailable))
+	f.Set(standin.Faults{})
+	_, err = f.Swap(ctx, "k", []byte("b"), first)
+	is.NoErr(err)
+	e, err := s.Watch(ctx, "k", first)
+	is.NoErr(err)
+	is.Equal(string(e.Value), "b")
+}
+
+func watchEnds(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	for range 5 { // an ended watch is no failure of the store
+		short, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		_, err := s.Watch(short, "k", "")
+		cancel()
+		is.True(errors.Is(err, jaywind.ErrUnavailable))
+	}
+	_, err := s.Swap(ctx, "k", nil, "")
+	is.NoErr(err)
+}
+
+func largest(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	_, err := s.Swap(ctx, "k", make([]byte, jaywind.MaxValue), "")
+	is.NoErr(err)
+	e, err := s.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(len(e.Value), jaywind.MaxValue)
+}
+
+func tooLarge(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	_, err := s.Swap(ctx, "k", make([]byte, jaywind.MaxValue+1), "")
+	is.True(errors.Is(err, jaywind.ErrTooLarge))
+	_, err = s.Get(ctx, "k")
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+}
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -17,8 +18,8 @@
 // Handler returns the HTTP interface of the service, with POST /faults for the switches.
 func (s *Store) Handler() http.Handler {
 	m := httprouter.New()
-	m.GET("/kv/:key", s.serveGet)
-	m.PUT("/kv/:key", s.servePut)
+	m.GET("/kv/*key", s.serveGet)
+	m.PUT("/kv/*key", s.servePut)
 	m.POST("/leases", s.serveGrant)
 	m.PUT("/leases/:lease", s.serveRenew)
 	m.POST("/faults", s.serveFaults)
@@ -26,7 +27,7 @@
 }
 
 func (s *Store) serveGet(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	key := p.ByName("key")
+	key := keyOf(p)
 	old := jaywind.Revision(r.URL.Query().Get("after"))
 	limit, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	var e jaywind.Entry
@@ -49,6 +50,11 @@
 	_, _ = w.Write(e.Value)
 }
 
+// keyOf returns the key, which may hold slashes.
+func keyOf(p httprouter.Params) string {
+	return strings.TrimPrefix(p.ByName("key"), "/")
+}
+
 func (s *Store) servePut(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, jaywind.MaxValue))
 	if err != nil {
@@ -61,7 +67,7 @@
 		return
 	}
 	id := jaywind.LeaseID(r.URL.Query().Get("lease"))
-	revision, err := s.SwapLeased(r.Context(), p.ByName("key"), value, old, id)
+	revision, err := s.SwapLeased(r.Context(), keyOf(p), value, old, id)
 	if err != nil {
 		fail(w, err)
 		return
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -15,6 +15,7 @@
 type Faults struct {
 	Down bool          `json:"down"` // every call fails before it takes effect
 	Lose int           `json:"lose"` // so many writes take effect but their replies are lost
+	Drop int           `json:"drop"` // so many writes are lost before they take effect, which their callers can't tell
 	Slow time.Duration `json:"slow"` // every call takes this much longer, in nanoseconds
 }
 
@@ -126,6 +127,9 @@
 
 // SwapLeased is Swap for a value that is deleted when the lease lapses.
 func (s *Store) SwapLeased(ctx context.Context, key string, value []byte, old jaywind.Revision, id jaywind.LeaseID) (jaywind.Revision, error) {
+	if len(value) > jaywind.MaxValue {
+		return "", jaywind.ErrTooLarge
+	}
 	if err := s.begin(ctx); err != nil {
 		return "", err
 	}
@@ -138,6 +142,10 @@
 	if _, alive := s.leases[id]; id != "" && !alive {
 		return "", jaywind.ErrLapsed
 	}
+	if s.faults.Drop > 0 {
+		s.faults.Drop--
+		return "", fmt.Errorf("%w: call lost", jaywind.ErrUnknown)
+	}
 	if s.entries == nil {
 		s.entries = map[string]*entry{}
 	}
@@ -167,31 +175,43 @@
 		return jaywind.Entry{}, err
 	}
 	for {
-		e, changed, err := s.look(key)
+		e, changed, lapse, err := s.look(key)
 		waits := errors.Is(err, jaywind.ErrAbsent) && old == ""
 		if !waits && (err != nil || e.Revision != old) {
 			return e, err
 		}
 		select {
 		case <-changed:
+		case <-time.After(lapse):
 		case <-ctx.Done():
 			return jaywind.Entry{}, fmt.Errorf("%w: %w", jaywind.ErrUnavailable, ctx.Err())
 		}
 	}
 }
 
-// look returns the entry and what to wait on for a change; an absent key that was never seen is waited for.
-func (s *Store) look(key string) (jaywind.Entry, <-chan struct{}, error) {
+// look returns the entry, what to wait on for a change, and how long until a lease may lapse.
+func (s *Store) look(key string) (jaywind.Entry, <-chan struct{}, time.Duration, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return jaywind.Entry{}, nil, fmt.Errorf("%w: outage", jaywind.ErrUnavailable)
+		return jaywind.Entry{}, nil, 0, fmt.Errorf("%w: outage", jaywind.ErrUnavailable)
 	}
 	if s.changed == nil {
 		s.changed = make(chan struct{})
 	}
 	e, err := s.get(key)
-	return e, s.changed, err
+	return e, s.changed, s.nextLapse(), err
+}
+
+const lapseCheck = time.Hour // between looks of a watch while no lease is open
+
+// nextLapse returns how long the first lease to lapse still has; the caller holds mu.
+func (s *Store) nextLapse() time.Duration {
+	left := lapseCheck
+	for _, l := range s.leases {
+		left = min(left, time.Until(l.end))
+	}
+	return max(left, time.Millisecond)
 }
 
 // Grant opens a lease.
--- a/store.go
+++ b/store.go
@@ -18,6 +18,9 @@
 // ErrUnavailable wraps a failure of the store to answer in time.
 var ErrUnavailable = errors.New("store unavailable")
 
+// ErrTooLarge is returned for a value of more than MaxValue bytes, which is not written.
+var ErrTooLarge = errors.New("value is too large")
+
 // ErrLapsed is returned when a lease's time ran out before it was renewed.
 var ErrLapsed = errors.New("lease lapsed")
 
@@ -41,7 +44,7 @@
 type Store interface {
 	// Get returns the entry, ErrAbsent, or an error that wraps ErrUnavailable.
 	Get(ctx context.Context, key string) (Entry, error)
-	// Swap writes value if the key's revision is old ("" for absent); errors are ErrConflict, ErrUnknown or ErrUnavailable.
+	// Swap writes value if the key's revision is old ("" for absent); errors are ErrConflict, ErrTooLarge, ErrUnavailable (not written) or ErrUnknown.
 	Swap(ctx context.Context, key string, value []byte, old Revision) (Revision, error)
 	// Watch waits until the key's revision is other than old and returns the entry, or ErrAbsent once it is deleted.
 	Watch(ctx context.Context, key string, old Revision) (Entry, error)
