--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -18,6 +18,7 @@
 	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/gossip"
+	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
 	"jaywind/internal/operator/burn"
 	"jaywind/internal/operator/scrape"
@@ -138,6 +139,7 @@
 		Claims:   claims,
 		Store:    committer.Store,
 		Log:      log,
+		Journal:  &journal.Client{HTTP: cbor.NewHTTPClient(s.Secret)},
 	}
 	claims.Members = r.Members
 	for _, u := range s.Fleet.Seeds {
@@ -149,12 +151,16 @@
 	if s.Directory.URL != "" {
 		r.Directory = &vms.Client{URL: jaywind.Address(s.Directory.URL)}
 	}
+	if s.Weights.URL != "" {
+		r.Weights = &weights.Client{URL: jaywind.Address(s.Weights.URL)}
+	}
 	return r
 }
 
 // newFleetMux returns the handlers for calls from other routers.
 func newFleetMux(r *embed.Router, committer *ledger.Committer) http.Handler {
 	m := http.NewServeMux()
+	journal.Register(m, r.Records())
 	m.Handle("/fleet/", gossip.NewHandler(r))
 	m.Handle(ledger.Path, ledger.NewHandler(committer))
 	return m
--- a/internal/backend/engine/wire.go
+++ b/internal/backend/engine/wire.go
@@ -67,6 +67,12 @@
 	Action  string `json:"action"`
 }
 
+// nameOf returns what the engine knows the work by: runs of one request that
+// different routers began must not take each other's place.
+func nameOf(w jaywind.Work) string {
+	return string(w.Request) + "." + strconv.FormatUint(uint64(w.Run), 10)
+}
+
 func completionOf(c jaywind.Call) completion {
 	w := completion{
 		Model:    string(c.Model),
@@ -75,7 +81,7 @@
 		Seed:     uint64(c.Seed),
 		Limit:    c.Limit,
 		Stream:   true,
-		Request:  string(c.Request),
+		Request:  nameOf(c.Work()),
 		Attempt:  uint64(c.Attempt),
 		Priority: int(c.Priority),
 	}
@@ -98,15 +104,17 @@
 		Attempt:  jaywind.Attempt(c.Attempt),
 		Position: jaywind.Position(c.Position),
 	}
-	if c.Choices[0].Finish == nil {
+	f.End = c.Choices[0].Finish != nil
+	if !f.End {
 		f.Token = tokenOf(piece{ID: c.Token, Text: c.Choices[0].Text, Bytes: c.Bytes})
+	}
+	if c.Digest == "" && !f.End {
 		return f, nil
 	}
 	digest, err := strconv.ParseUint(c.Digest, 16, 64)
 	if err != nil {
 		return jaywind.Frame{}, fmt.Errorf("%w: digest: %w", jaywind.ErrFrame, err)
 	}
-	f.End = true
 	f.Digest = jaywind.Digest(digest)
 	return f, nil
 }
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -151,7 +151,7 @@
 		takeBack(s, m, r.Reason)
 		return
 	}
-	hear(s, m, r)
+	hear(m, r)
 	if began := time.Unix(0, r.Began); began.Before(m.Began) {
 		m.Began = began
 	}
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -46,7 +46,7 @@
 }
 
 // hear adds what another router has counted since its last report.
-func hear(s *table.State, m *table.Move, r table.Report) {
+func hear(m *table.Move, r table.Report) {
 	before, known := m.Evidence.Heard[r.From]
 	if known && (r.Life < before.Life || r.Life == before.Life && r.Number <= before.Number) {
 		return
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,7 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/journal"
 	"jaywind/internal/core/member"
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
@@ -45,9 +46,11 @@
 		move.Watch{},
 		generate.Intake{},
 		generate.Silence{},
-		admit.Admit{},
 		move.Decide{},
+		admit.Admit{},
+		generate.Pinned{},
 		place.Place{},
+		journal.Journal{},
 		claim.Claim{},
 	}
 }
