--- /dev/null
+++ b/internal/fleet/ledger/bench_test.go
@@ -0,0 +1,109 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/standin/store"
+)
+
+const (
+	storeLatency = 3 * time.Millisecond
+	routers      = 9
+)
+
+// near hands claims to the committers of other routers in the same process.
+type near map[jaywind.Address]*Committer
+
+// Commit commits at the router of an address.
+func (n near) Commit(ctx context.Context, at jaywind.Address, c jaywind.Claim) (jaywind.Claim, error) {
+	return n[at].Commit(ctx, c)
+}
+
+// newFleet returns what commits a claim at each router.
+func newFleet(s jaywind.Store) ([]func(context.Context, jaywind.Claim) error, near) {
+	committers := near{}
+	var members []jaywind.Member
+	for i := range routers {
+		at := jaywind.Address(fmt.Sprint("vm", i))
+		committers[at] = &Committer{Store: s}
+		members = append(members, jaywind.Member{VM: jaywind.VM(at), Fleet: at})
+	}
+	var out []func(context.Context, jaywind.Claim) error
+	for _, m := range members {
+		r := &Router{Self: m.VM, Local: committers[m.Fleet], Remote: committers, Members: func() []jaywind.Member { return members }}
+		out = append(out, func(ctx context.Context, c jaywind.Claim) error {
+			_, err := r.Commit(ctx, c)
+			return err
+		})
+	}
+	return out, committers
+}
+
+// BenchmarkClaim makes once-only calls at a rate, each a claim and an answer to record, and tells what
+// they cost the store and what a claim adds to a call: grouped, or with one swap of a key of its own.
+func BenchmarkClaim(b *testing.B) {
+	for _, perSecond := range []int{25, 100, 400, 1600} {
+		b.Run(fmt.Sprintf("group/%d", perSecond), func(b *testing.B) {
+			s := &store.Store{}
+			s.Set(store.Faults{Slow: storeLatency})
+			commit, committers := newFleet(s)
+			drive(b, perSecond, s, func(ctx context.Context, i int, c jaywind.Claim) error {
+				return commit[i%routers](ctx, c)
+			})
+			for _, c := range committers {
+				c.Wait()
+			}
+		})
+		b.Run(fmt.Sprintf("single/%d", perSecond), func(b *testing.B) {
+			s := &store.Store{}
+			s.Set(store.Faults{Slow: storeLatency})
+			var revisions sync.Map
+			drive(b, perSecond, s, func(ctx context.Context, _ int, c jaywind.Claim) error {
+				old, _ := revisions.LoadOrStore(c.Key, jaywind.Revision(""))
+				revision, err := s.Swap(ctx, string(c.Key), make([]byte, 100), old.(jaywind.Revision))
+				revisions.Store(c.Key, revision)
+				return err
+			})
+		})
+	}
+}
+
+func drive(b *testing.B, perSecond int, s *store.Store, commit func(ctx context.Context, i int, c jaywind.Claim) error) {
+	var mu sync.Mutex
+	var took []time.Duration
+	var group conc.WaitGroup
+	start := time.Now()
+	for i := range b.N {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))))
+		group.Go(func() {
+			c := claimOf(fmt.Sprint(i), 1)
+			begun := time.Now()
+			if err := commit(context.Background(), i, c); err != nil {
+				b.Error(err)
+			}
+			mu.Lock()
+			took = append(took, time.Since(begun))
+			mu.Unlock()
+			c.State = jaywind.ClaimAnswered
+			c.Reply = jaywind.Reply{Status: 200, Body: make([]byte, 200)}
+			if err := commit(context.Background(), i, c); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	spent := time.Since(start).Seconds()
+	slices.Sort(took)
+	b.ReportMetric(float64(s.Calls())/spent, "storecalls/s")
+	b.ReportMetric(float64(s.Calls())/float64(b.N), "storecalls/call")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50ms")
+	b.ReportMetric(float64(took[len(took)*95/100].Microseconds())/1000, "p95ms")
+}
