claim: lookups ask a second endpoint early, inside retry budgets

The wait that is given up enters the quantile, so a service that has become slow is not asked twice for long. Weighed: a fixed second (no early second try).

--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -10,10 +10,14 @@
 )
 
 // Claim runs the calls to plain services.
-type Claim struct{}
+type Claim struct {
+	// Patience is how long an idempotent call waits for an answer before another endpoint is asked,
+	// in multiples of the 0.99 quantile of the endpoint's answers; 2 when zero.
+	Patience float64
+}
 
 // Step handles the events of the tick, then the timers on a full one.
-func (Claim) Step(s *table.State) {
+func (y Claim) Step(s *table.State) {
 	for _, e := range s.Events {
 		switch e := e.(type) {
 		case table.ServiceArrived:
@@ -27,7 +31,7 @@
 		}
 	}
 	if s.Full {
-		watchAll(s)
+		y.watchAll(s)
 	}
 }
 
@@ -142,13 +146,13 @@
 }
 
 // watchAll looks at the timers of all calls in the order of their ids.
-func watchAll(s *table.State) {
+func (y Claim) watchAll(s *table.State) {
 	for _, id := range slices.Sorted(maps.Keys(s.Calls)) {
-		watch(s, s.Calls[id])
+		y.watch(s, s.Calls[id])
 	}
 }
 
-func watch(s *table.State, c *table.ServiceCall) {
+func (y Claim) watch(s *table.State, c *table.ServiceCall) {
 	switch c.Phase {
 	case table.CallClaiming:
 		if !s.Now.Before(c.GiveUp) {
@@ -157,7 +161,7 @@
 	case table.CallWaiting:
 		watchOther(s, c)
 	case table.CallSending:
-		watchSent(s, c)
+		y.watchSent(s, c)
 	}
 }
 
--- a/internal/core/claim/retry.go
+++ b/internal/core/claim/retry.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"time"
+
 	"jaywind"
 	"jaywind/internal/core/table"
 )
@@ -19,6 +21,26 @@
 	send(s, c, e)
 }
 
+// tryLimit is how long an endpoint may take to answer an idempotent call before another is asked as well.
+func (y Claim) tryLimit(e *table.Endpoint) time.Duration {
+	if e == nil || e.Gaps.High() == 0 {
+		return tryFirst
+	}
+	patience := y.Patience
+	if patience == 0 {
+		patience = tryPatience
+	}
+	limit := min(patience*e.Gaps.High().Seconds(), tryMost.Seconds())
+	return max(tryLeast, time.Duration(limit*float64(time.Second)))
+}
+
+// observe takes the time of an answer to an idempotent call, or of the wait that was given up.
+func observe(s *table.State, c *table.ServiceCall) {
+	if e := s.Endpoints[c.Endpoint]; e != nil && c.Mode == table.ModeRepeat {
+		e.Gaps.Observe(s.Now.Sub(c.Sent))
+	}
+}
+
 func failed(reason string) table.Respond {
 	return table.Respond{Result: table.ResultFailed, Reason: reason, RetryAfter: returnAfter}
 }
--- a/internal/core/claim/send.go
+++ b/internal/core/claim/send.go
@@ -87,6 +87,9 @@
 		return
 	}
 	release(s, c, e.Err == nil)
+	if c.Try == e.Try {
+		observe(s, c)
+	}
 	switch {
 	case e.Err == nil:
 		answer(s, c, e.Reply)
@@ -113,7 +116,9 @@
 		return
 	}
 	e.Failures++
-	e.ClosedTill = s.Now.Add(breakerFirst << min(e.Failures-1, breakerShift))
+	if e.Failures >= breakAfter {
+		e.ClosedTill = s.Now.Add(breakerFirst << min(e.Failures-breakAfter, breakerShift))
+	}
 }
 
 func answer(s *table.State, c *table.ServiceCall, r jaywind.Reply) {
@@ -144,11 +149,12 @@
 }
 
 // watchSent answers for an endpoint that has not.
-func watchSent(s *table.State, c *table.ServiceCall) {
+func (y Claim) watchSent(s *table.State, c *table.ServiceCall) {
 	late := !s.Now.Before(c.Ask.Deadline)
 	switch {
-	case c.Mode == table.ModeRepeat && (late || s.Now.Sub(c.Sent) >= tryLimit):
+	case c.Mode == table.ModeRepeat && (late || s.Now.Sub(c.Sent) >= y.tryLimit(s.Endpoints[c.Endpoint])):
 		release(s, c, false)
+		observe(s, c)
 		retry(s, c)
 	case late && !c.Responded:
 		respondEarly(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
