claims: heads sealed at 16 KB, sealed claims kept as hashes

Each swap writes the whole head, so its size sets the bytes that the store and the preferred routers move; and a router held every claim of the retention time.

--- a/internal/fleet/ledger/bench_test.go
+++ b/internal/fleet/ledger/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 func BenchmarkClaim(b *testing.B) {
 	for _, perSecond := range []int{25, 100, 400, 1600} {
 		b.Run(fmt.Sprintf("group/%d", perSecond), func(b *testing.B) {
-			s := &store.Store{}
+			s := &weighed{Store: &store.Store{}}
 			s.Set(store.Faults{Slow: storeLatency})
 			commit, committers := newFleet(s)
 			drive(b, perSecond, s, func(ctx context.Context, i int, c jaywind.Claim) error {
@@ -63,7 +64,7 @@
 			}
 		})
 		b.Run(fmt.Sprintf("single/%d", perSecond), func(b *testing.B) {
-			s := &store.Store{}
+			s := &weighed{Store: &store.Store{}}
 			s.Set(store.Faults{Slow: storeLatency})
 			var revisions sync.Map
 			drive(b, perSecond, s, func(ctx context.Context, _ int, c jaywind.Claim) error {
@@ -76,7 +77,19 @@
 	}
 }
 
-func drive(b *testing.B, perSecond int, s *store.Store, commit func(ctx context.Context, i int, c jaywind.Claim) error) {
+// weighed counts the bytes of the values that are written.
+type weighed struct {
+	*store.Store
+	written atomic.Int64 // bytes
+}
+
+// Swap counts the value.
+func (w *weighed) Swap(ctx context.Context, key string, value []byte, old jaywind.Revision) (jaywind.Revision, error) {
+	w.written.Add(int64(len(value)))
+	return w.Store.Swap(ctx, key, value, old)
+}
+
+func drive(b *testing.B, perSecond int, s *weighed, commit func(ctx context.Context, i int, c jaywind.Claim) error) {
 	var mu sync.Mutex
 	var took []time.Duration
 	var group conc.WaitGroup
@@ -104,6 +117,7 @@
 	slices.Sort(took)
 	b.ReportMetric(float64(s.Calls())/spent, "storecalls/s")
 	b.ReportMetric(float64(s.Calls())/float64(b.N), "storecalls/call")
+	b.ReportMetric(float64(s.written.Load())/spent/1000, "kB/s")
 	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50ms")
 	b.ReportMetric(float64(took[len(took)*95/100].Microseconds())/1000, "p95ms")
 }
--- a/internal/platform/claims/seal.go
+++ b/internal/platform/claims/seal.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,7 +81,7 @@
 	if _, err := h.Store.Swap(ctx, h.segmentKey(n), value, ""); err != nil && !errors.Is(err, jaywind.ErrConflict) {
 		return name{}, err
 	}
-	h.keep(n.Hash, rows)
+	h.keep(n.Hash, index(rows))
 	return n, nil
 }
 
@@ -97,9 +98,11 @@
 	}
 	latest := map[jaywind.ClaimKey]jaywind.Claim{}
 	for _, n := range next.Sealed[start:] {
-		for k, c := range h.sealed[n.Hash] {
-			latest[k] = c
+		claims, err := h.read(ctx, n)
+		if err != nil {
+			return head{}, err
 		}
+		maps.Copy(latest, claims)
 	}
 	n, err := h.seal(ctx, sortedRows(latest))
 	if err != nil {
@@ -125,24 +128,54 @@
 		if _, known := h.sealed[n.Hash]; known {
 			continue
 		}
-		e, err := h.Store.Get(ctx, h.segmentKey(n))
-		if err != nil {
-			return fmt.Errorf("%w: segment %x: %w", jaywind.ErrUnavailable, n.Hash, err)
-		}
-		g, err := decodeSegment(e.Value)
-		if err != nil {
+		if _, err := h.read(ctx, n); err != nil {
 			return err
 		}
-		h.keep(n.Hash, g.Rows)
 	}
 	return nil
 }
 
-func (h *Shard) keep(hash uint64, rows []row) {
+// contents is a segment as it was read.
+type contents struct {
+	hash   uint64
+	claims map[jaywind.ClaimKey]jaywind.Claim
+}
+
+// read returns what a segment holds.
+func (h *Shard) read(ctx context.Context, n name) (map[jaywind.ClaimKey]jaywind.Claim, error) {
+	for _, c := range h.cache {
+		if c.hash == n.Hash {
+			return c.claims, nil
+		}
+	}
+	e, err := h.Store.Get(ctx, h.segmentKey(n))
+	if err != nil {
+		return nil, fmt.Errorf("%w: segment %x: %w", jaywind.ErrUnavailable, n.Hash, err)
+	}
+	g, err := decodeSegment(e.Value)
+	if err != nil {
+		return nil, err
+	}
+	claims := index(g.Rows)
+	h.keep(n.Hash, claims)
+	return claims, nil
+}
+
+// keep notes the hashes of a segment's keys, and its claims for a while.
+func (h *Shard) keep(hash uint64, claims map[jaywind.ClaimKey]jaywind.Claim) {
+	hashes := make([]uint64, 0, len(claims))
+	for k := range claims {
+		hashes = append(hashes, k.Hash())
+	}
+	slices.Sort(hashes)
 	if h.sealed == nil {
-		h.sealed = map[uint64]map[jaywind.ClaimKey]jaywind.Claim{}
+		h.sealed = map[uint64][]uint64{}
+	}
+	h.sealed[hash] = hashes
+	h.cache = append(h.cache, contents{hash: hash, claims: claims})
+	if len(h.cache) > cacheCount {
+		h.cache = slices.Delete(h.cache, 0, 1)
 	}
-	h.sealed[hash] = index(rows)
 }
 
 // forget drops the segments that the head no longer names.
--- a/internal/platform/claims/shard.go
+++ b/internal/platform/claims/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"jaywind"
@@ -14,7 +15,8 @@
 
 const (
 	commitRounds = 8         // swaps and reads that one batch may take
-	sealSize     = 64 << 10  // bytes of a head that is due to be sealed
+	sealSize     = 16 << 10  // bytes of a head that is due to be sealed
+	cacheCount   = 4         // segments whose claims are kept in memory, not only their keys' hashes
 	mergeCount   = 8         // sealed segments of a shard that are merged into one
 	mergeSize    = 512 << 10 // bytes of segments that are merged together
 	retention    = 48 * time.Hour
@@ -38,7 +40,8 @@
 	head     head
 	revision jaywind.Revision
 	recent   map[jaywind.ClaimKey]jaywind.Claim // the rows of head
-	sealed   map[uint64]map[jaywind.ClaimKey]jaywind.Claim
+	sealed   map[uint64][]uint64                // hashes of the keys in each segment, sorted
+	cache    []contents                         // segments read of late, the latest last
 }
 
 // Commit records claims in their order and returns what is on record for each afterwards.
@@ -68,7 +71,10 @@
 	if err := h.load(ctx); err != nil {
 		return nil, err
 	}
-	out, changed := h.merge(wants)
+	out, changed, err := h.merge(ctx, wants)
+	if err != nil {
+		return nil, err
+	}
 	if len(changed) == 0 {
 		if fresh || allFinal(out) {
 			return out, nil
@@ -90,14 +96,17 @@
 }
 
 // merge returns what each claim leads to and the keys whose record changes.
-func (h *Shard) merge(wants []jaywind.Claim) ([]jaywind.Claim, map[jaywind.ClaimKey]jaywind.Claim) {
+func (h *Shard) merge(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, map[jaywind.ClaimKey]jaywind.Claim, error) {
 	changed := map[jaywind.ClaimKey]jaywind.Claim{}
 	out := make([]jaywind.Claim, 0, len(wants))
 	for _, want := range wants {
 		k := want.ID()
 		old, found := changed[k]
 		if !found {
-			old = h.find(k)
+			var err error
+			if old, err = h.find(ctx, k); err != nil {
+				return nil, nil, err
+			}
 		}
 		now, differs := old.Then(want)
 		if differs {
@@ -105,20 +114,29 @@
 		}
 		out = append(out, now)
 	}
-	return out, changed
+	return out, changed, nil
 }
 
 // find returns the latest record of a key, whose state is ClaimNone when there is none.
-func (h *Shard) find(k jaywind.ClaimKey) jaywind.Claim {
+func (h *Shard) find(ctx context.Context, k jaywind.ClaimKey) (jaywind.Claim, error) {
 	if c, found := h.recent[k]; found {
-		return c
+		return c, nil
 	}
+	hash := k.Hash()
 	for i := len(h.head.Sealed) - 1; i >= 0; i-- {
-		if c, found := h.sealed[h.head.Sealed[i].Hash][k]; found {
-			return c
+		n := h.head.Sealed[i]
+		if _, found := slices.BinarySearch(h.sealed[n.Hash], hash); !found {
+			continue
+		}
+		claims, err := h.read(ctx, n)
+		if err != nil {
+			return jaywind.Claim{}, err
+		}
+		if c, found := claims[k]; found {
+			return c, nil
 		}
 	}
-	return jaywind.Claim{}
+	return jaywind.Claim{}, nil
 }
 
 // load reads the head and the segments that it names, unless they are known.
