--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -57,7 +57,7 @@
 func TestFaults(t *testing.T) {
 	tests := map[string]struct {
 		strike func(f *fleet)
-		hold   time.Duration // how long the fault lasts
+		hold   time.Duration            // how long the fault lasts
 		during func(is *is.I, f *fleet) // checked from the tenth second of the fault on
 		heal   func(f *fleet)
 		spared func(int) bool // whom nobody may declare dead during the fault
