--- a/bookmark.go
+++ b/bookmark.go
@@ -18,12 +18,13 @@
 	Position Position
 	Digest   Digest
 	Attempt  Attempt
+	Run      Attempt // that began the endpoint's work
 	Endpoint EndpointID
 	Version  Version
 	Seed     Seed
 }
 
-const bookmarkFields = 7
+const bookmarkFields = 8
 
 // String returns the form of the bookmark that is used as an SSE event id.
 func (b Bookmark) String() string {
@@ -32,6 +33,7 @@
 		strconv.Itoa(int(b.Position)),
 		strconv.FormatUint(uint64(b.Digest), 16),
 		strconv.FormatUint(uint64(b.Attempt), 10),
+		strconv.FormatUint(uint64(b.Run), 10),
 		url.QueryEscape(string(b.Endpoint)),
 		url.QueryEscape(string(b.Version)),
 		strconv.FormatUint(uint64(b.Seed), 16),
@@ -50,6 +52,7 @@
 		Position: Position(r.number("position", 10, 31)),
 		Digest:   Digest(r.number("digest", 16, 64)),
 		Attempt:  Attempt(r.number("attempt", 10, 64)),
+		Run:      Attempt(r.number("run", 10, 64)),
 		Endpoint: EndpointID(r.word("endpoint")),
 		Version:  Version(r.word("version")),
 		Seed:     Seed(r.number("seed", 16, 64)),
--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newStream(response.Body), nil
+	return newStream(response.Body, call), nil
 }
 
 func openRequest(ctx context.Context, at jaywind.Address, call jaywind.Call) (*http.Request, error) {
@@ -54,24 +54,24 @@
 		query := url.Values{}
 		query.Set("from", strconv.Itoa(int(call.From)))
 		query.Set("attempt", strconv.FormatUint(uint64(call.Attempt), 10))
-		target := streamURL(at, call.Request) + "?" + query.Encode()
+		target := streamURL(at, call.Work()) + "?" + query.Encode()
 		return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	}
 	return newJSON(ctx, string(at)+"/v1/completions", completionOf(call))
 }
 
-// Probe asks how far a request has got.
-func (c *Client) Probe(ctx context.Context, at jaywind.Address, id jaywind.RequestID) (jaywind.Progress, error) {
+// Probe asks how far some work has got.
+func (c *Client) Probe(ctx context.Context, at jaywind.Address, w jaywind.Work) (jaywind.Progress, error) {
 	var p progress
-	if err := c.read(ctx, streamURL(at, id)+"/progress", &p); err != nil {
+	if err := c.read(ctx, streamURL(at, w)+"/progress", &p); err != nil {
 		return jaywind.Progress{}, err
 	}
 	return jaywind.Progress{Position: jaywind.Position(p.Position), Done: p.Done}, nil
 }
 
-// Cancel ends the work of a request for all attempts up to a.
-func (c *Client) Cancel(ctx context.Context, at jaywind.Address, id jaywind.RequestID, a jaywind.Attempt) error {
-	target := streamURL(at, id) + "?attempt=" + strconv.FormatUint(uint64(a), 10)
+// Cancel ends work unless an attempt after a has resumed it.
+func (c *Client) Cancel(ctx context.Context, at jaywind.Address, w jaywind.Work, a jaywind.Attempt) error {
+	target := streamURL(at, w) + "?attempt=" + strconv.FormatUint(uint64(a), 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
 	if err != nil {
 		return fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
@@ -110,8 +110,8 @@
 	return response.Body.Close()
 }
 
-func streamURL(at jaywind.Address, id jaywind.RequestID) string {
-	return string(at) + "/v1/streams/" + url.PathEscape(string(id))
+func streamURL(at jaywind.Address, w jaywind.Work) string {
+	return string(at) + "/v1/streams/" + url.PathEscape(nameOf(w))
 }
 
 func newJSON(ctx context.Context, target string, body any) (*http.Request, error) {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -88,6 +88,9 @@
 	r.Endpoint = e.ID
 	r.Attempt++
 	r.Tries++
+	if !r.Reuse {
+		r.Run = r.Attempt
+	}
 	r.Phase = table.PhaseOpening
 	r.Opened = s.Now
 	r.Sent = true
@@ -104,6 +107,7 @@
 	c := jaywind.Call{
 		Request:  r.ID,
 		Attempt:  r.Attempt,
+		Run:      r.Run,
 		Model:    r.Model,
 		Version:  r.Version,
 		Prompt:   r.Prompt,
--- a/internal/core/table/command.go
+++ b/internal/core/table/command.go
@@ -20,6 +20,7 @@
 type Cancel struct {
 	Request  jaywind.RequestID
 	Attempt  jaywind.Attempt
+	Run      jaywind.Attempt
 	At       jaywind.Address
 	KeepWork bool // close the connection only
 }
@@ -28,6 +29,7 @@
 type Probe struct {
 	Request jaywind.RequestID
 	Attempt jaywind.Attempt
+	Run     jaywind.Attempt
 	At      jaywind.Address
 	Limit   time.Duration
 }
@@ -36,6 +38,8 @@
 type Deliver struct {
 	Token jaywind.Token
 	Mark  jaywind.Bookmark // the place after the token
+	Tail  string           // the bytes of a cut rune before the token
+	Again bool             // taken before this listener joined
 }
 
 // Outcome is how a request ended.
@@ -57,6 +61,7 @@
 	Reason     string
 	RetryAfter time.Duration // when to come back, on a refusal or failure
 	Mark       jaywind.Bookmark
+	Listener   Listener // 0 for the one that the answer goes to
 }
 
 func (Open) command()    {}
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -36,6 +36,8 @@
 	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
 	Waiting []jaywind.RequestID // found no endpoint, tried again on a full tick
 
+	Journal Journal
+
 	Stopping bool // a graceful shutdown has begun
 	Counts   Counts
 
