--- a/internal/core/rule/parse.go
+++ b/internal/core/rule/parse.go
@@ -57,7 +57,11 @@
 		p.report(l.kind.column, "unknown rule "+strconv.Quote(l.kind.text)+", want one of "+names)
 		return
 	}
-	read(p.set, l)
+	set := p.set
+	if l.name.text == "" {
+		set = New() // only the findings count
+	}
+	read(set, l)
 	l.finish()
 	p.notePlace(l)
 }
