member: an endpoint leaves by rule, by VM list or by its own word

One router of each failure domain reads the VM list; the others hear of leaving VMs by a note.

go test ./internal/core/step -run Leaving: ok.

--- a/internal/core/member/leave.go
+++ b/internal/core/member/leave.go
@@ -1,6 +1,9 @@
 package member
 
 import (
+	"strconv"
+	"time"
+
 	"jaywind"
 	"jaywind/internal/core/table"
 )
@@ -22,8 +25,7 @@
 	}
 	for _, n := range s.Fleet.NotesIn {
 		if n.Kind == NoteLeaving {
-			s.Fleet.LeavingVMs[jaywind.VM(n.Key)] = true
-			markVMs(s)
+			takeVM(s, n)
 		}
 	}
 }
@@ -36,23 +38,55 @@
 	row.Leaving = e.Load.Leaving || onLeavingVM(s, e.Endpoint)
 }
 
-// listVMs keeps which VMs are leaving, and tells all routers of those that were not known to be.
+// listVMs keeps which VMs are leaving, and tells all routers of what was not known.
+//
+// Lists lag by different times, so one that no longer says that a VM leaves
+// is believed only after a while, when it can't be an older one.
 func listVMs(s *table.State, machines []jaywind.Machine) {
-	f := &s.Fleet
+	now := s.Now.UnixMilli()
 	for _, m := range machines {
-		if m.Leaving && !f.LeavingVMs[m.VM] {
-			f.LeavingVMs[m.VM] = true
-			f.Spread(jaywind.Note{Kind: NoteLeaving, Key: string(m.VM)})
+		last := s.Fleet.VMs[m.VM]
+		back := last.Leaving && now-last.At >= leaveHold.Milliseconds()
+		if m.Leaving && !last.Leaving || !m.Leaving && back {
+			word := table.VMWord{Leaving: m.Leaving, At: now}
+			s.Fleet.VMs[m.VM] = word
+			s.Fleet.Spread(noteOf(m.VM, word))
 		}
 	}
 	markVMs(s)
 }
 
-// markVMs marks the endpoints on leaving VMs.
+const leaveHold = time.Minute // before a VM that was said to leave is taken back
+
+func noteOf(vm jaywind.VM, w table.VMWord) jaywind.Note {
+	at := w.At
+	if !w.Leaving {
+		at = -at
+	}
+	return jaywind.Note{Kind: NoteLeaving, Key: string(vm), Value: []byte(strconv.FormatInt(at, 10))}
+}
+
+// takeVM keeps the later word on a VM; a negative time says that it is back.
+func takeVM(s *table.State, n jaywind.Note) {
+	at, err := strconv.ParseInt(string(n.Value), 10, 64)
+	if err != nil {
+		return
+	}
+	word := table.VMWord{Leaving: at > 0, At: max(at, -at)}
+	if word.At > s.Fleet.VMs[jaywind.VM(n.Key)].At {
+		s.Fleet.VMs[jaywind.VM(n.Key)] = word
+		markVMs(s)
+	}
+}
+
+// markVMs marks the endpoints on VMs that the list has spoken of.
 func markVMs(s *table.State) {
+	if s.Rules == nil {
+		return
+	}
 	for id, row := range s.Endpoints {
-		if onLeavingVM(s, id) {
-			row.Leaving = true
+		if word, spoken := s.Fleet.VMs[s.Rules.Endpoints[id].VM]; spoken {
+			row.Leaving = word.Leaving || row.Load.Leaving
 		}
 	}
 }
@@ -61,9 +95,8 @@
 	if s.Rules == nil {
 		return false
 	}
-	vm := s.Rules.Endpoints[id].VM
-	return vm != "" && s.Fleet.LeavingVMs[vm]
+	return s.Fleet.VMs[s.Rules.Endpoints[id].VM].Leaving
 }
 
-// NoteLeaving is the kind of a note that names a VM which the platform's list says is leaving.
+// NoteLeaving is the kind of a note that names a VM with the time when the platform's list said that it leaves, negative for its return.
 const NoteLeaving = "leaving"
--- /dev/null
+++ b/internal/core/step/leave_test.go
@@ -0,0 +1,110 @@
+package step
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+const leaveTarget = 3 * time.Second // from the word that an endpoint leaves to the last new work there
+
+const twoEngines = `model heat version=v1 # test
+endpoint e1 model=heat version=v1 url=http://e1 domain=a vm=vm1 # test
+endpoint e2 model=heat version=v1 url=http://e2 domain=b vm=vm2 # test
+`
+
+func rulesOf(t *testing.T, version jaywind.RulesVersion, text string) table.Ruled {
+	set, findings := rule.Parse("test", text)
+	if len(findings) > 0 {
+		t.Fatal(findings[0])
+	}
+	return table.Ruled{Version: version, Set: set}
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	tests := map[string]struct {
+		word   func(t *testing.T) table.Event
+		report jaywind.Load // of e1, after the word
+		later  table.Event  // two minutes after it
+		leaves bool
+	}{
+		"nothing said": {word: func(*testing.T) table.Event { return table.Stalled{} }},
+		"drain rule": {
+			word:   func(t *testing.T) table.Event { return rulesOf(t, 2, twoEngines+"drain e1 # on call\n") },
+			leaves: true,
+		},
+		"VM list": {
+			word: func(*testing.T) table.Event {
+				return table.MachinesListed{Machines: []jaywind.Machine{{VM: "vm1", Leaving: true}}}
+			},
+			leaves: true,
+		},
+		"VM list of another router": {
+			word: func(*testing.T) table.Event {
+				note := jaywind.Note{Kind: "leaving", Key: "vm1", Value: []byte("1800000000000")}
+				return table.GossipAsked{Gossip: jaywind.Gossip{From: jaywind.Member{VM: "vm8"}, Notes: []jaywind.Note{note}}}
+			},
+			leaves: true,
+		},
+		"the endpoint's own word": {
+			word: func(*testing.T) table.Event {
+				return table.Loaded{Endpoint: "e1", Load: jaywind.Load{Leaving: true, Version: "v1"}}
+			},
+			report: jaywind.Load{Leaving: true, Version: "v1"},
+			leaves: true,
+		},
+		"VM list, and its VM comes back later": {
+			word: func(*testing.T) table.Event {
+				return table.MachinesListed{Machines: []jaywind.Machine{{VM: "vm1", Leaving: true}}}
+			},
+			later: table.MachinesListed{Machines: []jaywind.Machine{{VM: "vm1"}}},
+		},
+		"VM list, then a report and an older list that know nothing of it": {
+			word: func(*testing.T) table.Event {
+				return table.MachinesListed{Machines: []jaywind.Machine{{VM: "vm1", Leaving: true}}}
+			},
+			report: jaywind.Load{Version: "v1"},
+			leaves: true,
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			core := Core{State: table.New(1)}
+			now := time.Unix(1_800_000_000, 0)
+			core.Step(now, true, []table.Event{rulesOf(t, 1, twoEngines)})
+			core.Step(now, false, []table.Event{c.word(t)})
+			core.Step(now, false, []table.Event{
+				table.Loaded{Endpoint: "e1", Load: c.report},
+				table.MachinesListed{Machines: []jaywind.Machine{{VM: "vm1"}}}, // another list, that lags
+			})
+			if c.later != nil {
+				now = now.Add(2 * time.Minute)
+				core.Step(now, false, []table.Event{c.later})
+			}
+			end := now.Add(leaveTarget)
+			for i := 0; now.Before(end); i++ {
+				now = now.Add(20 * time.Millisecond)
+				core.Step(now, true, nil)
+			}
+			placed := map[jaywind.EndpointID]int{}
+			for i := range 60 {
+				now = now.Add(20 * time.Millisecond)
+				ask := table.Ask{ID: jaywind.RequestID(fmt.Sprint(i)), Model: "heat", Prompt: fmt.Sprint(i), Limit: 10}
+				for _, command := range core.Step(now, true, []table.Event{table.Arrived{Ask: ask}}) {
+					if o, opens := command.(table.Open); opens {
+						placed[o.Endpoint]++
+					}
+				}
+			}
+			is.True(placed["e2"] > 0)
+			is.Equal(placed["e1"] == 0, c.leaves)
+		})
+	}
+}
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -48,6 +48,12 @@
 	Helped  bool // other members were asked to probe it as well
 }
 
+// VMWord is the last word of the platform's list on a VM.
+type VMWord struct {
+	Leaving bool
+	At      int64 // Unix milliseconds
+}
+
 // Fleet is what a router knows of the others and of itself as a member.
 type Fleet struct {
 	Self     jaywind.Member
@@ -74,10 +80,10 @@
 	NotesIn  []jaywind.Note  // received for the first time in this tick
 	notesOut []jaywind.Note  // emitted here, not yet taken up by membership
 
-	StoreAt    time.Time // when any known member last reached the store; zero for never
-	Cut        bool      // on the smaller side of a cut, without the store
-	FetchAt    time.Time // when the last fetch of rules from a member began; zero when none runs
-	LeavingVMs map[jaywind.VM]bool
+	StoreAt time.Time             // when any known member last reached the store; zero for never
+	Cut     bool                  // on the smaller side of a cut, without the store
+	FetchAt time.Time             // when the last fetch of rules from a member began; zero when none runs
+	VMs     map[jaywind.VM]VMWord // that have been said to leave
 }
 
 // Live returns the members that are not dead, with this router, ordered by VM; leaving ones are included.
@@ -158,9 +164,9 @@
 // NewFleet returns the tables of a router that knows nobody.
 func NewFleet() Fleet {
 	return Fleet{
-		Members:    map[jaywind.VM]*Member{},
-		Calls:      map[uint64]*GossipCall{},
-		NoteKeys:   map[string]bool{},
-		LeavingVMs: map[jaywind.VM]bool{},
+		Members:  map[jaywind.VM]*Member{},
+		Calls:    map[uint64]*GossipCall{},
+		NoteKeys: map[string]bool{},
+		VMs:      map[jaywind.VM]VMWord{},
 	}
 }
