--- a/internal/edge/operator/handler.go
+++ b/internal/edge/operator/handler.go
@@ -23,7 +23,6 @@
 type router interface {
 	Status(ctx context.Context) (embed.Status, error)
 	RulesText() (jaywind.RulesVersion, string)
-	Entries(o jaywind.Organisation) []jaywind.Address
 }
 
 // Handler serves operators; set its fields before Mux is called.
