step: rows for refusing new work at once when cut off, stopping or without rules

Lookups of plain services are refused on the smaller side of a cut as generations are. Broken by hand, in admit and in claim, the row 'smaller side without the store' turns red. go test ./internal/core/step -run NewWork: ok.

--- a/internal/core/claim/answer.go
+++ b/internal/core/claim/answer.go
@@ -34,6 +34,8 @@
 	switch {
 	case s.Stopping:
 		respond(s, c, notRun(s, "this router is stopping"))
+	case s.Fleet.Cut:
+		respond(s, c, notRun(s, "this router is cut off from the store and from most routers"))
 	case s.Rules == nil:
 		respond(s, c, notRun(s, "no rules are known yet"))
 	case !s.Now.Before(c.Ask.Deadline):
--- /dev/null
+++ b/internal/core/step/cut_test.go
@@ -0,0 +1,83 @@
+package step
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+const withService = twoEngines + `service catalogue # test
+endpoint s1 kind=service service=catalogue url=http://s1 domain=a # test
+`
+
+// refusals returns how many new requests of a generation and of a lookup are refused as not run, with when to come back.
+func refusals(core *Core, now time.Time) int {
+	commands := core.Step(now, false, []table.Event{
+		table.Arrived{Ask: table.Ask{ID: "r1", Model: "heat", Prompt: "x", Limit: 10}},
+		table.ServiceArrived{Ask: table.ServiceAsk{ID: "r2", Service: "catalogue", Exchange: jaywind.Exchange{Method: "GET", Path: "/"}, Deadline: now.Add(time.Minute)}},
+	})
+	refused := 0
+	for _, c := range commands {
+		switch c := c.(type) {
+		case table.Finish:
+			if c.Outcome == table.OutcomeRefused && c.RetryAfter > 0 {
+				refused++
+			}
+		case table.Respond:
+			if c.Result == table.ResultNotRun && c.RetryAfter > 0 {
+				refused++
+			}
+		}
+	}
+	return refused
+}
+
+func TestNewWorkIsRefusedAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		rules bool
+		lost  int  // of four other members
+		store bool // is reached all the time
+		stop  bool
+		want  int
+	}{
+		"all is well":                     {rules: true, store: true},
+		"no rules yet":                    {want: 2},
+		"store down":                      {rules: true},
+		"half of the others lost":         {rules: true, lost: 2},
+		"smaller side without the store":  {rules: true, lost: 3, want: 2},
+		"smaller side that has the store": {rules: true, lost: 3, store: true},
+		"stopping":                        {rules: true, store: true, stop: true, want: 2},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			core := &Core{State: table.New(1)}
+			now := time.Unix(1_800_000_000, 0)
+			if c.rules {
+				core.Step(now, true, []table.Event{rulesOf(t, 1, withService)})
+			}
+			for i, vm := range []jaywind.VM{"vm2", "vm3", "vm4", "vm5"} {
+				m := &table.Member{Member: jaywind.Member{VM: vm}}
+				if i < c.lost {
+					m.Liveness = jaywind.LivenessDead
+				}
+				core.State.Fleet.Members[vm] = m
+			}
+			for range 30 {
+				now = now.Add(time.Second)
+				var events []table.Event
+				if c.store {
+					events = append(events, table.StoreReached{})
+				}
+				core.Step(now, true, events)
+			}
+			if c.stop {
+				core.Step(now, false, []table.Event{table.Stop{}})
+			}
+			is.New(t).Equal(refusals(core, now), c.want)
+		})
+	}
+}
--- a/internal/platform/vms/client_test.go
+++ b/internal/platform/vms/client_test.go
@@ -40,7 +40,7 @@
 		"name missing":    {handler: answering(`[{"domain":"a"}]`), fault: "row 0: vm is missing"},
 		"no JSON":         {handler: answering(`hello`), fault: "vm list"},
 		"cut in the text": {handler: answering(`[{"vm":"v`), fault: "vm list"},
-		"far too long":    {handler: answering(`["`+strings.Repeat("x", bodyLimit)+`"]`), fault: "vm list"},
+		"far too long":    {handler: answering(`["` + strings.Repeat("x", bodyLimit) + `"]`), fault: "vm list"},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
