--- a/internal/core/step/cut_test.go
+++ b/internal/core/step/cut_test.go
@@ -57,7 +57,7 @@
 			core := &Core{State: table.New(1)}
 			now := time.Unix(1_800_000_000, 0)
 			if c.rules {
-				core.Step(now, true, []table.Event{rulesOf(t, 1, withService)})
+				core.Step(now, true, []table.Event{parsed(t, 1, withService)})
 			}
 			for i, vm := range []jaywind.VM{"vm2", "vm3", "vm4", "vm5"} {
 				m := &table.Member{Member: jaywind.Member{VM: vm}}
--- a/internal/core/step/leave_test.go
+++ b/internal/core/step/leave_test.go
@@ -19,7 +19,7 @@
 endpoint e2 model=heat version=v1 url=http://e2 domain=b vm=vm2 # test
 `
 
-func rulesOf(t *testing.T, version jaywind.RulesVersion, text string) table.Ruled {
+func parsed(t *testing.T, version jaywind.RulesVersion, text string) table.Ruled {
 	set, findings := rule.Parse("test", text)
 	if len(findings) > 0 {
 		t.Fatal(findings[0])
@@ -36,7 +36,7 @@
 	}{
 		"nothing said": {word: func(*testing.T) table.Event { return table.Stalled{} }},
 		"drain rule": {
-			word:   func(t *testing.T) table.Event { return rulesOf(t, 2, twoEngines+"drain e1 # on call\n") },
+			word:   func(t *testing.T) table.Event { return parsed(t, 2, twoEngines+"drain e1 # on call\n") },
 			leaves: true,
 		},
 		"VM list": {
@@ -78,7 +78,7 @@
 			is := is.New(t)
 			core := Core{State: table.New(1)}
 			now := time.Unix(1_800_000_000, 0)
-			core.Step(now, true, []table.Event{rulesOf(t, 1, twoEngines)})
+			core.Step(now, true, []table.Event{parsed(t, 1, twoEngines)})
 			core.Step(now, false, []table.Event{c.word(t)})
 			core.Step(now, false, []table.Event{
 				table.Loaded{Endpoint: "e1", Load: c.report},
--- a/internal/edge/caller/complete_test.go
+++ b/internal/edge/caller/complete_test.go
@@ -37,6 +37,10 @@
 	return nil
 }
 
+func (s script) Load(context.Context, jaywind.Address) (jaywind.Load, error) {
+	return jaywind.Load{}, nil
+}
+
 type lines struct {
 	tokens []jaywind.Token
 	call   jaywind.Call
