--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,6 +26,7 @@
 	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
 	"jaywind/internal/standin/vms"
+	"jaywind/internal/standin/weights"
 )
 
 var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
@@ -33,6 +34,7 @@
 	"service": serviceFlags,
 	"store":   storeFlags,
 	"vms":     vmsFlags,
+	"weights": weightsFlags,
 }
 
 func main() {
@@ -47,7 +49,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) == 0 || kinds[args[0]] == nil {
-		return errors.New("want a kind: engine, service, store or vms")
+		return errors.New("want a kind: engine, service, store, vms or weights")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
@@ -74,6 +76,9 @@
 	version := f.String("version", "v1", "model `version`")
 	gap := f.Duration("gap", 5*time.Millisecond, "time between tokens")
 	prefill := f.Duration("prefill", 20*time.Millisecond, "time for 1,000 tokens of prefix")
+	batch := f.Int("batch", 0, "runs at full speed; more share the speed of these; no limit when 0")
+	fenced := f.Bool("fenced", true, "refuse an order with an old fencing number")
+	load := f.Duration("load", time.Second, "time from an order until the weights are loaded")
 	keep := f.Duration("keep", 10*time.Second, "how long a stream without a listener goes on")
 	return func() http.Handler {
 		e := &engine.Engine{
@@ -82,8 +87,11 @@
 			Version: jaywind.Version(*version),
 			Gap:     *gap,
 			Prefill: *prefill,
+			Batch:   *batch,
 			Keep:    *keep,
+			Exit:    func() { os.Exit(1) },
 		}
+		e.SetOrders(engine.Orders{Unfenced: !*fenced, LoadTime: *load})
 		return e.Handler()
 	}
 }
@@ -101,3 +109,8 @@
 	name := f.String("name", "s1", "`name` that the replies tell")
 	return func() http.Handler { return (&service.Service{Name: *name}).Handler() }
 }
+
+func weightsFlags(f *flag.FlagSet) func() http.Handler {
+	turns := f.Float64("rate", 0, "loads granted a second; no limit when 0")
+	return func() http.Handler { return (&weights.Store{Rate: *turns}).Handler() }
+}
--- a/embed/router_test.go
+++ b/embed/router_test.go
@@ -76,6 +76,9 @@
 		"frame of another request":  {faults: engine.Faults{Cross: 20}},
 		"position repeated":         {faults: engine.Faults{Repeat: 20}},
 		"position skipped":          {faults: engine.Faults{Skip: 20}},
+		"frame of an old attempt":   {faults: engine.Faults{Late: 20}},
+		"work ends at a position":   {faults: engine.Faults{Die: 20}},
+		"slow, and refusing others": {faults: engine.Faults{Slow: 20 * time.Millisecond, Refuse: true}},
 		"open connection is silent": {faults: engine.Faults{Silent: true}},
 		"engine is paused":          {faults: engine.Faults{Pause: true}},
 		"engine dies": {strike: func(b *bench, serving jaywind.EndpointID) {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -25,6 +25,7 @@
 	Prefill time.Duration // for 1,000 tokens of prefix
 	Keep    time.Duration // how long a stream without a listener goes on; 10 s when zero
 	Batch   int           // runs at full speed; more share the speed of these; no limit when zero
+	Exit    func()        // ends the process for the fault Die; only the work ends when nil
 	Salt    uint64        // makes this engine's tokens differ from those of its replicas
 
 	mu     sync.Mutex
@@ -79,10 +80,11 @@
 func (e *Engine) pace() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	pace := e.gap() + e.faults.Slow
 	if e.Batch == 0 || e.active <= e.Batch {
-		return e.gap()
+		return pace
 	}
-	return e.gap() * time.Duration(e.active) / time.Duration(e.Batch)
+	return pace * time.Duration(e.active) / time.Duration(e.Batch)
 }
 
 func (e *Engine) join(by int) {
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -19,6 +20,11 @@
 	Cross  int  `json:"cross"`  // at this position send a frame of another request, once
 	Repeat int  `json:"repeat"` // send this position twice
 	Skip   int  `json:"skip"`   // leave this position out, once
+	Late   int  `json:"late"`   // at this position send a frame of an earlier attempt, once
+	Die    int  `json:"die"`    // end the process, or all work in a test, before this position
+
+	Slow  time.Duration `json:"slow"`  // added to the time of each token, in nanoseconds
+	Error float64       `json:"error"` // share of new work that is answered by status 500
 }
 
 // Set replaces the faults.
@@ -63,6 +69,16 @@
 
 func (e *Engine) refuses() bool { return e.Faults().Refuse }
 
+func (e *Engine) errs() bool { return rand.Float64() < e.Faults().Error }
+
+// die ends the process, or only all work where Exit is not set.
+func (e *Engine) die() {
+	if e.Exit != nil {
+		e.Exit()
+	}
+	e.Halt()
+}
+
 func (e *Engine) waitWhilePaused() {
 	for e.Faults().Pause {
 		time.Sleep(pausePoll)
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -23,6 +23,10 @@
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
 	}
+	if e.errs() {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
 	u := e.start(ask)
 	e.stream(w, r, u, jaywind.Attempt(ask.Attempt), len(ask.Prefix))
 }
--- a/internal/standin/engine/writer.go
+++ b/internal/standin/engine/writer.go
@@ -25,6 +25,13 @@
 	switch {
 	case e.once(&e.faults.Cut, c.Position):
 		panic(http.ErrAbortHandler)
+	case e.once(&e.faults.Die, c.Position):
+		e.die()
+		panic(http.ErrAbortHandler)
+	case e.once(&e.faults.Late, c.Position):
+		earlier := c
+		earlier.Attempt--
+		s.send(earlier)
 	case e.once(&e.faults.Cross, c.Position):
 		other := c
 		other.Request = "other-" + c.Request
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -17,6 +17,8 @@
 	Lose int           `json:"lose"` // so many writes take effect but their replies are lost
 	Drop int           `json:"drop"` // so many writes are lost before they take effect, which their callers can't tell
 	Slow time.Duration `json:"slow"` // every call takes this much longer, in nanoseconds
+
+	Lapse bool `json:"lapse"` // all leases that are held when it is set lapse at once
 }
 
 // Store is an in-memory key-value service; its zero value works.
@@ -48,6 +50,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	if f.Lapse {
+		s.lapse()
+	}
 	s.signal()
 }
 
@@ -58,6 +63,14 @@
 	return s.calls
 }
 
+// lapse ends all leases; the caller holds mu.
+func (s *Store) lapse() {
+	for _, l := range s.leases {
+		l.end = time.Time{}
+	}
+	s.expire()
+}
+
 // signal wakes the watches; the caller holds mu.
 func (s *Store) signal() {
 	if s.changed != nil {
