--- a/embed/meter.go
+++ b/embed/meter.go
@@ -1,6 +1,7 @@
 package embed
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -23,7 +24,10 @@
 	first    metrics.Histogram // microseconds
 	gap      metrics.Histogram // microseconds
 	resume   metrics.Histogram // microseconds
+	lookup   metrics.Histogram // microseconds
 	running  map[jaywind.RequestID]*running
+	lookups  map[jaywind.RequestID]time.Time // when each idempotent call arrived
+	ended    map[table.MoveID]bool           // moves that were counted
 }
 
 // running is what the meter remembers of a request.
@@ -47,11 +51,14 @@
 		outcomes: map[table.Outcome]metrics.Counter{},
 		gauges:   map[string]metrics.Gauge{},
 		running:  map[jaywind.RequestID]*running{},
+		lookups:  map[jaywind.RequestID]time.Time{},
+		ended:    map[table.MoveID]bool{},
 	}
 	m.tokens = metrics.GetOrRegisterCounter("tokens", m.registry)
 	m.first = m.histogram("first_us")
 	m.gap = m.histogram("gap_us")
 	m.resume = m.histogram("resume_us")
+	m.lookup = m.histogram("lookup_us")
 	for o, name := range outcomeNames {
 		m.outcomes[o] = metrics.GetOrRegisterCounter("requests."+name, m.registry)
 	}
@@ -65,8 +72,13 @@
 // observe sees the events and commands of one tick.
 func (m *meter) observe(s *table.State, events []table.Event, commands []table.Command) {
 	for _, e := range events {
-		if a, ok := e.(table.Arrived); ok {
-			m.running[a.Ask.ID] = &running{arrived: s.Now}
+		switch e := e.(type) {
+		case table.Arrived:
+			m.running[e.Ask.ID] = &running{arrived: s.Now}
+		case table.ServiceArrived:
+			m.call(e.Ask, s.Now)
+		case table.ServiceGone:
+			delete(m.lookups, e.Request)
 		}
 	}
 	for _, c := range commands {
@@ -75,6 +87,8 @@
 			m.token(c, s.Now)
 		case table.Finish:
 			m.finish(c, s.Now)
+		case table.Respond:
+			m.respond(c, s.Now)
 		}
 	}
 	if s.Full {
@@ -123,8 +137,39 @@
 	}
 }
 
+// call notes an idempotent call to a service.
+func (m *meter) call(a table.ServiceAsk, now time.Time) {
+	if a.Exchange.Method == http.MethodGet || a.Exchange.Method == http.MethodHead {
+		m.lookups[a.ID] = now
+	}
+}
+
+func (m *meter) respond(c table.Respond, now time.Time) {
+	arrived, known := m.lookups[c.Request]
+	if !known {
+		return
+	}
+	delete(m.lookups, c.Request)
+	d := now.Sub(arrived)
+	answered := c.Result == table.ResultReply && c.Reply.Status < http.StatusInternalServerError
+	m.lookup.Update(d.Microseconds())
+	m.recorder.Add(burn.Lookup, answered && d <= burn.LookupLimit, now)
+}
+
+// moves records each move that has ended, once.
+func (m *meter) moves(s *table.State) {
+	for _, v := range s.Moves {
+		if v.State == table.MoveGoing || m.ended[v.ID] {
+			continue
+		}
+		m.ended[v.ID] = true
+		m.recorder.Add(burn.Move, !v.Ended.After(v.Rule.By), s.Now)
+	}
+}
+
 // counts shows the core's own totals.
 func (m *meter) counts(s *table.State) {
+	m.moves(s)
 	m.set("active", len(s.Requests))
 	m.set("queued", len(s.Queued))
 	m.set("ready", len(s.Ready))
