ledger: replies in one swap are bounded in bytes, drain waits for calls

Replies of 32 KB that were recorded together made a head beyond the store's megabyte, and the whole batch failed for good: TestLargeRepliesTogether was red with 'store unavailable: head of 1115213 bytes'. Of a reply's headers only those that describe the answer are kept, and no cookie enters the store.

--- a/embed/services_test.go
+++ b/embed/services_test.go
@@ -31,6 +31,8 @@
 	service *service.Service // behind both endpoints, so that it counts all runs
 	entries [2]string
 	fleet   [2]*httptest.Server
+	routers [2]*embed.Router
+	stops   [2]func() // end the routers and wait
 }
 
 func newServiceBench(t *testing.T) *serviceBench {
@@ -66,10 +68,14 @@
 		var group conc.WaitGroup
 		group.Go(func() { _ = r.Run(ctx) })
 		r.SetRules(1, set)
-		t.Cleanup(func() {
-			entry.Close()
+		b.routers[i] = r
+		b.stops[i] = func() {
 			cancel()
 			group.Wait()
+		}
+		t.Cleanup(func() {
+			entry.Close()
+			b.stops[i]()
 			committer.Wait()
 			client.CloseIdleConnections()
 			b.fleet[i].Close()
@@ -153,3 +159,32 @@
 		})
 	}
 }
+
+// TestDrainWaitsForACall stops a router that has a once-only call with its service, while the store is down.
+func TestDrainWaitsForACall(t *testing.T) {
+	tests := map[string]store.Faults{"store up": {}, "store down": {Down: true}}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newServiceBench(t)
+			b.service.Set(service.Faults{Slow: 500 * time.Millisecond})
+			var group conc.WaitGroup
+			status := 0
+			group.Go(func() { status, _ = b.call(is, 0, http.MethodPost, "/bind", "k", "") })
+			for b.service.Total() == 0 {
+				time.Sleep(5 * time.Millisecond)
+			}
+			b.store.Set(faults)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			is.NoErr(b.routers[0].Drain(ctx))
+			b.stops[0]()
+			group.Wait()
+			is.Equal(status, http.StatusOK)
+			b.store.Set(store.Faults{})
+			status, _ = b.call(is, 1, http.MethodPost, "/bind", "k", "")
+			is.Equal(status == http.StatusOK, !faults.Down) // where the answer could be recorded
+			is.Equal(b.service.Total(), 1)
+		})
+	}
+}
--- a/internal/core/claim/send.go
+++ b/internal/core/claim/send.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -122,14 +123,29 @@
 }
 
 func answer(s *table.State, c *table.ServiceCall, r jaywind.Reply) {
-	kept := r
-	if len(r.Body) > replyLimit {
-		kept = jaywind.Reply{}
-	}
-	settle(s, c, jaywind.ClaimAnswered, kept)
+	settle(s, c, jaywind.ClaimAnswered, kept(r))
 	respond(s, c, table.Respond{Result: table.ResultReply, Reply: r})
 }
 
+// keptHeaders are the headers of a reply that the ledger keeps.
+var keptHeaders = []string{"Content-Type", "Content-Encoding", "Content-Language", "Etag", "Last-Modified", "Location"}
+
+// kept returns what the ledger keeps of a reply: nothing of one that is too large.
+func kept(r jaywind.Reply) jaywind.Reply {
+	size := len(r.Body)
+	out := jaywind.Reply{Status: r.Status, Header: http.Header{}, Body: r.Body}
+	for _, name := range keptHeaders {
+		if value := r.Header.Get(name); value != "" {
+			out.Header.Set(name, value)
+			size += len(value)
+		}
+	}
+	if size > replyLimit {
+		return jaywind.Reply{}
+	}
+	return out
+}
+
 func settle(s *table.State, c *table.ServiceCall, state jaywind.ClaimState, r jaywind.Reply) {
 	if c.Mode != table.ModeClaimed {
 		return
--- a/internal/edge/caller/service.go
+++ b/internal/edge/caller/service.go
@@ -21,7 +21,7 @@
 
 const (
 	serviceBodyLimit = 1 << 20 // bytes of a call to a service
-	keyLimit         = 255     // bytes of an Idempotency-Key
+	keyLimit         = 255     // bytes of an Idempotency-Key, and of an organisation's name
 )
 
 // services is what the handler needs of a router for plain services.
@@ -67,6 +67,9 @@
 	if len(key) > keyLimit {
 		return table.ServiceAsk{}, "Idempotency-Key: want at most " + strconv.Itoa(keyLimit) + " bytes"
 	}
+	if len(organisationOf(r)) > keyLimit {
+		return table.ServiceAsk{}, "OpenAI-Organization: want at most " + strconv.Itoa(keyLimit) + " bytes"
+	}
 	limit, fault := timeoutOf(r)
 	if fault != "" {
 		return table.ServiceAsk{}, fault
--- a/internal/fleet/ledger/committer.go
+++ b/internal/fleet/ledger/committer.go
@@ -15,6 +15,8 @@
 const (
 	defaultInterval = 40 * time.Millisecond // between two swaps of a shard, when claims wait
 	batchLimit      = 256                   // claims in one swap
+	batchBytes      = 256 << 10             // of the replies in one swap
+	replyLimit      = 64 << 10              // bytes of a reply
 	queueLimit      = 4096                  // claims that may wait for a shard
 	batchTimeout    = 3 * time.Second
 )
@@ -51,6 +53,9 @@
 // Commit records a claim and returns what is on record; an error that wraps
 // jaywind.ErrUnknown says that the claim may be recorded now or a little later.
 func (c *Committer) Commit(ctx context.Context, claim jaywind.Claim) (jaywind.Claim, error) {
+	if sizeOf(claim) > replyLimit {
+		return jaywind.Claim{}, fmt.Errorf("%w: claim of %d bytes", jaywind.ErrTooLarge, sizeOf(claim))
+	}
 	w := &waiter{ctx: ctx, claim: claim, done: make(chan result, 1)}
 	if !c.enqueue(claims.ShardOf(claim.ID()), w) {
 		return jaywind.Claim{}, fmt.Errorf("%w: too many claims wait", jaywind.ErrUnavailable)
@@ -108,11 +113,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var batch []*waiter
-	for len(q.waiting) > 0 && len(batch) < batchLimit {
+	size := 0
+	for len(q.waiting) > 0 && len(batch) < batchLimit && size < batchBytes {
 		w := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		if w.ctx.Err() == nil {
 			batch = append(batch, w)
+			size += sizeOf(w.claim)
 		}
 	}
 	if len(batch) == 0 {
@@ -122,6 +129,17 @@
 	return batch
 }
 
+// sizeOf returns the bytes of a claim, about.
+func sizeOf(c jaywind.Claim) int {
+	size := len(c.Organisation) + len(c.Service) + len(c.Key) + len(c.Reply.Body)
+	for name, values := range c.Reply.Header {
+		for _, v := range values {
+			size += len(name) + len(v)
+		}
+	}
+	return size
+}
+
 func commitBatch(q *queue, batch []*waiter) {
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -73,6 +73,32 @@
 	})
 }
 
+// TestLargeRepliesTogether holds that replies which don't fit one value of the store are recorded all the same.
+func TestLargeRepliesTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store.Store{}
+		s.Set(store.Faults{Slow: 3 * time.Millisecond})
+		c := &Committer{Store: s}
+		var group conc.WaitGroup
+		for i := range 40 * claims.Shards {
+			group.Go(func() {
+				claim := claimOf(fmt.Sprint(i), 1)
+				claim.State = jaywind.ClaimAnswered
+				claim.Reply = jaywind.Reply{Status: 200, Body: make([]byte, 32<<10)}
+				_, err := c.Commit(context.Background(), claim)
+				is.NoErr(err)
+			})
+		}
+		group.Wait()
+		c.Wait()
+		claim := claimOf("0", 1)
+		claim.Reply.Body = make([]byte, jaywind.MaxValue)
+		_, err := c.Commit(context.Background(), claim)
+		is.True(errors.Is(err, jaywind.ErrTooLarge))
+	})
+}
+
 // TestRouters commits the same key through two routers whose preferred one is well, away, silent or without a store.
 func TestRouters(t *testing.T) {
 	tests := map[string]struct {
