jaywind: once-only calls of real processes, struck while 40 are on their way

A router is killed, paused past its callers' deadlines or stopped, the store is down or loses writes or replies, the service cuts after the run; all calls are repeated at the other router, twice. No key ran twice in any row.

The first form of the test was red where the store had been down: the repeat came while the breaker was still open and heard 503 for a key that had run. That is true of the repeat, and its reason now says that an earlier request with the key may have run; the test waits until a trial call is due.

--- /dev/null
+++ b/cmd/jaywind/once_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	onceCalls   = 40
+	oncePace    = 3 * time.Millisecond // between two calls
+	onceTimeout = "2"                  // seconds that a caller waits
+	noAnswer    = 0                    // status of a call whose connection broke
+)
+
+// bindKey makes a once-only call at a router and returns the status.
+func (p *processes) bindKey(router int, key string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers[router]+"/services/bind/bind", strings.NewReader("{}"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", key)
+	r.Header.Set("X-Request-Timeout", onceTimeout)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return noAnswer
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// bindKeys makes one call for each key, at an even pace.
+func (p *processes) bindKeys(router int, answers *[onceCalls]int) {
+	var group conc.WaitGroup
+	for i := range onceCalls {
+		group.Go(func() { answers[i] = p.bindKey(router, fmt.Sprint("k", i)) })
+		time.Sleep(oncePace)
+	}
+	group.Wait()
+}
+
+// awaitClaims waits until a router commits claims, which after an outage of the store is when a trial call is due.
+func (p *processes) awaitClaims(router int) {
+	tries := 0
+	eventually(p.t, readyLimit, "claims are committed", func() bool {
+		tries++
+		status := p.bindKey(router, fmt.Sprint("trial", tries))
+		return status != http.StatusServiceUnavailable
+	})
+}
+
+// runs asks the service how often it ran a key.
+func (p *processes) runs(key string) string {
+	response, err := http.Get("http://" + p.service + "/runs/" + key)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return strings.TrimSpace(string(text))
+}
+
+// TestOnceThroughProcesses strikes while many once-only calls are on their way, each at another step,
+// and repeats all of them at another router.
+func TestOnceThroughProcesses(t *testing.T) {
+	const pauseTime = 3 * time.Second // past the callers' deadlines
+	tests := map[string]func(p *processes){
+		"router is killed": func(p *processes) { _ = p.routers[0].Process.Kill() },
+		"router is paused past the deadline": func(p *processes) {
+			_ = p.routers[0].Process.Signal(syscall.SIGSTOP)
+			time.Sleep(pauseTime)
+			_ = p.routers[0].Process.Signal(syscall.SIGCONT)
+		},
+		"router is stopped":          func(p *processes) { _ = p.routers[0].Process.Signal(syscall.SIGTERM) },
+		"replies of the store lost":  func(p *processes) { p.set(p.store, `{"lose":20}`) },
+		"writes of the store lost":   func(p *processes) { p.set(p.store, `{"drop":20}`) },
+		"store is down for a while":  func(p *processes) { p.set(p.store, `{"down":true}`); time.Sleep(time.Second); p.set(p.store, `{}`) },
+		"service cuts after the run": func(p *processes) { p.set(p.service, `{"cut":true}`) },
+	}
+	for name, strike := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := startProcesses(t, 2)
+			eventually(t, readyLimit, "rules in force", p.inForce(1))
+			p.set(p.store, `{"slow":5000000}`)
+			p.set(p.service, `{"slow":20000000}`)
+			var first, second, last [onceCalls]int
+			var group conc.WaitGroup
+			group.Go(func() { p.bindKeys(0, &first) })
+			time.Sleep(onceCalls * oncePace / 2)
+			group.Go(func() { strike(p) })
+			group.Go(func() { p.bindKeys(1, &second) })
+			group.Wait()
+			p.awaitClaims(1)
+			p.bindKeys(1, &last)
+			told := map[string]int{}
+			for i := range onceCalls {
+				runs := p.runs(fmt.Sprint("k", i))
+				is.True(runs == "0" || runs == "1")
+				answers := []int{first[i], second[i], last[i]}
+				told[fmt.Sprint(answers, " run ", runs)]++
+				if runs == "0" {
+					is.True(last[i] == http.StatusServiceUnavailable || last[i] == http.StatusGatewayTimeout)
+				}
+				if runs == "1" {
+					is.True(last[i] == http.StatusOK || last[i] == http.StatusGatewayTimeout)
+				}
+			}
+			for answers, count := range told {
+				t.Logf("%3d calls were told %s", count, answers)
+			}
+		})
+	}
+}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -100,7 +100,7 @@
 		respond(s, c, unknown("another request holds the key and its state can't be read now"))
 		return
 	}
-	abandon(s, c, "the claim could not be recorded")
+	abandon(s, c, "the claim could not be recorded; whether an earlier request with the key was run is not known now")
 }
 
 // takeOwn sends a call whose claim is this router's, unless its time has passed.
@@ -156,7 +156,7 @@
 	switch c.Phase {
 	case table.CallClaiming:
 		if !s.Now.Before(c.GiveUp) {
-			abandon(s, c, "the claim was not recorded in time")
+			abandon(s, c, "the claim was not recorded in time; whether an earlier request with the key was run is not known now")
 		}
 	case table.CallWaiting:
 		watchOther(s, c)
