--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -22,7 +22,7 @@
 	PauseLimit     = time.Second             // between full ticks; a longer gap is a pause of this router
 	FreshLimit     = 10 * time.Second        // without news of the store before a smaller side stops
 	FetchLimit     = 1500 * time.Millisecond // for rules to arrive from a member
-	lookPeriod     = 100 * time.Millisecond  // between looks at suspicions
+	lookPeriod     = 100 * time.Millisecond  // between looks at all members
 	wholeInterval  = 100 * time.Millisecond  // between whole tables sent
 )
 
@@ -68,7 +68,11 @@
 	if s.Full && f.Self.Fleet != "" {
 		watchTimers(s)
 	}
-	f.Cut = isCut(s)
+	if s.Full && !s.Now.Before(f.NextLook) {
+		f.NextLook = s.Now.Add(lookPeriod)
+		watchMembers(s)
+		f.Cut = isCut(s)
+	}
 }
 
 // begin sets the first incarnation from the clock, so that a restarted router goes on above its former self.
@@ -109,7 +113,6 @@
 	f.LastFull = s.Now
 	dropCalls(s)
 	watchProbe(s)
-	watchMembers(s)
 	if !s.Now.Before(f.NextPeer) {
 		f.NextPeer = s.Now.Add(Period)
 		startProbe(s)
--- a/internal/core/member/merge.go
+++ b/internal/core/member/merge.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"slices"
 	"time"
 
 	"jaywind"
@@ -68,10 +67,7 @@
 	if !whole {
 		m.Spread = spreadOf(f)
 	}
-	f.Members[row.VM] = m
-	at, _ := slices.BinarySearch(f.Order, row.VM)
-	f.Order = slices.Insert(f.Order, at, row.VM)
-	f.Epoch++
+	f.Put(m)
 }
 
 func newer(row, known jaywind.Member) bool {
@@ -105,10 +101,6 @@
 // watchMembers turns suspicions into deaths and forgets the long dead.
 func watchMembers(s *table.State) {
 	f := &s.Fleet
-	if s.Now.Before(f.NextLook) {
-		return
-	}
-	f.NextLook = s.Now.Add(lookPeriod)
 	for id, m := range f.Members {
 		age := s.Now.Sub(m.Since)
 		switch m.Liveness {
@@ -118,9 +110,7 @@
 			}
 		case jaywind.LivenessDead:
 			if age >= ForgetAfter {
-				delete(f.Members, id)
-				at, _ := slices.BinarySearch(f.Order, id)
-				f.Order = slices.Delete(f.Order, at, at+1)
+				f.Drop(id)
 			}
 		}
 	}
--- a/internal/core/step/cut_test.go
+++ b/internal/core/step/cut_test.go
@@ -60,11 +60,11 @@
 				core.Step(now, true, []table.Event{rulesOf(t, 1, withService)})
 			}
 			for i, vm := range []jaywind.VM{"vm2", "vm3", "vm4", "vm5"} {
-				m := &table.Member{Member: jaywind.Member{VM: vm}}
+				m := &table.Member{Member: jaywind.Member{VM: vm}, Since: now}
 				if i < c.lost {
 					m.Liveness = jaywind.LivenessDead
 				}
-				core.State.Fleet.Members[vm] = m
+				core.State.Fleet.Put(m)
 			}
 			for range 30 {
 				now = now.Add(time.Second)
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -69,7 +69,7 @@
 	Number   uint64 // of the last call
 	NextPeer time.Time
 	NextSeed time.Time
-	NextLook time.Time // at suspicions
+	NextLook time.Time // at all members
 	LastFull time.Time // the last full tick, to notice a pause
 	JoinGate time.Time // no whole table is sent before then
 	Started  time.Time // the first tick
@@ -98,6 +98,25 @@
 	return live
 }
 
+// Put adds a member that is not known yet.
+func (f *Fleet) Put(m *Member) {
+	f.Members[m.VM] = m
+	at, _ := slices.BinarySearch(f.Order, m.VM)
+	f.Order = slices.Insert(f.Order, at, m.VM)
+	f.Epoch++
+}
+
+// Drop forgets a member.
+func (f *Fleet) Drop(vm jaywind.VM) {
+	at, known := slices.BinarySearch(f.Order, vm)
+	if !known {
+		return
+	}
+	delete(f.Members, vm)
+	f.Order = slices.Delete(f.Order, at, at+1)
+	f.Epoch++
+}
+
 // Spread sends a note to all routers; this one does not receive it back.
 func (f *Fleet) Spread(n jaywind.Note) {
 	f.notesOut = append(f.notesOut, n)
