--- a/embed/router.go
+++ b/embed/router.go
@@ -100,6 +100,7 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		&loads{router: r},
 		&journaler{router: r},
 		newMoves(r),
 		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
