move: fault rows, compare with a rest of the old version

Routers that had not read the record vouched for a move to each other; they don't tell of it any more.

--- /dev/null
+++ b/internal/core/move/bench_test.go
@@ -0,0 +1,142 @@
+package move
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+const length = 10 * time.Minute
+
+// bench is one router in the midst of a move, with six replicas of each version in three failure domains.
+type bench struct {
+	t     *testing.T
+	state *table.State
+	known bool // the store answers
+	out   []table.Command
+	turn  int
+	later []table.Event
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	s := table.New(1)
+	s.Self = "vm1"
+	s.Members = 1
+	s.Rules = rules(start.Add(length))
+	for id, e := range s.Rules.Endpoints {
+		s.Endpoints[id] = &table.Endpoint{ID: id, Load: jaywind.Load{Loaded: []jaywind.Version{e.Version}}}
+	}
+	return &bench{t: t, state: s, known: true}
+}
+
+func rules(by time.Time) *rule.Set {
+	set := rule.New()
+	set.Models["heat"] = rule.Model{Name: "heat", Version: "v1"}
+	set.Moves["heat"] = rule.Move{Model: "heat", From: "v1", To: "v2", By: by, Budget: 200}
+	for i := range 12 {
+		e := rule.Endpoint{ID: jaywind.EndpointID(fmt.Sprintf("e%d", i)), Kind: rule.KindEngine, Model: "heat", Version: "v1"}
+		e.Domain = jaywind.Domain(fmt.Sprintf("d%d", i%3))
+		if i >= 6 {
+			e.Version = "v2"
+		}
+		set.Endpoints[e.ID] = e
+	}
+	return set
+}
+
+func (b *bench) move() *table.Move { return b.state.Moves["heat"] }
+
+func (b *bench) now() time.Time { return start.Add(time.Duration(b.turn) * time.Second) }
+
+// step runs one second with its events; a store that answers does so in the next second.
+func (b *bench) step(events ...table.Event) {
+	events = append(events, b.later...)
+	b.later = nil
+	b.state.Begin(b.now(), true, events)
+	Watch{}.Step(b.state)
+	Decide{}.Step(b.state)
+	for _, c := range b.state.Take() {
+		b.out = append(b.out, c)
+		if !b.known {
+			continue
+		}
+		switch c := c.(type) {
+		case table.Recall:
+			b.later = append(b.later, table.Recorded{Move: c.Move, State: table.MoveGoing})
+		case table.Record:
+			b.later = append(b.later, table.Recorded(c))
+		}
+	}
+	b.turn++
+}
+
+// traffic is what one second brings.
+type traffic struct {
+	rate    int                                  // requests; 0 for 60
+	fail    func(b *bench, t *table.Trial) bool  // whether an attempt fails
+	slow    func(t *table.Trial) time.Duration   // the time to the first token; 0 for the usual
+	silence bool                                 // no outcome comes from the new version
+	events  func(b *bench, turn int) table.Event // what else happens
+}
+
+// run plays seconds until the move has ended on record, or the time is over.
+func (b *bench) run(seconds int, f traffic) {
+	for range seconds {
+		var events []table.Event
+		if f.events != nil {
+			if e := f.events(b, b.turn); e != nil {
+				events = append(events, e)
+			}
+		}
+		b.step(events...)
+		if m := b.move(); m == nil || m.State == table.MoveGoing {
+			b.second(f)
+		}
+	}
+}
+
+func (b *bench) second(f traffic) {
+	rate := f.rate
+	if rate == 0 {
+		rate = 60
+	}
+	for i := range rate {
+		r := &table.Request{ID: jaywind.RequestID(fmt.Sprintf("r%d.%d", b.turn, i)), Model: "heat", Route: "risk"}
+		if i%5 == 0 {
+			r.Route = "board"
+		}
+		b.request(r, i, f)
+	}
+}
+
+func (b *bench) request(r *table.Request, i int, f traffic) {
+	recent := VersionFor(b.state, r) == "v2"
+	m := b.move()
+	if m == nil || m.State != table.MoveGoing || recent && f.silence {
+		return
+	}
+	delete(m.Trials, r.ID)
+	var pool []rule.Endpoint
+	for j := range 6 {
+		id := jaywind.EndpointID(fmt.Sprintf("e%d", j))
+		if recent {
+			id = jaywind.EndpointID(fmt.Sprintf("e%d", j+6))
+		}
+		pool = append(pool, b.state.Rules.Endpoints[id])
+	}
+	pool = Narrow(b.state, r, pool)
+	t := &table.Trial{New: recent, Route: r.Route, Endpoint: pool[i%len(pool)].ID}
+	first := 100*time.Millisecond + time.Duration((i*37+b.turn*11)%100)*time.Millisecond
+	if f.slow != nil && f.slow(t) > 0 {
+		first = f.slow(t)
+	}
+	Compare(b.state, m, t, table.MeasureFirst, first)
+	Count(b.state, m, t, table.MeasureFailure, f.fail != nil && f.fail(b, t))
+}
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -16,6 +16,7 @@
 	askPause    = time.Second            // between tries to read or write the record
 	tellPause   = time.Second            // least time between two reports
 	tellPerPeer = 100 * time.Millisecond // more of it for each router, so that the bytes heard a second stay bounded
+	badNews     = 5                      // times as often a router may tell of new bad outcomes
 )
 
 // Decide follows the rules of moves and changes their shares and states; it runs before placement.
@@ -201,8 +202,8 @@
 	if s.Now.Sub(m.Evidence.Window) >= windowLength {
 		judgeWindow(s, m)
 	}
-	if m.State == table.MoveGoing {
-		tell(s, m)
+	if m.State == table.MoveGoing && m.Known {
+		tell(s, m) // what it does not know itself, a router does not vouch for
 	}
 }
 
@@ -216,12 +217,14 @@
 		takeBack(s, m, fmt.Sprintf("%s is worse than %s: %s on route %q", m.ID.To, m.ID.From, pair.Measure, pair.Route))
 	case worst >= suspectShare && !m.Suspect:
 		m.Suspect = true
+		m.Suspicions++
 		m.Share /= 2
-		m.Proof = newProof()
+		m.Proof.Step = 0
+		m.Proof.Loaded = 0
 	case worst < clearShare && m.Suspect:
 		m.Suspect = false
 		m.Share = shareOf(s, m)
-	case !m.Suspect:
+	case worst < clearShare:
 		grow(s, m)
 	}
 }
@@ -239,10 +242,14 @@
 
 func tell(s *table.State, m *table.Move) {
 	pause := max(tellPause, time.Duration(s.Members)*tellPerPeer)
+	if m.Fresh {
+		pause /= badNews
+	}
 	if s.Now.Sub(m.ToldAt) < pause {
 		return
 	}
 	m.ToldAt = s.Now
+	m.Fresh = false
 	s.Emit(table.Tell{Report: report(s, m)})
 }
 
@@ -255,6 +262,8 @@
 		return "its time came while the new version was under suspicion"
 	case m.Proposed:
 		return "its time came before the store recorded the end"
+	case m.Suspicions > 0:
+		return fmt.Sprintf("its time came after %d times under suspicion, at step %d of %d", m.Suspicions, m.Step+1, len(steps))
 	case m.Step == 0 && m.Starts >= part(s, m):
 		return "its time came with the budget spent and nothing proved"
 	}
--- /dev/null
+++ b/internal/core/move/fault_test.go
@@ -0,0 +1,268 @@
+package move
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
+)
+
+func id() table.MoveID {
+	return table.MoveID{Model: "heat", From: "v1", To: "v2", By: start.Add(length).Unix()}
+}
+
+func after(turn int, f func(*bench, *table.Trial) bool) func(*bench, *table.Trial) bool {
+	return func(b *bench, t *table.Trial) bool { return b.turn > turn && f(b, t) }
+}
+
+func once(turn int, e table.Event) func(*bench, int) table.Event {
+	return func(_ *bench, now int) table.Event {
+		if now != turn {
+			return nil
+		}
+		return e
+	}
+}
+
+func recent(_ *bench, t *table.Trial) bool { return t.New }
+
+func oneIn(n int, f func(*bench, *table.Trial) bool) func(*bench, *table.Trial) bool {
+	seen := 0
+	return func(b *bench, t *table.Trial) bool {
+		if !f(b, t) {
+			return false
+		}
+		seen++
+		return seen%n == 0
+	}
+}
+
+func TestMoveEnds(t *testing.T) {
+	half := int(length/time.Second) / 2
+	tests := map[string]struct {
+		traffic traffic
+		setup   func(b *bench)
+		state   table.MoveState
+		reason  string
+		within  time.Duration // from the start; the move's time when zero
+	}{
+		"good version": {state: table.MoveDone, reason: "proved"},
+		"bad at once": {
+			traffic: traffic{fail: recent},
+			state:   table.MoveBack, reason: "failures", within: 2 * time.Minute,
+		},
+		"bad later": {
+			traffic: traffic{fail: after(half, oneIn(2, recent))},
+			state:   table.MoveBack, reason: "failures", within: length/2 + 10*time.Second,
+		},
+		"bad on one route": {
+			traffic: traffic{fail: after(half, func(_ *bench, t *table.Trial) bool { return t.New && t.Route == "board" })},
+			state:   table.MoveBack, reason: `"board"`, within: length/2 + 20*time.Second,
+		},
+		"bad under load only": {
+			traffic: traffic{fail: oneIn(2, func(b *bench, t *table.Trial) bool { return t.New && likeOld(b.state, b.move()) })},
+			state:   table.MoveBack, reason: "suspicion",
+		},
+		"slow, not failing": {
+			traffic: traffic{slow: func(t *table.Trial) time.Duration {
+				if t.New {
+					return time.Second
+				}
+				return 0
+			}},
+			state: table.MoveBack, reason: "late first tokens", within: 2 * time.Minute,
+		},
+		"hangs without outcomes": {traffic: traffic{silence: true}, state: table.MoveBack, reason: "budget spent"},
+		"one replica fails for good": {
+			traffic: traffic{fail: after(half, func(_ *bench, t *table.Trial) bool { return t.Endpoint == "e7" })},
+			state:   table.MoveDone,
+		},
+		"one replica dies": {
+			traffic: traffic{fail: func(b *bench, t *table.Trial) bool { return t.Endpoint == "e7" && b.turn >= half && b.turn < half+3 }},
+			state:   table.MoveDone,
+		},
+		"failure domain lost": {
+			traffic: traffic{fail: func(b *bench, t *table.Trial) bool {
+				return b.state.Rules.Endpoints[t.Endpoint].Domain == "d1" && b.turn >= half && b.turn < half+3
+			}},
+			state: table.MoveDone,
+		},
+		"failure domain lost at the full share": {
+			traffic: traffic{fail: func(b *bench, t *table.Trial) bool {
+				return b.state.Rules.Endpoints[t.Endpoint].Domain == "d1" && b.turn >= 440 && b.turn < 443
+			}},
+			state: table.MoveDone,
+		},
+		"both versions fail alike": {
+			traffic: traffic{fail: after(half, oneIn(3, func(*bench, *table.Trial) bool { return true }))},
+			state:   table.MoveDone,
+		},
+		"load doubles and all slow down": {
+			traffic: traffic{rate: 120, slow: func(*table.Trial) time.Duration { return 300 * time.Millisecond }},
+			state:   table.MoveDone,
+		},
+		"traffic too thin": {traffic: traffic{rate: 1}, state: table.MoveBack, reason: "too little traffic"},
+		"store away and nobody heard": {
+			setup: func(b *bench) { b.known = false },
+			state: table.MoveBack, reason: "before the store or a peer",
+		},
+		"store goes away before the end": {
+			traffic: traffic{events: func(b *bench, now int) table.Event { b.known = now < half; return nil }},
+			state:   table.MoveBack, reason: "before the store recorded the end",
+		},
+		"the record says taken back": {
+			traffic: traffic{events: once(1, table.Recorded{Move: id(), State: table.MoveBack, Reason: "before"})},
+			state:   table.MoveBack, reason: "before", within: 10 * time.Second,
+		},
+		"verdict of another router": {
+			traffic: traffic{events: once(half, table.Reported{Report: table.Report{Move: id(), From: "vm2", State: table.MoveBack, Reason: "seen there"}})},
+			state:   table.MoveBack, reason: "seen there", within: length/2 + time.Second,
+		},
+		"verdict on another move": {
+			traffic: traffic{events: once(half, table.Reported{Report: table.Report{
+				Move: table.MoveID{Model: "heat", From: "v1", To: "v2"}, From: "vm2", State: table.MoveBack}})},
+			state: table.MoveDone,
+		},
+		"own verdict late, end already on record": {
+			traffic: traffic{fail: recent, events: once(70, table.Recorded{Move: id(), State: table.MoveDone, Reason: "elsewhere"})},
+			state:   table.MoveDone, reason: "elsewhere", setup: func(b *bench) { b.known = false; b.later = known() },
+		},
+		"loads do not come true": {
+			traffic: traffic{events: once(half, table.Stalled{Move: id(), Reason: "not loaded"})},
+			state:   table.MoveBack, reason: "not loaded", within: length/2 + time.Second,
+		},
+		"rules drop the move": {
+			traffic: traffic{events: func(b *bench, now int) table.Event {
+				if now == half {
+					b.state.Rules = rules(time.Time{})
+					b.state.Rules.Moves = map[jaywind.Model]rule.Move{}
+				}
+				return nil
+			}},
+			state: table.MoveBack, reason: "rules no longer", within: length/2 + time.Second,
+		},
+		"replicas are not loaded": {
+			setup: func(b *bench) {
+				for _, e := range b.state.Endpoints {
+					e.Load.Loaded = []jaywind.Version{"v1"}
+				}
+			},
+			state: table.MoveBack, reason: "too little traffic",
+		},
+		"router pauses past the move's time": {
+			traffic: traffic{events: func(b *bench, now int) table.Event {
+				if now == half {
+					b.turn += 2 * half
+				}
+				return nil
+			}},
+			state: table.MoveBack, within: 2 * length,
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			if c.setup != nil {
+				c.setup(b)
+			}
+			b.run(int(length/time.Second), c.traffic)
+			m := b.move()
+			is.Equal(m.State, c.state)                    // state
+			is.True(strings.Contains(m.Reason, c.reason)) // reason
+			limit := c.within
+			if limit == 0 {
+				limit = length
+			}
+			is.True(!m.Ended.After(start.Add(limit))) // in time
+		})
+	}
+}
+
+// known is the first answer of the store.
+func known() []table.Event {
+	return []table.Event{table.Recorded{Move: id(), State: table.MoveGoing}}
+}
+
+// TestVerdictStopsStarts fails when a verdict is ignored: no start may follow it.
+func TestVerdictStopsStarts(t *testing.T) {
+	tests := map[string]struct {
+		events func(*bench, int) table.Event
+		fail   func(*bench, *table.Trial) bool
+	}{
+		"own verdict":               {fail: after(300, recent)},
+		"verdict of another router": {events: once(300, table.Reported{Report: table.Report{Move: id(), From: "vm2", State: table.MoveBack}})},
+		"verdict in the store":      {events: once(300, table.Recorded{Move: id(), State: table.MoveBack})},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.run(330, traffic{fail: c.fail, events: c.events})
+			is.Equal(b.move().State, table.MoveBack)
+			for i := range 1000 {
+				r := &table.Request{ID: jaywind.RequestID(rune(i)), Model: "heat"}
+				is.Equal(VersionFor(b.state, r), jaywind.Version("v1"))
+			}
+			b.step(table.Reported{Report: table.Report{Move: id(), From: "vm3", State: table.MoveGoing, Step: 4}})
+			is.Equal(b.move().State, table.MoveBack) // a late report changes nothing
+		})
+	}
+}
+
+// TestUnknownMoveIsNotVouchedFor fails when routers that have not read the record take each other's word for it.
+func TestUnknownMoveIsNotVouchedFor(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.known = false
+	b.run(60, traffic{})
+	for _, c := range b.out {
+		_, told := c.(table.Tell)
+		is.True(!told)
+	}
+	is.Equal(b.move().Starts, 0)
+}
+
+func TestRulesChangeInMidMove(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.run(300, traffic{})
+	is.True(b.move().Step > 0)
+	b.state.Rules = rules(start.Add(2 * length))
+	b.step()
+	is.Equal(b.move().Step, 0) // another time is another move, which begins again
+	is.Equal(b.move().Share, 0.0)
+	var ended []table.Record
+	for _, c := range b.out {
+		if c, ok := c.(table.Record); ok {
+			ended = append(ended, c)
+		}
+	}
+	is.Equal(len(ended), 1)
+	is.Equal(ended[0].State, table.MoveBack)
+}
+
+func TestBudgetIsShared(t *testing.T) {
+	tests := map[string]int{"one router": 1, "today's fleet": 9, "the target's fleet": 370}
+	for name, routers := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sum := 0
+			for i := range routers {
+				b := newBench(t)
+				b.state.Self = jaywind.VM("vm" + string(rune('A'+i)))
+				b.state.Members = routers
+				b.later = known()
+				b.run(12, traffic{silence: true, rate: 60000 / routers})
+				sum += b.move().Starts
+			}
+			is.True(sum <= 240) // the budget and a fifth, as parts are rounded by hash
+			is.True(sum >= 100) // enough for the first proof
+		})
+	}
+}
--- a/internal/core/move/grow.go
+++ b/internal/core/move/grow.go
@@ -18,7 +18,7 @@
 	{share: 0.05, most: 0.25},
 	{share: 0.2, most: 0.5},
 	{share: 0.5, most: 0.75},
-	{share: 1, most: 1},
+	{share: 0.9, most: 0.9}, // the rest stays to compare with
 }
 
 const (
@@ -125,22 +125,21 @@
 	ask(s, m, 1, table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
 }
 
-// enoughLoaded tells whether the new version has the replicas to carry a share, by the load reports known here.
+// enoughLoaded tells whether the new version has the replicas to carry a share, against those of the old one now.
 func enoughLoaded(s *table.State, m *table.Move, share float64) bool {
-	known, loaded := 0, 0
+	was, loaded := 0, 0
 	for id, e := range s.Rules.Endpoints {
-		if e.Model != m.ID.Model || e.Version != m.ID.To || s.Endpoints[id] == nil {
+		if e.Model != m.ID.Model {
 			continue
 		}
-		if _, drained := s.Rules.Drains[id]; drained {
-			continue
-		}
-		known++
-		if ready(s, m, id) {
+		if e.Version == m.ID.To && ready(s, m, id) {
 			loaded++
 		}
+		if p := s.Endpoints[id]; e.Version == m.ID.From && p != nil && p.Accepts(m.ID.From, s.Now) {
+			was++
+		}
 	}
-	return loaded > 0 && float64(loaded) >= float64(known)*share*likeLoad
+	return loaded > 0 && float64(loaded) >= float64(was)*share*likeLoad
 }
 
 func enter(s *table.State, m *table.Move, n int) {
@@ -187,8 +186,8 @@
 	if seconds := stepTime(m).Seconds() * mostThin; m.Evidence.Windows >= fewWindows && m.Evidence.Ended > 0 && seconds > 0 {
 		share = max(share, float64(need(m))/(m.Evidence.Ended*seconds))
 	}
-	if was, is := replicas(s, m); m.Step > 0 && was > 0 && is >= fewReplicas {
-		least := likeLoad * leastOfMany / float64(was)
+	if was, is := replicas(s, m); m.Step > 0 && was > 0 && is > leastInUse {
+		least := likeLoad * leastInUse / float64(was)
 		share = max(share, least/(1+least))
 	}
 	return min(share, st.most)
--- a/internal/core/move/version.go
+++ b/internal/core/move/version.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	fewReplicas = 4 // below this many, a single one is enough to begin with
-	leastOfMany = 2 // replicas in use at least, so that one fault can be told from a bad version
+	leastInUse = 2 // replicas, so that the fault of one can be told from a bad version
 )
 
 // VersionFor returns the version that an unread request is to start on, and counts a start on the new one.
@@ -102,7 +101,26 @@
 	slices.SortFunc(ranked, func(a, b rule.Endpoint) int {
 		return cmp.Compare(rank(m, a.ID), rank(m, b.ID))
 	})
-	return ranked[:n]
+	return takeSpread(ranked, n)
+}
+
+// takeSpread takes n endpoints in their order, one of each failure domain by turns.
+func takeSpread(ranked []rule.Endpoint, n int) []rule.Endpoint {
+	taken := make([]rule.Endpoint, 0, n)
+	for len(taken) < n {
+		used := map[jaywind.Domain]bool{}
+		rest := ranked[:0]
+		for _, e := range ranked {
+			if used[e.Domain] || len(taken) == n {
+				rest = append(rest, e)
+				continue
+			}
+			used[e.Domain] = true
+			taken = append(taken, e)
+		}
+		ranked = rest
+	}
+	return taken
 }
 
 func rank(m *table.Move, id jaywind.EndpointID) uint64 {
@@ -115,15 +133,8 @@
 	if m.Share >= 1 {
 		return is
 	}
-	least := min(is, leastOfMany)
-	if is < fewReplicas {
-		least = min(is, 1)
-	}
 	n := int(math.Floor(float64(was) * m.Share / (1 - m.Share)))
-	if m.Suspect {
-		least++
-	}
-	return min(max(n, least), is)
+	return min(max(n, leastInUse), is)
 }
 
 // replicas counts the endpoints of both versions that are not drained.
@@ -139,6 +150,7 @@
 	}
 	z := table.Sizes{Rules: s.Rules}
 	domains := map[jaywind.Domain]bool{}
+	spread := map[jaywind.Domain]bool{}
 	for id, e := range s.Rules.Endpoints {
 		domains[e.Domain] = true
 		if _, drained := s.Rules.Drains[id]; drained || e.Model != m.ID.Model {
@@ -149,8 +161,10 @@
 			z.Old++
 		case m.ID.To:
 			z.New++
+			spread[e.Domain] = true
 		}
 	}
+	z.Spread = len(spread)
 	z.Domains = len(domains)
 	m.Sizes = z
 	return z
--- a/internal/core/move/watch.go
+++ b/internal/core/move/watch.go
@@ -169,6 +169,7 @@
 	cell := table.Cell{Pair: table.Pair{Route: t.Route, Measure: k}, New: t.New}
 	one := table.Tally{Good: 1}
 	if bad {
+		m.Fresh = m.Fresh || t.New && k == table.MeasureFailure
 		one = table.Tally{Bad: 1, By: map[table.Source]uint64{sourceOf(s, t): 1}}
 	}
 	add(m.Evidence.Own, cell, one, maxSources)
--- /dev/null
+++ b/internal/core/move/watch_test.go
@@ -0,0 +1,131 @@
+package move
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// moment is a full tick of a watched request.
+type moment struct {
+	after  time.Duration // since the attempt was opened
+	event  table.Event
+	change func(r *table.Request) // before the tick
+}
+
+func frame(end bool) table.Event {
+	return table.Framed{Request: "r1", Attempt: 1, Frame: jaywind.Frame{Request: "r1", Attempt: 1, End: end}}
+}
+
+func TestWatchCountsOutcomes(t *testing.T) {
+	second := func(r *table.Request) { r.Attempt = 2; r.Endpoint = "e8" }
+	tests := map[string]struct {
+		moments   []moment
+		good, bad uint64
+	}{
+		"whole answer":                 {moments: []moment{{event: frame(false)}, {event: frame(true)}}, good: 1},
+		"connection lost":              {moments: []moment{{event: frame(false)}, {event: table.Lost{Request: "r1", Attempt: 1, Err: errors.New("cut")}}}, bad: 1},
+		"refused connection":           {moments: []moment{{event: table.Lost{Request: "r1", Attempt: 1, Err: jaywind.ErrNotSent}}}, bad: 1},
+		"stream no longer kept":        {moments: []moment{{event: table.Lost{Request: "r1", Attempt: 1, Err: jaywind.ErrNoStream}}}},
+		"late loss of an old attempt":  {moments: []moment{{event: frame(false)}, {event: table.Lost{Request: "r1", Attempt: 0, Err: errors.New("cut")}}}},
+		"caller gone":                  {moments: []moment{{event: frame(false)}, {event: table.Gone{Request: "r1"}}}},
+		"hangs before its first token": {moments: []moment{{}, {after: 1900 * time.Millisecond}, {after: 2 * time.Second}, {after: 9 * time.Second}}, bad: 1},
+		"hangs, then ends":             {moments: []moment{{event: frame(false)}, {after: 3 * time.Second}, {after: 4 * time.Second, event: frame(true)}}, bad: 1},
+		"left for another replica":     {moments: []moment{{event: frame(false)}, {change: second}}, bad: 1},
+		"resumed on the same engine":   {moments: []moment{{event: frame(false)}, {change: func(r *table.Request) { r.Attempt = 2; r.Reuse = true }}}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.step()
+			r := &table.Request{
+				ID: "r1", Model: "heat", Route: "risk", Version: "v2", Attempt: 1, Endpoint: "e7",
+				Phase: table.PhaseOpening, Opened: b.now(),
+			}
+			b.state.Requests["r1"] = r
+			for _, o := range c.moments {
+				if o.change != nil {
+					o.change(r)
+				}
+				var events []table.Event
+				if o.event != nil {
+					events = append(events, o.event)
+				}
+				b.state.Begin(r.Opened.Add(o.after), true, events)
+				Watch{}.Step(b.state)
+			}
+			got := b.move().Evidence.Own[table.Cell{Pair: table.Pair{Route: "risk"}, New: true}]
+			is.Equal(got.Good, c.good)
+			is.Equal(got.Bad, c.bad)
+		})
+	}
+}
+
+func TestReportsSum(t *testing.T) {
+	cell := table.Cell{Pair: table.Pair{Route: "risk"}, New: true}
+	of := func(life int64, number, good uint64) table.Report {
+		return table.Report{Move: id(), From: "vm2", State: table.MoveGoing, Life: life, Number: number,
+			Tallies: map[table.Cell]table.Tally{cell: {Good: good}}}
+	}
+	now := start.UnixNano()
+	tests := map[string]struct {
+		reports []table.Report
+		sum     uint64
+	}{
+		"running totals":         {reports: []table.Report{of(now, 1, 5), of(now, 2, 9)}, sum: 9},
+		"one lost":               {reports: []table.Report{of(now, 1, 5), of(now, 7, 30)}, sum: 30},
+		"repeated":               {reports: []table.Report{of(now, 1, 5), of(now, 1, 5)}, sum: 5},
+		"late":                   {reports: []table.Report{of(now, 2, 9), of(now, 1, 5)}, sum: 9},
+		"the router began again": {reports: []table.Report{of(now, 4, 9), of(now+1, 1, 2)}, sum: 11},
+		"its former life, late":  {reports: []table.Report{of(now+1, 1, 2), of(now, 9, 50)}, sum: 2},
+		"older than this router": {reports: []table.Report{of(now-int64(time.Minute), 9, 50), of(now-int64(time.Minute), 10, 53)}, sum: 3},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.step()
+			for _, r := range c.reports {
+				n, err := EncodeReport(r)
+				is.NoErr(err)
+				heard, err := DecodeReport(n)
+				is.NoErr(err)
+				hear(b.move(), heard)
+			}
+			is.Equal(b.move().Evidence.Pending[cell].Good, c.sum)
+		})
+	}
+}
+
+func TestNoteIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := table.Report{Move: id(), From: "vm1", State: table.MoveGoing, Tallies: map[table.Cell]table.Tally{}}
+	for i := range maxCells {
+		by := map[table.Source]uint64{}
+		for j := range maxSources {
+			by[table.Source("endpoint-with-a-long-name-"+string(rune('a'+j)))] = 1 << 40
+		}
+		cell := table.Cell{Pair: table.Pair{Route: jaywind.Route("route-" + string(rune('A'+i)))}, New: i%2 == 0}
+		r.Tallies[cell] = table.Tally{Good: 1 << 40, Bad: 1 << 40, By: by}
+	}
+	n, err := EncodeReport(r)
+	is.NoErr(err)
+	is.True(len(n.Value) <= noteLimit)
+	_, err = DecodeReport(n)
+	is.NoErr(err)
+	for name, bad := range map[string]jaywind.Note{
+		"another kind": {Kind: "rules", Value: n.Value},
+		"cut short":    {Kind: NoteKind, Value: n.Value[:len(n.Value)/2]},
+		"too long":     {Kind: NoteKind, Value: make([]byte, noteLimit+1)},
+	} {
+		_, err := DecodeReport(bad)
+		is.True(errors.Is(err, ErrNote)) // bad note
+		_ = name
+	}
+}
--- a/internal/core/table/evidence.go
+++ b/internal/core/table/evidence.go
@@ -68,9 +68,10 @@
 // Score is the CUSUM of one pair over the windows.
 type Score struct {
 	Sum     float64
-	By      map[Source]float64 // what each replica has added since Sum was last zero
+	By      map[Source]float64 // what each replica and failure domain has added since Sum was last zero
 	OldAll  float64            // outcomes on the old version, decayed
 	OldBad  float64
+	NewAll  float64            // outcomes on the new version, decayed
 	Domains map[Source]float64 // bad outcomes on the old version by failure domain, decayed
 }
 
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -27,20 +27,21 @@
 
 // Move is one move of a model's traffic between versions.
 type Move struct {
-	ID       MoveID
-	Rule     rule.Move
-	State    MoveState
-	Reason   string
-	Began    time.Time // as far as any router knows
-	Started  time.Time // of this router's row
-	Ended    time.Time
-	Share    float64 // of the traffic, that may go to the new version
-	Step     int     // of the growth
-	StepAt   time.Time
-	Suspect  bool // growth is stopped and the share halved
-	Known    bool // no final state is on record, as the store or a peer has said
-	Proposed bool // the new version has proved itself and the store is asked to record it
-	Recorded bool // the final state is in the store
+	ID         MoveID
+	Rule       rule.Move
+	State      MoveState
+	Reason     string
+	Began      time.Time // as far as any router knows
+	Started    time.Time // of this router's row
+	Ended      time.Time
+	Share      float64 // of the traffic, that may go to the new version
+	Step       int     // of the growth
+	StepAt     time.Time
+	Suspicions int  // so far
+	Suspect    bool // growth is stopped and the share halved
+	Known      bool // no final state is on record, as the store or a peer has said
+	Proposed   bool // the new version has proved itself and the store is asked to record it
+	Recorded   bool // the final state is in the store
 
 	Sizes    Sizes
 	Starts   int // on the new version by this router
@@ -49,6 +50,7 @@
 	Trials   map[jaywind.RequestID]*Trial
 	AskedAt  time.Time // when the record was last asked for or written
 	ToldAt   time.Time // when the last report was emitted
+	Fresh    bool      // bad outcomes on the new version that were not told yet
 	Told     uint64    // reports emitted
 }
 
@@ -65,6 +67,7 @@
 	Old     int       // replicas of the old version that are not drained
 	New     int       // the same of the new version
 	Domains int
+	Spread  int // domains that hold replicas of the new version
 }
 
 // Passed counts the outcomes of one route on each version.
