--- /dev/null
+++ b/cmd/jaywind/process_test.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind/internal/client/operator"
+)
+
+const (
+	readyLimit  = 10 * time.Second
+	forceTarget = 3 * time.Second
+)
+
+// processes is a fleet of real processes on loopback.
+type processes struct {
+	t       *testing.T
+	dir     string
+	ports   []string // free addresses
+	store   string
+	service string
+	routers []*exec.Cmd
+	files   []string // settings of the routers
+	callers []string
+}
+
+func startProcesses(t *testing.T, routers int) *processes {
+	t.Helper()
+	p := &processes{t: t, dir: t.TempDir()}
+	p.freePorts(3*routers + 4)
+	p.build("./cmd/jaywind", "./cmd/standin")
+	p.store = p.port()
+	p.start("standin", "store", "-listen", p.store)
+	text := "model heat version=v1 # test\n"
+	for i := range 2 {
+		at := p.port()
+		p.start("standin", "engine", "-listen", at, "-id", fmt.Sprint("e", i), "-gap", "10ms")
+		text += fmt.Sprintf("endpoint e%d model=heat version=v1 url=http://%s domain=a # test\n", i, at)
+	}
+	p.service = p.port()
+	p.start("standin", "service", "-listen", p.service)
+	text += "service bind path=/bind once=yes # test\n"
+	text += fmt.Sprintf("endpoint s1 kind=service service=bind url=http://%s domain=a # test\n", p.service)
+	p.await(p.store)
+	p.await(p.service)
+	p.startRouters(routers)
+	out, code := p.run("apply", "-settings", p.files[0], "-rules", p.file("rules.txt", text))
+	if code != exitOK {
+		t.Fatalf("apply: exit %d: %s", code, out)
+	}
+	return p
+}
+
+func (p *processes) freePorts(n int) {
+	var open []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		open = append(open, l)
+		p.ports = append(p.ports, l.Addr().String())
+	}
+	for _, l := range open {
+		_ = l.Close()
+	}
+}
+
+func (p *processes) port() string {
+	at := p.ports[0]
+	p.ports = p.ports[1:]
+	return at
+}
+
+func (p *processes) build(packages ...string) {
+	c := exec.Command("go", append([]string{"build", "-o", p.dir + "/"}, packages...)...)
+	c.Dir = filepath.Join("..", "..")
+	if out, err := c.CombinedOutput(); err != nil {
+		p.t.Fatalf("build: %v: %s", err, out)
+	}
+}
+
+// start runs a program until the test ends.
+func (p *processes) start(program string, args ...string) *exec.Cmd {
+	c := exec.Command(filepath.Join(p.dir, program), args...)
+	log, err := os.Create(filepath.Join(p.dir, fmt.Sprintf("log%d", len(p.ports))))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	c.Stdout = log
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		p.showLog(log)
+	})
+	return c
+}
+
+// showLog prints the end of a program's log when the test has failed.
+func (p *processes) showLog(log *os.File) {
+	defer func() { _ = log.Close() }()
+	text, err := os.ReadFile(log.Name())
+	if p.t.Failed() && err == nil {
+		p.t.Logf("%s: %s", log.Name(), text[max(0, len(text)-logTail):])
+	}
+}
+
+const logTail = 3000 // bytes
+
+func (p *processes) startRouters(n int) {
+	var seeds []string
+	for range n {
+		p.callers = append(p.callers, p.port())
+		seeds = append(seeds, p.port())
+	}
+	for i := range n {
+		operatorAt := p.port()
+		text := fmt.Sprintf("vm = \"vm%d\"\ndomain = \"%c\"\nsecret = \"%s\"\n[listen]\ncaller = %q\noperator = %q\nfleet = %q\n[store]\nurl = \"http://%s\"\n[fleet]\nseeds = [\"http://%s\"]\n",
+			i, 'a'+i, testSecret, p.callers[i], operatorAt, seeds[i], p.store, strings.Join(seeds, "\", \"http://"))
+		file := p.file(fmt.Sprintf("vm%d.toml", i), text)
+		c := p.start("jaywind", "route", "-settings", file)
+		p.files = append(p.files, file)
+		p.routers = append(p.routers, c)
+	}
+	for i := range n {
+		p.await(p.callers[i])
+	}
+}
+
+const testSecret = "secret-of-the-process-tests"
+
+func (p *processes) file(name, text string) string {
+	path := filepath.Join(p.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	return path
+}
+
+func (p *processes) await(at string) {
+	eventually(p.t, readyLimit, at+" listens", func() bool {
+		c, err := net.DialTimeout("tcp", at, time.Second)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	})
+}
+
+// run runs a subcommand to its end.
+func (p *processes) run(args ...string) (string, int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c := exec.CommandContext(ctx, filepath.Join(p.dir, "jaywind"), args...)
+	out, _ := c.CombinedOutput()
+	return string(out), c.ProcessState.ExitCode()
+}
+
+func (p *processes) status(i int) operator.Status {
+	s, err := loadSettings(p.files[i])
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	got, _ := newOperator(s, "").Status(ctx)
+	return got
+}
+
+// set switches the faults of a stand-in.
+func (p *processes) set(at, faults string) {
+	response, err := http.Post("http://"+at+"/faults", "application/json", strings.NewReader(faults))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// inForce tells whether all routers have a version in force.
+func (p *processes) inForce(version uint64) func() bool {
+	return func() bool {
+		for i := range p.routers {
+			if p.status(i).Rules != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func eventually(t *testing.T, limit time.Duration, what string, done func() bool) {
+	t.Helper()
+	end := time.Now().Add(limit)
+	for !done() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestTwoOperatorsAtOnceThroughAStoreOutage(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 3)
+	eventually(t, readyLimit, "three routers know each other", func() bool { return p.status(0).Live == 3 })
+	eventually(t, forceTarget, "version 1 in force", p.inForce(1))
+
+	p.set(p.store, `{"down":true}`)
+	base, code := p.run("rules", "-settings", p.files[1]) // read back while the store is down
+	is.Equal(code, exitOK)
+	is.True(strings.HasPrefix(base, "# rules version 1\n"))
+	out, code := p.run("apply", "-settings", p.files[0], "-rules", p.file("down.txt", base+"organisation lost rate=1 # nobody\n"))
+	is.Equal(code, exitFault)
+	is.True(strings.Contains(out, "not applied"))
+	p.set(p.store, `{}`)
+
+	var group conc.WaitGroup
+	outs := make([]string, 2)
+	codes := make([]int, 2)
+	for i, name := range []string{"lagos", "puebla"} {
+		file := p.file(name+".txt", base+"organisation "+name+" rate=5 # "+name+" desk\n")
+		group.Go(func() { outs[i], codes[i] = p.run("apply", "-settings", p.files[i], "-rules", file) })
+	}
+	group.Wait()
+	winner := 0
+	if codes[0] != exitOK {
+		winner = 1
+	}
+	t.Logf("winner: %s\nloser: %s", outs[winner], outs[1-winner])
+	is.Equal(codes[winner], exitOK)
+	is.Equal(codes[1-winner], exitFault)
+	is.True(strings.Contains(outs[winner], "in force on 3 of 3 routers"))
+	name := []string{"lagos", "puebla"}[winner]
+	is.True(strings.Contains(outs[1-winner], "+ organisation "+name+" rate=5")) // the other's edit is shown
+	eventually(t, forceTarget, "version 2 in force", p.inForce(2))
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,6 +1,7 @@
 // Command standin runs one stand-in for an outside system as a process.
 //
 //	standin engine -listen 127.0.0.1:9101 -id e1 -model heat -version v1
+//	standin service -listen 127.0.0.1:9301 -name s1
 //	standin store -listen 127.0.0.1:9200
 //	standin vms -listen 127.0.0.1:9300 -lag 5s
 //
@@ -22,14 +23,16 @@
 
 	"jaywind"
 	"jaywind/internal/standin/engine"
+	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
 	"jaywind/internal/standin/vms"
 )
 
 var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
-	"engine": engineFlags,
-	"store":  storeFlags,
-	"vms":    vmsFlags,
+	"engine":  engineFlags,
+	"service": serviceFlags,
+	"store":   storeFlags,
+	"vms":     vmsFlags,
 }
 
 func main() {
@@ -44,7 +47,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) == 0 || kinds[args[0]] == nil {
-		return errors.New("want a kind: engine, store or vms")
+		return errors.New("want a kind: engine, service, store or vms")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
@@ -93,3 +96,8 @@
 	lag := f.Duration("lag", 0, "time from a change to its appearance")
 	return func() http.Handler { return (&vms.List{Lag: *lag}).Handler() }
 }
+
+func serviceFlags(f *flag.FlagSet) func() http.Handler {
+	name := f.String("name", "s1", "`name` that the replies tell")
+	return func() http.Handler { return (&service.Service{Name: *name}).Handler() }
+}
--- a/embed/router.go
+++ b/embed/router.go
@@ -14,6 +14,7 @@
 	"jaywind"
 	"jaywind/internal/core/step"
 	"jaywind/internal/core/table"
+	"jaywind/internal/fleet/journal"
 )
 
 const (
@@ -40,8 +41,11 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
-	Directory jaywind.Directory // members are known by gossip only when nil
+	Service   jaywind.Service   // no calls to plain services when nil
+	Claims    Committer         // no once-only calls when nil
 	Weights   jaywind.Weights   // loads of versions are not paced when nil
+	Directory jaywind.Directory // members are known by gossip only when nil
+	Journal   jaywind.Journal   // reaches the peers that keep records; none are kept when nil
 	Log       *zap.Logger       // silent when nil
 
 	start    sync.Once
@@ -52,6 +56,8 @@
 	group    conc.WaitGroup
 	parts    []part
 	answers  answerSet
+	calls    callSet
+	book     journal.Book
 	meter    *meter
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -81,7 +87,9 @@
 		r.events = make(chan table.Event, eventBuffer)
 		r.looks = make(chan func())
 		r.stopped = make(chan struct{})
-		r.answers.open = map[jaywind.RequestID]*Answer{}
+		r.calls.open = map[jaywind.RequestID]chan table.Respond{}
+		r.answers.open = map[table.Listener]*Answer{}
+		r.answers.current = map[jaywind.RequestID]table.Listener{}
 		r.meter = newMeter()
 		r.parts = r.newParts()
 	})
@@ -92,7 +100,11 @@
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
+		&loads{router: r},
+		&journaler{router: r},
 		newMoves(r),
+		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
+		&claimant{router: r},
 	}
 	r.gossip.router = r
 	if r.Gossiper != nil {
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"iter"
@@ -14,21 +16,22 @@
 // stream reads the events of one attempt.
 type stream struct {
 	body io.ReadCloser
+	call jaywind.Call
 	next func() (sse.Event, error, bool)
 	stop func()
 }
 
-func newStream(body io.ReadCloser) *stream {
+func newStream(body io.ReadCloser, call jaywind.Call) *stream {
 	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: frameLimit})
 	next, stop := iter.Pull2(events)
-	return &stream{body: body, next: next, stop: stop}
+	return &stream{body: body, call: call, next: next, stop: stop}
 }
 
 // Next returns the next frame.
 func (s *stream) Next() (jaywind.Frame, error) {
 	e, err, more := s.next()
 	if err != nil {
-		return jaywind.Frame{}, fmt.Errorf("stream: %w", err)
+		return jaywind.Frame{}, streamError(err)
 	}
 	if !more {
 		return jaywind.Frame{}, io.EOF
@@ -37,7 +40,19 @@
 	if err := json.Unmarshal([]byte(e.Data), &c); err != nil {
 		return jaywind.Frame{}, fmt.Errorf("%w: %w", jaywind.ErrFrame, err)
 	}
-	return c.frame()
+	f, err := c.frame()
+	if c.Request == nameOf(s.call.Work()) {
+		f.Request = s.call.Request
+	}
+	return f, err
+}
+
+// streamError marks an event that is longer than frameLimit.
+func streamError(err error) error {
+	if errors.Is(err, bufio.ErrTooLong) {
+		return fmt.Errorf("%w: event: longer than %d bytes", jaywind.ErrFrame, frameLimit)
+	}
+	return fmt.Errorf("stream: %w", err)
 }
 
 // Close ends the connection.
--- a/internal/client/router/exchange.go
+++ b/internal/client/router/exchange.go
@@ -40,6 +40,7 @@
 	last     time.Time // of the last token
 	pauses   *backoff.ExponentialBackOff
 	failed   jaywind.Address // the entry of the last connection that broke
+	posted   bool            // a router may know the question
 }
 
 // rotate puts the entry that was just tried last.
@@ -63,7 +64,9 @@
 func (e *exchange) connect(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e.refreshEntries(ctx)
+	if err := e.refreshEntries(ctx); err != nil && len(e.entries) > 1 {
+		return err
+	}
 	watchdog := time.AfterFunc(e.client.silence(), cancel)
 	defer watchdog.Stop()
 	response, err := e.post(ctx)
@@ -182,6 +185,11 @@
 	if q.Route != "" {
 		request.Header.Set("X-Route", string(q.Route))
 	}
+	request.Header.Set("X-Keeps-Tokens", "1")
+	if e.posted {
+		request.Header.Set("X-Retry", "1")
+	}
+	e.posted = true
 	if len(e.answer.Tokens) > 0 {
 		request.Header.Set("Last-Event-ID", e.answer.Mark.String())
 		e.answer.Resumed++
@@ -190,15 +198,15 @@
 }
 
 // refreshEntries asks the entry at hand which ones to use, once the list at hand is old.
-func (e *exchange) refreshEntries(ctx context.Context) {
+func (e *exchange) refreshEntries(ctx context.Context) error {
 	if time.Now().Before(e.listed) {
-		return
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
 	list, err := e.client.List(ctx, e.entries[0], e.question.Organisation)
 	if err != nil || len(list.Entries) == 0 {
-		return
+		return err
 	}
 	e.listed = time.Now().Add(list.Keep)
 	fresh := slices.Clone(list.Entries)
@@ -211,4 +219,5 @@
 	if e.entries[0] == e.failed {
 		e.rotate()
 	}
+	return nil
 }
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -6,6 +6,7 @@
 	"jaywind/internal/core/admit"
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/generate"
+	"jaywind/internal/core/journal"
 	"jaywind/internal/core/member"
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/place"
@@ -39,15 +40,19 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
-		place.Reports{},
 		member.Member{},
 		member.Leave{},
+		place.Seats{},
+		place.Reports{},
+		place.Polls{},
 		move.Watch{},
 		generate.Intake{},
 		generate.Silence{},
 		move.Decide{},
 		admit.Admit{},
+		generate.Pinned{},
 		place.Place{},
+		journal.Journal{},
 		claim.Claim{},
 	}
 }
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -16,6 +16,7 @@
 	PhaseOpening                // an attempt is opened, no frame yet
 	PhaseStreaming              // frames arrive
 	PhaseProbing                // the stream broke or is silent; the engine is being asked
+	PhaseRecalling              // peers are being asked for the tokens before the bookmark
 	PhaseEnded
 )
 
@@ -38,6 +39,7 @@
 	Digest  jaywind.Digest  // over Tokens
 
 	Attempt  jaywind.Attempt
+	Run      jaywind.Attempt    // that began the work of the endpoint
 	Endpoint jaywind.EndpointID // of the current attempt
 	Reuse    bool               // the next attempt resumes the endpoint's own stream
 	Sent     bool               // bytes of some attempt may have left
@@ -54,6 +56,14 @@
 	Waits     int                         // times without an endpoint since the last frame
 	NextTry   time.Time                   // earliest time of the next attempt
 	Resumes   int
+	Reopens   int              // connections to one endpoint since the last token
+	Moves     int              // endpoints left since the last token
+	Made      jaywind.Position // how far the endpoint of the attempt is known to be
+
+	Listener Listener          // 0 while the caller is gone
+	GoneAt   time.Time         // when the caller went
+	Keeps    bool              // the caller sends back the tokens that it has read
+	CatchUp  *jaywind.Bookmark // tokens up to here are taken again but not delivered
 }
 
 // Position returns the next position to take.
@@ -63,7 +73,7 @@
 
 // Pinned tells whether the generation may only go on with its version.
 func (r *Request) Pinned() bool {
-	return len(r.Tokens) > 0
+	return len(r.Tokens) > 0 || r.CatchUp != nil
 }
 
 // Bookmark returns the bookmark of the last token taken.
@@ -73,6 +83,7 @@
 		Position: r.Position(),
 		Digest:   r.Digest,
 		Attempt:  r.Attempt,
+		Run:      r.Run,
 		Endpoint: r.Endpoint,
 		Version:  r.Version,
 		Seed:     r.Seed,
