steward: fault rows of orders, records and the lease

Virtual-time rows with two stewards over one store: orders lost, replies lost, store away, old and ignored fencing numbers, a holder that is paused past its lease within a turn, loads within the weight store's rate. The record of a move keeps what was written first, also when the reply was lost.

--- a/internal/measure/moves/study_test.go
+++ b/internal/measure/moves/study_test.go
@@ -12,13 +12,12 @@
 		t.Skip("prints the table of the study with -runs")
 	}
 	for _, l := range []Load{Target, Today} {
-		t.Run(l.Name, func(t *testing.T) {
-			t.Log(Header)
-			for _, k := range Kinds {
+		for _, k := range Kinds {
+			t.Run(l.Name+"/"+k.Name, func(t *testing.T) {
 				r := Study{Load: l, Kind: k, Runs: *runs, Seed: 1}.Run()
-				t.Log(r)
+				t.Log("\n" + Header + "\n" + r.String())
 				t.Log(r.Reasons)
-			}
-		})
+			})
+		}
 	}
 }
--- /dev/null
+++ b/internal/platform/steward/steward_test.go
@@ -0,0 +1,248 @@
+package steward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+	"jaywind/internal/standin/store"
+	"jaywind/internal/standin/weights"
+)
+
+// engine is one endpoint as the steward sees it.
+type engine struct {
+	jaywind.Engine // only Load and Order are called
+
+	mu      sync.Mutex
+	loaded  []jaywind.Version
+	running int
+	fence   jaywind.Fence
+	fenced  bool
+	lose    int           // orders that are taken and not obeyed
+	stall   time.Duration // the next load report takes this long, whatever the deadline
+	orders  []given
+}
+
+type given struct {
+	at    time.Time
+	order jaywind.Order
+}
+
+func (e *engine) Load(context.Context, jaywind.Address) (jaywind.Load, error) {
+	e.mu.Lock()
+	stall := e.stall
+	e.stall = 0
+	e.mu.Unlock()
+	time.Sleep(stall)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return jaywind.Load{Running: e.running, Loaded: slices.Clone(e.loaded)}, nil
+}
+
+func (e *engine) Order(_ context.Context, _ jaywind.Address, o jaywind.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fenced && o.Fence < e.fence {
+		return jaywind.ErrFenced
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, given{time.Now(), o})
+	if e.lose > 0 {
+		e.lose--
+		return nil
+	}
+	if o.Action == jaywind.ActionLoad {
+		e.loaded = append(e.loaded, o.Version)
+		return nil
+	}
+	e.loaded = slices.DeleteFunc(e.loaded, func(v jaywind.Version) bool { return v == o.Version })
+	return nil
+}
+
+func (e *engine) has(v jaywind.Version) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.loaded, v)
+}
+
+var move = table.MoveID{Model: "heat", From: "v1", To: "v2", By: 1}
+
+func wantLoad(fenced bool, due time.Duration) table.Want {
+	w := table.Want{Move: move, Endpoint: "e1", Version: "v2", Loaded: true, Fenced: fenced}
+	if due > 0 {
+		w.Due = time.Now().Add(due)
+	}
+	return w
+}
+
+// TestOrders runs two stewards over one store and endpoint for a minute.
+func TestOrders(t *testing.T) {
+	tests := map[string]struct {
+		engine           *engine
+		store            store.Faults
+		unload           bool
+		due              time.Duration
+		heal             time.Duration // when the store's faults end
+		loaded           bool
+		orders           int
+		earliest, latest time.Duration // of the last order
+		stalled          bool
+	}{
+		"checks fencing: ordered at once":              {engine: &engine{fenced: true}, loaded: true, orders: 1, latest: 5 * time.Second},
+		"ignores fencing: the old lease is waited out": {loaded: true, orders: 1, earliest: leaseTime + orderLimit, latest: 20 * time.Second},
+		"order lost":                        {engine: &engine{fenced: true, lose: 1}, loaded: true, orders: 2, earliest: repeatTime, latest: 15 * time.Second},
+		"all orders lost":                   {engine: &engine{fenced: true, lose: 99}, due: 30 * time.Second, orders: 7, latest: time.Minute, stalled: true},
+		"replies of the store lost":         {engine: &engine{fenced: true}, store: store.Faults{Lose: 3}, loaded: true, orders: 1, latest: 40 * time.Second},
+		"store away at first":               {engine: &engine{fenced: true}, store: store.Faults{Down: true}, heal: 20 * time.Second, loaded: true, orders: 1, earliest: 20 * time.Second, latest: 30 * time.Second},
+		"store away for good":               {engine: &engine{fenced: true}, store: store.Faults{Down: true}},
+		"already loaded":                    {engine: &engine{fenced: true, loaded: []jaywind.Version{"v2"}}, loaded: true},
+		"unload":                            {engine: &engine{fenced: true, loaded: []jaywind.Version{"v2"}}, unload: true, orders: 1, latest: 5 * time.Second},
+		"unload waits for work in progress": {engine: &engine{fenced: true, loaded: []jaywind.Version{"v2"}, running: 1}, unload: true, loaded: true},
+		"newer fencing number seen":         {engine: &engine{fenced: true, fence: 9}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				start := time.Now()
+				s := &store.Store{}
+				s.Set(c.store)
+				e := c.engine
+				if e == nil {
+					e = &engine{}
+				}
+				want := wantLoad(e.fenced, c.due)
+				want.Loaded = !c.unload
+				var stalled []table.Stalled
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				for _, vm := range []jaywind.VM{"vm1", "vm2"} {
+					w := &Steward{Self: vm, Store: s, Engine: e, Stalled: func(x table.Stalled) { stalled = append(stalled, x) }}
+					w.SetWants([]table.Want{want})
+					group.Go(func() { w.Run(ctx) })
+				}
+				if c.heal > 0 {
+					time.Sleep(c.heal)
+					s.Set(store.Faults{})
+				}
+				time.Sleep(time.Minute - c.heal)
+				cancel()
+				group.Wait()
+				is.Equal(e.has("v2"), c.loaded)       // loaded
+				is.Equal(len(e.orders), c.orders)     // orders
+				is.Equal(len(stalled) > 0, c.stalled) // stalled
+				if c.orders > 0 {
+					last := e.orders[len(e.orders)-1].at.Sub(start)
+					is.True(last >= c.earliest) // not before
+					is.True(last <= c.latest)   // not after
+				}
+			})
+		})
+	}
+}
+
+// TestPausedStewardGivesNoOrder fails without the check of the lease's margin before each order.
+func TestPausedStewardGivesNoOrder(t *testing.T) {
+	tests := map[string]struct{ fenced bool }{
+		"endpoint checks fencing":  {fenced: true},
+		"endpoint ignores fencing": {},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store.Store{}
+				e := &engine{fenced: c.fenced}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				old := &Steward{Self: "vm1", Store: s, Engine: e}
+				group.Go(func() { old.Run(ctx) })
+				old.SetWants([]table.Want{{Move: move, Endpoint: "e1", Version: "v1", Fenced: c.fenced}})
+				time.Sleep(20 * time.Second) // holds the lease, has nothing to do
+				e.mu.Lock()
+				e.stall = 30 * time.Second // within a turn: the report is read, the order would follow
+				e.mu.Unlock()
+				old.SetWants([]table.Want{wantLoad(c.fenced, 0)})
+				time.Sleep(2 * time.Second)
+				next := &Steward{Self: "vm2", Store: s, Engine: e}
+				next.SetWants([]table.Want{{Move: move, Endpoint: "e1", Version: "v2", Fenced: c.fenced}})
+				group.Go(func() { next.Run(ctx) })
+				time.Sleep(28500 * time.Millisecond) // the old holder has woken
+				is.Equal(len(e.orders), 0)
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
+
+func TestLoadsArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store.Store{}
+		turns := &weights.Store{Rate: 0.2}
+		e := &engine{fenced: true, lose: 1 << 30} // never comes true, so all go on asking
+		w := &Steward{Self: "vm1", Store: s, Engine: e, Weights: turns}
+		var wants []table.Want
+		for _, id := range []jaywind.EndpointID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
+			want := wantLoad(true, 0)
+			want.Endpoint = id
+			wants = append(wants, want)
+		}
+		w.SetWants(wants)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		group.Go(func() { w.Run(ctx) })
+		time.Sleep(time.Minute)
+		cancel()
+		group.Wait()
+		is.Equal(len(e.orders), turns.Granted()) // each order has its turn
+		is.True(turns.Granted() <= 13)           // 0.2 a second and one at once
+		is.True(turns.Granted() >= 6)
+	})
+}
+
+func TestRecordIsOneWay(t *testing.T) {
+	done := table.Record{Move: move, State: table.MoveDone, Reason: "proved"}
+	back := table.Record{Move: move, State: table.MoveBack, Reason: "bad"}
+	tests := map[string]struct {
+		faults store.Faults
+		writes []table.Record
+		want   table.MoveState
+		fails  bool
+	}{
+		"first":                 {writes: []table.Record{back}, want: table.MoveBack},
+		"done after taken back": {writes: []table.Record{back, done}, want: table.MoveBack},
+		"taken back after done": {writes: []table.Record{done, back}, want: table.MoveDone},
+		"reply lost":            {faults: store.Faults{Lose: 1}, writes: []table.Record{done, back}, want: table.MoveDone},
+		"store away":            {faults: store.Faults{Down: true}, writes: []table.Record{back}, fails: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &store.Store{}
+			s.Set(c.faults)
+			var got table.Recorded
+			var err error
+			for _, r := range c.writes {
+				got, err = Records{Store: s}.Write(context.Background(), r)
+			}
+			is.Equal(err != nil, c.fails)
+			if c.fails {
+				return
+			}
+			is.Equal(got.State, c.want)
+			got, err = Records{Store: s}.Read(context.Background(), move)
+			is.NoErr(err)
+			is.Equal(got.State, c.want)
+		})
+	}
+}
