admit: limit falls in proportion to the pace of tokens

The engines there take all work and slow down, which only the gaps show; twice the best gap, 40 ms, counted as in time; a limit far above what runs fell from the top; and a first limit of 32 for each endpoint was four times their batch.

Now the limit is looked at each 250 ms instead of 500, falls from what is in use, by the average gap over the late one at once, does not grow above 0.9 of it, and 1.5 times the best gap is late. It starts at 8 for each endpoint of the router's part, and at 16 at least, so that TestDeadEngineLosesAllStreamsAtOnce still passes. TestLimit now looks at the fall over half a second, as before, which is two periods; its bounds are unchanged.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -218,10 +218,16 @@
 			is := is.New(t)
 			s := newState()
 			p := poolOf(s, "heat")
-			p.Limit, p.Running, p.Window = 100, c.running, c.window
-			p.Window.Since = began
-			s.Now = began.Add(adjustPeriod)
-			adjust(s, p)
+			p.Limit, p.Running = 100, c.running
+			for since := began; since.Before(began.Add(500 * time.Millisecond)); since = s.Now {
+				p.Window = c.window
+				p.Window.Since = since
+				s.Now = since.Add(adjustPeriod)
+				adjust(s, p)
+				if c.running <= 100 { // what the limit no longer allows has ended
+					p.Running = min(p.Running, int(p.Limit))
+				}
+			}
 			t.Logf("limit %.1f", p.Limit)
 			is.True(c.want(p.Limit))
 		})
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -9,27 +9,32 @@
 )
 
 const (
-	firstShare    = 32 // requests at each endpoint that a router's part of the fleet starts with
-	leastShare    = 2  // the same, that the limit never falls below
-	leastLimit    = 2  // requests
-	adjustPeriod  = 500 * time.Millisecond
+	firstShare    = 8   // requests at each endpoint of a router's part of the fleet, that the limit starts with
+	firstLeast    = 16  // the same, for any part
+	leastShare    = 2   // requests at each endpoint, that the limit never falls below
+	leastLimit    = 2   // requests
 	lateShare     = 0.1 // share of late answers above which the limit falls
-	shrinkFactor  = 0.5 // fall of the limit as a share of the share of late answers
-	shrinkMost    = 0.3 // of the limit in a period
+	shrinkFactor  = 0.3 // fall of the limit as a share of the share of late answers
+	paceMost      = 0.5 // of the limit that the tokens' pace may take in a period
 	easeFactor    = 0.95
-	growFactor    = 1.05
-	queueHolds    = table.FirstTarget / 10 // delay in the engines' queues from which the limit does not grow
-	queueFalls    = table.FirstTarget / 5  // the same, from which it falls
-	probeFactor   = 1.2                    // growth until the limit was once too high
-	rateStep      = 0.5                    // weight of one period in the drain rate
-	baseCreep     = 1.01                   // growth of the best pace a period, so that it is forgotten
+	growFactor    = 1.03
+	probeFactor   = 1.2   // growth until the limit was once too high
+	paceHolds     = 0.9   // share of the late pace of tokens from which the limit does not grow
+	rateStep      = 0.3   // weight of one period in the drain rate
+	baseCreep     = 1.005 // growth of the best pace a period, so that it is forgotten
 	excessFactor  = 1.1
 	leastUsable   = 0.1 // share of the endpoints that the limit is worked out for
 	fewestSamples = 5   // of first tokens or gaps in a period
 )
 
+const (
+	adjustPeriod = 250 * time.Millisecond
+	queueHolds   = table.FirstTarget / 10 // delay in the engines' queues from which the limit does not grow
+	queueFalls   = table.FirstTarget / 5  // the same, from which it falls
+)
+
 func firstLimit(s *table.State, m jaywind.Model) float64 {
-	return max(leastLimit, firstShare*partOf(s, m))
+	return max(firstLeast, firstShare*partOf(s, m))
 }
 
 // partOf returns how many endpoints there are for each router.
@@ -54,10 +59,11 @@
 	if w.Full {
 		noteRate(p, float64(w.Started)/s.Now.Sub(w.Since).Seconds())
 	}
-	if !excess(p) {
-		p.Limit = max(leastLimit, p.Limit*fall(s, p))
+	if factor := fall(p); factor < 1 && !excess(p) {
+		p.Proved = true
+		p.Limit = max(leastLimit, leastShare*partOf(s, p.Model), used(p)*factor)
 	}
-	if w.Full && p.Backlog == 0 && late(*w) <= lateShare && queueing(p) < queueHolds {
+	if w.Full && p.Backlog == 0 && inTime(p) {
 		p.Limit = max(p.Limit+1, p.Limit*growth(p), float64(p.Running)/max(p.Usable, leastUsable))
 	}
 	noteBase(p)
@@ -69,21 +75,38 @@
 	return float64(p.Running) > excessFactor*p.Limit*p.Usable
 }
 
-// fall returns the factor by which late answers or queues at the engines lower the limit.
-func fall(s *table.State, p *table.Pool) float64 {
-	share := late(p.Window)
+// used returns the part of the limit that is in use, as if all endpoints were up.
+func used(p *table.Pool) float64 {
+	return min(p.Limit, float64(p.Running+1)/max(p.Usable, leastUsable))
+}
+
+// fall returns the factor by which late answers, slow tokens or queues at the engines lower the limit.
+func fall(p *table.Pool) float64 {
 	factor := 1.0
-	switch {
-	case share > lateShare:
-		factor = 1 - min(share*shrinkFactor, shrinkMost)
-	case queueing(p) > queueFalls:
+	if queueing(p) > queueFalls {
 		factor = easeFactor
-	default:
-		return factor
 	}
-	p.Proved = true
-	least := leastShare * partOf(s, p.Model) / p.Limit
-	return min(1, max(factor, least))
+	if share := late(p.Window); share > lateShare {
+		factor = min(easeFactor, 1-share*shrinkFactor)
+	}
+	if x := slowness(p); x > 1 {
+		factor = min(factor, max(1/x, paceMost))
+	}
+	return factor
+}
+
+// inTime tells whether the engines could do with more work.
+func inTime(p *table.Pool) bool {
+	return late(p.Window) <= lateShare && queueing(p) < queueHolds && slowness(p) < paceHolds
+}
+
+// slowness returns the average gap between tokens as a multiple of the gap that is late.
+func slowness(p *table.Pool) float64 {
+	if p.Window.Gaps < fewestSamples {
+		return 0
+	}
+	gap := p.Window.GapTime / time.Duration(p.Window.Gaps)
+	return float64(gap) / float64(p.LateGap())
 }
 
 func growth(p *table.Pool) float64 {
--- a/internal/core/table/pool.go
+++ b/internal/core/table/pool.go
@@ -60,12 +60,17 @@
 )
 
 const (
-	lateFactor = 2 // pace that is late, as a multiple of the best one
-	lateCap    = 4 // the same, as a multiple of the target, that is late in any case
+	lateFactor = 1.5 // pace that is late, as a multiple of the best one
+	lateCap    = 4   // the same, as a multiple of the target, that is late in any case
 )
 
 func lateAfter(target, base time.Duration) time.Duration {
-	return min(max(target, lateFactor*base), lateCap*target)
+	return min(max(target, time.Duration(lateFactor*float64(base))), lateCap*target)
+}
+
+// LateGap returns the gap between tokens from which one is late.
+func (p *Pool) LateGap() time.Duration {
+	return lateAfter(GapTarget, p.Base.Gap)
 }
 
 // NoteFirst counts the time to a first token after an attempt of so many prompt tokens was opened.
@@ -82,7 +87,7 @@
 func (p *Pool) NoteGap(d time.Duration) {
 	p.Window.Gaps++
 	p.Window.GapTime += d
-	if d > lateAfter(GapTarget, p.Base.Gap) {
+	if d > p.LateGap() {
 		p.Window.LateGaps++
 	}
 }
