--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -57,7 +57,10 @@
 		d.Log = zap.NewNop()
 	}
 	if d.Store == nil {
-		d.Store = &store.Client{URL: jaywind.Address(d.Settings.Store.URL)}
+		d.Store = &store.Client{
+			URL:     jaywind.Address(d.Settings.Store.URL),
+			Routers: func() int { return len(d.router.Members()) },
+		}
 	}
 	d.killed, d.kill = context.WithCancelCause(context.Background())
 	l := &d.Settings.Listen
