--- a/cmd/jaywind/process_test.go
+++ b/cmd/jaywind/process_test.go
@@ -36,10 +36,10 @@
 	callers []string
 }
 
-func startProcesses(t *testing.T) *processes {
+func startProcesses(t *testing.T, routers int) *processes {
 	t.Helper()
 	p := &processes{t: t, dir: t.TempDir()}
-	p.freePorts(3*routerCount + 4)
+	p.freePorts(3*routers + 4)
 	p.build("./cmd/jaywind", "./cmd/standin")
 	p.store = p.port()
 	p.start("standin", "store", "-listen", p.store)
@@ -55,7 +55,7 @@
 	text += fmt.Sprintf("endpoint s1 kind=service service=bind url=http://%s domain=a # test\n", p.service)
 	p.await(p.store)
 	p.await(p.service)
-	p.startRouters(routerCount)
+	p.startRouters(routers)
 	out, code := p.run("apply", "-settings", p.files[0], "-rules", p.file("rules.txt", text))
 	if code != exitOK {
 		t.Fatalf("apply: exit %d: %s", code, out)
@@ -217,7 +217,7 @@
 
 func TestTwoOperatorsAtOnceThroughAStoreOutage(t *testing.T) {
 	is := is.New(t)
-	p := startProcesses(t)
+	p := startProcesses(t, routerCount)
 	eventually(t, readyLimit, "three routers know each other", func() bool { return p.status(0).Live == 3 })
 	eventually(t, forceTarget, "version 1 in force", p.inForce(1))
 
--- a/cmd/jaywind/rules_test.go
+++ b/cmd/jaywind/rules_test.go
@@ -14,7 +14,7 @@
 
 func TestPausedRouterWakesToTheRulesInForce(t *testing.T) {
 	is := is.New(t)
-	p := startProcesses(t)
+	p := startProcesses(t, routerCount)
 	eventually(t, readyLimit, "three routers know each other", func() bool { return p.status(0).Live == 3 })
 	eventually(t, forceTarget, "version 1 in force", p.inForce(1))
 	base, code := p.run("rules", "-settings", p.files[0])
@@ -36,7 +36,7 @@
 
 func TestLargeSetIsInForceWithinTheTarget(t *testing.T) {
 	is := is.New(t)
-	p := startProcesses(t)
+	p := startProcesses(t, routerCount)
 	eventually(t, readyLimit, "three routers know each other", func() bool { return p.status(0).Live == 3 })
 	eventually(t, forceTarget, "version 1 in force", p.inForce(1))
 	text, code := p.run("rules", "-settings", p.files[0])
--- a/cmd/jaywind/stop_test.go
+++ b/cmd/jaywind/stop_test.go
@@ -27,7 +27,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := startProcesses(t)
+			p := startProcesses(t, routerCount)
 			eventually(t, readyLimit, "three routers know each other", func() bool { return p.status(0).Live == 3 })
 			eventually(t, forceTarget, "version 1 in force", p.inForce(1))
 			p.set(p.store, c.store)
@@ -104,7 +104,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := startProcesses(t)
+			p := startProcesses(t, routerCount)
 			eventually(t, forceTarget, "version 1 in force", p.inForce(1))
 			p.set(p.service, `{"slow":4000000000}`)
 			var body string
