--- a/internal/core/step/rules_test.go
+++ b/internal/core/step/rules_test.go
@@ -30,7 +30,7 @@
 			var events []table.Event
 			var first *table.Ruled // that has the version wanted
 			for i, v := range c.versions {
-				e := ruledAs(t, v, twoEngines)
+				e := parsed(t, v, twoEngines)
 				if v == c.want && first == nil {
 					first = &e
 				}
