--- a/internal/core/move/version.go
+++ b/internal/core/move/version.go
@@ -32,10 +32,13 @@
 	if fraction(r.ID) >= m.Share {
 		return m.ID.From
 	}
+	if !servable(s, m, r) {
+		return m.ID.From
+	}
 	if t := m.Trials[r.ID]; t != nil && t.New {
 		return m.ID.To
 	}
-	if !mayStart(s, m) || !servable(s, m, r) {
+	if !mayStart(s, m) {
 		return m.ID.From
 	}
 	m.Starts++
