--- a/internal/core/generate/matrix_test.go
+++ b/internal/core/generate/matrix_test.go
@@ -56,6 +56,13 @@
 	"caller comes back here before it is missed": func(w *world, _ *conn) {
 		w.ask("r1", w.callers["r1"].router, false)
 	},
+	"router pauses": func(w *world, _ *conn) {
+		w.routers[w.callers["r1"].router].pausedTill = w.now.Add(1500 * time.Millisecond)
+	},
+	"router pauses and wakes when its caller is elsewhere": func(w *world, _ *conn) {
+		w.routers[0].pausedTill = w.now.Add(2 * time.Second)
+		w.ask("r1", 1, true)
+	},
 	"caller comes back elsewhere": func(w *world, _ *conn) { w.leave(); w.ask("r1", 1, true) },
 	"router is lost":              func(w *world, _ *conn) { w.ask("r1", 1, true) },
 }
