--- a/internal/core/claim/send.go
+++ b/internal/core/claim/send.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -87,6 +88,9 @@
 		return
 	}
 	release(s, c, e.Err == nil)
+	if c.Try == e.Try {
+		observe(s, c)
+	}
 	switch {
 	case e.Err == nil:
 		answer(s, c, e.Reply)
@@ -113,18 +117,35 @@
 		return
 	}
 	e.Failures++
-	e.ClosedTill = s.Now.Add(breakerFirst << min(e.Failures-1, breakerShift))
+	if e.Failures >= breakAfter {
+		e.ClosedTill = s.Now.Add(breakerFirst << min(e.Failures-breakAfter, breakerShift))
+	}
 }
 
 func answer(s *table.State, c *table.ServiceCall, r jaywind.Reply) {
-	kept := r
-	if len(r.Body) > replyLimit {
-		kept = jaywind.Reply{}
-	}
-	settle(s, c, jaywind.ClaimAnswered, kept)
+	settle(s, c, jaywind.ClaimAnswered, kept(r))
 	respond(s, c, table.Respond{Result: table.ResultReply, Reply: r})
 }
 
+// keptHeaders are the headers of a reply that the ledger keeps.
+var keptHeaders = []string{"Content-Type", "Content-Encoding", "Content-Language", "Etag", "Last-Modified", "Location"}
+
+// kept returns what the ledger keeps of a reply: nothing of one that is too large.
+func kept(r jaywind.Reply) jaywind.Reply {
+	size := len(r.Body)
+	out := jaywind.Reply{Status: r.Status, Header: http.Header{}, Body: r.Body}
+	for _, name := range keptHeaders {
+		if value := r.Header.Get(name); value != "" {
+			out.Header.Set(name, value)
+			size += len(value)
+		}
+	}
+	if size > replyLimit {
+		return jaywind.Reply{}
+	}
+	return out
+}
+
 func settle(s *table.State, c *table.ServiceCall, state jaywind.ClaimState, r jaywind.Reply) {
 	if c.Mode != table.ModeClaimed {
 		return
@@ -144,11 +165,12 @@
 }
 
 // watchSent answers for an endpoint that has not.
-func watchSent(s *table.State, c *table.ServiceCall) {
+func (y Claim) watchSent(s *table.State, c *table.ServiceCall) {
 	late := !s.Now.Before(c.Ask.Deadline)
 	switch {
-	case c.Mode == table.ModeRepeat && (late || s.Now.Sub(c.Sent) >= tryLimit):
+	case c.Mode == table.ModeRepeat && (late || s.Now.Sub(c.Sent) >= y.tryLimit(s.Endpoints[c.Endpoint])):
 		release(s, c, false)
+		observe(s, c)
 		retry(s, c)
 	case late && !c.Responded:
 		respondEarly(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -40,9 +40,11 @@
 func order() []table.System {
 	return []table.System{
 		Rules{},
-		place.Reports{},
 		member.Member{},
 		member.Leave{},
+		place.Seats{},
+		place.Reports{},
+		place.Polls{},
 		move.Watch{},
 		generate.Intake{},
 		generate.Silence{},
--- a/internal/core/table/breaker.go
+++ b/internal/core/table/breaker.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// Closed tells whether the breaker lets all work through.
+func (b *Breaker) Closed() bool {
+	return b.till.IsZero()
+}
+
 // Open tells whether the breaker keeps all work away.
 func (b *Breaker) Open(now time.Time) bool {
 	return now.Before(b.till)
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -48,6 +48,12 @@
 	Helped  bool // other members were asked to probe it as well
 }
 
+// VMWord is the last word of the platform's list on a VM.
+type VMWord struct {
+	Leaving bool
+	At      int64 // Unix milliseconds
+}
+
 // Fleet is what a router knows of the others and of itself as a member.
 type Fleet struct {
 	Self     jaywind.Member
@@ -63,7 +69,7 @@
 	Number   uint64 // of the last call
 	NextPeer time.Time
 	NextSeed time.Time
-	NextLook time.Time // at suspicions
+	NextLook time.Time // at all members
 	LastFull time.Time // the last full tick, to notice a pause
 	JoinGate time.Time // no whole table is sent before then
 	Started  time.Time // the first tick
@@ -74,10 +80,10 @@
 	NotesIn  []jaywind.Note  // received for the first time in this tick
 	notesOut []jaywind.Note  // emitted here, not yet taken up by membership
 
-	StoreAt    time.Time // when any known member last reached the store; zero for never
-	Cut        bool      // on the smaller side of a cut, without the store
-	FetchAt    time.Time // when the last fetch of rules from a member began; zero when none runs
-	LeavingVMs map[jaywind.VM]bool
+	StoreAt time.Time             // when any known member last reached the store; zero for never
+	Cut     bool                  // on the smaller side of a cut, without the store
+	FetchAt time.Time             // when the last fetch of rules from a member began; zero when none runs
+	VMs     map[jaywind.VM]VMWord // that have been said to leave
 }
 
 // Live returns the members that are not dead, with this router, ordered by VM; leaving ones are included.
@@ -92,6 +98,25 @@
 	return live
 }
 
+// Put adds a member that is not known yet.
+func (f *Fleet) Put(m *Member) {
+	f.Members[m.VM] = m
+	at, _ := slices.BinarySearch(f.Order, m.VM)
+	f.Order = slices.Insert(f.Order, at, m.VM)
+	f.Epoch++
+}
+
+// Drop forgets a member.
+func (f *Fleet) Drop(vm jaywind.VM) {
+	at, known := slices.BinarySearch(f.Order, vm)
+	if !known {
+		return
+	}
+	delete(f.Members, vm)
+	f.Order = slices.Delete(f.Order, at, at+1)
+	f.Epoch++
+}
+
 // Spread sends a note to all routers; this one does not receive it back.
 func (f *Fleet) Spread(n jaywind.Note) {
 	f.notesOut = append(f.notesOut, n)
@@ -158,9 +183,9 @@
 // NewFleet returns the tables of a router that knows nobody.
 func NewFleet() Fleet {
 	return Fleet{
-		Members:    map[jaywind.VM]*Member{},
-		Calls:      map[uint64]*GossipCall{},
-		NoteKeys:   map[string]bool{},
-		LeavingVMs: map[jaywind.VM]bool{},
+		Members:  map[jaywind.VM]*Member{},
+		Calls:    map[uint64]*GossipCall{},
+		NoteKeys: map[string]bool{},
+		VMs:      map[jaywind.VM]VMWord{},
 	}
 }
