--- a/cmd/jaywind/once_test.go
+++ b/cmd/jaywind/once_test.go
@@ -90,7 +90,7 @@
 	for name, strike := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := startProcesses(t)
+			p := startProcesses(t, 2)
 			eventually(t, readyLimit, "rules in force", p.inForce(1))
 			p.set(p.store, `{"slow":5000000}`)
 			p.set(p.service, `{"slow":20000000}`)
