--- a/embed/doc.go
+++ b/embed/doc.go
@@ -4,9 +4,9 @@
 // package jaywind, and their results into the core's events. Fields are set
 // before Run, and nil or zero ones have defaults that work:
 //
-//	r := &embed.Router{Self: "vm1", Engine: &engine.Client{}, Store: store}
+//	r := &embed.Router{Self: "vm1", Engine: &embed.EngineClient{}, Store: store}
 //	group.Go(func() { err = r.Run(ctx) })
-//	answer, err := r.Generate(ctx, table.Ask{ID: "r1", Model: "heat", Prompt: "fins", Limit: 100})
+//	answer, err := r.Generate(ctx, embed.Ask{ID: "r1", Model: "heat", Prompt: "fins", Limit: 100})
 //	for {
 //		e, err := answer.Next(ctx)
 //		if err != nil || e.Final != nil {
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -32,11 +32,6 @@
 	return c.State.Take()
 }
 
-// Busy tells whether work waits that an early tick could start.
-func (c *Core) Busy() bool {
-	return len(c.State.Ready) > 0 || len(c.State.Queued) > 0
-}
-
 func order() []table.System {
 	return []table.System{
 		Rules{},
