embed: one router that reaches the store is enough, whichever it is

If all watchers were cut from the store, rules stood still although another router reached it. Routers that don't watch now read it once in a while when no known router has for 10 s, about one read a second for the whole fleet.

The row first passed without the reads, because the fake kept a watch under way through the cut; cuts end it now, in the rows of accepted rules as well. Without the reads TestOneRouterThatReachesTheStoreIsEnough fails at each router that is no watcher. go test ./embed -run 'OneRouter|Accepted|Entries|StoreCalls': ok.

--- a/embed/fleet_test.go
+++ b/embed/fleet_test.go
@@ -91,6 +91,26 @@
 
 	mu    sync.Mutex
 	stale *jaywind.Entry // answers reads in place of what is there
+	lost  bool           // this router alone can't reach the store
+	end   func()         // ends the watch under way
+}
+
+// endWatch breaks the connection of the watch under way.
+func (s *ownStore) endWatch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.end != nil {
+		s.end()
+	}
+}
+
+func (s *ownStore) setLost(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = lost
+	if s.end != nil {
+		s.end()
+	}
 }
 
 func (s *ownStore) setStale(e *jaywind.Entry) {
@@ -100,9 +120,12 @@
 }
 
 func (s *ownStore) gone() bool {
+	s.mu.Lock()
+	lost := s.lost
+	s.mu.Unlock()
 	s.fabric.mu.Lock()
 	defer s.fabric.mu.Unlock()
-	return s.fabric.cut[s.from]
+	return lost || s.fabric.cut[s.from]
 }
 
 func (s *ownStore) Get(ctx context.Context, key string) (jaywind.Entry, error) {
@@ -116,8 +139,11 @@
 	if s.gone() {
 		return jaywind.Entry{}, jaywind.ErrUnavailable
 	}
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	s.mu.Lock()
 	stale := s.stale
+	s.end = end
 	s.mu.Unlock()
 	if stale != nil {
 		return *stale, nil
@@ -191,6 +217,12 @@
 	delete(p.fabric.routers, fleetAddress(i))
 }
 
+// setCut cuts a router from all others and from the store, or joins it again.
+func (p *troop) setCut(i int, cut bool) {
+	p.fabric.setCut(fleetAddress(i), cut)
+	p.stores[i].endWatch()
+}
+
 // accept puts the next version into the store.
 func (p *troop) accept() {
 	ctx := context.Background()
@@ -282,20 +314,20 @@
 			p.inForce(2)
 		},
 		"router is cut off during the edit": func(p *troop) {
-			p.fabric.setCut(fleetAddress(4), true)
+			p.setCut(4, true)
 			p.run(20 * time.Second)
 			p.accept()
 			p.inForce(2, 4)
-			p.fabric.setCut(fleetAddress(4), false)
+			p.setCut(4, false)
 			p.inForce(2)
 		},
 		"old router wakes when all others are at a later version": func(p *troop) {
-			p.fabric.setCut(fleetAddress(0), true)
+			p.setCut(0, true)
 			for v := jaywind.RulesVersion(2); v < 6; v++ {
 				p.accept()
 				p.inForce(v, 0)
 			}
-			p.fabric.setCut(fleetAddress(0), false)
+			p.setCut(0, false)
 			p.inForce(5)
 			p.run(10 * time.Second)
 			p.inForce(5)
@@ -353,6 +385,25 @@
 	}
 }
 
+func TestOneRouterThatReachesTheStoreIsEnough(t *testing.T) {
+	for only := range troopSize {
+		t.Run(fmt.Sprint("router ", only), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newTroop(t, troopSize)
+				p.accept()
+				p.run(settle)
+				for i, s := range p.stores {
+					s.setLost(i != only)
+				}
+				p.run(30 * time.Second)
+				p.accept()
+				p.run(time.Minute)
+				p.inForce(2)
+			})
+		})
+	}
+}
+
 func TestStoreCallsDoNotGrowWithRouters(t *testing.T) {
 	tests := map[string]struct {
 		accepted bool // whether there are rules
@@ -408,7 +459,7 @@
 				r.Stop()
 			}
 			if r.Entry == homes[1] {
-				p.fabric.setCut(fleetAddress(i), true)
+				p.setCut(i, true)
 			}
 		}
 		is.Equal(len(domains), 2) // two of three failure domains
--- a/embed/router.go
+++ b/embed/router.go
@@ -61,6 +61,7 @@
 	meter    *meter
 	ready    atomic.Bool
 	stopping atomic.Bool
+	storeAt  atomic.Int64 // when a known member last reached the store, in Unix nanoseconds
 	members  memberView
 	gossip   gossip
 	rulebook rulebook
@@ -160,6 +161,9 @@
 			r.execute(ctx, c)
 		}
 		r.members.publish(&r.core.State.Fleet)
+		if at := r.core.State.Fleet.StoreAt; !at.IsZero() {
+			r.storeAt.Store(at.UnixNano())
+		}
 		r.stopping.Store(r.core.State.Stopping)
 		r.ready.Store(r.core.State.Rules != nil && !r.core.State.Stopping)
 	}
--- a/embed/rules.go
+++ b/embed/rules.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"jaywind"
+	"jaywind/internal/core/member"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
 	"jaywind/internal/fleet/rendezvous"
@@ -72,6 +73,7 @@
 	}
 	for ctx.Err() == nil {
 		if !p.watches() {
+			p.standIn(ctx)
 			pause(ctx, rolePeriod)
 			continue
 		}
@@ -79,6 +81,24 @@
 	}
 }
 
+// standIn reads the store once in a while when no watcher has reached it for long.
+//
+// All routers together make about one such read a second, whatever their number.
+func (p *rulebook) standIn(ctx context.Context) {
+	r := p.router
+	lost := r.Clock.Now().Sub(time.Unix(0, r.storeAt.Load())) > member.FreshLimit
+	share := rolePeriod.Seconds() / float64(len(r.Members()))
+	if !lost || rand.Float64() > share {
+		return
+	}
+	book := rules.Book{Store: r.Store, Cache: p.cached}
+	accepted, err := book.Read(ctx)
+	if err == nil {
+		r.post(table.StoreReached{})
+		p.hold(accepted.Version, accepted.Text, accepted.Set)
+	}
+}
+
 // watches tells whether this router is to watch the store.
 func (p *rulebook) watches() bool {
 	r := p.router
