rule: a move starts or ends at the model's version, and has a budget

A move from a version that the model does not serve was accepted and did nothing; a budget of 0 could never prove anything. Both are findings now. go test ./internal/core/rule passes.

--- a/internal/core/rule/parse.go
+++ b/internal/core/rule/parse.go
@@ -133,6 +133,9 @@
 	m.To = jaywind.Version(l.text("to"))
 	m.By = l.moment("by")
 	m.Budget = l.whole("budget", defaultBudget)
+	if f, given := l.fields["budget"]; given && m.Budget == 0 {
+		l.report(f.column, "budget: without a request to start with, nothing can be proved")
+	}
 	if m.From != "" && m.From == m.To {
 		l.report(l.fields["to"].column, "to: same version as from")
 	}
@@ -173,9 +176,14 @@
 			p.reportAt("drain "+string(id), "no endpoint "+strconv.Quote(string(id)))
 		}
 	}
-	for name := range p.set.Moves {
-		if _, found := p.set.Models[name]; !found {
+	for name, m := range p.set.Moves {
+		model, found := p.set.Models[name]
+		if !found {
 			p.reportAt("move "+string(name), "no model "+strconv.Quote(string(name)))
+			continue
+		}
+		if model.Version != m.From && model.Version != m.To {
+			p.reportAt("move "+string(name), "neither from nor to is the model's version, "+strconv.Quote(string(model.Version)))
 		}
 	}
 	for name, r := range p.set.Routes {
--- a/internal/core/rule/parse_test.go
+++ b/internal/core/rule/parse_test.go
@@ -52,6 +52,8 @@
 		"negative":            {"organisation o burst=-1 # x", []string{`1:22: burst: not a whole number`}},
 		"no time":             {"model m version=a # x\nmove m from=a to=b by=soon # x", []string{`2:23: by: not a time`}},
 		"move to itself":      {"model m version=a # x\nmove m from=a to=a by=2026-12-04T06:00:00Z # x", []string{`2:18: to: same version`}},
+		"move from elsewhere": {"model m version=c # x\nmove m from=a to=b by=2026-12-04T06:00:00Z # x", []string{`2:6: neither from nor to`}},
+		"move, no budget":     {"model m version=a # x\nmove m from=a to=b by=2026-12-04T06:00:00Z budget=0 # x", []string{`2:51: budget: without`}},
 		"drain of nothing":    {"drain e9 # x", []string{`1:7: no endpoint "e9"`}},
 		"move of nothing":     {"move m from=a to=b by=2026-12-04T06:00:00Z # x", []string{`1:6: no model "m"`}},
 		"route to nothing":    {"route r model=m # x", []string{`1:7: no model "m"`}},
