evidence: reports of moves go to each member directly

Spread as gossip notes, a report of 448 bytes (three routes; go test ./internal/core/move -bench Report) is sent about ten times by each of nine members and more by each of 370: by the gossip's spread factor some 40 KB/s a router at today's size, beyond the 16 KB/s for control. Handed over directly it is sent once to each member: 8 x 448 bytes a second for nine routers, and every 37 s to 369 for 370, so about 4.5 KB/s each way without headers. These are worked out, not measured on the wire. Verdicts and ends stay notes of gossip, which are kept for those who come back.

go test -race ./embed, go test ./internal/core/move ./internal/fleet/evidence pass.

--- a/embed/moves.go
+++ b/embed/moves.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
+	"jaywind"
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/table"
 	"jaywind/internal/fleet/rendezvous"
 	"jaywind/internal/platform/steward"
 )
 
-const stewards = 3 // routers that try for the steward's lease
+const (
+	stewards    = 3                      // routers that try for the steward's lease
+	reportLimit = 500 * time.Millisecond // for handing over a report
+	reportsOut  = 16                     // calls under way at once
+)
 
 // moves spreads reports, keeps the record of moves and steers the endpoints.
 type moves struct {
@@ -84,7 +91,43 @@
 		p.router.Log.Error("moves: report not encoded", zap.Error(err))
 		return
 	}
-	p.router.core.State.Fleet.Spread(n)
+	if r.State != table.MoveGoing || p.router.Reporter == nil {
+		p.router.core.State.Fleet.Spread(n)
+		return
+	}
+	members := p.router.Members()
+	p.router.group.Go(func() { p.report(members, n) })
+}
+
+// report hands a report to each member; one that is not reached hears the totals with the next.
+func (p *moves) report(members []jaywind.Member, n jaywind.Note) {
+	calls := pool.New().WithMaxGoroutines(reportsOut)
+	for _, m := range members {
+		if m.VM == p.router.Self || m.Fleet == "" {
+			continue
+		}
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+			defer cancel()
+			if err := p.router.Reporter.Report(ctx, m.Fleet, n); err != nil {
+				p.router.Log.Debug("moves: report not handed over", zap.String("to", string(m.VM)), zap.Error(err))
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// TakeReport takes a report of another router, or returns an error that wraps move.ErrNote.
+func (r *Router) TakeReport(n jaywind.Note) error {
+	r.init()
+	report, err := move.DecodeReport(n)
+	if err != nil {
+		return err
+	}
+	if !r.post(table.Reported{Report: report}) {
+		return ErrStopped
+	}
+	return nil
 }
 
 // recall reads the record; without a store, nothing is on record.
--- a/embed/moves_test.go
+++ b/embed/moves_test.go
@@ -136,7 +136,7 @@
 		at := fleetAddress(i)
 		r := &embed.Router{
 			Self: jaywind.VM(fmt.Sprint("vm", i)), Domain: jaywind.Domain(fmt.Sprint("d", i)), Seed: uint64(i + 1), Fleet: at,
-			Seeds: []jaywind.Address{fleetAddress(0)}, Gossiper: line{p.fabric, at}, Engine: f, Store: p.store,
+			Seeds: []jaywind.Address{fleetAddress(0)}, Gossiper: line{p.fabric, at}, Engine: f, Store: p.store, Reporter: line{p.fabric, at},
 		}
 		p.fabric.mu.Lock()
 		p.fabric.routers[at] = r
@@ -152,6 +152,15 @@
 	return p
 }
 
+// Report hands over a report of a move as package evidence does.
+func (l line) Report(ctx context.Context, at jaywind.Address, n jaywind.Note) error {
+	r, err := l.reach(ctx, at)
+	if err != nil {
+		return err
+	}
+	return r.TakeReport(n)
+}
+
 // ask drives 60 requests a second over all routers and returns how many answers were whole.
 func (p *troop) ask(seconds int) (whole, all int) {
 	var mu sync.Mutex
--- a/embed/router.go
+++ b/embed/router.go
@@ -43,6 +43,7 @@
 	Copier    jaywind.Copier    // rules are read from the store only when nil
 	Service   jaywind.Service   // no calls to plain services when nil
 	Claims    Committer         // no once-only calls when nil
+	Reporter  jaywind.Reporter  // reports of moves go by gossip when nil
 	Weights   jaywind.Weights   // loads of versions are not paced when nil
 	Directory jaywind.Directory // members are known by gossip only when nil
 	Journal   jaywind.Journal   // reaches the peers that keep records; none are kept when nil
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -242,8 +242,8 @@
 
 func tell(s *table.State, m *table.Move) {
 	pause := max(tellPause, time.Duration(s.Members)*tellPerPeer)
-	if m.Fresh {
-		pause /= badNews
+	if m.Fresh && pause <= tellPause {
+		pause /= badNews // in a larger fleet bad outcomes would be heard long before the good ones
 	}
 	if s.Now.Sub(m.ToldAt) < pause {
 		return
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -15,6 +15,7 @@
 	"jaywind/internal/edge/caller"
 	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/evidence"
 	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
@@ -101,6 +102,7 @@
 	m := http.NewServeMux()
 	journal.Register(m, d.router.Records())
 	m.Handle("/fleet/", gossip.NewHandler(d.router))
+	m.Handle(evidence.Path, evidence.NewHandler(d.router))
 	m.Handle(ledger.Path, ledger.NewHandler(d.committer))
 	return m
 }
--- a/internal/edge/ports/router.go
+++ b/internal/edge/ports/router.go
@@ -9,6 +9,7 @@
 	"jaywind/internal/backend/engine"
 	"jaywind/internal/backend/service"
 	"jaywind/internal/fleet/cbor"
+	"jaywind/internal/fleet/evidence"
 	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
@@ -32,6 +33,7 @@
 		Entry:    jaywind.Address("http://" + s.Listen.Caller),
 		Gossiper: peers,
 		Copier:   peers,
+		Reporter: &evidence.Client{HTTP: client},
 		Claims:   claims,
 		Journal:  &journal.Client{HTTP: client},
 		Store:    committer.Store,
--- /dev/null
+++ b/internal/fleet/evidence/doc.go
@@ -0,0 +1,8 @@
+// Package evidence carries the reports of moves between routers, over connect.
+//
+// A report goes to each member once and is not passed on, unlike a note of the
+// gossip, which every member sends several times:
+//
+//	c := &evidence.Client{HTTP: cbor.NewHTTPClient(secret)}
+//	err := c.Report(ctx, "http://10.0.0.2:8201", note)
+package evidence
--- /dev/null
+++ b/internal/fleet/evidence/evidence.go
@@ -0,0 +1,58 @@
+package evidence
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"jaywind"
+	"jaywind/internal/fleet/cbor"
+)
+
+// Path is where the handler is mounted.
+const Path = "/fleet/evidence"
+
+// report is a note as it is sent.
+type report struct {
+	Kind  string `cbor:"1,keyasint"`
+	Key   string `cbor:"2,keyasint"`
+	Value []byte `cbor:"3,keyasint"`
+}
+
+type taken struct{}
+
+// Client is the jaywind.Reporter that calls other routers; calls end with their context.
+type Client struct {
+	HTTP *http.Client // carries the shared secret
+}
+
+var _ jaywind.Reporter = (*Client)(nil)
+
+// Report hands a note to the router at an address.
+func (c *Client) Report(ctx context.Context, at jaywind.Address, n jaywind.Note) error {
+	client := connect.NewClient[report, taken](c.HTTP, string(at)+Path, cbor.ClientOptions()...)
+	_, err := client.CallUnary(ctx, connect.NewRequest(&report{Kind: n.Kind, Key: n.Key, Value: n.Value}))
+	if err != nil {
+		return fmt.Errorf("report to %s: %w", at, err)
+	}
+	return nil
+}
+
+// router is what the handler needs of a router.
+type router interface {
+	TakeReport(n jaywind.Note) error
+}
+
+// NewHandler returns the handler of the path /fleet/evidence.
+func NewHandler(r router) http.Handler {
+	take := func(_ context.Context, q *connect.Request[report]) (*connect.Response[taken], error) {
+		n := jaywind.Note{Kind: q.Msg.Kind, Key: q.Msg.Key, Value: q.Msg.Value}
+		if err := r.TakeReport(n); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		return connect.NewResponse(&taken{}), nil
+	}
+	return connect.NewUnaryHandler(Path, take, cbor.HandlerOptions()...)
+}
--- /dev/null
+++ b/report.go
@@ -0,0 +1,9 @@
+package jaywind
+
+import "context"
+
+// Reporter hands the reports of moves to other routers directly.
+type Reporter interface {
+	// Report hands over one report, within ctx's deadline.
+	Report(ctx context.Context, at Address, n Note) error
+}
