place: a waiting request is kept once

Cause: the id of a request whose caller came back while it waited was put into the waiting list again each time, so the list grew without bound; BenchmarkRequest, whose caller came back each time, took 53 ms for one request after 5,574 of them and did not end. It now ends its requests with an end frame and checks that they have ended.

Tried by hand on the tree: without the removal TestWaitingRequestIsKeptOnce is red (21 != 1).

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -31,7 +31,7 @@
 	ready := s.Ready
 	s.Ready = nil
 	if s.Full {
-		ready = append(s.Waiting, ready...)
+		ready = unique(append(s.Waiting, ready...))
 		s.Waiting = nil
 	}
 	if len(ready) == 0 {
@@ -47,6 +47,16 @@
 	noteBacklog(s)
 }
 
+// unique drops repeated ids, such as of a request whose caller has come back while it waited.
+func unique(ids []jaywind.RequestID) []jaywind.RequestID {
+	seen := make(map[jaywind.RequestID]bool, len(ids))
+	return slices.DeleteFunc(ids, func(id jaywind.RequestID) bool {
+		repeated := seen[id]
+		seen[id] = true
+		return repeated
+	})
+}
+
 // order puts resumes first, by sunk work and by how long output has stopped.
 func order(s *table.State, ids []jaywind.RequestID) {
 	slices.SortStableFunc(ids, func(a, b jaywind.RequestID) int {
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -292,3 +292,17 @@
 		})
 	}
 }
+
+func TestWaitingRequestIsKeptOnce(t *testing.T) {
+	is := is.New(t)
+	s := newState(1, 1)
+	s.Endpoints["e0"].Leaving = true
+	s.Now = began
+	r := add(s, "r", "")
+	for i := range 20 { // the caller comes back again and again
+		step(s, began.Add(time.Duration(i)*tick))
+		s.Ready = append(s.Ready, r.ID)
+	}
+	step(s, began.Add(20*tick))
+	is.Equal(len(s.Waiting), 1)
+}
--- a/internal/core/step/bench_test.go
+++ b/internal/core/step/bench_test.go
@@ -57,6 +57,13 @@
 	return table.Framed{Request: r.ID, Attempt: r.Attempt, Frame: f}
 }
 
+// endOf returns the end frame of the first stream.
+func endOf(c *Core) table.Event {
+	r := c.State.Requests[nameOf(0)]
+	f := jaywind.Frame{Request: r.ID, Attempt: r.Attempt, Position: r.Position(), End: true, Digest: r.Digest}
+	return table.Framed{Request: r.ID, Attempt: r.Attempt, Frame: f}
+}
+
 var sizes = []int{10, 100, 1000}
 
 func BenchmarkFullTick(b *testing.B) {
@@ -102,7 +109,10 @@
 				now = now.Add(10 * time.Millisecond)
 				c.Step(now, false, []table.Event{table.Arrived{Ask: table.Ask{ID: "r0", Organisation: "o0", Model: "heat", Limit: 9}}})
 				c.Step(now, false, []table.Event{frame(c, 0)})
-				c.Step(now, true, []table.Event{table.Gone{Request: "r0"}})
+				c.Step(now, true, []table.Event{endOf(c)})
+				if len(c.State.Requests) > 0 {
+					b.Fatal("the request has not ended")
+				}
 			}
 		})
 	}
