--- a/cmd/jaywind/process_test.go
+++ b/cmd/jaywind/process_test.go
@@ -21,6 +21,7 @@
 const (
 	readyLimit  = 10 * time.Second
 	forceTarget = 3 * time.Second
+	routerCount = 3
 )
 
 // processes is a fleet of real processes on loopback.
@@ -216,7 +217,7 @@
 
 func TestTwoOperatorsAtOnceThroughAStoreOutage(t *testing.T) {
 	is := is.New(t)
-	p := startProcesses(t, 3)
+	p := startProcesses(t, routerCount)
 	eventually(t, readyLimit, "three routers know each other", func() bool { return p.status(0).Live == 3 })
 	eventually(t, forceTarget, "version 1 in force", p.inForce(1))
 
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,32 @@
 	})
 }
 
+// TestLargeRepliesTogether holds that replies which don't fit one value of the store are recorded all the same.
+func TestLargeRepliesTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store.Store{}
+		s.Set(store.Faults{Slow: 3 * time.Millisecond})
+		c := &Committer{Store: s}
+		var group conc.WaitGroup
+		for i := range 40 * claims.Shards {
+			group.Go(func() {
+				claim := claimOf(fmt.Sprint(i), 1)
+				claim.State = jaywind.ClaimAnswered
+				claim.Reply = jaywind.Reply{Status: 200, Body: make([]byte, 32<<10)}
+				_, err := c.Commit(context.Background(), claim)
+				is.NoErr(err)
+			})
+		}
+		group.Wait()
+		c.Wait()
+		claim := claimOf("0", 1)
+		claim.Reply.Body = make([]byte, jaywind.MaxValue)
+		_, err := c.Commit(context.Background(), claim)
+		is.True(errors.Is(err, jaywind.ErrTooLarge))
+	})
+}
+
 // TestRouters commits the same key through two routers whose preferred one is well, away, silent or without a store.
 func TestRouters(t *testing.T) {
 	tests := map[string]struct {
@@ -172,3 +199,35 @@
 		})
 	}
 }
+
+// TestRoutersAlone holds that routers which can't reach each other get their claims committed all the same.
+func TestRoutersAlone(t *testing.T) {
+	for _, alone := range []int{3, 9, 30} {
+		t.Run(fmt.Sprint(alone), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store.Store{}
+				s.Set(store.Faults{Slow: 3 * time.Millisecond})
+				var group conc.WaitGroup
+				var failed atomic.Int64
+				const each = 20
+				for i := range alone {
+					c := &Committer{Store: s}
+					group.Go(func() {
+						for j := range each {
+							ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second) // as a call waits for its claim
+							if _, err := c.Commit(ctx, claimOf(fmt.Sprint(i, " ", j), 1)); err != nil {
+								failed.Add(1)
+							}
+							cancel()
+						}
+						c.Wait()
+					})
+				}
+				group.Wait()
+				t.Logf("%d of %d claims failed, %d calls of the store", failed.Load(), alone*each, s.Calls())
+				is.Equal(failed.Load(), int64(0))
+			})
+		})
+	}
+}
--- a/internal/measure/moves/study_test.go
+++ b/internal/measure/moves/study_test.go
@@ -11,14 +11,13 @@
 	if *runs == 0 {
 		t.Skip("prints the table of the study with -runs")
 	}
-	for _, l := range []Load{Target, Today} {
-		t.Run(l.Name, func(t *testing.T) {
-			t.Log(Header)
-			for _, k := range Kinds {
+	for _, l := range []Load{Target, Many, Today} {
+		for _, k := range Kinds {
+			t.Run(l.Name+"/"+k.Name, func(t *testing.T) {
 				r := Study{Load: l, Kind: k, Runs: *runs, Seed: 1}.Run()
-				t.Log(r)
+				t.Log("\n" + Header + "\n" + r.String())
 				t.Log(r.Reasons)
-			}
-		})
+			})
+		}
 	}
 }
