--- a/internal/core/step/bench_test.go
+++ b/internal/core/step/bench_test.go
@@ -53,7 +53,14 @@
 // frame returns the next token of a stream.
 func frame(c *Core, i int) table.Event {
 	r := c.State.Requests[nameOf(i)]
-	f := jaywind.Frame{Request: r.ID, Attempt: r.Attempt, Position: r.Position(), Token: jaywind.Token{ID: 7}}
+	f := jaywind.Frame{Request: r.ID, Attempt: r.Attempt, Position: r.Position(), Token: jaywind.Token{ID: 7, Text: "x"}}
+	return table.Framed{Request: r.ID, Attempt: r.Attempt, Frame: f}
+}
+
+// endOf returns the end frame of the first stream.
+func endOf(c *Core) table.Event {
+	r := c.State.Requests[nameOf(0)]
+	f := jaywind.Frame{Request: r.ID, Attempt: r.Attempt, Position: r.Position(), End: true, Digest: r.Digest}
 	return table.Framed{Request: r.ID, Attempt: r.Attempt, Frame: f}
 }
 
@@ -102,7 +109,10 @@
 				now = now.Add(10 * time.Millisecond)
 				c.Step(now, false, []table.Event{table.Arrived{Ask: table.Ask{ID: "r0", Organisation: "o0", Model: "heat", Limit: 9}}})
 				c.Step(now, false, []table.Event{frame(c, 0)})
-				c.Step(now, true, []table.Event{table.Gone{Request: "r0"}})
+				c.Step(now, true, []table.Event{endOf(c)})
+				if len(c.State.Requests) > 0 {
+					b.Fatal("the request has not ended")
+				}
 			}
 		})
 	}
