admit: the limit falls from one late gap in twenty on

Cause: the limit allowed a tenth of the gaps to be late while the target is 34 ms for 95 in 100, so at twice the load most answers had too many late gaps.

--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	firstShare    = 8   // requests at each endpoint of a router's part of the fleet, that the limit starts with
-	firstLeast    = 16  // the same, for any part
-	leastShare    = 2   // requests at each endpoint, that the limit never falls below
-	leastLimit    = 2   // requests
-	lateShare     = 0.1 // share of late answers above which the limit falls
-	shrinkFactor  = 0.3 // fall of the limit as a share of the share of late answers
-	paceMost      = 0.5 // of the limit that the tokens' pace may take in a period
+	firstShare    = 8    // requests at each endpoint of a router's part of the fleet, that the limit starts with
+	firstLeast    = 16   // the same, for any part
+	leastShare    = 2    // requests at each endpoint, that the limit never falls below
+	leastLimit    = 2    // requests
+	lateShare     = 0.05 // share of late answers above which the limit falls
+	shrinkFactor  = 0.3  // fall of the limit as a share of the share of late answers
+	paceMost      = 0.5  // of the limit that the tokens' pace may take in a period
 	easeFactor    = 0.95
 	growFactor    = 1.03
 	probeFactor   = 1.2   // growth until the limit was once too high
