--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -13,7 +13,8 @@
 	firstLeast    = 16   // the same, for any part
 	leastShare    = 2    // requests at each endpoint, that the limit never falls below
 	leastLimit    = 2    // requests
-	lateShare     = 0.05 // share of late answers above which the limit falls
+	lateFirsts    = 0.1  // share of late first tokens, and of refusals by endpoints, above which the limit falls
+	lateGaps      = 0.05 // share of late gaps between tokens, the same
 	shrinkFactor  = 0.3  // fall of the limit as a share of the share of late answers
 	paceMost      = 0.5  // of the limit that the tokens' pace may take in a period
 	easeFactor    = 0.95
@@ -86,8 +87,8 @@
 	if queueing(p) > queueFalls {
 		factor = easeFactor
 	}
-	if share := late(p.Window); share > lateShare {
-		factor = min(easeFactor, 1-share*shrinkFactor)
+	if late(p.Window) {
+		factor = min(easeFactor, 1-lateShare(p.Window)*shrinkFactor)
 	}
 	if x := slowness(p); x > 1 {
 		factor = min(factor, max(1/x, paceMost))
@@ -97,7 +98,7 @@
 
 // inTime tells whether the engines could do with more work.
 func inTime(p *table.Pool) bool {
-	return late(p.Window) <= lateShare && queueing(p) < queueHolds && slowness(p) < paceHolds
+	return !late(p.Window) && queueing(p) < queueHolds && slowness(p) < paceHolds
 }
 
 // slowness returns the average gap between tokens as a multiple of the gap that is late.
@@ -132,10 +133,18 @@
 	return max(0, p.Window.FirstTime/time.Duration(p.Window.Firsts)-2*p.Base.First)
 }
 
-// late returns the share of answers or gaps in the window that were too late, whichever is larger.
-func late(w table.Window) float64 {
-	firsts := shareOf(w.LateFirsts+w.Overdue+w.Refused, w.Firsts+w.Overdue+w.Refused)
-	return max(firsts, shareOf(w.LateGaps, w.Gaps))
+// late tells whether more answers or gaps in the window were too late than the targets allow.
+func late(w table.Window) bool {
+	return firstShareLate(w) > lateFirsts || shareOf(w.LateGaps, w.Gaps) > lateGaps
+}
+
+// lateShare returns the share of answers or gaps in the window that were too late, whichever is larger.
+func lateShare(w table.Window) float64 {
+	return max(firstShareLate(w), shareOf(w.LateGaps, w.Gaps))
+}
+
+func firstShareLate(w table.Window) float64 {
+	return shareOf(w.LateFirsts+w.Overdue+w.Refused, w.Firsts+w.Overdue+w.Refused)
 }
 
 func shareOf(part, whole int) float64 {
