table: one membership row, and the field's word for who gives orders

The number of live routers stood in State twice, set by two systems; now place.Membership sets it and moves read it there. Seat is Membership and steward is leader, as newcomers know them.

--- a/embed/moves.go
+++ b/embed/moves.go
@@ -11,11 +11,11 @@
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/table"
 	"jaywind/internal/fleet/rendezvous"
-	"jaywind/internal/platform/steward"
+	"jaywind/internal/platform/leader"
 )
 
 const (
-	stewards    = 3                      // routers that try for the steward's lease
+	contenders  = 3                      // routers that try for the leader's lease
 	reportLimit = 500 * time.Millisecond // for handing over a report
 	reportsOut  = 16                     // calls under way at once
 )
@@ -23,8 +23,8 @@
 // moves spreads reports, keeps the record of moves and steers the endpoints.
 type moves struct {
 	router  *Router
-	records steward.Records
-	steward *steward.Steward
+	records leader.Records
+	leader  *leader.Leader
 }
 
 func newMoves(r *Router) *moves {
@@ -32,8 +32,8 @@
 	if r.Store == nil {
 		return p
 	}
-	p.records = steward.Records{Store: r.Store}
-	p.steward = &steward.Steward{
+	p.records = leader.Records{Store: r.Store}
+	p.leader = &leader.Leader{
 		Self:     r.Self,
 		Store:    r.Store,
 		Engine:   r.Engine,
@@ -48,7 +48,7 @@
 
 // eligible keeps the number of routers that ask for the lease constant in a growing fleet.
 func (p *moves) eligible() bool {
-	for _, m := range rendezvous.Pick("steward", p.router.Members(), stewards, "") {
+	for _, m := range rendezvous.Pick("leader", p.router.Members(), contenders, "") {
 		if m.VM == p.router.Self {
 			return true
 		}
@@ -57,8 +57,8 @@
 }
 
 func (p *moves) run(ctx context.Context) {
-	if p.steward != nil {
-		p.steward.Run(ctx)
+	if p.leader != nil {
+		p.leader.Run(ctx)
 	}
 }
 
@@ -72,8 +72,8 @@
 	case table.Record:
 		p.router.group.Go(func() { p.record(ctx, c) })
 	case table.Steer:
-		if p.steward != nil {
-			p.steward.SetWants(c.Wants)
+		if p.leader != nil {
+			p.leader.SetWants(c.Wants)
 		}
 	default:
 		return false
--- a/embed/moves_test.go
+++ b/embed/moves_test.go
@@ -17,7 +17,7 @@
 	"jaywind/embed"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
-	"jaywind/internal/platform/steward"
+	"jaywind/internal/platform/leader"
 	"jaywind/internal/standin/store"
 )
 
@@ -223,7 +223,7 @@
 				}
 				s, err := p.routers[0].Status(context.Background())
 				is.NoErr(err)
-				stands, err := steward.Records{Store: p.store}.Read(context.Background(), s.Moves[0].ID)
+				stands, err := leader.Records{Store: p.store}.Read(context.Background(), s.Moves[0].ID)
 				is.NoErr(err)
 				is.Equal(stands.State, c.state)
 				is.True(!c.broken || stands.At.Sub(s.Moves[0].Started) < length/2) // a verdict, not the end of its time
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -114,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newState()
-			s.Seat.Homes = c.homes
+			s.Membership.Homes = c.homes
 			poolOf(s, "heat").Limit = 100
 			for i, want := range []int{c.at, c.then} {
 				ask(s, c.name, 20)
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -44,7 +44,7 @@
 	if g == nil {
 		return 0
 	}
-	return float64(len(g.IDs)) / float64(max(1, s.Seat.Members))
+	return float64(len(g.IDs)) / float64(max(1, s.Membership.Members))
 }
 
 // adjust moves the limit once a period by what was seen in it.
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -81,8 +81,8 @@
 	if u.Rate <= 0 {
 		return 0
 	}
-	rate := u.Rate * s.Seat.Part()
-	burst := max(1, float64(u.Burst)*s.Seat.Part())
+	rate := u.Rate * s.Membership.Part()
+	burst := max(1, float64(u.Burst)*s.Membership.Part())
 	if o.Filled.IsZero() {
 		o.Tokens = burst
 	} else {
--- a/internal/core/move/bench_test.go
+++ b/internal/core/move/bench_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	s := table.New(1)
 	s.Self = "vm1"
-	s.Members = 1
+	s.Membership.Members = 1
 	s.Rules = rules(start.Add(length))
 	for id, e := range s.Rules.Endpoints {
 		s.Endpoints[id] = &table.Endpoint{ID: id, Load: jaywind.Load{Loaded: []jaywind.Version{e.Version}}}
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -235,13 +235,13 @@
 		return
 	}
 	m.AskedAt = s.Now
-	if s.Random.IntN(max(s.Members, 1)) < askers {
+	if s.Random.IntN(max(s.Membership.Members, 1)) < askers {
 		s.Emit(c)
 	}
 }
 
 func tell(s *table.State, m *table.Move) {
-	pause := max(tellPause, time.Duration(s.Members)*tellPerPeer)
+	pause := max(tellPause, time.Duration(s.Membership.Members)*tellPerPeer)
 	if m.Fresh && pause <= tellPause {
 		pause /= badNews // in a larger fleet bad outcomes would be heard long before the good ones
 	}
--- a/internal/core/move/fault_test.go
+++ b/internal/core/move/fault_test.go
@@ -262,7 +262,7 @@
 			for i := range routers {
 				b := newBench(t)
 				b.state.Self = jaywind.VM("vm" + string(rune('A'+i)))
-				b.state.Members = routers
+				b.state.Membership.Members = routers
 				b.later = known()
 				b.run(12, traffic{silence: true, rate: 20000 / routers})
 				sum += b.move().Starts
--- a/internal/core/move/steer.go
+++ b/internal/core/move/steer.go
@@ -20,7 +20,6 @@
 		return
 	}
 	s.Steered = s.Now
-	countMembers(s)
 	var wants []table.Want
 	for id, e := range s.Rules.Endpoints {
 		m := s.Moves[e.Model]
@@ -57,10 +56,3 @@
 	}
 	return false, m.Recorded && s.Now.Sub(m.Ended) >= unloadAfter
 }
-
-// countMembers takes the number of live routers from the membership, where that is known.
-func countMembers(s *table.State) {
-	if len(s.Fleet.Members) > 0 {
-		s.Members = len(s.Fleet.Live())
-	}
-}
--- a/internal/core/move/version.go
+++ b/internal/core/move/version.go
@@ -53,7 +53,7 @@
 
 // part returns this router's part of the budget; the parts of all members add up to about the whole.
 func part(s *table.State, m *table.Move) int {
-	members := max(s.Members, 1)
+	members := max(s.Membership.Members, 1)
 	rest := uint64(m.Rule.Budget % members)
 	own := m.Rule.Budget / members
 	if xxhash.Sum64String(string(s.Self)+key(m.ID))%uint64(members) < rest {
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -144,7 +144,7 @@
 func TestWindowWidensWhenNothingInItIsUsable(t *testing.T) {
 	is := is.New(t)
 	s := newState(100, 4)
-	s.Seat = table.Seat{Rank: 3, Members: 50}
+	s.Membership = table.Membership{Rank: 3, Members: 50}
 	g := RingOf(s, "heat", "v1")
 	for i := range g.Size {
 		s.Endpoints[g.At(i)].Leaving = true
@@ -200,7 +200,7 @@
 	is := is.New(t)
 	for _, n := range []int{35, 940} {
 		s := newState(n, 4)
-		s.Seat = table.Seat{Members: 9}
+		s.Membership = table.Membership{Members: 9}
 		polls, seen := 0, map[jaywind.EndpointID]bool{}
 		for now := began; now.Before(began.Add(10 * time.Second)); now = now.Add(tick) {
 			s.Begin(now, true, nil)
--- a/internal/core/place/poll.go
+++ b/internal/core/place/poll.go
@@ -95,20 +95,20 @@
 	p.Foreign = max(0, e.Load.Running+e.Load.Queued-p.Inflight)
 }
 
-// Seats keeps the router's place among the live routers.
-type Seats struct{}
+// Membership keeps the router's place among the live routers.
+type Membership struct{}
 
 // Step takes up a changed list of members.
-func (Seats) Step(s *table.State) {
-	if s.Seat.Members > 0 && s.Seat.Epoch == s.Fleet.Epoch {
+func (Membership) Step(s *table.State) {
+	if s.Membership.Members > 0 && s.Membership.Epoch == s.Fleet.Epoch {
 		return
 	}
 	live := s.Fleet.Live()
-	s.Seat.Epoch = s.Fleet.Epoch
-	s.Seat.Members = len(live)
+	s.Membership.Epoch = s.Fleet.Epoch
+	s.Membership.Members = len(live)
 	for i, m := range live {
 		if m.VM == s.Self {
-			s.Seat.Rank = i
+			s.Membership.Rank = i
 		}
 	}
 }
--- a/internal/core/place/ring.go
+++ b/internal/core/place/ring.go
@@ -26,8 +26,8 @@
 // refreshRings makes the rings anew when the rules or the members have changed.
 func refreshRings(s *table.State) {
 	g := &s.Rings
-	if g.ByKey == nil || g.Rules != s.RulesVersion || g.Seat != s.Seat {
-		*g = table.Rings{Rules: s.RulesVersion, Seat: s.Seat, ByKey: newRings(s), NextPoll: g.NextPoll}
+	if g.ByKey == nil || g.Rules != s.RulesVersion || g.Membership != s.Membership {
+		*g = table.Rings{Rules: s.RulesVersion, Membership: s.Membership, ByKey: newRings(s), NextPoll: g.NextPoll}
 	}
 }
 
@@ -42,17 +42,17 @@
 	}
 	rings := map[table.RingKey]*table.Ring{}
 	for k, endpoints := range byKey {
-		rings[k] = newRing(s.Seat, endpoints)
+		rings[k] = newRing(s.Membership, endpoints)
 	}
 	return rings
 }
 
-func newRing(seat table.Seat, endpoints []rule.Endpoint) *table.Ring {
+func newRing(membership table.Membership, endpoints []rule.Endpoint) *table.Ring {
 	interleave(endpoints)
 	n := len(endpoints)
-	members := max(1, seat.Members)
+	members := max(1, membership.Members)
 	covering := (minCoverage*n + members - 1) / members
-	g := &table.Ring{Size: min(n, max(windowSize, covering)), From: seat.Rank * n / members % n}
+	g := &table.Ring{Size: min(n, max(windowSize, covering)), From: membership.Rank * n / members % n}
 	for _, e := range endpoints {
 		g.IDs = append(g.IDs, e.ID)
 	}
--- a/internal/core/place/ring_test.go
+++ b/internal/core/place/ring_test.go
@@ -26,7 +26,7 @@
 }
 
 func windowAt(s *table.State, rank, members int) []jaywind.EndpointID {
-	s.Seat = table.Seat{Rank: rank, Members: members}
+	s.Membership = table.Membership{Rank: rank, Members: members}
 	g := RingOf(s, "heat", "v1")
 	var out []jaywind.EndpointID
 	for i := range g.Size {
--- a/internal/core/step/bench_test.go
+++ b/internal/core/step/bench_test.go
@@ -102,7 +102,7 @@
 				m := jaywind.Member{VM: jaywind.VM(fmt.Sprint("vm", i))}
 				c.State.Fleet.Members[m.VM] = &table.Member{Member: m}
 			}
-			c.systems = []table.System{Rules{}, place.Seats{}, place.Reports{}, place.Polls{}, generate.Intake{}, generate.Silence{}, admit.Admit{}, place.Place{}}
+			c.systems = []table.System{Rules{}, place.Membership{}, place.Reports{}, place.Polls{}, generate.Intake{}, generate.Silence{}, admit.Admit{}, place.Place{}}
 			c.Step(now, true, []table.Event{table.Ruled{Version: 1, Set: rulesOf(n, 1)}})
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -37,7 +37,7 @@
 		Rules{},
 		member.Member{},
 		member.Leave{},
-		place.Seats{},
+		place.Membership{},
 		place.Reports{},
 		place.Polls{},
 		move.Watch{},
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -145,7 +145,7 @@
 	Due      time.Time // when the new version should be loaded; zero for no time
 }
 
-// Steer hands the wanted states of all moves to the steward.
+// Steer hands the wanted states of all moves to the leader.
 type Steer struct{ Wants []Want }
 
 func (Reported) event() {}
--- a/internal/core/table/ring.go
+++ b/internal/core/table/ring.go
@@ -6,8 +6,8 @@
 	"jaywind"
 )
 
-// Seat is a router's place among the live routers; zero stands for the only one.
-type Seat struct {
+// Membership is a router's place among the live routers; zero stands for the only one.
+type Membership struct {
 	Rank    int // from 0, in the order that all routers agree on
 	Members int
 	Homes   int    // routers that share the limits of each organisation
@@ -15,7 +15,7 @@
 }
 
 // Part returns the share of an organisation's limits that this router may give.
-func (t Seat) Part() float64 {
+func (t Membership) Part() float64 {
 	return 1 / float64(max(1, t.Homes))
 }
 
@@ -37,11 +37,11 @@
 	return g.IDs[(g.From+i)%len(g.IDs)]
 }
 
-// Rings holds the rings of the rules and the seat that they were made for.
+// Rings holds the rings of the rules and the membership that they were made for.
 type Rings struct {
-	Rules jaywind.RulesVersion
-	Seat  Seat
-	ByKey map[RingKey]*Ring
+	Rules      jaywind.RulesVersion
+	Membership Membership
+	ByKey      map[RingKey]*Ring
 
 	Watched  []jaywind.EndpointID // whose load is polled
 	NextPoll time.Time
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -22,13 +22,12 @@
 	Requests      map[jaywind.RequestID]*Request
 	Endpoints     map[jaywind.EndpointID]*Endpoint
 	Organisations map[jaywind.Organisation]*Organisation
-	Seat          Seat
+	Membership    Membership
 	Rings         Rings
 	Pools         map[jaywind.Model]*Pool
 	Fleet         Fleet
 	Moves         map[jaywind.Model]*Move
 	Steered       time.Time // when the wanted states of endpoints were last emitted
-	Members       int       // live routers, this one included; 0 when not known
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
 
--- a/internal/measure/moves/run.go
+++ b/internal/measure/moves/run.go
@@ -94,7 +94,7 @@
 		s := table.New(seed*1000 + uint64(i))
 		s.Self = jaywind.VM(fmt.Sprintf("vm%d", i))
 		s.Rules = set
-		s.Members = l.Routers
+		s.Membership.Members = l.Routers
 		s.Steered = u.start.Add(24 * time.Hour) // no orders here
 		for id, e := range set.Endpoints {
 			s.Endpoints[id] = &table.Endpoint{ID: id, Load: jaywind.Load{Loaded: []jaywind.Version{e.Version}}}
--- a/internal/platform/steward/doc.go
+++ b/internal/platform/leader/doc.go
@@ -1,4 +1,4 @@
-// Package steward keeps what moves need in the platform's store: the record of
+// Package leader keeps what moves need in the platform's store: the record of
 // how a move ended, and the lease of the one router that gives orders.
 //
 // The lease says who should give orders. What makes that safe is the fencing
@@ -8,7 +8,7 @@
 // order. Orders say a wanted state, which is read back from the load report and
 // asked for again until it is true:
 //
-//	w := &steward.Steward{Self: "vm1", Store: store, Engine: engine}
+//	w := &leader.Leader{Self: "vm1", Store: store, Engine: engine}
 //	group.Go(func() { w.Run(ctx) })
 //	w.SetWants(wants)
-package steward
+package leader
--- a/internal/platform/steward/steward.go
+++ b/internal/platform/leader/leader.go
@@ -1,4 +1,4 @@
-package steward
+package leader
 
 import (
 	"context"
@@ -23,8 +23,8 @@
 	atOnce       = 8                // endpoints spoken to at once
 )
 
-// Steward gives orders to endpoints while it holds the lease.
-type Steward struct {
+// Leader gives orders to endpoints while it holds the lease.
+type Leader struct {
 	Self     jaywind.VM
 	Store    jaywind.Store
 	Engine   jaywind.Engine
@@ -49,14 +49,14 @@
 }
 
 // SetWants replaces the wanted states of endpoints.
-func (w *Steward) SetWants(wants []table.Want) {
+func (w *Leader) SetWants(wants []table.Want) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.wants = slices.Clone(wants)
 }
 
 // Run tries for the lease and gives orders until ctx ends.
-func (w *Steward) Run(ctx context.Context) {
+func (w *Leader) Run(ctx context.Context) {
 	w.init()
 	for ctx.Err() == nil {
 		wait := pace
@@ -70,7 +70,7 @@
 	}
 }
 
-func (w *Steward) init() {
+func (w *Leader) init() {
 	if w.Clock == nil {
 		w.Clock = jaywind.SystemClock{}
 	}
@@ -80,14 +80,14 @@
 	w.gave = map[jaywind.EndpointID]time.Time{}
 }
 
-func (w *Steward) taken() []table.Want {
+func (w *Leader) taken() []table.Want {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.wants
 }
 
 // turn does what is due and returns how long to wait for the next turn.
-func (w *Steward) turn(ctx context.Context, wants []table.Want) time.Duration {
+func (w *Leader) turn(ctx context.Context, wants []table.Want) time.Duration {
 	if !w.hold(ctx) {
 		return tryAgain
 	}
@@ -106,7 +106,7 @@
 }
 
 // hold takes or renews the lease and tells whether it is held.
-func (w *Steward) hold(ctx context.Context) bool {
+func (w *Leader) hold(ctx context.Context) bool {
 	now := w.Clock.Now()
 	w.mu.Lock()
 	l := w.lease
@@ -115,30 +115,30 @@
 	switch {
 	case l.id != "" && !now.Before(l.until):
 		l = lease{}
-		w.Log.Warn("steward: lease ran out")
+		w.Log.Warn("leader: lease ran out")
 	case l.id == "" && (w.Eligible == nil || w.Eligible()):
 		l, err = acquire(ctx, w.Store, w.Clock, w.Self)
 		if err == nil {
-			w.Log.Info("steward: lease taken", zap.Uint64("fence", uint64(l.fence)))
+			w.Log.Info("leader: lease taken", zap.Uint64("fence", uint64(l.fence)))
 		}
 	case l.id != "" && now.Sub(l.renewed) >= renewAfter:
 		l, err = renew(ctx, w.Store, w.Clock, l)
 	}
 	if err != nil && !errors.Is(err, jaywind.ErrConflict) {
-		w.Log.Warn("steward: lease not taken or renewed", zap.Error(err))
+		w.Log.Warn("leader: lease not taken or renewed", zap.Error(err))
 	}
 	w.set(l)
 	return l.id != ""
 }
 
-func (w *Steward) set(l lease) {
+func (w *Leader) set(l lease) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lease = l
 }
 
 // serve reads an endpoint's state back and gives the order that it needs.
-func (w *Steward) serve(ctx context.Context, want table.Want) {
+func (w *Leader) serve(ctx context.Context, want table.Want) {
 	report, err := w.read(ctx, want)
 	loaded := err == nil && slices.Contains(report.Loaded, want.Version)
 	w.noteDue(want, loaded)
@@ -153,13 +153,13 @@
 	w.order(ctx, want)
 }
 
-func (w *Steward) read(ctx context.Context, want table.Want) (jaywind.Load, error) {
+func (w *Leader) read(ctx context.Context, want table.Want) (jaywind.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
 	return w.Engine.Load(ctx, want.At)
 }
 
-func (w *Steward) reserve(ctx context.Context, want table.Want) error {
+func (w *Leader) reserve(ctx context.Context, want table.Want) error {
 	w.mu.Lock()
 	waits := w.Clock.Now().Before(w.busy)
 	w.mu.Unlock()
@@ -174,7 +174,7 @@
 }
 
 // back doubles the pause before the weight store is asked again, or ends it.
-func (w *Steward) back(err error) {
+func (w *Leader) back(err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err == nil {
@@ -185,7 +185,7 @@
 	w.busy = w.Clock.Now().Add(w.pause)
 }
 
-func (w *Steward) noteDue(want table.Want, loaded bool) {
+func (w *Leader) noteDue(want table.Want, loaded bool) {
 	if want.Due.IsZero() {
 		return
 	}
@@ -200,7 +200,7 @@
 }
 
 // due tells whether no order for the endpoint is waiting to come true.
-func (w *Steward) due(want table.Want) bool {
+func (w *Leader) due(want table.Want) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	gave, given := w.gave[want.Endpoint]
@@ -208,7 +208,7 @@
 }
 
 // order gives one order, if the lease outlasts it and no former holder's order can still be under way.
-func (w *Steward) order(ctx context.Context, want table.Want) {
+func (w *Leader) order(ctx context.Context, want table.Want) {
 	w.mu.Lock()
 	l := w.lease
 	now := w.Clock.Now()
@@ -222,7 +222,7 @@
 	defer cancel()
 	o := jaywind.Order{Fence: l.fence, Model: want.Move.Model, Version: want.Version, Action: actionOf(want)}
 	err := w.Engine.Order(ctx, want.At, o)
-	w.Log.Info("steward: order given", zap.String("endpoint", string(want.Endpoint)), zap.String("action", string(o.Action)),
+	w.Log.Info("leader: order given", zap.String("endpoint", string(want.Endpoint)), zap.String("action", string(o.Action)),
 		zap.String("version", string(o.Version)), zap.Uint64("fence", uint64(o.Fence)), zap.Error(err))
 	if errors.Is(err, jaywind.ErrFenced) {
 		w.set(lease{})
--- a/internal/platform/steward/steward_test.go
+++ b/internal/platform/leader/leader_test.go
@@ -1,4 +1,4 @@
-package steward
+package leader
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"jaywind/internal/standin/weights"
 )
 
-// engine is one endpoint as the steward sees it.
+// engine is one endpoint as the leader sees it.
 type engine struct {
 	jaywind.Engine // only Load and Order are called
 
@@ -83,7 +83,7 @@
 	return w
 }
 
-// TestOrders runs two stewards over one store and endpoint for a minute.
+// TestOrders runs two leaders over one store and endpoint for a minute.
 func TestOrders(t *testing.T) {
 	tests := map[string]struct {
 		engine           *engine
@@ -125,7 +125,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				var group conc.WaitGroup
 				for _, vm := range []jaywind.VM{"vm1", "vm2"} {
-					w := &Steward{Self: vm, Store: s, Engine: e, Stalled: func(x table.Stalled) { stalled = append(stalled, x) }}
+					w := &Leader{Self: vm, Store: s, Engine: e, Stalled: func(x table.Stalled) { stalled = append(stalled, x) }}
 					w.SetWants([]table.Want{want})
 					group.Go(func() { w.Run(ctx) })
 				}
@@ -149,8 +149,8 @@
 	}
 }
 
-// TestPausedStewardGivesNoOrder fails without the check of the lease's margin before each order.
-func TestPausedStewardGivesNoOrder(t *testing.T) {
+// TestPausedLeaderGivesNoOrder fails without the check of the lease's margin before each order.
+func TestPausedLeaderGivesNoOrder(t *testing.T) {
 	tests := map[string]struct{ fenced bool }{
 		"endpoint checks fencing":  {fenced: true},
 		"endpoint ignores fencing": {},
@@ -163,7 +163,7 @@
 				e := &engine{fenced: c.fenced}
 				ctx, cancel := context.WithCancel(context.Background())
 				var group conc.WaitGroup
-				old := &Steward{Self: "vm1", Store: s, Engine: e}
+				old := &Leader{Self: "vm1", Store: s, Engine: e}
 				group.Go(func() { old.Run(ctx) })
 				old.SetWants([]table.Want{{Move: move, Endpoint: "e1", Version: "v1", Fenced: c.fenced}})
 				time.Sleep(20 * time.Second) // holds the lease, has nothing to do
@@ -172,7 +172,7 @@
 				e.mu.Unlock()
 				old.SetWants([]table.Want{wantLoad(c.fenced, 0)})
 				time.Sleep(2 * time.Second)
-				next := &Steward{Self: "vm2", Store: s, Engine: e}
+				next := &Leader{Self: "vm2", Store: s, Engine: e}
 				next.SetWants([]table.Want{{Move: move, Endpoint: "e1", Version: "v2", Fenced: c.fenced}})
 				group.Go(func() { next.Run(ctx) })
 				time.Sleep(31 * time.Second) // the old holder has woken
@@ -190,7 +190,7 @@
 		s := &store.Store{}
 		turns := &weights.Store{Rate: 0.2}
 		e := &engine{fenced: true, lose: 1 << 30} // never comes true, so all go on asking
-		w := &Steward{Self: "vm1", Store: s, Engine: e, Weights: turns}
+		w := &Leader{Self: "vm1", Store: s, Engine: e, Weights: turns}
 		var wants []table.Want
 		for _, id := range []jaywind.EndpointID{"e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"} {
 			want := wantLoad(true, 0)
--- a/internal/platform/steward/lease.go
+++ b/internal/platform/leader/lease.go
@@ -1,4 +1,4 @@
-package steward
+package leader
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 )
 
 const (
-	leaseKey   = "steward"
-	fenceKey   = "steward.fence"
+	leaseKey   = "leader"
+	fenceKey   = "leader.fence"
 	leaseTime  = 12 * time.Second
 	renewAfter = leaseTime / 3
 	orderLimit = 3 * time.Second // the longest order
--- a/internal/platform/steward/record.go
+++ b/internal/platform/leader/record.go
@@ -1,4 +1,4 @@
-package steward
+package leader
 
 import (
 	"context"
