admit: a new router's limit grows by half a period until it was once too high

Cause: go run ./cmd/measure -quick -study overhead showed 1,213 ms to the first token at p95 with 25 callers a second at a new router before two idle engines: the limit starts at 16 and grew by a fifth, so callers were refused and came back. Ruled out: the engines (12 ms straight from them).

--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -19,7 +19,7 @@
 	paceMost      = 0.5  // of the limit that the tokens' pace may take in a period
 	easeFactor    = 0.95
 	growFactor    = 1.03
-	probeFactor   = 1.2   // growth until the limit was once too high
+	probeFactor   = 1.5   // growth until the limit was once too high
 	paceHolds     = 0.75  // share of the late pace of tokens from which the limit does not grow
 	rateStep      = 0.3   // weight of one period in the drain rate
 	baseCreep     = 1.005 // growth of the best pace a period, so that it is forgotten
--- a/internal/measure/overhead/study.go
+++ b/internal/measure/overhead/study.go
@@ -20,6 +20,7 @@
 	defaultCallers = 50
 	defaultTokens  = 200
 	gap            = 10 * time.Millisecond
+	spacing        = 40 * time.Millisecond // between the beginnings of two callers
 	studyName      = "overhead"
 )
 
@@ -45,15 +46,20 @@
 	if s.Tokens == 0 {
 		s.Tokens = defaultTokens
 	}
-	direct, err := s.run(ctx, readDirect)
+	direct, err := s.run(ctx, readDirect, spacing)
 	if err != nil {
 		return nil, err
 	}
-	routed, err := s.run(ctx, readRouted)
+	routed, err := s.run(ctx, readRouted, spacing)
+	if err != nil {
+		return nil, err
+	}
+	cold, err := s.run(ctx, readRouted, 0)
 	if err != nil {
 		return nil, err
 	}
 	rows := routed.rows("through a router")
+	rows = append(rows, cold.rows("all at once at a new router")[0])
 	rows = append(rows, direct.rows("straight from the engine")...)
 	each := routed.cpu/time.Duration(routed.tokens) - direct.cpu/time.Duration(direct.tokens)
 	row := report.Row{Study: studyName, Case: "router's share", Measure: "processor time a token", Value: float64(each.Nanoseconds()) / 1000, Unit: "us"}
@@ -77,7 +83,8 @@
 // reader reads one answer and calls token for each token.
 type reader func(ctx context.Context, f *fleet.Fleet, id int, limit int, token func()) error
 
-func (s Study) run(ctx context.Context, read reader) (*load, error) {
+// run lets callers begin one after the other; apart is the time between two of them.
+func (s Study) run(ctx context.Context, read reader, apart time.Duration) (*load, error) {
 	f := &fleet.Fleet{Engines: 2, Routers: 1, Gap: gap, Keep: 100 * time.Millisecond}
 	defer f.Close()
 	if err := f.Start(ctx); err != nil {
@@ -88,6 +95,7 @@
 	p := pool.New().WithErrors()
 	for i := range s.Callers {
 		p.Go(func() error { return l.read(ctx, f, i, s.Tokens, read) })
+		time.Sleep(apart)
 	}
 	err := p.Wait()
 	l.cpu = usage.Processor() - before
