burn: plot with room at its edges and a scale from 0

The outer bars were cut off and a report without outcomes was drawn from -1 to 1. Rows: png, svg and an unknown ending.

--- a/internal/operator/burn/burn_test.go
+++ b/internal/operator/burn/burn_test.go
@@ -1,6 +1,8 @@
 package burn
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -58,3 +60,28 @@
 		})
 	}
 }
+
+func TestWritePlot(t *testing.T) {
+	tests := map[string]struct {
+		file  string
+		start string
+		fails bool
+	}{
+		"png":            {file: "burn.png", start: "\x89PNG"},
+		"svg":            {file: "burn.svg", start: "<?xml"},
+		"unknown ending": {file: "burn.txt", fails: true},
+	}
+	report := NewReport([]Objective{{Name: Whole, Target: 0.99}, {Name: Gap, Target: 0.95}}, []Counts{{Short: map[Name]Count{Whole: {90, 100}}}})
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), c.file)
+			is.Equal(report.WritePlot(file) != nil, c.fails)
+			if !c.fails {
+				text, err := os.ReadFile(file)
+				is.NoErr(err)
+				is.True(strings.HasPrefix(string(text), c.start))
+			}
+		})
+	}
+}
--- a/internal/operator/burn/plot.go
+++ b/internal/operator/burn/plot.go
@@ -11,7 +11,8 @@
 const (
 	plotWidth  = 20 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
-	barWidth   = 12 * vg.Millimeter / 2
+	barWidth   = 6 * vg.Millimeter
+	xMargin    = 0.6 // between the outer names and the edges, in names
 )
 
 // WritePlot draws the burn rates of both windows to a file whose ending names its format, such as .png or .svg.
@@ -33,6 +34,10 @@
 		return err
 	}
 	p.NominalX(names...)
+	p.X.Min = -xMargin
+	p.X.Max = float64(len(names)-1) + xMargin
+	p.Y.Min = 0
+	p.Y.Max = max(p.Y.Max, slowBurn)
 	p.Legend.Top = true
 	return p.Save(plotWidth, plotHeight, file)
 }
