ledger: a claim that comes after the committer's end is refused

A handler whose caller has given up is still on its way to the committer when that one is waited for, so a worker is added to the group while the group is being waited for. The same can happen in the daemon, whose shutdown has a time limit: a claim could then be written after Run returned. Ruled out: the test's own order alone; closing the server first in the test hides the race but leaves the daemon's.

Wait is now Close: it refuses all further claims, then waits.

--- a/embed/services_test.go
+++ b/embed/services_test.go
@@ -76,7 +76,7 @@
 		t.Cleanup(func() {
 			entry.Close()
 			b.stops[i]()
-			committer.Wait()
+			committer.Close()
 			client.CloseIdleConnections()
 			b.fleet[i].Close()
 		})
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -120,7 +120,7 @@
 
 // Run serves until ctx ends, and then until all work is finished.
 func (d *Daemon) Run(ctx context.Context) error {
-	defer d.committer.Wait()
+	defer d.committer.Close()
 	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
 	stopKill := context.AfterFunc(d.killed, func() { cancel(nil) })
--- a/internal/fleet/ledger/bench_test.go
+++ b/internal/fleet/ledger/bench_test.go
@@ -60,7 +60,7 @@
 				return commit[i%routers](ctx, c)
 			})
 			for _, c := range committers {
-				c.Wait()
+				c.Close()
 			}
 		})
 		b.Run(fmt.Sprintf("single/%d", perSecond), func(b *testing.B) {
--- a/internal/fleet/ledger/committer.go
+++ b/internal/fleet/ledger/committer.go
@@ -29,6 +29,7 @@
 
 	mu     sync.Mutex
 	shards [claims.Shards]queue
+	closed bool
 	group  conc.WaitGroup
 }
 
@@ -57,8 +58,8 @@
 		return jaywind.Claim{}, fmt.Errorf("%w: claim of %d bytes", jaywind.ErrTooLarge, sizeOf(claim))
 	}
 	w := &waiter{ctx: ctx, claim: claim, done: make(chan result, 1)}
-	if !c.enqueue(claims.ShardOf(claim.ID()), w) {
-		return jaywind.Claim{}, fmt.Errorf("%w: too many claims wait", jaywind.ErrUnavailable)
+	if err := c.enqueue(claims.ShardOf(claim.ID()), w); err != nil {
+		return jaywind.Claim{}, err
 	}
 	select {
 	case r := <-w.done:
@@ -68,17 +69,25 @@
 	}
 }
 
-// Wait returns when no commit is under way; no Commit may follow it.
-func (c *Committer) Wait() {
+// Close refuses all further claims and returns when no commit is under way.
+func (c *Committer) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.group.Wait()
 }
 
-func (c *Committer) enqueue(shard int, w *waiter) bool {
+// enqueue adds a claim to those that wait for a shard. A handler may still come here after
+// Close, since its caller can give up and leave while the server has yet to run it.
+func (c *Committer) enqueue(shard int, w *waiter) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q := &c.shards[shard]
+	if c.closed {
+		return fmt.Errorf("%w: the router stops", jaywind.ErrUnavailable)
+	}
 	if len(q.waiting) >= queueLimit {
-		return false
+		return fmt.Errorf("%w: too many claims wait", jaywind.ErrUnavailable)
 	}
 	q.waiting = append(q.waiting, w)
 	if !q.running {
@@ -86,7 +95,7 @@
 		q.shard.Store, q.shard.Number, q.shard.Clock = c.Store, shard, c.Clock
 		c.group.Go(func() { c.work(q) })
 	}
-	return true
+	return nil
 }
 
 // work commits batches until no claim waits.
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -46,7 +46,7 @@
 					})
 				}
 				group.Wait()
-				c.Wait()
+				c.Close()
 				// A shard reads its head, commits what came first, and then the rest.
 				is.True(s.Calls() <= 3*claims.Shards)
 			})
@@ -69,11 +69,23 @@
 		_, err := c.Commit(ctx, jaywind.Claim{Organisation: "lagos", Service: "bind", Key: "k", Nonce: 2, State: jaywind.ClaimReleased})
 		is.True(errors.Is(err, jaywind.ErrUnknown))
 		group.Wait()
-		c.Wait()
+		c.Close()
 		is.Equal(s.Calls(), 2) // one read and one swap
 	})
 }
 
+// TestClaimAfterTheEndIsRefused holds that a claim which reaches a router after its committer has
+// ended is not written, as one does whose caller gave up while the router stopped.
+func TestClaimAfterTheEndIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := &store.Store{}
+	c := &Committer{Store: s}
+	c.Close()
+	_, err := c.Commit(context.Background(), claimOf("k", 1))
+	is.True(errors.Is(err, jaywind.ErrUnavailable))
+	is.Equal(s.Calls(), 0)
+}
+
 // TestLargeRepliesTogether holds that replies which don't fit one value of the store are recorded all the same.
 func TestLargeRepliesTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -92,7 +104,7 @@
 			})
 		}
 		group.Wait()
-		c.Wait()
+		c.Close()
 		claim := claimOf("0", 1)
 		claim.Reply.Body = make([]byte, jaywind.MaxValue)
 		_, err := c.Commit(context.Background(), claim)
@@ -142,13 +154,13 @@
 			defer cancel()
 			for i, vm := range []jaywind.VM{"vm1", "vm2"} {
 				local := &Committer{Store: shared}
-				defer local.Wait()
+				defer local.Close()
 				r := &Router{Self: vm, Local: local, Remote: &Client{HTTP: client}, Members: members}
 				got, err := r.Commit(ctx, claimOf("k", jaywind.Nonce(i+1)))
 				is.NoErr(err)
 				is.Equal(got, claimOf("k", 1)) // the first claimant has it, whoever asks
 			}
-			far.Wait()
+			far.Close()
 		})
 	}
 }
@@ -221,7 +233,7 @@
 							}
 							cancel()
 						}
-						c.Wait()
+						c.Close()
 					})
 				}
 				group.Wait()
