--- a/internal/core/place/choose.go
+++ b/internal/core/place/choose.go
@@ -105,7 +105,7 @@
 		return pickForResume(s, r, usable)
 	}
 	l := loadsOf(s, usable)
-	if e := bound(r, usable); e != nil && l.of(e) <= affinityBound*l.mean+1 {
+	if e := bound(l, r, usable); e != nil {
 		return e, verdictFound
 	}
 	a := usable[s.Random.IntN(len(usable))]
@@ -116,8 +116,10 @@
 	return a, verdictFound
 }
 
-// bound returns the endpoint that the start of a long prompt belongs to, by rendezvous hashing.
-func bound(r *table.Request, usable []*table.Endpoint) *table.Endpoint {
+// bound returns the first endpoint with little more than the average load in the order that
+// the start of a long prompt gives to all, by rendezvous hashing. All routers go on to the
+// same next one, so that few engines compute the same start.
+func bound(l loads, r *table.Request, usable []*table.Endpoint) *table.Endpoint {
 	if len(r.Prompt) < affinityPrefix {
 		return nil
 	}
@@ -125,6 +127,9 @@
 	var best *table.Endpoint
 	var high uint64
 	for _, e := range usable {
+		if !l.fits(e) {
+			continue
+		}
 		if h := mix(key ^ scoreOf(e.ID)); best == nil || h > high {
 			best, high = e, h
 		}
--- a/internal/core/place/doc.go
+++ b/internal/core/place/doc.go
@@ -7,9 +7,9 @@
 // leaves moves the others' windows by one endpoint at most. A window without a
 // usable endpoint is widened.
 //
-// In the window, new work goes to the endpoint that its prompt's start is bound
-// to, as long as that one has little more than the average load, and otherwise
-// to the less loaded of two drawn at random. Resumes go first, those with the
+// In the window, new work goes to the first endpoint in its prompt's own order
+// that has little more than the average load, and short prompts to the less
+// loaded of two drawn at random. Resumes go first, those with the
 // most sunk work and the longest wait before others, each to the endpoint with
 // the fewest tokens left to prefill, and only as fast as prefills are done:
 //
