claim: calls are refused early while the store is silent

Cause, found with a relay that holds packets back between routers and store: each once-only call waited by itself until its claim's limit or its caller's deadline, though the calls before it had seen for seconds that no commit is answered. That is a final answer held back until near the deadline.

Now the router keeps since when no commit was answered well. After a second claims are refused before anything is recorded, but for one a second that finds out; a failure is held against the store for 5 s. And a claim is given up with half of the caller's time left.

Ruled out: a shorter limit for all claims, since a store of 0.9 s a call would then serve nobody (row "slow"); refusing in the committer, which knows only its own shards and not what other routers answered.

--- /dev/null
+++ b/cmd/jaywind/cut_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/client/router"
+	standin "jaywind/internal/standin/engine"
+	"jaywind/internal/standin/relay"
+)
+
+var fullCut = relay.Faults{Forth: true, Back: true}
+
+// startRelay carries connections to an address until the test ends, and returns its own.
+func startRelay(t *testing.T, target string) (*relay.Relay, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay.Relay{Target: target}
+	var group conc.WaitGroup
+	group.Go(func() { _ = r.Serve(l) })
+	t.Cleanup(func() {
+		_ = l.Close()
+		r.Close()
+		group.Wait()
+	})
+	return r, l.Addr().String()
+}
+
+// TestAnswerSurvivesCuts cuts what lies between the routers and the engine in mid-answer.
+func TestAnswerSurvivesCuts(t *testing.T) {
+	f := newFleet(t)
+	relays := map[string]*relay.Relay{}
+	for i := range fleetSize {
+		id := fmt.Sprint("e", i+1)
+		relays[id], f.at[id] = startRelay(t, f.address(id))
+	}
+	f.apply()
+	tests := map[string]struct {
+		faults relay.Faults
+		heals  time.Duration // after the cut; never when zero
+	}{
+		"open connections go silent":       {faults: relay.Faults{Silent: true}},
+		"engine hears nothing":             {faults: relay.Faults{Forth: true}},
+		"nothing is heard of the engine":   {faults: relay.Faults{Back: true}},
+		"cut":                              {faults: fullCut},
+		"cut that heals at once":           {faults: fullCut, heals: 100 * time.Millisecond},
+		"cut that heals during the resume": {faults: fullCut, heals: 700 * time.Millisecond},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+			defer cancel()
+			client := &router.Client{}
+			for i := range fleetSize {
+				client.Entries = append(client.Entries, jaywind.Address("http://"+f.address(fmt.Sprint("vm", i+1, ".caller"))))
+			}
+			var cut *relay.Relay
+			client.OnToken = func(_ jaywind.Token, m jaywind.Bookmark) {
+				if m.Position != struckAt {
+					return
+				}
+				cut = relays[string(m.Endpoint)]
+				cut.Set(c.faults)
+				if c.heals > 0 {
+					time.AfterFunc(c.heals, func() { cut.Set(relay.Faults{}) })
+				}
+			}
+			defer func() {
+				if cut != nil {
+					cut.Set(relay.Faults{})
+				}
+			}()
+			seed := jaywind.Seed(3)
+			answer, err := client.Ask(ctx, router.Question{Model: "heat", Prompt: "fins", Limit: answerTokens, Seed: &seed})
+			is.NoErr(err)
+			is.Equal(answer.Tokens, standin.Whole("v1", seed, "fins", 0, answerTokens))
+			is.True(answer.Longest <= resumeTarget)
+			t.Logf("longest gap: %d ms", answer.Longest.Milliseconds())
+		})
+	}
+}
+
+// TestOnceThroughCuts cuts what lies between the routers and the store while once-only calls are on
+// their way. Each call has its answer before its caller's time is over, a refusal long before, and each
+// action runs at most once.
+func TestOnceThroughCuts(t *testing.T) {
+	const cutTime = 3 * time.Second // past the callers' deadlines
+	tests := map[string]relay.Faults{
+		"open connections go silent":  {Silent: true},
+		"store hears nothing":         {Forth: true},
+		"nothing is heard from store": {Back: true},
+		"cut":                         fullCut,
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := startStandins(t, 2)
+			cut, at := startRelay(t, p.store)
+			p.startRouters(2, at)
+			eventually(t, readyLimit, "rules in force", p.inForce(1))
+			p.set(p.service, `{"slow":20000000}`)
+			var first, second, last [onceCalls]int
+			var group conc.WaitGroup
+			group.Go(func() { p.bindKeys(0, &first) })
+			group.Go(func() { p.bindKeys(1, &second) })
+			time.Sleep(onceCalls * oncePace / 2)
+			cut.Set(faults)
+			time.Sleep(cutTime)
+			cut.Set(relay.Faults{})
+			group.Wait()
+			p.awaitClaims(1)
+			p.bindKeys(1, &last)
+			told := map[string]int{}
+			for i := range onceCalls {
+				runs := p.runs(fmt.Sprint("k", i))
+				answers := []int{first[i], second[i], last[i]}
+				told[fmt.Sprint(answers, " run ", runs)]++
+				is.True(runs == "0" || runs == "1")
+				is.True(first[i] != noAnswer && second[i] != noAnswer)
+				if runs == "0" {
+					is.True(first[i] != http.StatusOK && second[i] != http.StatusOK && last[i] != http.StatusOK)
+				}
+			}
+			refused := time.Duration(p.refusal.Load())
+			t.Logf("longest time until a refusal: %d ms", refused.Milliseconds())
+			is.True(refused < onceTimeout*3/4)
+			for answers, count := range told {
+				t.Logf("%3d calls were told %s", count, answers)
+			}
+		})
+	}
+}
--- a/cmd/jaywind/once_test.go
+++ b/cmd/jaywind/once_test.go
@@ -20,7 +20,7 @@
 const (
 	onceCalls   = 40
 	oncePace    = 3 * time.Millisecond // between two calls
-	onceTimeout = "2"                  // seconds that a caller waits
+	onceTimeout = 2 * time.Second      // that a caller waits
 	noAnswer    = 0                    // status of a call whose connection broke
 )
 
@@ -33,15 +33,25 @@
 		p.t.Fatal(err)
 	}
 	r.Header.Set("Idempotency-Key", key)
-	r.Header.Set("X-Request-Timeout", onceTimeout)
+	r.Header.Set("X-Request-Timeout", fmt.Sprint(onceTimeout.Seconds()))
+	began := time.Now()
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return noAnswer
 	}
 	_ = response.Body.Close()
+	if response.StatusCode == http.StatusServiceUnavailable {
+		p.noteRefusal(time.Since(began))
+	}
 	return response.StatusCode
 }
 
+func (p *processes) noteRefusal(d time.Duration) {
+	for old := p.refusal.Load(); int64(d) > old && !p.refusal.CompareAndSwap(old, int64(d)); {
+		old = p.refusal.Load()
+	}
+}
+
 // bindKeys makes one call for each key, at an even pace.
 func (p *processes) bindKeys(router int, answers *[onceCalls]int) {
 	var group conc.WaitGroup
--- a/cmd/jaywind/process_test.go
+++ b/cmd/jaywind/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,12 +32,21 @@
 	ports   []string // free addresses
 	store   string
 	service string
+	rules   string
+	refusal atomic.Int64 // the longest time, in ns, until a once-only call was refused
 	routers []*exec.Cmd
 	files   []string // settings of the routers
 	callers []string
 }
 
 func startProcesses(t *testing.T, routers int) *processes {
+	t.Helper()
+	p := startStandins(t, routers)
+	p.startRouters(routers, p.store)
+	return p
+}
+
+func startStandins(t *testing.T, routers int) *processes {
 	t.Helper()
 	p := &processes{t: t, dir: t.TempDir()}
 	p.freePorts(3*routers + 4)
@@ -53,13 +63,9 @@
 	p.start("standin", "service", "-listen", p.service)
 	text += "service bind path=/bind once=yes # test\n"
 	text += fmt.Sprintf("endpoint s1 kind=service service=bind url=http://%s domain=a # test\n", p.service)
+	p.rules = text
 	p.await(p.store)
 	p.await(p.service)
-	p.startRouters(routers)
-	out, code := p.run("apply", "-settings", p.files[0], "-rules", p.file("rules.txt", text))
-	if code != exitOK {
-		t.Fatalf("apply: exit %d: %s", code, out)
-	}
 	return p
 }
 
@@ -123,7 +129,8 @@
 
 const logTail = 3000 // bytes
 
-func (p *processes) startRouters(n int) {
+// startRouters starts routers that use the store at an address, and puts the rules in force.
+func (p *processes) startRouters(n int, store string) {
 	var seeds []string
 	for range n {
 		p.callers = append(p.callers, p.port())
@@ -132,7 +139,7 @@
 	for i := range n {
 		operatorAt := p.port()
 		text := fmt.Sprintf("vm = \"vm%d\"\ndomain = \"%c\"\nsecret = \"%s\"\n[listen]\ncaller = %q\noperator = %q\nfleet = %q\n[store]\nurl = \"http://%s\"\n[fleet]\nseeds = [\"http://%s\"]\n",
-			i, 'a'+i, testSecret, p.callers[i], operatorAt, seeds[i], p.store, strings.Join(seeds, "\", \"http://"))
+			i, 'a'+i, testSecret, p.callers[i], operatorAt, seeds[i], store, strings.Join(seeds, "\", \"http://"))
 		file := p.file(fmt.Sprintf("vm%d.toml", i), text)
 		c := p.start("jaywind", "route", "-settings", file)
 		p.files = append(p.files, file)
@@ -141,6 +148,10 @@
 	for i := range n {
 		p.await(p.callers[i])
 	}
+	out, code := p.run("apply", "-settings", p.files[0], "-rules", p.file("rules.txt", p.rules))
+	if code != exitOK {
+		p.t.Fatalf("apply: exit %d: %s", code, out)
+	}
 }
 
 const testSecret = "secret-of-the-process-tests"
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -50,14 +50,19 @@
 		respond(s, c, table.Respond{Result: table.ResultInvalid, Reason: "the call runs at most once and needs an Idempotency-Key"})
 		return
 	}
+	if stalled(s) {
+		respond(s, c, notRun(s, "claims can't be recorded now"))
+		return
+	}
 	c.Phase = table.CallClaiming
-	c.GiveUp = earlier(s.Now.Add(claimLimit), a.Deadline)
+	c.GiveUp = earlier(s.Now.Add(claimLimit), s.Now.Add(a.Deadline.Sub(s.Now)/2))
 	commit(s, c)
 }
 
 // commit asks for the claim, or for what is on record in its place.
 func commit(s *table.State, c *table.ServiceCall) {
 	c.NextPoll = time.Time{}
+	noteCommit(s)
 	s.Emit(table.Commit{Request: c.Ask.ID, Claim: claimOf(c, jaywind.ClaimTaken), Limit: c.GiveUp.Sub(s.Now)})
 }
 
@@ -74,6 +79,7 @@
 
 // takeClaim decides by what the ledger has on record.
 func takeClaim(s *table.State, e table.Claimed) {
+	noteAnswer(s, e.Err)
 	c := s.Calls[e.Request]
 	if c == nil || c.Phase == table.CallSending {
 		return
--- a/internal/core/claim/limits.go
+++ b/internal/core/claim/limits.go
@@ -4,6 +4,9 @@
 
 const (
 	claimLimit   = 2 * time.Second        // for a claim to be committed
+	stallAfter   = time.Second            // without a commit that was answered well, until claims are refused at once
+	stallMemory  = 5 * time.Second        // that the last failure is held against the store
+	trialPause   = time.Second            // between claims that are let through all the same
 	waitLimit    = 2 * time.Second        // for another claimant's answer to be recorded
 	pollFirst    = 50 * time.Millisecond  // until the recorded state is read again
 	pollLast     = 400 * time.Millisecond // between later reads
--- a/internal/core/table/claim.go
+++ b/internal/core/table/claim.go
@@ -54,6 +54,14 @@
 	Polls     int
 }
 
+// Ledger is what the answers to a router's own commits tell of the store; the zero value has seen none.
+type Ledger struct {
+	Out    int       // commits without an answer yet
+	Silent time.Time // since when no commit was answered well; zero when none is wanted
+	Failed time.Time // when one was last not committed
+	Trial  time.Time // when one was last let through in spite of that
+}
+
 // RetryKey names a retry budget: of an organisation or of an endpoint.
 type RetryKey struct {
 	Organisation jaywind.Organisation
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -30,6 +30,7 @@
 	Steered       time.Time // when the wanted states of endpoints were last emitted
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
+	Ledger        Ledger
 
 	Queued  []jaywind.RequestID // wait for admission, oldest first
 	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
