member: an endpoint's own word that it leaves reaches all routers by a note

Cause: only its load report tells it, and each router polls 8 endpoints a second in turn, so one router alone hears it after a whole round: 4.9 s with 35 endpoints, 15.7 s with 112, against 3 s. Routers that start together even asked in the same order, since endpoints due alike were taken by their ids.

Ruled out: more polls (37 a second would be needed at 112 endpoints, 14 KB/s of the 16); words as rows of members, which every message would carry.

--- a/internal/core/member/fleet_test.go
+++ b/internal/core/member/fleet_test.go
@@ -94,6 +94,7 @@
 	n.inbox = nil
 	n.state.Begin(f.now, true, events)
 	Member{}.Step(n.state)
+	Leave{}.Step(n.state)
 	for _, c := range n.state.Take() {
 		switch c := c.(type) {
 		case table.SendGossip:
--- a/internal/core/member/leave.go
+++ b/internal/core/member/leave.go
@@ -20,24 +20,20 @@
 		case table.MachinesListed:
 			listVMs(s, e.Machines)
 		case table.Ruled:
+			forgetWords(s)
 			markVMs(s)
 		}
 	}
 	for _, n := range s.Fleet.NotesIn {
-		if n.Kind == NoteLeaving {
+		switch n.Kind {
+		case NoteLeaving:
 			takeVM(s, n)
+		case NoteEndpoint:
+			hearWord(s, n)
 		}
 	}
 }
 
-func takeWord(s *table.State, e table.Loaded) {
-	row := s.Endpoints[e.Endpoint]
-	if row == nil || e.Err != nil {
-		return
-	}
-	row.Leaving = e.Load.Leaving || onLeavingVM(s, e.Endpoint)
-}
-
 // listVMs keeps which VMs are leaving, and tells all routers of what was not known.
 //
 // Lists lag by different times, so one that no longer says that a VM leaves
@@ -48,9 +44,9 @@
 		last := s.Fleet.VMs[m.VM]
 		back := last.Leaving && now-last.At >= leaveHold.Milliseconds()
 		if m.Leaving && !last.Leaving || !m.Leaving && back {
-			word := table.VMWord{Leaving: m.Leaving, At: now}
+			word := table.Word{Leaving: m.Leaving, At: now}
 			s.Fleet.VMs[m.VM] = word
-			s.Fleet.Spread(noteOf(m.VM, word))
+			s.Fleet.Spread(noteOf(NoteLeaving, string(m.VM), word))
 		}
 	}
 	markVMs(s)
@@ -58,22 +54,24 @@
 
 const leaveHold = time.Minute // before a VM that was said to leave is taken back
 
-func noteOf(vm jaywind.VM, w table.VMWord) jaywind.Note {
+// noteOf returns the note that tells a word; a negative time says that what had left is back.
+func noteOf(kind, key string, w table.Word) jaywind.Note {
 	at := w.At
 	if !w.Leaving {
 		at = -at
 	}
-	return jaywind.Note{Kind: NoteLeaving, Key: string(vm), Value: []byte(strconv.FormatInt(at, 10))}
+	return jaywind.Note{Kind: kind, Key: key, Value: []byte(strconv.FormatInt(at, 10))}
 }
 
-// takeVM keeps the later word on a VM; a negative time says that it is back.
-func takeVM(s *table.State, n jaywind.Note) {
+func wordOf(n jaywind.Note) (table.Word, bool) {
 	at, err := strconv.ParseInt(string(n.Value), 10, 64)
-	if err != nil {
-		return
-	}
-	word := table.VMWord{Leaving: at > 0, At: max(at, -at)}
-	if word.At > s.Fleet.VMs[jaywind.VM(n.Key)].At {
+	return table.Word{Leaving: at > 0, At: max(at, -at)}, err == nil
+}
+
+// takeVM keeps the later word on a VM.
+func takeVM(s *table.State, n jaywind.Note) {
+	word, ok := wordOf(n)
+	if ok && word.At > s.Fleet.VMs[jaywind.VM(n.Key)].At {
 		s.Fleet.VMs[jaywind.VM(n.Key)] = word
 		markVMs(s)
 	}
@@ -85,8 +83,8 @@
 		return
 	}
 	for id, row := range s.Endpoints {
-		if word, spoken := s.Fleet.VMs[s.Rules.Endpoints[id].VM]; spoken {
-			row.Leaving = word.Leaving || row.Load.Leaving
+		if _, spoken := s.Fleet.VMs[s.Rules.Endpoints[id].VM]; spoken {
+			row.Leaving = leaves(s, id, row.Load)
 		}
 	}
 }
--- a/internal/core/place/poll.go
+++ b/internal/core/place/poll.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jaywind"
 	"jaywind/internal/core/table"
 )
@@ -31,7 +33,8 @@
 	s.Emit(table.Poll{Endpoint: e.ID, At: s.Rules.Endpoints[e.ID].URL, Limit: pollLimit})
 }
 
-// mostDue returns the endpoint whose report is oldest, with those in use before others.
+// mostDue returns the endpoint whose report is oldest, with those in use before others. Routers take
+// endpoints that are due alike in orders of their own, so that one of them soon asks each.
 func mostDue(s *table.State) *table.Endpoint {
 	var best *table.Endpoint
 	high := time.Duration(0)
@@ -44,13 +47,17 @@
 		if e.Inflight > 0 {
 			age *= pollWeight
 		}
-		if best == nil || age > high || age == high && e.ID < best.ID {
+		if best == nil || age > high || age == high && turnOf(s, e) < turnOf(s, best) {
 			best, high = e, age
 		}
 	}
 	return best
 }
 
+func turnOf(s *table.State, e *table.Endpoint) uint64 {
+	return mix(scoreOf(e.ID) ^ xxhash.Sum64String(string(s.Self)))
+}
+
 // watched returns the endpoints of all windows, and all that a move brings.
 func watched(s *table.State) []jaywind.EndpointID {
 	refreshRings(s)
--- a/internal/core/step/leave_test.go
+++ b/internal/core/step/leave_test.go
@@ -27,6 +27,12 @@
 	return table.Ruled{Version: version, Set: set}
 }
 
+// noteOf is another router's word that e1 said at a time that it leaves.
+func noteOf(at string) table.Event {
+	note := jaywind.Note{Kind: "endpoint", Key: "e1", Value: []byte(at)}
+	return table.GossipAsked{Gossip: jaywind.Gossip{From: jaywind.Member{VM: "vm8"}, Notes: []jaywind.Note{note}}}
+}
+
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	tests := map[string]struct {
 		word   func(t *testing.T) table.Event
@@ -59,6 +65,19 @@
 			report: jaywind.Load{Leaving: true, Version: "v1"},
 			leaves: true,
 		},
+		"the endpoint's word to another router": {
+			word:   func(*testing.T) table.Event { return noteOf("1799999990000") },
+			report: jaywind.Load{Version: "v1", At: time.Unix(1_799_999_980, 0)}, // from before
+			leaves: true,
+		},
+		"the same, and a later report takes it back": {
+			word:   func(*testing.T) table.Event { return noteOf("1799999990000") },
+			report: jaywind.Load{Version: "v1", At: time.Unix(1_799_999_999, 0)},
+		},
+		"the same, and nothing is heard of it any more": {
+			word:  func(*testing.T) table.Event { return noteOf("1799999990000") },
+			later: table.Loaded{Endpoint: "e1", Load: jaywind.Load{Version: "v1", At: time.Unix(1_799_999_980, 0)}},
+		},
 		"VM list, and its VM comes back later": {
 			word: func(*testing.T) table.Event {
 				return table.MachinesListed{Machines: []jaywind.Machine{{VM: "vm1", Leaving: true}}}
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -48,10 +48,11 @@
 	Helped  bool // other members were asked to probe it as well
 }
 
-// VMWord is the last word of the platform's list on a VM.
-type VMWord struct {
+// Word is the last word on whether a VM or an endpoint leaves.
+type Word struct {
 	Leaving bool
-	At      int64 // Unix milliseconds
+	At      int64     // Unix milliseconds of the clock of whoever said it
+	Heard   time.Time // of an endpoint's
 }
 
 // Fleet is what a router knows of the others and of itself as a member.
@@ -80,10 +81,12 @@
 	NotesIn  []jaywind.Note  // received for the first time in this tick
 	notesOut []jaywind.Note  // emitted here, not yet taken up by membership
 
-	StoreAt time.Time             // when any known member last reached the store; zero for never
-	Cut     bool                  // on the smaller side of a cut, without the store
-	FetchAt time.Time             // when the last fetch of rules from a member began; zero when none runs
-	VMs     map[jaywind.VM]VMWord // that have been said to leave
+	StoreAt time.Time           // when any known member last reached the store; zero for never
+	Cut     bool                // on the smaller side of a cut, without the store
+	FetchAt time.Time           // when the last fetch of rules from a member began; zero when none runs
+	VMs     map[jaywind.VM]Word // that have been said to leave
+
+	Words map[jaywind.EndpointID]Word // of endpoints that have said that they leave
 }
 
 // Live returns the members that are not dead, with this router, ordered by VM; leaving ones are included.
@@ -186,6 +189,7 @@
 		Members:  map[jaywind.VM]*Member{},
 		Calls:    map[uint64]*GossipCall{},
 		NoteKeys: map[string]bool{},
-		VMs:      map[jaywind.VM]VMWord{},
+		VMs:      map[jaywind.VM]Word{},
+		Words:    map[jaywind.EndpointID]Word{},
 	}
 }
