router: our client leaves a connection that carries another request's answer

Cause: the client checked positions and digests but not whose answer an event belongs to, and the digests of a whole answer to another request are right among themselves, so that it was taken as its own. Found by the client's first table of faults; the row "whole answer to another request" failed.

Now such a connection counts as lost, and the caller goes on elsewhere from what it has. Ruled out: an error at once, since the own answer can still be had whole.

--- a/internal/client/router/client.go
+++ b/internal/client/router/client.go
@@ -27,6 +27,9 @@
 // ErrDigest is returned when the end's digest is not that of the tokens read.
 var ErrDigest = errors.New("digest does not match")
 
+// ErrCrossed wraps the loss of a connection on which a router sent an event of an answer to another request.
+var ErrCrossed = errors.New("event belongs to another request")
+
 // Refusal is a router's final answer that is not an answer to the question.
 type Refusal struct {
 	Status  int
--- a/internal/client/router/exchange.go
+++ b/internal/client/router/exchange.go
@@ -124,6 +124,9 @@
 	if err != nil {
 		return false, fmt.Errorf("event id: %w", err)
 	}
+	if mark.Request != e.question.ID {
+		return false, fmt.Errorf("%w: %s", ErrCrossed, mark.Request)
+	}
 	if c.Choices[0].Finish != nil {
 		return true, e.takeEnd(mark, c)
 	}
