generate: a stream that its engine is stuck on goes on within 4 s

Cause: an engine that answers probes "alive, same position" was left only after 6 s while its other streams went on, after 15 s on a first token, and one that makes a stream but sends nothing of it got three silences of up to 1.2 s. All three break the 4 s.

A stuck stream leaves 1.85 s after its last token, without one more probe if the engine said "no further" within the last half second. A first token is overdue if work that began later and is no more urgent has tokens. Tokens that the engine has made have 0.25 s to come over a new connection. TestBudgetFitsTheTarget adds these up to 3.97 and 3.99 s.

Ruled out: leaving without a bound.

--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -59,6 +59,9 @@
 		moveAway(s, r)
 		return
 	}
+	if !r.Pinned() {
+		leaves(s, r).Earn()
+	}
 	noteFrame(s, r)
 	keepToken(s, r, f.Token)
 }
@@ -82,6 +85,7 @@
 	r.BrokenAt = time.Time{}
 	r.ProbeSent = time.Time{}
 	r.NextProbe = time.Time{}
+	r.Answered = time.Time{}
 	r.Probes = 0
 	r.Reopens = 0
 	r.Moves = 0
--- a/internal/core/generate/join.go
+++ b/internal/core/generate/join.go
@@ -130,6 +130,7 @@
 	r.Attempt = max(r.Attempt, (m.Attempt/attemptBlock+1)*attemptBlock)
 	r.Run = m.Run
 	r.Endpoint = m.Endpoint
+	r.Begun = time.Time{}
 	r.Sent = true
 	r.BrokenAt = s.Now
 	r.LastFrame = s.Now
--- a/internal/core/generate/matrix_test.go
+++ b/internal/core/generate/matrix_test.go
@@ -26,6 +26,14 @@
 	"reset, resume refused":  func(w *world, c *conn) { c.engine.noResume = true; w.cut(c.engine, c) },
 	"reset, engine refuses":  func(w *world, c *conn) { c.engine.refuse = true; w.cut(c.engine, c) },
 	"engine is slow":         func(_ *world, c *conn) { c.engine.gap = 700 * time.Millisecond },
+	"engine stuck on one stream": func(w *world, c *conn) {
+		w.surround(c)
+		c.run.stuck = true
+	},
+	"engine makes one stream and sends nothing of it": func(w *world, c *conn) {
+		w.surround(c)
+		c.run.unsent = true
+	},
 	"frame of another request": func(_ *world, c *conn) {
 		c.tamper = func(f jaywind.Frame) []jaywind.Frame {
 			return []jaywind.Frame{altered(f, func(f *jaywind.Frame) { f.Request = "r9"; f.Token.ID++ })}
@@ -88,6 +96,7 @@
 		w.beat()
 		each()
 	}
+	w.disperse()
 	for settled := w.now.Add(2 * generate.GoneLimit); w.now.Before(settled) && !w.idle(); {
 		w.beat()
 	}
--- a/internal/core/generate/recovery.go
+++ b/internal/core/generate/recovery.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// leaveLive leaves an endpoint that answers but does not go on with the request.
+func leaveLive(s *table.State, r *table.Request) {
+	leaves(s, r).Spend()
+	moveAway(s, r)
+}
+
 // moveAway leaves the endpoint of the current attempt and asks for another.
 func moveAway(s *table.State, r *table.Request) {
 	s.Counts.Recounted += int(max(0, r.Made-r.Position()))
@@ -94,8 +100,11 @@
 	r.Phase = table.PhaseReady
 	r.ProbeSent = time.Time{}
 	r.NextProbe = time.Time{}
+	r.Answered = time.Time{}
 	r.Probes = 0
-	r.Made = 0
+	if !r.Reuse {
+		r.Made = 0
+	}
 	r.Resumes++
 	s.Counts.Resumed++
 	s.Ready = append(s.Ready, r.ID)
--- a/internal/core/generate/recovery_test.go
+++ b/internal/core/generate/recovery_test.go
@@ -17,7 +17,10 @@
 	tests := map[string]time.Duration{
 		"silent engine":  generate.SilenceCap + tick + generate.ProbeLimit + generate.PlaceLimit + generate.FirstLimit,
 		"stalled engine": generate.StallLimit + generate.ProbeWait + tick + generate.ProbeLimit + generate.PlaceLimit + generate.FirstLimit,
-		"lost probe":     generate.SilenceCap + 2*(tick+generate.ProbeLimit) + generate.PlaceLimit + generate.FirstLimit,
+		"stuck stream":   generate.StuckLimit + tick + generate.PlaceLimit + generate.FirstLimit,
+		"unsent stream": generate.SilenceCap + tick + generate.ProbeLimit + generate.PlaceLimit +
+			generate.ReopenLimit + tick + generate.PlaceLimit + generate.FirstLimit,
+		"lost probe": generate.SilenceCap + 2*(tick+generate.ProbeLimit) + generate.PlaceLimit + generate.FirstLimit,
 	}
 	for name, sum := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -28,7 +31,7 @@
 
 // crowd opens n long answers and runs until all have some tokens.
 func crowd(w *world, n int) {
-	w.limit = 10 * wholeLimit
+	w.limit = crowdLimit
 	for i := range n {
 		w.ask(jaywind.RequestID(fmt.Sprintf("r%d", i+1)), 0, false)
 	}
@@ -168,6 +171,64 @@
 	}
 }
 
+// TestOvertakenWorkLeaves has an engine that answers probes give no first token.
+func TestOvertakenWorkLeaves(t *testing.T) {
+	tests := map[string]struct {
+		earlier bool // the other work began before
+		urgent  jaywind.Priority
+		moves   bool
+	}{
+		"work that began later goes on":  {moves: true},
+		"work that began before goes on": {earlier: true},
+		"more urgent work goes on":       {urgent: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.urgent = c.urgent
+			if c.earlier {
+				w.surround(&conn{})
+				w.run(prefill + 10*tokenGap)
+			}
+			w.ask("r1", 0, false)
+			w.run(2 * beat)
+			stuck := w.current()
+			stuck.run.stuck = true
+			w.surround(stuck)
+			w.run(generate.StuckLimit + generate.ProbeWait)
+			is.New(t).Equal(w.current() != stuck, c.moves)
+		})
+	}
+}
+
+// TestSlowEngineIsLeftInTime strikes an engine whose gaps raise its silence limit to the cap, with
+// the longest prefill of the budget elsewhere.
+func TestSlowEngineIsLeftInTime(t *testing.T) {
+	for _, fault := range []string{
+		"engine dies with reset", "engine dies in silence", "connection goes silent", "silent and probe lost",
+		"engine stuck on one stream", "engine makes one stream and sends nothing of it",
+	} {
+		t.Run(fault, func(t *testing.T) {
+			w := newWorld(t, 1)
+			for _, e := range w.engines {
+				e.gap = generate.SilenceCap / 3
+			}
+			w.ask("r1", 0, false)
+			w.surround(&conn{})
+			struck := false
+			play(w, func() {
+				if !struck && len(w.callers["r1"].tokens) == wholeLimit/2 {
+					struck = true
+					w.prefill = generate.FirstLimit
+					faults[fault](w, w.current())
+				}
+			})
+			is.New(t).True(struck)
+			check(t, w, generate.ResumeTarget)
+		})
+	}
+}
+
 // TestAnotherRequestMayNotTakeOverAnAnswer asks under the id of a running request.
 func TestAnotherRequestMayNotTakeOverAnAnswer(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/generate/silence.go
+++ b/internal/core/generate/silence.go
@@ -29,19 +29,35 @@
 func watch(s *table.State, r *table.Request) {
 	switch r.Phase {
 	case table.PhaseOpening, table.PhaseStreaming:
-		if s.Now.Sub(quietSince(r)) >= silenceLimit(s.Endpoints[r.Endpoint]) {
-			suspect(s, r)
-		}
+		watchStream(s, r)
 	case table.PhaseProbing:
 		watchProbe(s, r)
 	}
 }
 
+func watchStream(s *table.State, r *table.Request) {
+	limit := silenceLimit(s.Endpoints[r.Endpoint])
+	if withheld(r) {
+		limit = min(limit, ReopenLimit)
+	}
+	switch {
+	case s.Now.Sub(quietSince(r)) < limit:
+	case withheld(r) && s.Now.Sub(r.LastFrame) >= StuckLimit-ProbeLimit:
+		moveAway(s, r) // there is no time left for a probe
+	default:
+		suspect(s, r)
+	}
+}
+
 func watchProbe(s *table.State, r *table.Request) {
 	if !r.ProbeSent.IsZero() && s.Now.Sub(r.ProbeSent) >= ProbeLimit {
 		leaveDead(s, r)
 		return
 	}
+	if s.Now.Sub(r.Answered) <= ProbeWait+ProbeLimit && overdue(s, r) {
+		leaveLive(s, r)
+		return
+	}
 	if r.ProbeSent.IsZero() && !s.Now.Before(r.NextProbe) {
 		suspect(s, r)
 	}
@@ -76,11 +92,14 @@
 	}
 	r.Made = max(r.Made, e.Progress.Position)
 	switch {
+	case withheld(r) && overdue(s, r):
+		moveAway(s, r)
 	case e.Progress.Position > r.Position() || e.Progress.Done || broken(r):
 		resumeHere(s, r)
-	case s.Now.Sub(quietSince(r)) >= stallLimit(s, r):
-		moveAway(s, r)
+	case overdue(s, r):
+		leaveLive(s, r)
 	default:
+		r.Answered = s.Now
 		r.NextProbe = s.Now.Add(ProbeWait)
 	}
 }
@@ -101,6 +120,21 @@
 	return r.LastFrame
 }
 
+// overdue tells whether a live engine has given no token for too long. A new
+// connection to the engine's own work does not start that time again.
+func overdue(s *table.State, r *table.Request) bool {
+	since := r.LastFrame
+	if starting(r) {
+		since = r.Begun
+	}
+	return s.Now.Sub(since) >= stallLimit(s, r)
+}
+
+// withheld tells whether the endpoint has made tokens that a new connection to it was opened for.
+func withheld(r *table.Request) bool {
+	return r.Reopens > 0 && r.Made > r.Position()
+}
+
 // broken tells whether the current attempt has no connection to wait on.
 func broken(r *table.Request) bool {
 	return r.Opened.IsZero()
--- a/internal/core/generate/world_test.go
+++ b/internal/core/generate/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,11 +18,12 @@
 )
 
 const (
-	beat       = 5 * time.Millisecond  // the world's step
-	fullEvery  = 4                     // beats
-	tokenGap   = 20 * time.Millisecond // of an engine
-	prefill    = 200 * time.Millisecond
-	wholeLimit = 40 // tokens
+	beat       = 5 * time.Millisecond   // the world's step
+	fullEvery  = 4                      // beats
+	tokenGap   = 20 * time.Millisecond  // of an engine
+	prefill    = 200 * time.Millisecond // and first token, of an engine
+	wholeLimit = 40                     // tokens
+	crowdLimit = 10 * wholeLimit
 	prompt     = "fins"
 )
 
@@ -32,7 +34,7 @@
 
 // world plays engines and callers against cores in virtual time.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Time
 	beats   int
 	routers []*router
@@ -41,6 +43,8 @@
 	callers map[jaywind.RequestID]*caller
 	opens   int
 	limit   int // tokens of an answer
+	prefill time.Duration
+	urgent  jaywind.Priority // of all callers but r1's
 	keepers map[jaywind.VM]*journal.Book
 }
 
@@ -62,8 +66,9 @@
 	id       jaywind.EndpointID
 	salt     uint64
 	gap      time.Duration
-	dead     bool      // connections are refused
-	muteTill time.Time // takes connections and answers nothing
+	wait     func() time.Duration // added to a gap; nothing when nil
+	dead     bool                 // connections are refused
+	muteTill time.Time            // takes connections and answers nothing
 	refuse   bool
 	noResume bool
 	deaf     int // probes to lose
@@ -74,6 +79,8 @@
 	call   jaywind.Call
 	tokens []jaywind.Token
 	next   time.Time
+	stuck  bool // makes and sends nothing more while the engine's other runs go on
+	unsent bool // sends nothing more, on any connection
 }
 
 // conn is one stream; frames of one that the router has closed still arrive late.
@@ -100,8 +107,8 @@
 	away     bool
 }
 
-func newWorld(t *testing.T, routers int) *world {
-	w := &world{t: t, now: time.Unix(1000, 0), engines: map[jaywind.EndpointID]*engine{}, callers: map[jaywind.RequestID]*caller{}, limit: wholeLimit}
+func newWorld(t testing.TB, routers int) *world {
+	w := &world{t: t, now: time.Unix(1000, 0), engines: map[jaywind.EndpointID]*engine{}, callers: map[jaywind.RequestID]*caller{}, limit: wholeLimit, prefill: prefill}
 	for i, id := range []jaywind.EndpointID{"e1", "e2", "e3"} {
 		w.engines[id] = &engine{id: id, salt: uint64(i), gap: tokenGap, runs: map[jaywind.Work]*run{}}
 	}
@@ -145,6 +152,10 @@
 	c.listener++
 	c.away = false
 	a := table.Ask{ID: id, Retry: c.listener > 1, Model: "heat", Prompt: prompt, Limit: w.limit, Seed: 3, Listener: c.listener}
+	if id != "r1" {
+		a.Limit = max(a.Limit, crowdLimit)
+		a.Priority = w.urgent
+	}
 	if len(c.tokens) > 0 {
 		mark := c.mark
 		a.Mark = &mark
@@ -156,10 +167,31 @@
 }
 
 // leave disconnects the caller of r1.
-func (w *world) leave() {
-	c := w.callers["r1"]
+func (w *world) leave() { w.part("r1") }
+
+func (w *world) part(id jaywind.RequestID) {
+	c := w.callers[id]
 	c.away = true
-	w.post(c.router, 0, table.Gone{Request: "r1", Listener: c.listener})
+	w.post(c.router, 0, table.Gone{Request: id, Listener: c.listener})
+}
+
+// surround has other callers of the same router ask for long answers, some of them from the same engine.
+func (w *world) surround(c *conn) {
+	for i := range 2 * len(w.engines) {
+		id := jaywind.RequestID(fmt.Sprint("other", c.router, i))
+		if w.callers[id] == nil {
+			w.ask(id, c.router, false)
+		}
+	}
+}
+
+// disperse ends the requests of the other callers.
+func (w *world) disperse() {
+	for _, id := range slices.Sorted(maps.Keys(w.callers)) {
+		if strings.HasPrefix(string(id), "other") {
+			w.part(id)
+		}
+	}
 }
 
 func (w *world) beat() {
@@ -192,6 +224,12 @@
 	}
 }
 
+func (w *world) run(span time.Duration) {
+	for end := w.now.Add(span); w.now.Before(end); {
+		w.beat()
+	}
+}
+
 // gather keeps the peers alive in a router's view of the fleet.
 func (w *world) gather(s *table.State) {
 	s.Fleet.Members = map[jaywind.VM]*table.Member{}
@@ -226,20 +264,23 @@
 		return
 	}
 	for _, u := range e.runs {
-		for len(u.tokens) < u.call.Limit && !u.next.After(now) {
+		for !u.stuck && len(u.tokens) < u.call.Limit && !u.next.After(now) {
 			d := jaywind.DigestOf(u.tokens)
 			u.tokens = append(u.tokens, standin.Next(u.call.Version, u.call.Seed, u.call.Prompt, e.salt, d))
 			u.next = u.next.Add(e.gap)
 			if u.next.Before(now) {
 				u.next = now.Add(e.gap)
 			}
+			if e.wait != nil {
+				u.next = u.next.Add(e.wait())
+			}
 		}
 	}
 }
 
 // send delivers what a stream has to say; the end comes one step after the last token.
 func (w *world) send(c *conn) {
-	if c.ended || c.mute || c.engine.dead || w.now.Before(c.engine.muteTill) {
+	if c.ended || c.mute || c.run.stuck || c.run.unsent || c.engine.dead || w.now.Before(c.engine.muteTill) {
 		return
 	}
 	if c.sent == len(c.run.tokens) && c.sent == c.call.Limit {
@@ -314,7 +355,7 @@
 		lose(jaywind.ErrNoStream)
 		return
 	case !c.Call.Resume:
-		u = &run{call: c.Call, tokens: slices.Clone(c.Call.Prefix), next: w.now.Add(prefill)}
+		u = &run{call: c.Call, tokens: slices.Clone(c.Call.Prefix), next: w.now.Add(w.prefill)}
 		e.runs[c.Call.Work()] = u
 	}
 	u.call.Attempt = max(u.call.Attempt, c.Call.Attempt)
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -100,6 +100,7 @@
 	r.Tries++
 	if !r.Reuse {
 		r.Run = r.Attempt
+		r.Begun = s.Now
 	}
 	r.Phase = table.PhaseOpening
 	r.Opened = s.Now
--- a/internal/core/table/budget.go
+++ b/internal/core/table/budget.go
@@ -20,7 +20,7 @@
 	b.Spent++
 }
 
-// Budget returns the retry budget of an organisation or an endpoint.
+// Budget returns the retry budget that a key names.
 func (s *State) Budget(k RetryKey) *RetryBudget {
 	b := s.Retries[k]
 	if b == nil {
--- a/internal/core/table/claim.go
+++ b/internal/core/table/claim.go
@@ -54,10 +54,11 @@
 	Polls     int
 }
 
-// RetryKey names a retry budget: of an organisation or of an endpoint.
+// RetryKey names a retry budget: of an organisation, an endpoint, or the answers of a model that leave live engines.
 type RetryKey struct {
 	Organisation jaywind.Organisation
 	Endpoint     jaywind.EndpointID
+	Model        jaywind.Model
 }
 
 // RetryBudget bounds retries by a share of first tries.
--- a/internal/core/table/request.go
+++ b/internal/core/table/request.go
@@ -45,12 +45,14 @@
 	Sent     bool               // bytes of some attempt may have left
 	Held     bool               // the attempt counts in its endpoint's Inflight
 
+	Begun     time.Time // of the endpoint's work, by this router
 	Opened    time.Time // of the current attempt
 	LastFrame time.Time
 	BrokenAt  time.Time // when output stopped; zero while it runs
 	Probes    int       // since the last frame
 	ProbeSent time.Time // zero when no probe is out
 	NextProbe time.Time
+	Answered  time.Time                   // when the endpoint last said that it is no further; zero after a frame
 	Avoid     map[jaywind.EndpointID]bool // endpoints that failed this request since its last frame
 	Tries     int                         // attempts opened since the last frame
 	Waits     int                         // times without an endpoint since the last frame
