generate: a resumed stream shows that it is of the same run

Cause: an engine that sends no running digest and resumes another run of the request went unseen until the end frame, after its tokens were delivered. And a frame under the name of other work was taken if that name was equal to the call's bare request id (work "r.1" of request "r" against a request "r.1").

A resume now asks for the last 16 tokens again; one that differs from the token taken there leaves the engine. Frames of the overlap are no strays. A frame has an owner only under the exact name of the call's work.

Ruled out: a digest in the probe's answer, which asks engines for the running digest that they don't send. Left: a swap in mid-connection under the right name, which no frame shows; the end frame's digest finds it.

--- a/internal/backend/engine/client_test.go
+++ b/internal/backend/engine/client_test.go
@@ -205,6 +205,35 @@
 	}
 }
 
+// TestFrameNamesItsWork reads frames that bear the name of other work than the call's.
+func TestFrameNamesItsWork(t *testing.T) {
+	tests := map[string]struct {
+		name string
+		own  bool
+	}{
+		"the call's":                           {name: "r-1.3", own: true},
+		"another run of the request":           {name: "r-1.4"},
+		"the first run of a request named r":   {name: "r.1"},
+		"a request whose run is the call's id": {name: "r-1"},
+		"none":                                 {name: ""},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = fmt.Fprintf(w, "data: {\"id\":%q,\"attempt\":3,\"choices\":[{}]}\n\n", c.name)
+			}))
+			defer s.Close()
+			stream, err := (&Client{}).Open(context.Background(), jaywind.Address(s.URL), call)
+			is.NoErr(err)
+			defer func() { _ = stream.Close() }()
+			f, err := stream.Next()
+			is.NoErr(err)
+			is.Equal(f.Request == call.Request, c.own)
+		})
+	}
+}
+
 func FuzzFrame(f *testing.F) {
 	f.Add([]byte(`{"id":"r.1","attempt":1,"position":3,"token":9,"bytes":"ww==","choices":[{"text":""}]}`))
 	f.Add([]byte(`{"position":3,"digest":"ff","choices":[{"finish_reason":"stop"}]}`))
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -41,12 +41,19 @@
 		return jaywind.Frame{}, fmt.Errorf("%w: %w", jaywind.ErrFrame, err)
 	}
 	f, err := c.frame()
-	if c.Request == nameOf(s.call.Work()) {
-		f.Request = s.call.Request
-	}
+	f.Request = s.owner(c.Request)
 	return f, err
 }
 
+// owner returns the call's request for the name of its work. Other work has
+// none: its name may be equal to the call's request id.
+func (s *stream) owner(name string) jaywind.RequestID {
+	if name != nameOf(s.call.Work()) {
+		return ""
+	}
+	return s.call.Request
+}
+
 // streamError marks an event that is longer than frameLimit.
 func streamError(err error) error {
 	if errors.Is(err, bufio.ErrTooLong) {
--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if f.Position < r.Position() {
-		s.Counts.Stray++
+		takeAgain(s, r, f)
 		return
 	}
 	if f.End {
@@ -66,6 +66,19 @@
 	keepToken(s, r, f.Token)
 }
 
+// takeAgain compares a frame before the next position with the token taken there.
+func takeAgain(s *table.State, r *table.Request, f jaywind.Frame) {
+	if f.End || f.Position < 0 || !f.Token.Same(r.Tokens[f.Position]) {
+		// The engine's stream is of another generation of this request.
+		s.Counts.Stray++
+		moveAway(s, r)
+		return
+	}
+	if !r.LastFrame.Before(r.Opened) {
+		s.Counts.Stray++ // not of the overlap at a resumed stream's start
+	}
+}
+
 func listening(r *table.Request) bool {
 	return r.Phase == table.PhaseOpening || r.Phase == table.PhaseStreaming || r.Phase == table.PhaseProbing
 }
--- a/internal/core/generate/matrix_test.go
+++ b/internal/core/generate/matrix_test.go
@@ -49,6 +49,12 @@
 			return []jaywind.Frame{altered(f, func(f *jaywind.Frame) { f.Token.ID++; f.Digest = 99; f.End = false })}
 		}
 	},
+	"reset, another run is resumed": func(w *world, c *conn) { c.engine.mix(c.run); w.cut(c.engine, c) },
+	"frame of another run is repeated": func(_ *world, c *conn) {
+		c.tamper = func(f jaywind.Frame) []jaywind.Frame {
+			return []jaywind.Frame{f, altered(f, func(f *jaywind.Frame) { f.Token.ID++; f.End = false })}
+		}
+	},
 	"frame is repeated": func(_ *world, c *conn) {
 		c.tamper = func(f jaywind.Frame) []jaywind.Frame { return []jaywind.Frame{f, f} }
 	},
--- a/internal/core/generate/world_test.go
+++ b/internal/core/generate/world_test.go
@@ -278,6 +278,16 @@
 	}
 }
 
+// mix puts the tokens of another run of the same request in the place of a run's own.
+func (e *engine) mix(u *run) {
+	n := len(u.tokens)
+	u.tokens = nil
+	for range n {
+		d := jaywind.DigestOf(u.tokens)
+		u.tokens = append(u.tokens, standin.Next(u.call.Version, u.call.Seed+1, u.call.Prompt, e.salt, d))
+	}
+}
+
 // send delivers what a stream has to say; the end comes one step after the last token.
 func (w *world) send(c *conn) {
 	if c.ended || c.mute || c.run.stuck || c.run.unsent || c.engine.dead || w.now.Before(c.engine.muteTill) {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -114,6 +114,8 @@
 
 const resumePriority = 100 // added to that of resumed work, which engines honour
 
+const overlap = 16 // tokens before the next that a resumed stream gives again, to show that it is the same
+
 func callOf(s *table.State, r *table.Request) jaywind.Call {
 	c := jaywind.Call{
 		Request:  r.ID,
@@ -133,6 +135,7 @@
 	}
 	if r.Reuse {
 		s.Counts.Reused++
+		c.From = max(0, c.From-overlap)
 		return c
 	}
 	c.Prefix = slices.Clone(r.Tokens)
--- a/token.go
+++ b/token.go
@@ -13,6 +13,11 @@
 	Text string
 }
 
+// Same tells whether two tokens are the same to a Digest.
+func (t Token) Same(o Token) bool {
+	return t.ID == o.ID && (t.ID != 0 || t.Text == o.Text)
+}
+
 // SplitRunes cuts text before a last rune whose bytes are not all there.
 func SplitRunes(text string) (whole, rest string) {
 	for i := len(text) - 1; i >= 0 && i > len(text)-utf8.UTFMax; i-- {
