--- a/internal/core/generate/recall_test.go
+++ b/internal/core/generate/recall_test.go
@@ -24,6 +24,7 @@
 		"engine goes on":                          {read: 30, want: table.OutcomeWhole},
 		"engine goes on, nobody keeps a record":   {read: 30, blank: true, want: table.OutcomeWhole},
 		"engine dies, replicas alike":             {read: 30, engine: true, alike: true, want: table.OutcomeWhole},
+		"engine dies, replicas alike, much read":  {read: 99, engine: true, alike: true, want: table.OutcomeWhole},
 		"engine dies, replicas differ":            {read: 30, engine: true, want: table.OutcomeMismatch},
 		"engine dies, nobody keeps a record":      {read: 90, engine: true, alike: true, blank: true, want: table.OutcomeMismatch},
 		"caller connects twice":                   {read: 30, twice: true, want: table.OutcomeWhole},
--- a/internal/core/journal/batch.go
+++ b/internal/core/journal/batch.go
@@ -34,21 +34,31 @@
 	for i, m := range w.Peers {
 		sent, some := w.Sent[m.VM]
 		tokens := i == 0 && !r.Keeps
-		if some && sent.Attempt == r.Attempt && (!tokens || sent.Position == r.Position()) {
+		if some && sent.Attempt == r.Attempt && (!tokens || !due(s, r, w, sent.Position)) {
 			continue
 		}
 		t := b.to(s, m)
 		if t == nil || t.tokens > batchLimit {
 			continue
 		}
-		record := recordOf(r, sent.Position, tokens)
+		record := recordOf(r, sent, tokens)
 		t.records = append(t.records, record)
 		t.tokens += len(record.Tokens)
 		w.Sent[m.VM] = record.Mark
+		if tokens {
+			w.SentAt = s.Now
+		}
 	}
 }
 
-func recordOf(r *table.Request, from jaywind.Position, tokens bool) jaywind.Record {
+// due tells whether the tokens from a position on have waited for long enough.
+func due(s *table.State, r *table.Request, w *table.JournalRow, sent jaywind.Position) bool {
+	waiting := r.Position() - sent
+	return waiting >= LagTokens || waiting > 0 && s.Now.Sub(w.SentAt) >= Lag
+}
+
+// recordOf returns what a peer lacks that has what was sent.
+func recordOf(r *table.Request, sent jaywind.Bookmark, tokens bool) jaywind.Record {
 	record := jaywind.Record{
 		Request:      r.ID,
 		Organisation: r.Organisation,
@@ -56,8 +66,11 @@
 		Mark:         r.Bookmark(),
 	}
 	if tokens {
-		record.From = from
-		record.Tokens = r.Tokens[from:len(r.Tokens):len(r.Tokens)]
+		record.From = sent.Position
+		record.Tokens = r.Tokens[record.From:len(r.Tokens):len(r.Tokens)]
+		if sent.Attempt == r.Attempt {
+			record.Before = r.Tokens[:record.From:record.From]
+		}
 		return record
 	}
 	// A record without tokens says nothing of how far the answer is.
--- a/internal/core/journal/journal.go
+++ b/internal/core/journal/journal.go
@@ -10,13 +10,19 @@
 	"jaywind/internal/fleet/rendezvous"
 )
 
-// Lag is the longest time that a token waits for the next batch.
-const Lag = 500 * time.Millisecond
+// Tokens go to a peer when there are LagTokens of them, or when Lag has passed
+// since the last. Both may be lost with a router and its engine; another engine
+// makes so many again.
+const (
+	Lag       = 2 * time.Second
+	LagTokens = 40
+)
 
 const (
-	peers      = 2           // that keep a request's record
-	peerPause  = time.Second // for a peer that failed
-	batchLimit = 1 << 16     // tokens of one batch
+	interval   = 200 * time.Millisecond // between batches
+	peers      = 2                      // that keep a request's record
+	peerPause  = time.Second            // for a peer that failed
+	batchLimit = 1 << 16                // tokens of one batch
 )
 
 // Journal sends what is new of each request to the peers that keep its record.
@@ -32,7 +38,7 @@
 	if !s.Full || s.Now.Before(s.Journal.Due) || len(s.Fleet.Members) == 0 {
 		return
 	}
-	s.Journal.Due = s.Now.Add(Lag)
+	s.Journal.Due = s.Now.Add(interval)
 	b := batches{}
 	for _, id := range slices.Sorted(maps.Keys(s.Journal.Rows)) {
 		if s.Requests[id] == nil {
--- a/internal/core/table/journal.go
+++ b/internal/core/table/journal.go
@@ -47,6 +47,8 @@
 	Peers []jaywind.Member // the first keeps the tokens, all keep the bookmark
 	Epoch uint64           // of the fleet for which Peers were chosen
 	Sent  map[jaywind.VM]jaywind.Bookmark
+
+	SentAt time.Time // when tokens were last sent
 }
 
 func (Keep) command()         {}
--- a/internal/fleet/journal/book.go
+++ b/internal/fleet/journal/book.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -40,9 +42,6 @@
 func (b *Book) Keep(records []jaywind.Record) []jaywind.RequestID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.held == nil {
-		b.held = map[jaywind.RequestID]*held{}
-	}
 	now := b.now()
 	var gaps []jaywind.RequestID
 	for _, r := range records {
@@ -54,6 +53,37 @@
 	return gaps
 }
 
+// accept adds records as they came; those that go on from what is missing here are gaps.
+func (b *Book) accept(records []record) ([]jaywind.RequestID, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	var gaps []jaywind.RequestID
+	for i, w := range records {
+		known := b.known(jaywind.RequestID(w.Request))
+		if known != nil && w.Attempt < uint64(known.Mark.Attempt) {
+			continue
+		}
+		r, err := w.record(known)
+		if err != nil && !errors.Is(err, errGap) {
+			return nil, fmt.Errorf("record %d: %w", i, err)
+		}
+		if err != nil || !b.keep(r, now) {
+			gaps = append(gaps, jaywind.RequestID(w.Request))
+		}
+	}
+	b.sweep(now)
+	return gaps, nil
+}
+
+// known returns the record of a request, or nil.
+func (b *Book) known(id jaywind.RequestID) *jaywind.Record {
+	if h := b.held[id]; h != nil {
+		return &h.record
+	}
+	return nil
+}
+
 // keep adds one record, unless an attempt after it is known; it returns false for a gap.
 func (b *Book) keep(r jaywind.Record, now time.Time) bool {
 	h := b.held[r.Request]
@@ -66,6 +96,9 @@
 	case h == nil && r.From > 0:
 		return false
 	case h == nil:
+		if b.held == nil {
+			b.held = map[jaywind.RequestID]*held{}
+		}
 		h = &held{}
 		b.held[r.Request] = h
 	case int(r.From) > len(h.record.Tokens):
@@ -74,7 +107,7 @@
 	before := h.record.Tokens
 	b.tokens -= len(before)
 	h.record = r
-	h.record.From = 0
+	h.record.From, h.record.Before = 0, nil
 	h.record.Tokens = slices.Concat(before[:r.From], r.Tokens)
 	h.at = now
 	b.tokens += len(h.record.Tokens)
--- a/internal/fleet/journal/journal_test.go
+++ b/internal/fleet/journal/journal_test.go
@@ -44,6 +44,13 @@
 	return r
 }
 
+// onward makes the same record for a peer that has the tokens before from the same attempt.
+func onward(a jaywind.Attempt, from, to int) jaywind.Record {
+	r := entry(a, from, to)
+	r.Before = entry(a, 0, from).Tokens
+	return r
+}
+
 func TestJournal(t *testing.T) {
 	ended := jaywind.Record{Request: "r1", Mark: entry(1, 0, 0).Mark, Ended: true}
 	tests := map[string]struct {
@@ -59,6 +66,13 @@
 		"middle batch lost":           {keep: []jaywind.Record{entry(1, 0, 2), entry(1, 3, 5)}, gap: true, want: ptr(entry(1, 0, 2))},
 		"late batch of older attempt": {keep: []jaywind.Record{entry(9, 0, 3), entry(1, 0, 2)}, want: ptr(entry(9, 0, 3))},
 		"late end of older attempt":   {keep: []jaywind.Record{entry(9, 0, 3), ended}, want: ptr(entry(9, 0, 3))},
+		"goes on":                     {keep: []jaywind.Record{entry(1, 0, 3), onward(1, 3, 5)}, want: ptr(entry(1, 0, 5))},
+		"goes on twice":               {keep: []jaywind.Record{entry(1, 0, 3), onward(1, 3, 5), onward(1, 5, 9)}, want: ptr(entry(1, 0, 9))},
+		"goes on, sent again":         {keep: []jaywind.Record{entry(1, 0, 3), onward(1, 3, 5), onward(1, 3, 5)}, want: ptr(entry(1, 0, 5))},
+		"goes on, nothing kept":       {keep: []jaywind.Record{onward(1, 3, 5)}, gap: true},
+		"goes on, middle batch lost":  {keep: []jaywind.Record{entry(1, 0, 2), onward(1, 3, 5)}, gap: true, want: ptr(entry(1, 0, 2))},
+		"goes on, older attempt kept": {keep: []jaywind.Record{entry(1, 0, 3), onward(9, 3, 5)}, gap: true, want: ptr(entry(1, 0, 3))},
+		"goes on late, older attempt": {keep: []jaywind.Record{entry(9, 0, 3), onward(1, 3, 5)}, want: ptr(entry(9, 0, 3))},
 		"ended":                       {keep: []jaywind.Record{entry(1, 0, 3), ended}},
 	}
 	for name, c := range tests {
--- a/internal/fleet/journal/router.go
+++ b/internal/fleet/journal/router.go
@@ -51,7 +51,7 @@
 	if !answer.Msg.Known {
 		return jaywind.Record{}, jaywind.ErrAbsent
 	}
-	return answer.Msg.Record.record()
+	return answer.Msg.Record.record(nil)
 }
 
 // Register adds the handlers for a book to the calls between routers.
@@ -61,16 +61,12 @@
 }
 
 func (b *Book) serveKeep(_ context.Context, r *connect.Request[keepAsk]) (*connect.Response[keepAnswer], error) {
-	var records []jaywind.Record
-	for i, w := range r.Msg.Records {
-		record, err := w.record()
-		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("record %d: %w", i, err))
-		}
-		records = append(records, record)
+	gaps, err := b.accept(r.Msg.Records)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	answer := keepAnswer{}
-	for _, id := range b.Keep(records) {
+	for _, id := range gaps {
 		answer.Gaps = append(answer.Gaps, string(id))
 	}
 	return connect.NewResponse(&answer), nil
--- a/internal/fleet/journal/wire.go
+++ b/internal/fleet/journal/wire.go
@@ -1,22 +1,33 @@
 package journal
 
-import "jaywind"
+import (
+	"errors"
 
-// token is sent as a pair; its text is bytes, since a rune may be cut.
-type token struct {
-	_    struct{} `cbor:",toarray"`
-	ID   int64
-	Text []byte
-}
+	"jaywind"
+)
+
+// errGap says that the receiver lacks what a record goes on from.
+var errGap = errors.New("what comes before is missing")
 
 type record struct {
-	Request      string  `cbor:"1,keyasint"`
-	Organisation string  `cbor:"2,keyasint,omitempty"`
-	Model        string  `cbor:"3,keyasint,omitempty"`
-	Mark         string  `cbor:"4,keyasint"`
-	From         int     `cbor:"5,keyasint,omitempty"`
-	Tokens       []token `cbor:"6,keyasint,omitempty"`
-	Ended        bool    `cbor:"7,keyasint,omitempty"`
+	Request  string `cbor:"1,keyasint"`
+	Attempt  uint64 `cbor:"2,keyasint"`
+	Position int    `cbor:"3,keyasint,omitempty"`
+	Digest   uint64 `cbor:"4,keyasint,omitempty"`
+	From     int    `cbor:"5,keyasint,omitempty"`
+	Tokens   []byte `cbor:"6,keyasint,omitempty"` // as pack writes them
+	Ended    bool   `cbor:"7,keyasint,omitempty"`
+	Head     *head  `cbor:"8,keyasint,omitempty"` // nil where the receiver has it from the same attempt
+}
+
+// head is what stays the same during an attempt.
+type head struct {
+	Organisation string `cbor:"1,keyasint,omitempty"`
+	Model        string `cbor:"2,keyasint,omitempty"`
+	Run          uint64 `cbor:"3,keyasint,omitempty"`
+	Endpoint     string `cbor:"4,keyasint,omitempty"`
+	Version      string `cbor:"5,keyasint,omitempty"`
+	Seed         uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 type keepAsk struct {
@@ -38,34 +49,64 @@
 
 func toWire(r jaywind.Record) record {
 	w := record{
-		Request:      string(r.Request),
-		Organisation: string(r.Organisation),
-		Model:        string(r.Model),
-		Mark:         r.Mark.String(),
-		From:         int(r.From),
-		Ended:        r.Ended,
+		Request:  string(r.Request),
+		Attempt:  uint64(r.Mark.Attempt),
+		Position: int(r.Mark.Position),
+		Digest:   uint64(r.Mark.Digest),
+		From:     int(r.From),
+		Tokens:   pack(r.Before, r.Tokens),
+		Ended:    r.Ended,
 	}
-	for _, t := range r.Tokens {
-		w.Tokens = append(w.Tokens, token{ID: int64(t.ID), Text: []byte(t.Text)})
+	if len(r.Before) == 0 && !r.Ended {
+		w.Head = headOf(r)
 	}
 	return w
 }
 
-func (w record) record() (jaywind.Record, error) {
-	mark, err := jaywind.ParseBookmark(w.Mark)
-	if err != nil {
-		return jaywind.Record{}, err
-	}
-	r := jaywind.Record{
-		Request:      jaywind.RequestID(w.Request),
-		Organisation: jaywind.Organisation(w.Organisation),
-		Model:        jaywind.Model(w.Model),
-		Mark:         mark,
-		From:         jaywind.Position(max(0, w.From)),
-		Ended:        w.Ended,
+func headOf(r jaywind.Record) *head {
+	return &head{
+		Organisation: string(r.Organisation),
+		Model:        string(r.Model),
+		Run:          uint64(r.Mark.Run),
+		Endpoint:     string(r.Mark.Endpoint),
+		Version:      string(r.Mark.Version),
+		Seed:         uint64(r.Mark.Seed),
 	}
-	for _, t := range w.Tokens {
-		r.Tokens = append(r.Tokens, jaywind.Token{ID: jaywind.TokenID(t.ID), Text: string(t.Text)})
+}
+
+// record returns what is said of a request of which the receiver has a record so far, or nil.
+func (w record) record(known *jaywind.Record) (jaywind.Record, error) {
+	r := jaywind.Record{Request: jaywind.RequestID(w.Request), From: jaywind.Position(w.From), Ended: w.Ended}
+	var before []jaywind.Token
+	switch {
+	case w.Head != nil:
+		w.Head.fill(&r)
+	case w.Ended:
+	case !w.continues(known):
+		return jaywind.Record{}, errGap
+	default:
+		r.Organisation, r.Model, r.Mark = known.Organisation, known.Model, known.Mark
+		before = known.Tokens[:w.From]
 	}
-	return r, nil
+	r.Mark.Request = r.Request
+	r.Mark.Attempt = jaywind.Attempt(w.Attempt)
+	r.Mark.Position = jaywind.Position(w.Position)
+	r.Mark.Digest = jaywind.Digest(w.Digest)
+	tokens, err := unpack(before, w.Tokens)
+	r.Tokens = tokens
+	return r, err
+}
+
+// continues tells whether a record without a head goes on from what is known.
+func (w record) continues(known *jaywind.Record) bool {
+	return known != nil && uint64(known.Mark.Attempt) == w.Attempt && w.From <= len(known.Tokens)
+}
+
+func (h *head) fill(r *jaywind.Record) {
+	r.Organisation = jaywind.Organisation(h.Organisation)
+	r.Model = jaywind.Model(h.Model)
+	r.Mark.Run = jaywind.Attempt(h.Run)
+	r.Mark.Endpoint = jaywind.EndpointID(h.Endpoint)
+	r.Mark.Version = jaywind.Version(h.Version)
+	r.Mark.Seed = jaywind.Seed(h.Seed)
 }
--- a/journal.go
+++ b/journal.go
@@ -10,7 +10,8 @@
 	Mark         Bookmark // the place after Tokens
 	From         Position // of the first of Tokens
 	Tokens       []Token
-	Ended        bool // the peer may forget it
+	Before       []Token // from 0 to From, where the peer has them from the same attempt; they aren't sent
+	Ended        bool    // the peer may forget it
 }
 
 // Journal speaks to the peers that keep the records of requests.
