--- a/embed/router_test.go
+++ b/embed/router_test.go
@@ -80,6 +80,7 @@
 		"work ends at a position":   {faults: engine.Faults{Die: 20}},
 		"slow, and refusing others": {faults: engine.Faults{Slow: 20 * time.Millisecond, Refuse: true}},
 		"open connection is silent": {faults: engine.Faults{Silent: true}},
+		"engine is stuck on it":     {faults: engine.Faults{Stick: 20}},
 		"engine is paused":          {faults: engine.Faults{Pause: true}},
 		"engine dies": {strike: func(b *bench, serving jaywind.EndpointID) {
 			_ = b.servers[serving].Listener.Close()
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -21,6 +21,7 @@
 	Repeat int  `json:"repeat"` // send this position twice
 	Skip   int  `json:"skip"`   // leave this position out, once
 	Late   int  `json:"late"`   // at this position send a frame of an earlier attempt, once
+	Stick  int  `json:"stick"`  // make nothing more of a run from this position on, while others go on, once
 	Die    int  `json:"die"`    // end the process, or all work in a test, before this position
 
 	Slow  time.Duration `json:"slow"`  // added to the time of each token, in nanoseconds
@@ -85,6 +86,16 @@
 	}
 }
 
+// stick holds a run for as long as somebody listens, if the fault strikes it now.
+func (e *Engine) stick(r *run) {
+	if !e.once(&e.faults.Stick, r.position()) {
+		return
+	}
+	for !e.isHalted() && !r.over(e.keep()) {
+		time.Sleep(pausePoll)
+	}
+}
+
 // once takes a one-time fault at a position.
 func (e *Engine) once(at *int, position int) bool {
 	e.mu.Lock()
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -40,6 +40,7 @@
 	for !e.isHalted() && !r.over(e.keep()) {
 		time.Sleep(e.pace())
 		e.waitWhilePaused()
+		e.stick(r)
 		r.add(e.Salt, e.Version)
 		e.count(1)
 	}
@@ -68,6 +69,12 @@
 	return r.cancelled || idle || len(r.tokens) >= r.ask.Limit
 }
 
+func (r *run) position() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.tokens)
+}
+
 func (r *run) finish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
