--- a/internal/core/generate/intake.go
+++ b/internal/core/generate/intake.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if f.Position < r.Position() {
-		s.Counts.Stray++
+		takeAgain(s, r, f)
 		return
 	}
 	if f.End {
@@ -59,10 +59,26 @@
 		moveAway(s, r)
 		return
 	}
+	if !r.Pinned() {
+		leaves(s, r).Earn()
+	}
 	noteFrame(s, r)
 	keepToken(s, r, f.Token)
 }
 
+// takeAgain compares a frame before the next position with the token taken there.
+func takeAgain(s *table.State, r *table.Request, f jaywind.Frame) {
+	if f.End || f.Position < 0 || !f.Token.Same(r.Tokens[f.Position]) {
+		// The engine's stream is of another generation of this request.
+		s.Counts.Stray++
+		moveAway(s, r)
+		return
+	}
+	if !r.LastFrame.Before(r.Opened) {
+		s.Counts.Stray++ // not of the overlap at a resumed stream's start
+	}
+}
+
 func listening(r *table.Request) bool {
 	return r.Phase == table.PhaseOpening || r.Phase == table.PhaseStreaming || r.Phase == table.PhaseProbing
 }
@@ -82,6 +98,7 @@
 	r.BrokenAt = time.Time{}
 	r.ProbeSent = time.Time{}
 	r.NextProbe = time.Time{}
+	r.Answered = time.Time{}
 	r.Probes = 0
 	r.Reopens = 0
 	r.Moves = 0
@@ -91,14 +108,13 @@
 }
 
 func keepToken(s *table.State, r *table.Request, t jaywind.Token) {
-	r.Tokens = append(r.Tokens, t)
-	r.Digest = r.Digest.Add(t)
+	tail := r.Tail
+	r.Take(t)
 	s.Counts.Taken++
 	if r.CatchUp != nil {
 		catchUp(s, r)
 		return
 	}
-	tail := jaywind.Tail(r.Tokens[:len(r.Tokens)-1])
 	deliver(s, r, table.Deliver{Token: t, Mark: r.Bookmark(), Tail: tail})
 }
 
--- a/internal/core/table/claim.go
+++ b/internal/core/table/claim.go
@@ -62,10 +62,11 @@
 	Trial  time.Time // when one was last let through in spite of that
 }
 
-// RetryKey names a retry budget: of an organisation or of an endpoint.
+// RetryKey names a retry budget: of an organisation, an endpoint, or the answers of a model that leave live engines.
 type RetryKey struct {
 	Organisation jaywind.Organisation
 	Endpoint     jaywind.EndpointID
+	Model        jaywind.Model
 }
 
 // RetryBudget bounds retries by a share of first tries.
