store: keys can be deleted by compare-and-delete

Cause: Store had no delete, so what no head refers to any more stayed for good. Delete removes a key if its revision is the given one: DELETE with If-Match, 404 as ErrAbsent, 412 as ErrConflict. A lost reply is settled by a read, or by a repeat that finds the key absent.

Ruled out: a delete without a revision, with which a repeat whose reply was lost could remove another writer's new value.

Tests: 8 rows in TestContract, over both implementations (done, absent, stale revision, reply lost after the delete, call lost before it, outage, slow, a watch of the key).

--- a/internal/core/claim/world_test.go
+++ b/internal/core/claim/world_test.go
@@ -304,6 +304,17 @@
 	return revision, nil
 }
 
+func (s *fakeStore) Delete(_ context.Context, key string, old jaywind.Revision) error {
+	if _, bent := s.bend(true); bent {
+		return jaywind.ErrUnavailable
+	}
+	if s.entries[key].Revision != old {
+		return jaywind.ErrConflict
+	}
+	delete(s.entries, key)
+	return nil
+}
+
 func (s *fakeStore) Watch(context.Context, string, jaywind.Revision) (jaywind.Entry, error) {
 	return jaywind.Entry{}, jaywind.ErrUnavailable
 }
--- a/internal/platform/rules/book_test.go
+++ b/internal/platform/rules/book_test.go
@@ -143,7 +143,6 @@
 			current, err = Book{Store: s, Nonce: fmt.Sprint("next", i)}.Accept(ctx, current, textOf(many, i+1))
 			is.NoErr(err)
 		}
-		pause(ctx, 2*sweepTTL)
 		inUse := map[string]bool{}
 		for _, l := range current.head.Chunks {
 			inUse[l.Key] = true
--- a/internal/platform/rules/chunks.go
+++ b/internal/platform/rules/chunks.go
@@ -7,15 +7,11 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"time"
 
 	"jaywind"
 )
 
-const (
-	pendingKey = "rules-pending"
-	sweepTTL   = time.Second // after which a swept key is gone
-)
+const pendingKey = "rules-pending"
 
 // writer is one entry of the list of pending writers.
 type writer struct {
@@ -161,7 +157,7 @@
 	return whole
 }
 
-// remove replaces a value by an empty one under a short lease, since the store has no other way to delete.
+// remove deletes a key and returns whether it is gone.
 func (b Book) remove(ctx context.Context, key string) bool {
 	e, err := b.Store.Get(ctx, key)
 	if errors.Is(err, jaywind.ErrAbsent) {
@@ -170,10 +166,6 @@
 	if err != nil {
 		return false
 	}
-	id, err := b.Store.Grant(ctx, sweepTTL)
-	if err != nil {
-		return false
-	}
-	_, err = b.Store.SwapLeased(ctx, key, nil, e.Revision, id)
-	return err == nil
+	err = b.Store.Delete(ctx, key, e.Revision)
+	return err == nil || errors.Is(err, jaywind.ErrAbsent)
 }
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -131,6 +131,19 @@
 	return jaywind.Revision(response.Header.Get("ETag")), nil
 }
 
+// Delete removes the key if its revision is old.
+func (c *Client) Delete(ctx context.Context, key string, old jaywind.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.keyURL(key), nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("If-Match", string(old))
+	_, err = c.write(request)
+	return err
+}
+
 // Grant opens a lease.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (jaywind.LeaseID, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
@@ -175,6 +188,8 @@
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return response, nil
+	case http.StatusNotFound:
+		return nil, jaywind.ErrAbsent
 	case http.StatusPreconditionFailed:
 		return nil, jaywind.ErrConflict
 	case http.StatusGone:
--- a/internal/platform/store/contract_test.go
+++ b/internal/platform/store/contract_test.go
@@ -41,6 +41,14 @@
 	"watch ends with its context":      watchEnds,
 	"largest value":                    largest,
 	"value too large":                  tooLarge,
+	"delete":                           deleted,
+	"delete of an absent key":          deleteAbsent,
+	"delete with a stale tag":          deleteStale,
+	"delete's reply lost":              deleteReplyLost,
+	"delete lost before it is done":    deleteCallLost,
+	"delete in an outage":              deleteInOutage,
+	"delete slow past the deadline":    deleteSlow,
+	"watch wakes on a delete":          watchSeesDelete,
 }
 
 func TestContract(t *testing.T) {
@@ -263,3 +271,89 @@
 	_, err = s.Get(ctx, "k")
 	is.True(errors.Is(err, jaywind.ErrAbsent))
 }
+
+// written makes a key whose value is "a" and returns its revision.
+func written(ctx context.Context, is *is.I, s jaywind.Store) jaywind.Revision {
+	is.Helper()
+	revision, err := s.Swap(ctx, "a/k", []byte("a"), "")
+	is.NoErr(err)
+	return revision
+}
+
+func deleted(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	first := written(ctx, is, s)
+	_, err := s.Swap(ctx, "other", nil, "")
+	is.NoErr(err)
+	is.NoErr(s.Delete(ctx, "a/k", first))
+	_, err = s.Get(ctx, "a/k")
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+	_, err = s.Get(ctx, "other")
+	is.NoErr(err)
+	_, err = s.Swap(ctx, "a/k", []byte("b"), first)
+	is.True(errors.Is(err, jaywind.ErrConflict))
+	second := written(ctx, is, s)
+	is.True(second != first) // the old revision never comes back
+}
+
+func deleteAbsent(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	is.True(errors.Is(s.Delete(ctx, "a/k", `"7"`), jaywind.ErrAbsent))
+	first := written(ctx, is, s)
+	is.NoErr(s.Delete(ctx, "a/k", first))
+	is.True(errors.Is(s.Delete(ctx, "a/k", first), jaywind.ErrAbsent)) // as a repeat after a lost reply finds
+}
+
+func deleteStale(ctx context.Context, is *is.I, s jaywind.Store, _ *standin.Store) {
+	first := written(ctx, is, s)
+	_, err := s.Swap(ctx, "a/k", []byte("b"), first)
+	is.NoErr(err)
+	is.True(errors.Is(s.Delete(ctx, "a/k", first), jaywind.ErrConflict))
+	e, err := s.Get(ctx, "a/k")
+	is.NoErr(err)
+	is.Equal(string(e.Value), "b")
+}
+
+func deleteReplyLost(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first := written(ctx, is, s)
+	f.Set(standin.Faults{Lose: 1})
+	is.True(errors.Is(s.Delete(ctx, "a/k", first), jaywind.ErrUnknown))
+	_, err := s.Get(ctx, "a/k")
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+}
+
+func deleteCallLost(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first := written(ctx, is, s)
+	f.Set(standin.Faults{Drop: 1})
+	is.True(errors.Is(s.Delete(ctx, "a/k", first), jaywind.ErrUnknown))
+	e, err := s.Get(ctx, "a/k")
+	is.NoErr(err)
+	is.Equal(e.Revision, first)
+	is.NoErr(s.Delete(ctx, "a/k", first))
+}
+
+func deleteInOutage(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first := written(ctx, is, s)
+	f.Set(standin.Faults{Down: true})
+	is.True(errors.Is(s.Delete(ctx, "a/k", first), jaywind.ErrUnavailable))
+	f.Set(standin.Faults{})
+	e, err := s.Get(ctx, "a/k")
+	is.NoErr(err)
+	is.Equal(e.Revision, first)
+}
+
+func deleteSlow(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first := written(ctx, is, s)
+	f.Set(standin.Faults{Slow: 5 * time.Second})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	err := s.Delete(short, "a/k", first)
+	is.True(errors.Is(err, jaywind.ErrUnknown) || errors.Is(err, jaywind.ErrUnavailable))
+	is.True(time.Since(start) < time.Second)
+}
+
+func watchSeesDelete(ctx context.Context, is *is.I, s jaywind.Store, f *standin.Store) {
+	first := written(ctx, is, s)
+	var err error
+	during(func() { _, err = s.Watch(ctx, "a/k", first) }, func() { _ = f.Delete(ctx, "a/k", first) })
+	is.True(errors.Is(err, jaywind.ErrAbsent))
+}
--- a/internal/standin/store/http.go
+++ b/internal/standin/store/http.go
@@ -20,6 +20,7 @@
 	m := httprouter.New()
 	m.GET("/kv/*key", s.serveGet)
 	m.PUT("/kv/*key", s.servePut)
+	m.DELETE("/kv/*key", s.serveDelete)
 	m.POST("/leases", s.serveGrant)
 	m.PUT("/leases/:lease", s.serveRenew)
 	m.POST("/faults", s.serveFaults)
@@ -76,6 +77,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	old := jaywind.Revision(r.Header.Get("If-Match"))
+	if old == "" {
+		http.Error(w, "a condition is required", http.StatusPreconditionRequired)
+		return
+	}
+	if err := s.Delete(r.Context(), keyOf(p), old); err != nil {
+		fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Store) serveGrant(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	ms, err := strconv.Atoi(r.URL.Query().Get("ttl"))
 	if err != nil || ms <= 0 {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -155,9 +155,8 @@
 	if _, alive := s.leases[id]; id != "" && !alive {
 		return "", jaywind.ErrLapsed
 	}
-	if s.faults.Drop > 0 {
-		s.faults.Drop--
-		return "", fmt.Errorf("%w: call lost", jaywind.ErrUnknown)
+	if err := s.drop(); err != nil {
+		return "", err
 	}
 	if s.entries == nil {
 		s.entries = map[string]*entry{}
@@ -168,6 +167,48 @@
 	return revision, s.lose()
 }
 
+// Delete removes the key if its revision is old.
+func (s *Store) Delete(ctx context.Context, key string, old jaywind.Revision) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, err := s.get(key)
+	if err != nil {
+		return err
+	}
+	if current.Revision != old {
+		return jaywind.ErrConflict
+	}
+	if err := s.drop(); err != nil {
+		return err
+	}
+	delete(s.entries, key)
+	s.signal()
+	return s.lose()
+}
+
+// Held returns how many keys there are and the bytes of their values.
+func (s *Store) Held() (keys, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range s.entries {
+		bytes += len(e.value)
+	}
+	return len(s.entries), bytes
+}
+
+// drop returns the error of a lost call while that fault is on; the caller holds mu.
+func (s *Store) drop() error {
+	if s.faults.Drop == 0 {
+		return nil
+	}
+	s.faults.Drop--
+	return fmt.Errorf("%w: call lost", jaywind.ErrUnknown)
+}
+
 func (s *Store) next() uint64 {
 	s.counter++
 	return s.counter
--- a/store.go
+++ b/store.go
@@ -46,6 +46,8 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// Swap writes value if the key's revision is old ("" for absent); errors are ErrConflict, ErrTooLarge, ErrUnavailable (not written) or ErrUnknown.
 	Swap(ctx context.Context, key string, value []byte, old Revision) (Revision, error)
+	// Delete removes the key if its revision is old; errors are ErrAbsent, ErrConflict, ErrUnavailable (not deleted) or ErrUnknown, which a read settles.
+	Delete(ctx context.Context, key string, old Revision) error
 	// Watch waits until the key's revision is other than old and returns the entry, or ErrAbsent once it is deleted.
 	Watch(ctx context.Context, key string, old Revision) (Entry, error)
 	// Grant opens a lease that lapses after ttl unless it is renewed.
