claims: segments that no head names any more are deleted

Cause: merged and expired segments stayed in the store for good. Segments get sequence numbers that are never named again; the head lists those that it dropped, and who commits to the shard deletes them once it has seen them listed for a minute, one by one between two swaps. A router with an old head that finds a segment missing reads the head again; a missing segment is still never an absent claim.

Ruled out: names by content hash, which can be named anew while their deletion is under way; leases on segments, which somebody would have to renew; a time to wait on which safety rests.

TestMissingSegmentIsNoAbsentClaim is unchanged but for the name's type.

The encoding of the head has a new form: routers of the former version refuse such a shard's calls as not run.

Conclusion: the store keeps what the head names, and what was dropped within the last minute of claims.

--- a/internal/fleet/ledger/committer.go
+++ b/internal/fleet/ledger/committer.go
@@ -19,6 +19,7 @@
 	replyLimit      = 64 << 10              // bytes of a reply
 	queueLimit      = 4096                  // claims that may wait for a shard
 	batchTimeout    = 3 * time.Second
+	sweepTimeout    = time.Second
 )
 
 // Committer commits claims in groups; set its fields before the first Commit.
@@ -105,11 +106,22 @@
 		if batch == nil {
 			return
 		}
-		commitBatch(q, batch)
-		time.Sleep(c.interval())
+		err := commitBatch(q, batch)
+		next := time.Now().Add(c.interval())
+		if err == nil {
+			sweep(q)
+		}
+		time.Sleep(time.Until(next))
 	}
 }
 
+// sweep deletes what the shard no longer needs, in the pause between two swaps; what fails is tried again.
+func sweep(q *queue) {
+	ctx, cancel := context.WithTimeout(context.Background(), sweepTimeout)
+	defer cancel()
+	_ = q.shard.Sweep(ctx)
+}
+
 func (c *Committer) interval() time.Duration {
 	if c.Interval == 0 {
 		return defaultInterval
@@ -149,7 +161,7 @@
 	return size
 }
 
-func commitBatch(q *queue, batch []*waiter) {
+func commitBatch(q *queue, batch []*waiter) error {
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
 	wants := make([]jaywind.Claim, 0, len(batch))
@@ -164,4 +176,5 @@
 		}
 		w.done <- result{claim: recorded[i]}
 	}
+	return err
 }
--- a/internal/platform/claims/seal.go
+++ b/internal/platform/claims/seal.go
@@ -1,14 +1,13 @@
 package claims
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jaywind"
 )
 
@@ -57,36 +56,83 @@
 
 // next returns the head to add to: the current one, or one whose rows were sealed.
 func (h *Shard) next(ctx context.Context) (head, error) {
+	next := h.head
+	next.Form = form
+	next.Dropped = h.listed()
 	value, err := encode(h.head)
 	if err != nil || len(value) < sealSize {
-		return h.head, err
+		return next, err
 	}
-	n, err := h.seal(ctx, h.head.Rows)
+	next.Rows = nil
+	next.Sealed = slices.Clone(h.head.Sealed)
+	n, err := h.seal(ctx, &next, h.head.Rows)
 	if err != nil {
 		return head{}, err
 	}
-	next := head{Form: form, Sealed: slices.Clone(h.head.Sealed)}
 	next.Sealed = append(next.Sealed, n)
-	next.Sealed = slices.DeleteFunc(next.Sealed, func(n name) bool { return n.expired(h.now()) })
-	return h.compact(ctx, next)
+	h.expire(&next)
+	if err := h.compact(ctx, &next); err != nil {
+		return head{}, err
+	}
+	return next, nil
 }
 
-// seal writes rows under the hash of their content; a value that is there already is the same one.
-func (h *Shard) seal(ctx context.Context, rows []row) (name, error) {
-	value, err := encode(segment{Form: form, Rows: rows})
-	if err != nil {
-		return name{}, err
+// expire drops the segments whose time has passed.
+func (h *Shard) expire(next *head) {
+	now := h.now()
+	kept := make([]name, 0, len(next.Sealed))
+	for _, n := range next.Sealed {
+		if n.expired(now) {
+			next.Dropped = append(next.Dropped, n.segmentID)
+			continue
+		}
+		kept = append(kept, n)
 	}
-	n := name{Hash: xxhash.Sum64(value), Size: len(value), Until: h.now().Add(retention).Unix()}
-	if _, err := h.Store.Swap(ctx, h.segmentKey(n), value, ""); err != nil && !errors.Is(err, jaywind.ErrConflict) {
-		return name{}, err
+	next.Sealed = kept
+}
+
+// seal writes rows under the next sequence number.
+//
+// A number is named by one head at most and never again, so a segment that is
+// due for deletion can't be named anew. A value that is there already was left by a router that
+// failed to swap the head: it serves if it is the same, and is garbage otherwise.
+func (h *Shard) seal(ctx context.Context, next *head, rows []row) (name, error) {
+	for range sealTries {
+		next.Last++
+		id := segmentID{Sequence: next.Last}
+		value, err := encode(segment{Form: form, Rows: rows, Sequence: id.Sequence})
+		if err != nil {
+			return name{}, err
+		}
+		revision, same, err := h.put(ctx, id, value)
+		if err != nil {
+			return name{}, err
+		}
+		if same {
+			h.keep(id, index(rows), len(value), revision)
+			return name{segmentID: id, Size: len(value), Until: h.now().Add(retention).Unix()}, nil
+		}
+		next.Dropped = append(next.Dropped, id)
 	}
-	h.keep(n.Hash, index(rows))
-	return n, nil
+	return name{}, ErrContended
+}
+
+// put writes a segment and tells whether it stands there, or another value does.
+func (h *Shard) put(ctx context.Context, id segmentID, value []byte) (jaywind.Revision, bool, error) {
+	key := h.segmentKey(id)
+	revision, err := h.Store.Swap(ctx, key, value, "")
+	if !errors.Is(err, jaywind.ErrConflict) {
+		return revision, err == nil, err
+	}
+	e, err := h.Store.Get(ctx, key)
+	if err != nil {
+		return "", false, err
+	}
+	return e.Revision, bytes.Equal(e.Value, value), nil
 }
 
 // compact merges the latest small segments into one when there are many of them.
-func (h *Shard) compact(ctx context.Context, next head) (head, error) {
+func (h *Shard) compact(ctx context.Context, next *head) error {
 	start := len(next.Sealed)
 	size := 0
 	for start > 0 && size+next.Sealed[start-1].Size <= mergeSize {
@@ -94,22 +140,26 @@
 		size += next.Sealed[start].Size
 	}
 	if len(next.Sealed)-start < mergeCount {
-		return next, nil
+		return nil
 	}
+	merged := next.Sealed[start:]
 	latest := map[jaywind.ClaimKey]jaywind.Claim{}
-	for _, n := range next.Sealed[start:] {
-		claims, err := h.read(ctx, n)
+	for _, n := range merged {
+		claims, err := h.read(ctx, n.segmentID)
 		if err != nil {
-			return head{}, err
+			return err
 		}
 		maps.Copy(latest, claims)
 	}
-	n, err := h.seal(ctx, sortedRows(latest))
+	n, err := h.seal(ctx, next, sortedRows(latest))
 	if err != nil {
-		return head{}, err
+		return err
+	}
+	for _, m := range merged {
+		next.Dropped = append(next.Dropped, m.segmentID)
 	}
 	next.Sealed = append(next.Sealed[:start:start], n)
-	return next, nil
+	return nil
 }
 
 func sortedRows(claims map[jaywind.ClaimKey]jaywind.Claim) []row {
@@ -125,69 +175,89 @@
 // loadSealed reads the segments that are not known yet.
 func (h *Shard) loadSealed(ctx context.Context, names []name) error {
 	for _, n := range names {
-		if _, known := h.sealed[n.Hash]; known {
+		if _, known := h.sealed[n.segmentID]; known {
 			continue
 		}
-		if _, err := h.read(ctx, n); err != nil {
+		if _, err := h.read(ctx, n.segmentID); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// sealed is what is always kept of a segment.
+type sealed struct {
+	hashes   []uint64 // of its keys, sorted
+	revision jaywind.Revision
+}
+
 // contents is a segment as it was read.
 type contents struct {
-	hash   uint64
+	id     segmentID
+	size   int // bytes in the store
 	claims map[jaywind.ClaimKey]jaywind.Claim
 }
 
 // read returns what a segment holds.
-func (h *Shard) read(ctx context.Context, n name) (map[jaywind.ClaimKey]jaywind.Claim, error) {
+func (h *Shard) read(ctx context.Context, id segmentID) (map[jaywind.ClaimKey]jaywind.Claim, error) {
 	for _, c := range h.cache {
-		if c.hash == n.Hash {
+		if c.id == id {
 			return c.claims, nil
 		}
 	}
-	e, err := h.Store.Get(ctx, h.segmentKey(n))
+	e, err := h.Store.Get(ctx, h.segmentKey(id))
+	if errors.Is(err, jaywind.ErrAbsent) {
+		err = errMissing
+	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: segment %x: %w", jaywind.ErrUnavailable, n.Hash, err)
+		return nil, fmt.Errorf("%w: segment %v: %w", jaywind.ErrUnavailable, id, err)
 	}
 	g, err := decodeSegment(e.Value)
 	if err != nil {
 		return nil, err
 	}
+	if g.Sequence != id.Sequence {
+		return nil, fmt.Errorf("%w: sequence number %d, want %d", ErrForm, g.Sequence, id.Sequence)
+	}
 	claims := index(g.Rows)
-	h.keep(n.Hash, claims)
+	h.keep(id, claims, len(e.Value), e.Revision)
 	return claims, nil
 }
 
 // keep notes the hashes of a segment's keys, and its claims for a while.
-func (h *Shard) keep(hash uint64, claims map[jaywind.ClaimKey]jaywind.Claim) {
+func (h *Shard) keep(id segmentID, claims map[jaywind.ClaimKey]jaywind.Claim, size int, revision jaywind.Revision) {
 	hashes := make([]uint64, 0, len(claims))
 	for k := range claims {
 		hashes = append(hashes, k.Hash())
 	}
 	slices.Sort(hashes)
 	if h.sealed == nil {
-		h.sealed = map[uint64][]uint64{}
+		h.sealed = map[segmentID]sealed{}
 	}
-	h.sealed[hash] = hashes
-	h.cache = append(h.cache, contents{hash: hash, claims: claims})
-	if len(h.cache) > cacheCount {
-		h.cache = slices.Delete(h.cache, 0, 1)
+	h.sealed[id] = sealed{hashes: hashes, revision: revision}
+	h.cache = append(h.cache, contents{id: id, size: size, claims: claims})
+	total := 0
+	for i := len(h.cache) - 1; i >= 0; i-- {
+		if total += h.cache[i].size; total > cacheSize {
+			h.cache = slices.Delete(h.cache, 0, i+1)
+			return
+		}
 	}
 }
 
 // forget drops the segments that the head no longer names.
 func (h *Shard) forget() {
-	for hash := range h.sealed {
-		named := slices.ContainsFunc(h.head.Sealed, func(n name) bool { return n.Hash == hash })
+	for id := range h.sealed {
+		named := slices.ContainsFunc(h.head.Sealed, func(n name) bool { return n.segmentID == id })
 		if !named {
-			delete(h.sealed, hash)
+			delete(h.sealed, id)
 		}
 	}
 }
 
-func (h *Shard) segmentKey(n name) string {
-	return fmt.Sprintf("claims-%d-%x", h.Number, n.Hash)
+func (h *Shard) segmentKey(id segmentID) string {
+	if id.Sequence == 0 {
+		return fmt.Sprintf("claims-%d-%x", h.Number, id.Hash)
+	}
+	return fmt.Sprintf("claims-%d-s%d", h.Number, id.Sequence)
 }
--- a/internal/platform/claims/shard.go
+++ b/internal/platform/claims/shard.go
@@ -17,7 +17,8 @@
 const (
 	commitRounds = 16        // swaps and reads that one batch may take
 	sealSize     = 16 << 10  // bytes of a head that is due to be sealed
-	cacheCount   = 4         // segments whose claims are kept in memory, not only their keys' hashes
+	sealTries    = 8         // sequence numbers that sealing may find taken
+	cacheSize    = 2 << 20   // bytes of the segments whose claims are kept in memory, not only their keys' hashes
 	mergeCount   = 8         // sealed segments of a shard that are merged into one
 	mergeSize    = 512 << 10 // bytes of segments that are merged together
 	pauseFirst   = 10 * time.Millisecond
@@ -28,6 +29,9 @@
 // ErrContended is returned when other routers kept winning the swaps of a shard.
 var ErrContended = fmt.Errorf("%w: shard is contended", jaywind.ErrUnavailable)
 
+// errMissing is returned when a segment that a head names is not in the store.
+var errMissing = errors.New("segment is missing")
+
 // ShardOf returns the shard of a key.
 func ShardOf(k jaywind.ClaimKey) int {
 	return int(k.Hash() % Shards)
@@ -44,8 +48,10 @@
 	head     head
 	revision jaywind.Revision
 	recent   map[jaywind.ClaimKey]jaywind.Claim // the rows of head
-	sealed   map[uint64][]uint64                // hashes of the keys in each segment, sorted
+	sealed   map[segmentID]sealed               // the segments that head names
 	cache    []contents                         // segments read of late, the latest last
+	garbage  []garbage                          // the segments that head lists as dropped
+	swept    time.Time                          // last
 }
 
 // Commit records claims in their order and returns what is on record for each afterwards.
@@ -83,8 +89,18 @@
 	}
 }
 
-// try does one round on the head that is known, or on a fresh one.
+// try does one round on the head that is known, or on a fresh one where a segment of that is missing.
 func (h *Shard) try(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, error) {
+	fresh := !h.loaded
+	out, err := h.attempt(ctx, wants)
+	if fresh || !errors.Is(err, errMissing) {
+		return out, err
+	}
+	h.loaded = false
+	return h.attempt(ctx, wants)
+}
+
+func (h *Shard) attempt(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, error) {
 	fresh := !h.loaded
 	if err := h.load(ctx); err != nil {
 		return nil, err
@@ -98,7 +114,7 @@
 			return out, nil
 		}
 		h.loaded = false
-		return h.try(ctx, wants)
+		return h.attempt(ctx, wants)
 	}
 	return out, h.write(ctx, changed)
 }
@@ -143,10 +159,10 @@
 	hash := k.Hash()
 	for i := len(h.head.Sealed) - 1; i >= 0; i-- {
 		n := h.head.Sealed[i]
-		if _, found := slices.BinarySearch(h.sealed[n.Hash], hash); !found {
+		if _, found := slices.BinarySearch(h.sealed[n.segmentID].hashes, hash); !found {
 			continue
 		}
-		claims, err := h.read(ctx, n)
+		claims, err := h.read(ctx, n.segmentID)
 		if err != nil {
 			return jaywind.Claim{}, err
 		}
@@ -184,6 +200,7 @@
 	h.revision = revision
 	h.recent = index(next.Rows)
 	h.loaded = true
+	h.noteDropped()
 }
 
 func index(rows []row) map[jaywind.ClaimKey]jaywind.Claim {
--- a/internal/platform/claims/shard_test.go
+++ b/internal/platform/claims/shard_test.go
@@ -102,7 +102,7 @@
 func TestMissingSegmentIsNoAbsentClaim(t *testing.T) {
 	is := is.New(t)
 	s := &store.Store{}
-	value, err := encode(head{Form: form, Sealed: []name{{Hash: 1}}})
+	value, err := encode(head{Form: form, Sealed: []name{{segmentID: segmentID{Hash: 1}}}})
 	is.NoErr(err)
 	_, err = s.Swap(context.Background(), "claims-0", value, "")
 	is.NoErr(err)
@@ -129,7 +129,7 @@
 func TestEncoding(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
-		want := head{Form: form, Rows: rows(t), Sealed: []name{{Hash: rapid.Uint64().Draw(t, "hash"), Size: 3, Until: 4}}}
+		want := head{Form: form, Rows: rows(t), Sealed: []name{{segmentID: segmentID{Hash: rapid.Uint64().Draw(t, "hash")}, Size: 3, Until: 4}}}
 		value, err := encode(want)
 		is.NoErr(err)
 		got, err := decodeHead(value)
--- a/internal/platform/claims/wire.go
+++ b/internal/platform/claims/wire.go
@@ -14,7 +14,21 @@
 // ErrForm wraps a failure to decode a value of the store.
 var ErrForm = errors.New("not a segment of claims")
 
-const form = 1 // of the encoding
+const (
+	oldestForm = 1 // of the encodings that are read; its segments are named by their hashes
+	form       = 2 // of the encoding that is written
+)
+
+// encoding writes equal values in equal bytes, so that two routers seal the same rows alike.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are fixed
+	}
+	return mode
+}
 
 // row is one claim as it is stored.
 type row struct {
@@ -31,22 +45,31 @@
 
 // name is a sealed segment's place in the head.
 type name struct {
-	Hash  uint64 `cbor:"1,keyasint"`
-	Size  int    `cbor:"2,keyasint"` // bytes
-	Until int64  `cbor:"3,keyasint"` // seconds of Unix time when it may be dropped
+	segmentID
+	Size  int   `cbor:"2,keyasint,omitempty"` // bytes
+	Until int64 `cbor:"3,keyasint,omitempty"` // seconds of Unix time when it may be dropped
+}
+
+// segmentID tells a segment from all others that its shard ever had.
+type segmentID struct {
+	Hash     uint64 `cbor:"1,keyasint,omitempty"` // of a segment of the oldest form
+	Sequence uint64 `cbor:"4,keyasint,omitempty"` // from 1
 }
 
 // head is the value of a shard's key.
 type head struct {
-	Form   int    `cbor:"1,keyasint"`
-	Rows   []row  `cbor:"2,keyasint"`
-	Sealed []name `cbor:"3,keyasint,omitempty"` // oldest first
+	Form    int         `cbor:"1,keyasint"`
+	Rows    []row       `cbor:"2,keyasint"`
+	Sealed  []name      `cbor:"3,keyasint,omitempty"` // oldest first
+	Last    uint64      `cbor:"4,keyasint,omitempty"` // sequence number that was used last
+	Dropped []segmentID `cbor:"5,keyasint,omitempty"` // not named any more, to be deleted
 }
 
 // segment is the value of a sealed segment's key.
 type segment struct {
-	Form int   `cbor:"1,keyasint"`
-	Rows []row `cbor:"2,keyasint"`
+	Form     int    `cbor:"1,keyasint"`
+	Rows     []row  `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 func rowOf(c jaywind.Claim) row {
@@ -86,7 +109,7 @@
 }
 
 func encode(v any) ([]byte, error) {
-	return cbor.Marshal(v)
+	return encoding.Marshal(v)
 }
 
 func decodeHead(value []byte) (head, error) {
@@ -94,8 +117,8 @@
 	if err := cbor.Unmarshal(value, &h); err != nil {
 		return head{}, fmt.Errorf("%w: %w", ErrForm, err)
 	}
-	if h.Form != form {
-		return head{}, fmt.Errorf("%w: form %d, want %d", ErrForm, h.Form, form)
+	if err := checkForm(h.Form); err != nil {
+		return head{}, err
 	}
 	return h, check(h.Rows)
 }
@@ -105,12 +128,19 @@
 	if err := cbor.Unmarshal(value, &g); err != nil {
 		return segment{}, fmt.Errorf("%w: %w", ErrForm, err)
 	}
-	if g.Form != form {
-		return segment{}, fmt.Errorf("%w: form %d, want %d", ErrForm, g.Form, form)
+	if err := checkForm(g.Form); err != nil {
+		return segment{}, err
 	}
 	return g, check(g.Rows)
 }
 
+func checkForm(n int) error {
+	if n < oldestForm || n > form {
+		return fmt.Errorf("%w: form %d, want %d to %d", ErrForm, n, oldestForm, form)
+	}
+	return nil
+}
+
 func (n name) expired(now time.Time) bool {
 	return now.Unix() >= n.Until
 }
