store: calls, failures and the breaker are in the metrics

Cause: an operator could not see what a router asks of the store, nor that its breaker is open; Client.Calls was read by nothing. The client now counts calls and failures by kind, calls kept back by breaker or budget, and bytes of values in a go-metrics registry, and shows whether the breaker is open; a router gives it the registry that its operator port serves. Calls is removed.

TestMetrics: 6 rows (each kind, replies lost, outage, ended watch, conflict and absent key). TestStoreIsInTheMetrics holds that the operator port serves them; red without the registry. go test -race ./internal/platform/store ./internal/edge/ports: ok. docs/OPERATING.md names them.

--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -39,6 +39,7 @@
 	Log      *zap.Logger   // silent when nil
 
 	router    *embed.Router
+	client    *store.Client // nil when Store was given
 	committer *ledger.Committer
 	callers   *caller.Handler
 	ports     []port
@@ -58,10 +59,11 @@
 		d.Log = zap.NewNop()
 	}
 	if d.Store == nil {
-		d.Store = &store.Client{
+		d.client = &store.Client{
 			URL:     jaywind.Address(d.Settings.Store.URL),
 			Routers: func() int { return len(d.router.Members()) },
 		}
+		d.Store = d.client
 	}
 	d.killed, d.kill = context.WithCancelCause(context.Background())
 	l := &d.Settings.Listen
@@ -82,6 +84,9 @@
 func (d *Daemon) assemble() {
 	d.committer = &ledger.Committer{Store: d.Store}
 	d.router = newRouter(d.Settings, d.Log, d.committer)
+	if d.client != nil {
+		d.client.Metrics = d.router.Metrics()
+	}
 	d.callers = &caller.Handler{Router: d.router, Services: d.router, Log: d.Log, Entries: d.entries}
 	operators := &operator.Handler{
 		Router:  d.router,
--- a/internal/platform/store/breaker.go
+++ b/internal/platform/store/breaker.go
@@ -36,7 +36,6 @@
 	failures int       // in a row
 	until    time.Time // no call before, while open
 	trial    bool      // a trial call is out
-	calls    int       // let through so far
 }
 
 // admit lets a call through or says why not.
@@ -56,7 +55,6 @@
 		b.trial = false
 		return errSpent
 	}
-	b.calls++
 	return nil
 }
 
@@ -74,7 +72,7 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	if !errors.Is(err, jaywind.ErrUnavailable) && !errors.Is(err, jaywind.ErrUnknown) {
+	if !failed(err) {
 		b.failures = 0
 		b.pauses = nil
 		return
@@ -85,6 +83,14 @@
 	}
 }
 
+// failed tells whether the store did not answer a call that its caller waited for.
+func failed(err error) bool {
+	if errors.Is(err, context.Canceled) {
+		return false
+	}
+	return errors.Is(err, jaywind.ErrUnavailable) || errors.Is(err, jaywind.ErrUnknown)
+}
+
 // nextPause grows with each failed trial, up to what keeps the whole fleet's trials at a constant rate.
 func (b *breaker) nextPause(routers int) time.Duration {
 	if b.pauses == nil {
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"jaywind"
 )
 
@@ -28,8 +30,10 @@
 	URL       jaywind.Address
 	Transport http.RoundTripper // the default one when nil
 	Routers   func() int        // how many share the store, for the pace of trial calls in an outage; 1 when nil
+	Metrics   metrics.Registry  // takes the counts of calls, failures and bytes; none when nil
 
 	breaker breaker
+	use     use
 }
 
 var _ jaywind.Store = (*Client)(nil)
@@ -72,10 +76,14 @@
 }
 
 func (c *Client) read(ctx context.Context, key string, query url.Values) (e jaywind.Entry, err error) {
-	if err := c.breaker.admit(time.Now()); err != nil {
+	k := kindRead
+	if query != nil {
+		k = kindWatch
+	}
+	if err := c.admit(k); err != nil {
 		return jaywind.Entry{}, err
 	}
-	defer func() { c.note(blame(ctx, query, err)) }()
+	defer func() { c.note(k, blame(ctx, query, err)) }()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.keyURL(key)+"?"+query.Encode(), nil)
 	if err != nil {
 		return jaywind.Entry{}, err
@@ -96,6 +104,7 @@
 	if err != nil || len(value) > jaywind.MaxValue {
 		return jaywind.Entry{}, fmt.Errorf("%w: body of %d bytes: %w", jaywind.ErrUnavailable, len(value), err)
 	}
+	c.counts().in.Inc(int64(len(value)))
 	return jaywind.Entry{Key: key, Value: value, Revision: jaywind.Revision(response.Header.Get("ETag"))}, nil
 }
 
@@ -124,7 +133,7 @@
 	} else {
 		request.Header.Set("If-Match", string(old))
 	}
-	response, err := c.write(request)
+	response, err := c.write(kindWrite, request)
 	if err != nil {
 		return "", err
 	}
@@ -140,7 +149,7 @@
 		return err
 	}
 	request.Header.Set("If-Match", string(old))
-	_, err = c.write(request)
+	_, err = c.write(kindDelete, request)
 	return err
 }
 
@@ -153,7 +162,7 @@
 	if err != nil {
 		return "", err
 	}
-	response, err := c.write(request)
+	response, err := c.write(kindLease, request)
 	if err != nil {
 		return "", err
 	}
@@ -169,16 +178,17 @@
 	if err != nil {
 		return err
 	}
-	_, err = c.write(request)
+	_, err = c.write(kindLease, request)
 	return err
 }
 
 // write sends a call that changes the store and says what is known of its effect.
-func (c *Client) write(request *http.Request) (response *http.Response, err error) {
-	if err := c.breaker.admit(time.Now()); err != nil {
+func (c *Client) write(k kind, request *http.Request) (response *http.Response, err error) {
+	if err := c.admit(k); err != nil {
 		return nil, err
 	}
-	defer func() { c.note(err) }()
+	defer func() { c.note(k, err) }()
+	c.counts().out.Inc(max(request.ContentLength, 0))
 	response, err = c.transport().RoundTrip(request)
 	if err != nil {
 		return nil, writeError(err)
@@ -208,7 +218,21 @@
 	return err
 }
 
-func (c *Client) note(err error) {
+// admit lets a call through or says why not, and counts which.
+func (c *Client) admit(k kind) error {
+	err := c.breaker.admit(time.Now())
+	if err != nil {
+		c.counts().refused.Inc(1)
+		return err
+	}
+	c.counts().calls[k].Inc(1)
+	return nil
+}
+
+func (c *Client) note(k kind, err error) {
+	if failed(err) {
+		c.counts().failed[k].Inc(1)
+	}
 	routers := 1
 	if c.Routers != nil {
 		routers = c.Routers()
@@ -216,13 +240,6 @@
 	c.breaker.note(time.Now(), err, routers)
 }
 
-// Calls returns how many calls the client has made so far.
-func (c *Client) Calls() int {
-	c.breaker.mu.Lock()
-	defer c.breaker.mu.Unlock()
-	return c.breaker.calls
-}
-
 // writeError tells a write that never left from one that may have taken effect.
 func writeError(err error) error {
 	var op *net.OpError
