claims: a router that takes a shard over reads an index of its old segments

Cause: the first claim at a new router read every segment of 48 hours, one after the other, and the head named each of them.

Ruled out: a filter in the head, which each head would write again; an index for each segment, which would leave the head as long as it was.

Claims may be kept longer than 48 h: an index goes with its last segment.

TestInterleavingsInALog draws the size of the other router's answers, so that there are indexes in it.

--- a/internal/platform/claims/doc.go
+++ b/internal/platform/claims/doc.go
@@ -7,8 +7,8 @@
 // and who succeeds has seen all that was committed before. After some entries
 // their records are sealed into a segment, a value that never changes, and the
 // shard's head, which names the segments, is swapped. Segments are merged when
-// they are many, dropped when the retention time has passed, and deleted a
-// while after:
+// they are many, listed in an index with the hashes of their keys when they are
+// old, dropped when the retention time has passed, and deleted a while after:
 //
 //	h := &claims.Shard{Store: store, Number: claims.ShardOf(claim.ID())}
 //	recorded, err := h.Commit(ctx, []jaywind.Claim{claim})
--- a/internal/platform/claims/log.go
+++ b/internal/platform/claims/log.go
@@ -60,7 +60,7 @@
 // catchUp reads the entries that other routers have written, more at once the further it has to go.
 func (h *Shard) catchUp(ctx context.Context) error {
 	for width := 1; ; width = min(2*width, max(h.ReadAhead, 1)) {
-		for _, f := range h.fetch(ctx, width) {
+		for _, f := range h.fetch(ctx, h.slotKeys(width)) {
 			more, err := h.take(f)
 			if err != nil || !more {
 				return err
@@ -69,28 +69,36 @@
 	}
 }
 
-// fetched is what a key of the log holds.
+// fetched is what a key of the store holds.
 type fetched struct {
 	entry jaywind.Entry
 	err   error
 }
 
-// fetch reads the keys of the next entries at once.
-func (h *Shard) fetch(ctx context.Context, count int) []fetched {
-	out := make([]fetched, count)
-	if count == 1 {
-		out[0].entry, out[0].err = h.Store.Get(ctx, h.slotKey(h.tail.next))
+// fetch reads keys at once.
+func (h *Shard) fetch(ctx context.Context, keys []string) []fetched {
+	out := make([]fetched, len(keys))
+	if len(keys) == 1 {
+		out[0].entry, out[0].err = h.Store.Get(ctx, keys[0])
 		return out
 	}
 	var group conc.WaitGroup
-	for i := range out {
-		key := h.slotKey(h.tail.next + uint64(i))
+	for i, key := range keys {
 		group.Go(func() { out[i].entry, out[i].err = h.Store.Get(ctx, key) })
 	}
 	group.Wait()
 	return out
 }
 
+// slotKeys returns the keys of the entry that is next and of those after it.
+func (h *Shard) slotKeys(count int) []string {
+	var out []string
+	for i := range count {
+		out = append(out, h.slotKey(h.tail.next+uint64(i)))
+	}
+	return out
+}
+
 // take adds the next entry if its key holds that one already, and tells whether it does.
 func (h *Shard) take(f fetched) (more bool, err error) {
 	t := &h.tail
@@ -132,7 +140,7 @@
 func (h *Shard) append(ctx context.Context, changed map[jaywind.ClaimKey]jaywind.Claim) error {
 	t := &h.tail
 	if !t.slots[t.next%slotCount].known {
-		if more, err := h.take(h.fetch(ctx, 1)[0]); err != nil || more {
+		if more, err := h.take(h.fetch(ctx, h.slotKeys(1))[0]); err != nil || more {
 			return errors.Join(err, conflictIf(more))
 		}
 	}
--- a/internal/platform/claims/log_test.go
+++ b/internal/platform/claims/log_test.go
@@ -19,10 +19,11 @@
 	shard Shard
 	now   time.Time
 	count int
+	reply int // bytes of each answer
 }
 
-func newRival(s jaywind.Store) *rival {
-	v := &rival{now: time.Unix(1_800_000_000, 0)}
+func newRival(s jaywind.Store, reply int) *rival {
+	v := &rival{now: time.Unix(1_800_000_000, 0), reply: reply}
 	v.shard = Shard{Store: s, Clock: (*clock)(&v.now), Sleep: func(context.Context, time.Duration) {}}
 	return v
 }
@@ -32,6 +33,7 @@
 	for range count {
 		v.count++
 		want := claimed(fmt.Sprint("other", v.count), 1, jaywind.ClaimAnswered)
+		want.Reply.Body = make([]byte, v.reply)
 		if _, err := v.shard.Commit(context.Background(), []jaywind.Claim{want}); err != nil {
 			t.Fatal(err)
 		}
@@ -50,7 +52,7 @@
 func TestInterleavingsInALog(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store.Store{}
-		other := newRival(s)
+		other := newRival(s, rapid.SampledFrom([]int{0, 16 << 10}).Draw(t, "reply"))
 		other.commit(t, rapid.SampledFrom(commitCounts).Draw(t, "before"))
 		interleave(t, s, odds{bent: 20, crash: 100}, rapid.IntRange(1, 3).Draw(t, "warm"), func() {
 			if rapid.IntRange(0, 20).Draw(t, "rival") == 20 {
--- a/internal/platform/claims/seal.go
+++ b/internal/platform/claims/seal.go
@@ -64,6 +64,9 @@
 	if err := h.compact(ctx, &next); err != nil {
 		return err
 	}
+	if err := h.indexOld(ctx, &next); err != nil {
+		return err
+	}
 	if _, err := h.swapHead(ctx, next); err != nil {
 		return err
 	}
@@ -103,32 +106,60 @@
 		kept = append(kept, n)
 	}
 	next.Sealed = kept
+	indexes := make([]name, 0, len(next.Indexes))
+	for _, n := range next.Indexes {
+		if n.expired(now) {
+			next.Dropped = append(next.Dropped, n.segmentID)
+			next.Dropped = append(next.Dropped, h.sealed[n.segmentID].segments...)
+			continue
+		}
+		indexes = append(indexes, n)
+	}
+	next.Indexes = indexes
+}
+
+// seal writes rows as a segment.
+func (h *Shard) seal(ctx context.Context, next *head, rows []row) (name, error) {
+	put, err := h.putNew(ctx, next, func(sequence uint64) any {
+		return segment{Form: form, Rows: rows, Sequence: sequence}
+	})
+	if err != nil {
+		return name{}, err
+	}
+	h.keep(put.id, index(rows), put.size, put.revision)
+	return name{segmentID: put.id, Size: put.size, Until: h.now().Add(retention).Unix()}, nil
+}
+
+// stored is a value that was written under a new sequence number.
+type stored struct {
+	id       segmentID
+	size     int // bytes
+	revision jaywind.Revision
 }
 
-// seal writes rows under the next sequence number.
+// putNew writes a value under the next sequence number.
 //
 // A number is named by one head at most and never again, so a segment that is
 // due for deletion can't be named anew. A value that is there already was left by a router that
 // failed to swap the head: it serves if it is the same, and is garbage otherwise.
-func (h *Shard) seal(ctx context.Context, next *head, rows []row) (name, error) {
+func (h *Shard) putNew(ctx context.Context, next *head, build func(sequence uint64) any) (stored, error) {
 	for range sealTries {
 		next.Last++
 		id := segmentID{Sequence: next.Last}
-		value, err := encode(segment{Form: form, Rows: rows, Sequence: id.Sequence})
+		value, err := encode(build(id.Sequence))
 		if err != nil {
-			return name{}, err
+			return stored{}, err
 		}
 		revision, same, err := h.put(ctx, id, value)
 		if err != nil {
-			return name{}, err
+			return stored{}, err
 		}
 		if same {
-			h.keep(id, index(rows), len(value), revision)
-			return name{segmentID: id, Size: len(value), Until: h.now().Add(retention).Unix()}, nil
+			return stored{id: id, size: len(value), revision: revision}, nil
 		}
 		next.Dropped = append(next.Dropped, id)
 	}
-	return name{}, ErrContended
+	return stored{}, ErrContended
 }
 
 // put writes a segment and tells whether it stands there, or another value does.
@@ -189,23 +220,41 @@
 	return slices.Compare([]string{a.Organisation, a.Service, a.Key}, []string{b.Organisation, b.Service, b.Key})
 }
 
-// loadSealed reads the segments that are not known yet.
-func (h *Shard) loadSealed(ctx context.Context, names []name) error {
+// fetchUnknown reads the values that are not known yet, some at once, and hands them over in their order.
+func (h *Shard) fetchUnknown(ctx context.Context, names []name, take func(segmentID, fetched) error) error {
+	var unknown []segmentID
 	for _, n := range names {
-		if _, known := h.sealed[n.segmentID]; known {
-			continue
+		if _, known := h.sealed[n.segmentID]; !known {
+			unknown = append(unknown, n.segmentID)
 		}
-		if _, err := h.read(ctx, n.segmentID); err != nil {
-			return err
+	}
+	for some := range slices.Chunk(unknown, max(h.ReadAhead, 1)) {
+		var keys []string
+		for _, id := range some {
+			keys = append(keys, h.segmentKey(id))
+		}
+		for i, f := range h.fetch(ctx, keys) {
+			if err := take(some[i], f); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
-// sealed is what is always kept of a segment.
+// loadSealed reads the segments that are not known yet.
+func (h *Shard) loadSealed(ctx context.Context, names []name) error {
+	return h.fetchUnknown(ctx, names, func(id segmentID, f fetched) error {
+		_, err := h.takeSegment(id, f)
+		return err
+	})
+}
+
+// sealed is what is always kept of a segment or an index.
 type sealed struct {
-	hashes   []uint64 // of its keys, sorted
+	hashes   []uint64 // of a segment's keys, sorted
 	revision jaywind.Revision
+	segments []segmentID // of an index, oldest first
 }
 
 // contents is a segment as it was read.
@@ -222,14 +271,15 @@
 			return c.claims, nil
 		}
 	}
-	e, err := h.Store.Get(ctx, h.segmentKey(id))
-	if errors.Is(err, jaywind.ErrAbsent) {
-		err = errMissing
-	}
-	if err != nil {
-		return nil, fmt.Errorf("%w: segment %v: %w", jaywind.ErrUnavailable, id, err)
+	return h.takeSegment(id, h.fetch(ctx, []string{h.segmentKey(id)})[0])
+}
+
+// takeSegment keeps a segment that was read.
+func (h *Shard) takeSegment(id segmentID, f fetched) (map[jaywind.ClaimKey]jaywind.Claim, error) {
+	if err := h.segmentError(id, f.err); err != nil {
+		return nil, err
 	}
-	g, err := decodeSegment(e.Value)
+	g, err := decodeSegment(f.entry.Value)
 	if err != nil {
 		return nil, err
 	}
@@ -237,10 +287,29 @@
 		return nil, fmt.Errorf("%w: sequence number %d, want %d", ErrForm, g.Sequence, id.Sequence)
 	}
 	claims := index(g.Rows)
-	h.keep(id, claims, len(e.Value), e.Revision)
+	h.keep(id, claims, len(f.entry.Value), f.entry.Revision)
 	return claims, nil
 }
 
+// segmentError returns the error of a segment's read; one that is absent is missing.
+func (h *Shard) segmentError(id segmentID, err error) error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, jaywind.ErrAbsent) {
+		err = errMissing
+	}
+	return fmt.Errorf("%w: segment %v: %w", jaywind.ErrUnavailable, id, err)
+}
+
+// note keeps what is always kept of a segment or an index.
+func (h *Shard) note(id segmentID, v sealed) {
+	if h.sealed == nil {
+		h.sealed = map[segmentID]sealed{}
+	}
+	h.sealed[id] = v
+}
+
 // keep notes the hashes of a segment's keys, and its claims for a while.
 func (h *Shard) keep(id segmentID, claims map[jaywind.ClaimKey]jaywind.Claim, size int, revision jaywind.Revision) {
 	hashes := make([]uint64, 0, len(claims))
@@ -248,10 +317,7 @@
 		hashes = append(hashes, k.Hash())
 	}
 	slices.Sort(hashes)
-	if h.sealed == nil {
-		h.sealed = map[segmentID]sealed{}
-	}
-	h.sealed[id] = sealed{hashes: hashes, revision: revision}
+	h.note(id, sealed{hashes: hashes, revision: revision})
 	h.cache = append(h.cache, contents{id: id, size: size, claims: claims})
 	total := 0
 	for i := len(h.cache) - 1; i >= 0; i-- {
@@ -262,14 +328,16 @@
 	}
 }
 
-// forget drops the segments that the head no longer names.
+// forget drops the segments and indexes that the head no longer names.
 func (h *Shard) forget() {
-	for id := range h.sealed {
-		named := slices.ContainsFunc(h.head.Sealed, func(n name) bool { return n.segmentID == id })
-		if !named {
-			delete(h.sealed, id)
-		}
+	kept := map[segmentID]sealed{}
+	for _, id := range h.named(h.head) {
+		kept[id] = h.sealed[id]
+	}
+	for _, n := range h.head.Indexes {
+		kept[n.segmentID] = h.sealed[n.segmentID]
 	}
+	h.sealed = kept
 }
 
 func (h *Shard) segmentKey(id segmentID) string {
--- a/internal/platform/claims/shard.go
+++ b/internal/platform/claims/shard.go
@@ -50,7 +50,8 @@
 	head     head
 	revision jaywind.Revision
 	tail     tail
-	sealed   map[segmentID]sealed // the segments that head names
+	segments []segmentID          // that head names, oldest first
+	sealed   map[segmentID]sealed // the segments and indexes that head names
 	cache    []contents           // segments read of late, the latest last
 	garbage  []garbage            // the segments that head lists as dropped
 	swept    time.Time            // last
@@ -159,12 +160,11 @@
 		return c, nil
 	}
 	hash := k.Hash()
-	for i := len(h.head.Sealed) - 1; i >= 0; i-- {
-		n := h.head.Sealed[i]
-		if _, found := slices.BinarySearch(h.sealed[n.segmentID].hashes, hash); !found {
+	for _, id := range slices.Backward(h.segments) {
+		if _, found := slices.BinarySearch(h.sealed[id].hashes, hash); !found {
 			continue
 		}
-		claims, err := h.read(ctx, n.segmentID)
+		claims, err := h.read(ctx, id)
 		if err != nil {
 			return jaywind.Claim{}, err
 		}
@@ -208,6 +208,9 @@
 			return err
 		}
 	}
+	if err := h.loadIndexes(ctx, next.Indexes); err != nil {
+		return err
+	}
 	if err := h.loadSealed(ctx, next.Sealed); err != nil {
 		return err
 	}
@@ -225,6 +228,7 @@
 	h.head = next
 	h.revision = revision
 	h.loaded = true
+	h.segments = h.named(next)
 	h.noteDropped()
 }
 
--- a/internal/platform/claims/sweep_test.go
+++ b/internal/platform/claims/sweep_test.go
@@ -58,7 +58,7 @@
 
 // inUse returns how many keys a shard has for its head, its log, its segments and those that it lists as dropped.
 func inUse(h *Shard, dropped int) int {
-	return 1 + int(min(h.tail.next, slotCount)) + len(h.head.Sealed) + dropped
+	return 1 + int(min(h.tail.next, slotCount)) + len(h.segments) + len(h.head.Indexes) + dropped
 }
 
 // TestGarbageIsDeleted holds that over two days the store keeps nothing but what the head names or has
@@ -79,7 +79,7 @@
 			}
 			keys, bytes := s.Held()
 			t.Logf("%d calls: %d keys, %d bytes kept, %d segments named, %d bytes written and %.2f store calls a call",
-				count, keys, bytes, len(h.head.Sealed), s.written/count, float64(s.Calls())/float64(count))
+				count, keys, bytes, len(h.segments), s.written/count, float64(s.Calls())/float64(count))
 			is.Equal(keys, inUse(h, len(h.listed())))
 			is.True(len(h.listed()) <= 1+mergeCount) // of one seal and one merge
 		})
--- /dev/null
+++ b/internal/platform/claims/takeover_test.go
@@ -0,0 +1,70 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/standin/store"
+)
+
+// readBytes counts the bytes of the values that are read.
+type readBytes struct {
+	*store.Store
+	read atomic.Int64
+}
+
+// Get counts the value.
+func (s *readBytes) Get(ctx context.Context, key string) (jaywind.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	s.read.Add(int64(len(e.Value)))
+	return e, err
+}
+
+// fillShard records answered calls in batches of a few, as at several calls a second.
+func fillShard(is *is.I, h *Shard, count int) {
+	is.Helper()
+	const batch = 10
+	for i := 0; i < count; i += batch {
+		wants := make([]jaywind.Claim, batch)
+		for j := range wants {
+			wants[j] = ithClaim(i + j)
+			wants[j].State = jaywind.ClaimAnswered
+			wants[j].Reply = jaywind.Reply{Status: 200, Body: make([]byte, 200)}
+		}
+		_, err := h.Commit(context.Background(), wants)
+		is.NoErr(err)
+	}
+}
+
+// TestTakeoverIsWithinTheWait holds that the first claim at a router that takes a shard over is committed
+// within the 2 s that a call waits for it, at 3 ms a call of the store, and tells what it costs.
+func TestTakeoverIsWithinTheWait(t *testing.T) {
+	const wait = 2 * time.Second
+	for _, count := range []int{20_000, 100_000} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &readBytes{Store: &store.Store{}}
+				fillShard(is, &Shard{Store: s.Store}, count)
+				s.Set(store.Faults{Slow: 3 * time.Millisecond})
+				calls := s.Calls()
+				start := time.Now()
+				h := &Shard{Store: s, ReadAhead: 8}
+				commitOne(is, h, claimed("new", 1, jaywind.ClaimTaken))
+				took := time.Since(start)
+				t.Logf("%d claims: %d store calls, %d kB read, %v", count, s.Calls()-calls, s.read.Load()/1000, took)
+				is.True(took <= wait)
+				for _, i := range []int{0, count / 2, count - 1} {
+					checkRecorded(is, h, i)
+				}
+			})
+		})
+	}
+}
--- a/internal/platform/claims/wire.go
+++ b/internal/platform/claims/wire.go
@@ -64,6 +64,7 @@
 	Last    uint64      `cbor:"4,keyasint,omitempty"` // sequence number that was used last
 	Dropped []segmentID `cbor:"5,keyasint,omitempty"` // not named any more, to be deleted
 	Base    uint64      `cbor:"6,keyasint,omitempty"` // position of the first entry of the log that no segment holds
+	Indexes []name      `cbor:"7,keyasint,omitempty"` // of segments older than those sealed, oldest first
 }
 
 // entry is the value of a key of the log.
