ledger: tests share the set-up of a slow store

The same two lines stood in five tests. What they hold is unchanged.

go test -race ./internal/fleet/ledger: ok; go test ./cmd/jaywind -run Once and 50 runs of TestRoutersAlone before it: ok.

--- a/internal/fleet/ledger/bytes_test.go
+++ b/internal/fleet/ledger/bytes_test.go
@@ -52,8 +52,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				s := &shardBytes{Store: &store.Store{}}
-				s.Set(store.Faults{Slow: storeLatency})
+				s := &shardBytes{Store: slowStore(storeLatency)}
 				runCalls(is, s, c.perSecond, c.perSecond*span)
 				most, sum := 0, 0
 				for _, n := range s.written {
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -29,14 +29,20 @@
 	return jaywind.Claim{Organisation: "lagos", Service: "bind", Key: jaywind.IdempotencyKey(key), Nonce: nonce, State: jaywind.ClaimTaken}
 }
 
+// slowStore returns a store whose calls take so long.
+func slowStore(latency time.Duration) *store.Store {
+	s := &store.Store{}
+	s.Set(store.Faults{Slow: latency})
+	return s
+}
+
 // TestGroupCommit holds that the store's writes don't grow with the claims that arrive at once.
 func TestGroupCommit(t *testing.T) {
 	for _, count := range []int{1, 10, 100} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				s := &store.Store{}
-				s.Set(store.Faults{Slow: 3 * time.Millisecond})
+				s := slowStore(storeLatency)
 				c := &Committer{Store: s}
 				var group conc.WaitGroup
 				for i := range count {
@@ -58,8 +64,7 @@
 func TestClaimantWhoLeftIsNotCommitted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &store.Store{}
-		s.Set(store.Faults{Slow: 100 * time.Millisecond})
+		s := slowStore(100 * time.Millisecond)
 		c := &Committer{Store: s}
 		var group conc.WaitGroup
 		group.Go(func() { _, _ = c.Commit(context.Background(), claimOf("k", 1)) })
@@ -90,8 +95,7 @@
 func TestLargeRepliesTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &store.Store{}
-		s.Set(store.Faults{Slow: 3 * time.Millisecond})
+		s := slowStore(storeLatency)
 		c := &Committer{Store: s}
 		var group conc.WaitGroup
 		for i := range 40 * claims.Shards {
@@ -218,8 +222,7 @@
 		t.Run(fmt.Sprint(alone), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				s := &store.Store{}
-				s.Set(store.Faults{Slow: 3 * time.Millisecond})
+				s := slowStore(storeLatency)
 				var group conc.WaitGroup
 				var failed atomic.Int64
 				const each = 20
