claims: a test that old knowledge of a claim is no answer

Breaking by hand the look at the log before an unchanged record is told left all tests of the package green; the new test goes red with it. go test -race ./internal/platform/claims: ok.

--- a/internal/platform/claims/log_test.go
+++ b/internal/platform/claims/log_test.go
@@ -120,3 +120,15 @@
 		is.Equal(commitOne(is, fresh, claimed(key, 2, jaywind.ClaimTaken)).Nonce, jaywind.Nonce(1))
 	}
 }
+
+// TestOldKnowledgeIsNoAnswer holds that a router which knows a claim as taken looks again before it says so.
+func TestOldKnowledgeIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	s := &store.Store{}
+	old, other := &Shard{Store: s}, &Shard{Store: s}
+	commitOne(is, old, claimed("k", 1, jaywind.ClaimTaken))
+	commitOne(is, other, claimed("k", 1, jaywind.ClaimReleased))
+	is.Equal(commitOne(is, old, claimed("k", 2, jaywind.ClaimTaken)).Nonce, jaywind.Nonce(2))
+	commitOne(is, other, claimed("k", 2, jaywind.ClaimAnswered))
+	is.Equal(commitOne(is, old, claimed("k", 3, jaywind.ClaimTaken)).State, jaywind.ClaimAnswered)
+}
