--- a/internal/platform/claims/shard.go
+++ b/internal/platform/claims/shard.go
@@ -16,10 +16,11 @@
 
 const (
 	commitRounds = 16        // swaps and reads that one batch may take
-	sealSize     = 16 << 10  // bytes of a head that is due to be sealed
-	cacheCount   = 4         // segments whose claims are kept in memory, not only their keys' hashes
-	mergeCount   = 8         // sealed segments of a shard that are merged into one
-	mergeSize    = 512 << 10 // bytes of segments that are merged together
+	sealTries    = 8         // sequence numbers that sealing may find taken
+	cacheSize    = 512 << 10 // bytes of the segments whose claims are kept in memory, not only their keys' hashes
+	mergeCount   = 32        // small segments of a shard that are merged into one
+	mergeSize    = 256 << 10 // bytes of small segments that are merged, be they fewer
+	largeSize    = 128 << 10 // bytes of a segment that is not merged again
 	pauseFirst   = 10 * time.Millisecond
 	pauseLast    = 320 * time.Millisecond
 	retention    = 48 * time.Hour
@@ -28,6 +29,9 @@
 // ErrContended is returned when other routers kept winning the swaps of a shard.
 var ErrContended = fmt.Errorf("%w: shard is contended", jaywind.ErrUnavailable)
 
+// errMissing is returned when a segment that a head names is not in the store.
+var errMissing = errors.New("segment is missing")
+
 // ShardOf returns the shard of a key.
 func ShardOf(k jaywind.ClaimKey) int {
 	return int(k.Hash() % Shards)
@@ -40,12 +44,17 @@
 	Clock  jaywind.Clock                        // the machine's when nil
 	Sleep  func(context.Context, time.Duration) // waits between two rounds; by the machine's clock when nil
 
+	ReadAhead int // values that are read at once, at most; one when zero
+
 	loaded   bool
 	head     head
 	revision jaywind.Revision
-	recent   map[jaywind.ClaimKey]jaywind.Claim // the rows of head
-	sealed   map[uint64][]uint64                // hashes of the keys in each segment, sorted
-	cache    []contents                         // segments read of late, the latest last
+	tail     tail
+	segments []segmentID          // that head names, oldest first
+	sealed   map[segmentID]sealed // the segments and indexes that head names
+	cache    []contents           // segments read of late, the latest last
+	garbage  []garbage            // the segments that head lists as dropped
+	swept    time.Time            // last
 }
 
 // Commit records claims in their order and returns what is on record for each afterwards.
@@ -64,7 +73,7 @@
 		default:
 			return nil, errors.Join(unclear, err)
 		}
-		h.loaded = false
+		h.tail.behind = true
 		h.pause(ctx, round)
 	}
 	return nil, errors.Join(unclear, ErrContended)
@@ -83,9 +92,19 @@
 	}
 }
 
-// try does one round on the head that is known, or on a fresh one.
+// try does one round on the head that is known, or on a fresh one where a segment of that is missing.
 func (h *Shard) try(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, error) {
 	fresh := !h.loaded
+	out, err := h.attempt(ctx, wants)
+	if fresh || !errors.Is(err, errMissing) {
+		return out, err
+	}
+	h.loaded = false
+	return h.attempt(ctx, wants)
+}
+
+func (h *Shard) attempt(ctx context.Context, wants []jaywind.Claim) ([]jaywind.Claim, error) {
+	fresh := !h.loaded || h.tail.behind
 	if err := h.load(ctx); err != nil {
 		return nil, err
 	}
@@ -97,13 +116,13 @@
 		if fresh || allFinal(out) {
 			return out, nil
 		}
-		h.loaded = false
-		return h.try(ctx, wants)
+		h.tail.behind = true
+		return h.attempt(ctx, wants)
 	}
 	return out, h.write(ctx, changed)
 }
 
-// allFinal tells whether a known head is as good as a fresh one.
+// allFinal tells whether what is known is as good as what a fresh read would show.
 func allFinal(claims []jaywind.Claim) bool {
 	for _, c := range claims {
 		if !c.Final() {
@@ -137,16 +156,15 @@
 
 // find returns the latest record of a key, whose state is ClaimNone when there is none.
 func (h *Shard) find(ctx context.Context, k jaywind.ClaimKey) (jaywind.Claim, error) {
-	if c, found := h.recent[k]; found {
+	if c, found := h.tail.recent[k]; found {
 		return c, nil
 	}
 	hash := k.Hash()
-	for i := len(h.head.Sealed) - 1; i >= 0; i-- {
-		n := h.head.Sealed[i]
-		if _, found := slices.BinarySearch(h.sealed[n.Hash], hash); !found {
+	for _, id := range slices.Backward(h.segments) {
+		if _, found := slices.BinarySearch(h.sealed[id].hashes, hash); !found {
 			continue
 		}
-		claims, err := h.read(ctx, n)
+		claims, err := h.read(ctx, id)
 		if err != nil {
 			return jaywind.Claim{}, err
 		}
@@ -157,33 +175,61 @@
 	return jaywind.Claim{}, nil
 }
 
-// load reads the head and the segments that it names, unless they are known.
+// load reads what is not known of the head, its segments and the log.
 func (h *Shard) load(ctx context.Context) error {
-	if h.loaded {
+	if !h.loaded || h.tail.behind && !h.hasLog() {
+		if err := h.loadHead(ctx); err != nil {
+			return err
+		}
+	}
+	if !h.tail.behind || !h.hasLog() {
+		return nil
+	}
+	if err := h.catchUp(ctx); err != nil {
+		return err
+	}
+	if h.tail.base == h.head.Base {
 		return nil
 	}
+	if err := h.loadHead(ctx); err != nil { // another router has sealed the log
+		return err
+	}
+	return h.catchUp(ctx)
+}
+
+func (h *Shard) loadHead(ctx context.Context) error {
 	e, err := h.Store.Get(ctx, h.key())
 	if err != nil && !errors.Is(err, jaywind.ErrAbsent) {
 		return err
 	}
-	next := head{Form: form}
+	var next head
 	if err == nil {
 		if next, err = decodeHead(e.Value); err != nil {
 			return err
 		}
 	}
+	if err := h.loadIndexes(ctx, next.Indexes); err != nil {
+		return err
+	}
 	if err := h.loadSealed(ctx, next.Sealed); err != nil {
 		return err
 	}
 	h.adopt(next, e.Revision)
+	h.tail.begin(next, len(e.Value))
 	return nil
 }
 
+// hasLog tells whether the shard's head is of the form to which a log belongs.
+func (h *Shard) hasLog() bool {
+	return h.head.Form == form
+}
+
 func (h *Shard) adopt(next head, revision jaywind.Revision) {
 	h.head = next
 	h.revision = revision
-	h.recent = index(next.Rows)
 	h.loaded = true
+	h.segments = h.named(next)
+	h.noteDropped()
 }
 
 func index(rows []row) map[jaywind.ClaimKey]jaywind.Claim {
