generate: a silence between tokens is probed from 150 ms on

Cause: of the 620 ms until an answer goes on after its engine has stopped, 300 are the shortest silence that is suspected; engines with gaps of 34 ms are past it at four times their 0.99 gap. A suspicion costs a probe only.

Ruled out: 100 ms, which at 34 ms between tokens is no earlier (four times the gap is above it); the same floor before a first token, where each answer with a prefill of 200 ms cost one probe (10 a second for a router at the target's size); a shorter time for the probe's answer, since leaving costs a prefill, and an engine may answer late under load.

What it costs: an engine that stops as a whole for 0.45 to 0.6 s and comes back now loses its streams to others.

--- a/internal/core/generate/limits.go
+++ b/internal/core/generate/limits.go
@@ -8,7 +8,8 @@
 
 // The parts of the time from the last token of a lost engine to the next token.
 const (
-	SilenceFloor = 300 * time.Millisecond  // shortest silence that is suspected
+	SilenceFloor = 150 * time.Millisecond  // shortest silence between tokens that is suspected
+	FirstFloor   = 300 * time.Millisecond  // the same before the first token of an attempt
 	SilenceCap   = 1200 * time.Millisecond // longest silence that is not
 	ProbeLimit   = 300 * time.Millisecond  // time for the engine to answer a probe
 	ProbeWait    = 200 * time.Millisecond  // between probes of an engine that answers but makes nothing
@@ -37,6 +38,15 @@
 	attemptBlock = 1 << 16 // attempts of one router; the next router's begin above
 )
 
+// quietLimit returns how long the current attempt may be silent before it is probed.
+func quietLimit(s *table.State, r *table.Request) time.Duration {
+	limit := silenceLimit(s.Endpoints[r.Endpoint])
+	if r.Opened.After(r.LastFrame) {
+		return max(limit, FirstFloor)
+	}
+	return limit
+}
+
 // silenceLimit returns how long a stream of the endpoint may be silent before it is probed.
 func silenceLimit(e *table.Endpoint) time.Duration {
 	if e == nil {
--- a/internal/core/generate/silence.go
+++ b/internal/core/generate/silence.go
@@ -36,7 +36,7 @@
 }
 
 func watchStream(s *table.State, r *table.Request) {
-	limit := silenceLimit(s.Endpoints[r.Endpoint])
+	limit := quietLimit(s, r)
 	if withheld(r) {
 		limit = min(limit, ReopenLimit)
 	}
--- a/internal/core/generate/waits_test.go
+++ b/internal/core/generate/waits_test.go
@@ -39,6 +39,8 @@
 				n := w.routers[0].core.State.Counts
 				b.ReportMetric(float64(movesOf(w))/float64(ended)*1000, "moves/1000answers")
 				b.ReportMetric(float64(n.Recounted)/float64(n.Taken)*100, "%extra")
+				b.ReportMetric(float64(w.probes)/float64(ended), "probes/answer")
+				b.ReportMetric(float64(n.Reused)/float64(ended)*1000, "reopens/1000answers")
 				b.ReportMetric(longest.Seconds(), "s-longest")
 			}
 		})
--- a/internal/core/generate/world_test.go
+++ b/internal/core/generate/world_test.go
@@ -36,6 +36,7 @@
 type world struct {
 	t       testing.TB
 	now     time.Time
+	probes  int // sent by all routers
 	beats   int
 	routers []*router
 	engines map[jaywind.EndpointID]*engine
@@ -373,6 +374,7 @@
 }
 
 func (w *world) probe(router int, c table.Probe) {
+	w.probes++
 	e := w.engines[jaywind.EndpointID(c.At)]
 	answer := table.Probed{Request: c.Request, Attempt: c.Attempt}
 	u := e.runs[work(c.Request, c.Run)]
