admit: a rounding error no longer lets requests over the rate

A token bucket that lacked less than a billionth of a token's time worked out a wait of 0 ns, which stood for 'may pass', and took no token. Callers whose spacing divides the refill could pass so again and again.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -246,3 +246,23 @@
 	started, _ := step(s, began, true)
 	is.Equal(started["light"], 20)
 }
+
+func TestRateHoldsWhateverTheSpacing(t *testing.T) {
+	for _, apart := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 70 * time.Millisecond, 249 * time.Millisecond} {
+		t.Run(apart.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := newState()
+			total := 0
+			const span = 100 * time.Second
+			for at := time.Duration(0); at < span; at += apart {
+				poolOf(s, "heat").Limit = 1e6
+				clear(s.Requests)
+				ask(s, "paced", 1)
+				started, _ := step(s, began.Add(at), false)
+				total += started["paced"]
+			}
+			t.Logf("%d started", total)
+			is.True(total <= 8+4*100) // the burst and the rate
+		})
+	}
+}
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -90,7 +90,8 @@
 	}
 	o.Filled = s.Now
 	if o.Tokens < 1 {
-		return time.Duration(min((1-o.Tokens)/rate, returnCap.Seconds()) * float64(time.Second))
+		wait := time.Duration(min((1-o.Tokens)/rate, returnCap.Seconds()) * float64(time.Second))
+		return max(wait, 1) // rounding to no wait would let the request pass
 	}
 	o.Tokens--
 	return 0
