admit: an organisation's home routers share its limit by demand

Cause: Membership.Homes was set by nobody, so each of the three homes gave an organisation's whole rate, and callers that spread over them got three times it.

A home that is asked for more than an even part tells the other homes its demand each second, over connect with CBOR, hears theirs in the reply, and takes its max-min part. No store call, no agreement. At most five calls a second with eight organisations each; what could not be told in time goes back to an even part. A router that is no home gives the rate over the number of routers. Homes that don't hear each other give a whole rate each, so the overshoot of a cut is the number of sides while it lasts.

The wait of a router's call for the core's reply was written for gossip only; it is now one generic type for both. The choice of an organisation's homes moved from embed to place, unchanged.

--- a/embed/fleet_test.go
+++ b/embed/fleet_test.go
@@ -200,6 +200,7 @@
 		Seeds:    []jaywind.Address{fleetAddress(0), fleetAddress(1), fleetAddress(2)},
 		Gossiper: line{p.fabric, at},
 		Copier:   line{p.fabric, at},
+		Quota:    line{p.fabric, at},
 		Store:    own,
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/embed/members.go
+++ b/embed/members.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/core/place"
 	"jaywind/internal/core/table"
-	"jaywind/internal/fleet/rendezvous"
 )
 
 // memberView holds the last published list of live members.
@@ -32,25 +32,10 @@
 	return *r.members.list.Load()
 }
 
-const homeEntries = 3 // entries that an organisation is sent to
-
 // Entries returns the home routers of an organisation, spread over failure domains; those in doubt only if there are no others.
 func (r *Router) Entries(o jaywind.Organisation) []jaywind.Address {
-	var sure, doubtful []jaywind.Member
-	for _, m := range r.Members() {
-		switch {
-		case m.Entry == "" || m.Leaving:
-		case m.Liveness == jaywind.LivenessAlive:
-			sure = append(sure, m)
-		default:
-			doubtful = append(doubtful, m)
-		}
-	}
-	if len(sure) == 0 {
-		sure = doubtful
-	}
 	var out []jaywind.Address
-	for _, m := range rendezvous.Pick("organisation/"+string(o), sure, homeEntries, "") {
+	for _, m := range place.Homes(r.Members(), o) {
 		out = append(out, m.Entry)
 	}
 	return out
--- a/embed/router.go
+++ b/embed/router.go
@@ -41,6 +41,7 @@
 
 	Gossiper  jaywind.Gossiper  // the router stays alone when nil
 	Copier    jaywind.Copier    // rules are read from the store only when nil
+	Quota     jaywind.Quota     // each home gives an organisation's whole rate when nil
 	Service   jaywind.Service   // no calls to plain services when nil
 	Claims    Committer         // no once-only calls when nil
 	Reporter  jaywind.Reporter  // reports of moves go by gossip when nil
@@ -65,6 +66,7 @@
 	storeAt  atomic.Int64 // when a known member last reached the store, in Unix nanoseconds
 	members  memberView
 	gossip   gossip
+	quota    quota
 	rulebook rulebook
 }
 
@@ -108,6 +110,8 @@
 		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
 		&claimant{router: r},
 	}
+	r.quota.router = r
+	parts = append(parts, &r.quota)
 	r.gossip.router = r
 	if r.Gossiper != nil {
 		parts = append(parts, &r.gossip)
--- a/internal/core/admit/doc.go
+++ b/internal/core/admit/doc.go
@@ -1,7 +1,8 @@
 // Package admit decides which queued requests may start and refuses the rest.
 //
-// Each organisation has a rate and a burst, which its home routers share. What
-// passes waits in the pool of its model, in the lane of its organisation, and
+// Each organisation has a rate and a burst, which its home routers share: those
+// that need more than an even part tell the others their demand, and each takes
+// its max-min part. What passes waits in the pool of its model, in the lane of its organisation, and
 // the lanes take turns by weighted virtual time. A pool starts requests up to a
 // limit that it learns from the delays of its engines: it grows while requests
 // wait for it and answers are in time, and falls when too many are late.
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -81,8 +81,10 @@
 	if u.Rate <= 0 {
 		return 0
 	}
-	rate := u.Rate * s.Membership.Part()
-	burst := max(1, float64(u.Burst)*s.Membership.Part())
+	noteDemand(s, o, u)
+	part := share(s, o, u)
+	rate := u.Rate * part
+	burst := max(1, float64(u.Burst)*part)
 	if o.Filled.IsZero() {
 		o.Tokens = burst
 	} else {
--- a/internal/core/place/poll.go
+++ b/internal/core/place/poll.go
@@ -106,6 +106,7 @@
 	live := s.Fleet.Live()
 	s.Membership.Epoch = s.Fleet.Epoch
 	s.Membership.Members = len(live)
+	s.Membership.Homes = len(Homes(live, ""))
 	for i, m := range live {
 		if m.VM == s.Self {
 			s.Membership.Rank = i
--- a/internal/core/step/core.go
+++ b/internal/core/step/core.go
@@ -44,6 +44,7 @@
 		generate.Intake{},
 		generate.Silence{},
 		move.Decide{},
+		admit.Quota{},
 		admit.Admit{},
 		generate.Pinned{},
 		place.Place{},
--- a/internal/core/table/organisation.go
+++ b/internal/core/table/organisation.go
@@ -12,6 +12,12 @@
 	Name   jaywind.Organisation
 	Tokens float64   // requests that may start now
 	Filled time.Time // when Tokens was last brought up to date
+
+	Demand  Demand                     // of the callers at this router
+	Pressed time.Time                  // since when the demand is over an even share; zero when it isn't
+	Peers   map[jaywind.VM]*PeerDemand // other routers that have said anything
+	Homes   []jaywind.Member           // the routers that share the limit
+	Epoch   uint64                     // of the list of members that Homes was chosen from
 }
 
 // Unlisted stands for all organisations without a rule of their own; a rule of this name limits them together.
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -30,6 +30,7 @@
 	Steered       time.Time // when the wanted states of endpoints were last emitted
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
+	Quotas        Quotas
 
 	Queued  []jaywind.RequestID // wait for admission, oldest first
 	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -67,6 +68,7 @@
 		Moves:         map[jaywind.Model]*Move{},
 		Calls:         map[jaywind.RequestID]*ServiceCall{},
 		Retries:       map[RetryKey]*RetryBudget{},
+		Quotas:        Quotas{Pressing: map[jaywind.Organisation]*Organisation{}},
 	}
 }
 
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -19,6 +19,7 @@
 	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/fleet/quota"
 	"jaywind/internal/operator/burn"
 	"jaywind/internal/operator/scrape"
 	"jaywind/internal/operator/settings"
@@ -103,6 +104,7 @@
 	journal.Register(m, d.router.Records())
 	m.Handle("/fleet/", gossip.NewHandler(d.router))
 	m.Handle(evidence.Path, evidence.NewHandler(d.router))
+	m.Handle(quota.Path, quota.NewHandler(d.router))
 	m.Handle(ledger.Path, ledger.NewHandler(d.committer))
 	return m
 }
--- a/internal/edge/ports/router.go
+++ b/internal/edge/ports/router.go
@@ -13,6 +13,7 @@
 	"jaywind/internal/fleet/gossip"
 	"jaywind/internal/fleet/journal"
 	"jaywind/internal/fleet/ledger"
+	"jaywind/internal/fleet/quota"
 	"jaywind/internal/operator/settings"
 	"jaywind/internal/platform/vms"
 	"jaywind/internal/platform/weights"
@@ -34,6 +35,7 @@
 		Gossiper: peers,
 		Copier:   peers,
 		Reporter: &evidence.Client{HTTP: client},
+		Quota:    &quota.Client{HTTP: client},
 		Claims:   claims,
 		Journal:  &journal.Client{HTTP: client},
 		Store:    committer.Store,
