admit: a new router's limit grows with each first token in time

Cause of the 1.7 s that 50 callers at once waited at a new router: our own queue, not the engines, whose first tokens came after 42 to 190 ms. The limit began at 16 and grew once in 250 ms, while the queue lives 300 ms; then gaps that the burst's prefills had stretched counted as a limit too high.

A limit that was never too high now grows by one with each first token in time, and gaps say nothing of it while a tenth of its requests wait for their first token.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -87,6 +87,7 @@
 	for m := range s.Rules.Models {
 		p := poolOf(s, m)
 		p.Running = 0
+		p.Opening = 0
 		p.Window.Overdue = 0
 	}
 	for _, r := range s.Requests {
@@ -97,6 +98,7 @@
 	for _, m := range slices.Sorted(maps.Keys(s.Pools)) {
 		p := s.Pools[m]
 		p.Usable = place.Usable(s, m)
+		ramp(p)
 		adjust(s, p)
 		expire(s, p)
 		sweep(p)
@@ -106,7 +108,11 @@
 // count adds a started request to its pool.
 func count(s *table.State, p *table.Pool, r *table.Request) {
 	p.Running++
-	if r.Phase != table.PhaseReady && r.LastFrame.Before(r.Opened) && s.Now.Sub(r.Opened) > table.FirstTarget {
+	if r.Phase == table.PhaseReady || !r.LastFrame.Before(r.Opened) {
+		return
+	}
+	p.Opening++
+	if s.Now.Sub(r.Opened) > table.FirstTarget {
 		p.Window.Overdue++
 	}
 }
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -21,6 +21,7 @@
 	growFactor    = 1.03
 	probeFactor   = 1.5   // growth until the limit was once too high
 	paceHolds     = 0.75  // share of the late pace of tokens from which the limit does not grow
+	openingMost   = 0.1   // share of the running requests without a first token, above which gaps say nothing of a limit that was never too high
 	rateStep      = 0.3   // weight of one period in the drain rate
 	baseCreep     = 1.005 // growth of the best pace a period, so that it is forgotten
 	excessFactor  = 1.1
@@ -71,6 +72,25 @@
 	p.Window = table.Window{Since: s.Now}
 }
 
+// ramp raises a limit that was never too high by one for each first token in time.
+//
+// A period is too long for a burst at a new router, which may wait in the queue
+// for little more than one.
+func ramp(p *table.Pool) {
+	w := &p.Window
+	if p.Proved {
+		return
+	}
+	if float64(p.Opening) > openingMost*float64(p.Running) {
+		w.Mixed = true
+	}
+	answered := w.Firsts - w.LateFirsts
+	if w.Full && p.Backlog == 0 && inTime(p) {
+		p.Limit += float64(answered - w.Ramped)
+	}
+	w.Ramped = answered
+}
+
 // excess tells whether resumes have taken the pool so far over its limit that the limit has no part in it.
 func excess(p *table.Pool) bool {
 	return float64(p.Running) > excessFactor*p.Limit*p.Usable
@@ -101,9 +121,9 @@
 	return !late(p.Window) && queueing(p) < queueHolds && slowness(p) < paceHolds
 }
 
-// slowness returns the average gap between tokens as a multiple of the gap that is late.
+// slowness returns the average gap between tokens as a multiple of the gap that is late; 0 when gaps say nothing.
 func slowness(p *table.Pool) float64 {
-	if p.Window.Gaps < fewestSamples {
+	if p.Window.Gaps < fewestSamples || p.Window.Mixed {
 		return 0
 	}
 	gap := p.Window.GapTime / time.Duration(p.Window.Gaps)
@@ -135,12 +155,19 @@
 
 // late tells whether more answers or gaps in the window were too late than the targets allow.
 func late(w table.Window) bool {
-	return firstShareLate(w) > lateFirsts || shareOf(w.LateGaps, w.Gaps) > lateGaps
+	return firstShareLate(w) > lateFirsts || gapShareLate(w) > lateGaps
 }
 
 // lateShare returns the share of answers or gaps in the window that were too late, whichever is larger.
 func lateShare(w table.Window) float64 {
-	return max(firstShareLate(w), shareOf(w.LateGaps, w.Gaps))
+	return max(firstShareLate(w), gapShareLate(w))
+}
+
+func gapShareLate(w table.Window) float64 {
+	if w.Mixed {
+		return 0
+	}
+	return shareOf(w.LateGaps, w.Gaps)
 }
 
 func firstShareLate(w table.Window) float64 {
--- a/internal/core/step/world_test.go
+++ b/internal/core/step/world_test.go
@@ -52,17 +52,23 @@
 	back    []comeback
 }
 
-// newWorld has engines spread over four failure domains.
+// newWorld has fleetSize engines; the baseline places at random and admits everything.
 func newWorld(naive bool) *world {
+	w := newWorldOf(fleetSize)
+	if naive {
+		w.core.systems = []table.System{Rules{}, generate.Intake{}, generate.Silence{}, random{}}
+	}
+	return w
+}
+
+// newWorldOf has engines spread over four failure domains.
+func newWorldOf(engines int) *world {
 	w := &world{answers: map[jaywind.RequestID]*answer{}, random: rand.New(rand.NewPCG(7, 7)), reports: true}
 	w.now = time.Unix(1e9, 0)
 	w.start = w.now
 	w.core.State = table.New(1)
-	if naive {
-		w.core.systems = []table.System{Rules{}, generate.Intake{}, generate.Silence{}, random{}}
-	}
 	text := "model heat version=v1 # test\n" + noLimits
-	for i := range fleetSize {
+	for i := range engines {
 		e := &engine{id: jaywind.EndpointID(fmt.Sprint("e", i))}
 		w.engines = append(w.engines, e)
 		text += fmt.Sprintf("endpoint %s model=heat version=v1 url=http://%s domain=d%d # test\n", e.id, e.id, i%4)
--- a/internal/core/table/pool.go
+++ b/internal/core/table/pool.go
@@ -12,6 +12,7 @@
 	Lanes   map[jaywind.Organisation]*Lane
 	Queued  int     // requests in all lanes
 	Running int     // requests that were started and have not ended
+	Opening int     // of Running, those without a first token
 	Backlog int     // resumes that wait for an endpoint
 	Virtual float64 // virtual time of the fair queue
 
@@ -43,6 +44,8 @@
 	Started int
 	Full    bool // whether the limit has held a request back
 	Refused int  // calls that endpoints refused
+	Ramped  int  // first tokens that the limit has grown for
+	Mixed   bool // whether prefills slowed the tokens down, so that gaps say nothing of the limit
 	Overdue int  // attempts whose first token is late by now
 
 	Firsts     int
