admit: a router whose endpoints have all failed tries them again

Cause: the limit is scaled by the share of sound endpoints, and one whose breaker is half-open is not sound. Once all breakers had opened and the last resume was given up, the share was 0, so no request ever became the trial that closes a breaker, and the router refused everything for ever.

One request may now always run.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -67,7 +67,7 @@
 // start passes requests on while the pool's limit allows.
 func start(s *table.State, p *table.Pool) {
 	for p.Queued > 0 {
-		if float64(p.Running) >= p.Limit*p.Usable || p.Backlog > 0 {
+		if !hasRoom(p) || p.Backlog > 0 {
 			p.Window.Full = true
 			return
 		}
@@ -82,6 +82,11 @@
 	}
 }
 
+// hasRoom tells whether one more request may run; without a usable endpoint one may, as the trial that closes a breaker.
+func hasRoom(p *table.Pool) bool {
+	return float64(p.Running) < max(1, p.Limit*p.Usable)
+}
+
 // refresh brings the pools up to date with the requests and the clock.
 func refresh(s *table.State) {
 	for m := range s.Rules.Models {
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -51,7 +51,7 @@
 
 // waitOf estimates how long a new request of an organisation would wait.
 func waitOf(p *table.Pool, o *table.Organisation, u rule.Organisation) time.Duration {
-	if p.Queued == 0 && float64(p.Running) < p.Limit*p.Usable {
+	if p.Queued == 0 && hasRoom(p) {
 		return 0
 	}
 	l := p.Lanes[o.Name]
--- a/internal/core/step/faults_test.go
+++ b/internal/core/step/faults_test.go
@@ -36,27 +36,35 @@
 
 // TestReturnAfterAnOutage lets all engines fall silent for a while, and refused callers come back when told to.
 func TestReturnAfterAnOutage(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(false)
-	w.returns = true
-	load := rates{"large": 0.8 * capacity}
-	w.run(warmUp, load)
-	for i := range 4 {
-		w.lose(i)
+	tests := map[string]time.Duration{
+		"shorter than resumes wait": 5 * time.Second,
+		"longer than resumes wait":  15 * time.Second,
 	}
-	w.run(5*time.Second, load)
-	for _, e := range w.engines {
-		e.dead = false
-	}
-	w.run(warmUp, load)
-	from := w.now
-	good := w.goodput(load)
-	asked := w.count(from, func(a *answer) bool { return !a.again })
-	t.Logf("from 8 s after the outage, %d callers asked, %d answers in time in the later 10 s; %+v", asked, good, w.core.State.Counts)
-	is.True(float64(good) >= shareAtTwice*0.8*capacity*measured.Seconds())
-	for _, a := range w.answers {
-		if a.final != nil && a.final.Outcome == table.OutcomeRefused {
-			is.True(a.ended.Sub(a.arrived) <= 2*time.Second)
-		}
+	for name, outage := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(false)
+			w.returns = true
+			load := rates{"large": 0.8 * capacity}
+			w.run(warmUp, load)
+			for i := range 4 {
+				w.lose(i)
+			}
+			w.run(outage, load)
+			for _, e := range w.engines {
+				e.dead = false
+			}
+			w.run(warmUp, load)
+			from := w.now
+			good := w.goodput(load)
+			asked := w.count(from, func(a *answer) bool { return !a.again })
+			t.Logf("from 8 s after the outage, %d callers asked, %d answers in time in the later 10 s; %+v", asked, good, w.core.State.Counts)
+			is.True(float64(good) >= shareAtTwice*0.8*capacity*measured.Seconds())
+			for _, a := range w.answers {
+				if a.final != nil && a.final.Outcome == table.OutcomeRefused {
+					is.True(a.ended.Sub(a.arrived) <= 2*time.Second)
+				}
+			}
+		})
 	}
 }
