admit: a limit does not grow while no answer is seen

Cause: a window without first tokens or gaps counted as in time, so a limit with requests waiting grew by half each 250 ms while all engines were silent: in a trial of an outage of 5 s it rose from 172 to 4457, and fell again only after the callers that came back had filled the engines.

TestLimit has a row "no answers prove nothing", which failed first.

--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -211,6 +211,7 @@
 		"queues at the engines":       {window: with(func(w *table.Window) { w.Full, w.FirstTime = true, 20*time.Second }), running: 100, want: func(l float64) bool { return l < 100 }},
 		"late, but through resumes":   {window: with(func(w *table.Window) { w.LateFirsts = 40 }), running: 150, want: func(l float64) bool { return l == 100 }},
 		"few answers prove nothing":   {window: table.Window{Firsts: 2, LateFirsts: 2}, running: 100, want: func(l float64) bool { return l == 100 }},
+		"no answers prove nothing":    {window: table.Window{Full: true}, running: 100, want: func(l float64) bool { return l == 100 }},
 		"in time, resumes over limit": {window: with(func(w *table.Window) { w.Full = true }), running: 150, want: func(l float64) bool { return l >= 150 }},
 	}
 	for name, c := range tests {
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -65,7 +65,7 @@
 		p.Proved = true
 		p.Limit = max(leastLimit, leastShare*partOf(s, p.Model), used(p)*factor)
 	}
-	if w.Full && p.Backlog == 0 && inTime(p) {
+	if w.Full && p.Backlog == 0 && answered(p) && inTime(p) {
 		p.Limit = max(p.Limit+1, p.Limit*growth(p), float64(p.Running)/max(p.Usable, leastUsable))
 	}
 	noteBase(p)
@@ -84,11 +84,11 @@
 	if float64(p.Opening) > openingMost*float64(p.Running) {
 		w.Mixed = true
 	}
-	answered := w.Firsts - w.LateFirsts
+	good := w.Firsts - w.LateFirsts
 	if w.Full && p.Backlog == 0 && inTime(p) {
-		p.Limit += float64(answered - w.Ramped)
+		p.Limit += float64(good - w.Ramped)
 	}
-	w.Ramped = answered
+	w.Ramped = good
 }
 
 // excess tells whether resumes have taken the pool so far over its limit that the limit has no part in it.
@@ -116,6 +116,11 @@
 	return factor
 }
 
+// answered tells whether the window has any evidence; silent engines could do with less work, not more.
+func answered(p *table.Pool) bool {
+	return p.Window.Firsts > 0 || p.Window.Gaps > 0
+}
+
 // inTime tells whether the engines could do with more work.
 func inTime(p *table.Pool) bool {
 	return !late(p.Window) && queueing(p) < queueHolds && slowness(p) < paceHolds
