place: a resume waits for an endpoint only while it can go on in time

Cause: a generation whose endpoints were all gone waited 10 s, with up to a second between two looks, so that its caller heard nothing for 10.56 s although output has to go on within 4 s.

It now looks each 200 ms and ends with its bookmark 3.8 s after the last token, less the time of its prefill, from which the caller may go on when it comes back. Attempts that fail are still tried for 10 s, as an endpoint is there then. TestResumeWithoutAnEndpoint failed first in three of four rows.

--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -306,3 +306,42 @@
 	step(s, began.Add(20*tick))
 	is.Equal(len(s.Waiting), 1)
 }
+
+// TestResumeWithoutAnEndpoint has the only endpoint leave when it is lost, and perhaps come back.
+func TestResumeWithoutAnEndpoint(t *testing.T) {
+	const goesOnWithin = 4 * time.Second // the stated target, after a loss
+	tests := map[string]struct {
+		tokens int
+		back   time.Duration // when the endpoint accepts work again; never when 0
+		opens  int
+		ends   int
+	}{
+		"never back":                      {tokens: 100, ends: 1},
+		"back in time":                    {tokens: 100, back: 3 * time.Second, opens: 1},
+		"back too late":                   {tokens: 100, back: 5 * time.Second, ends: 1},
+		"back too late for a long prefix": {tokens: table.PrefillRate * 3 / 2, back: 3 * time.Second, ends: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newState(1, 1)
+			resume(s, "r", c.tokens)
+			s.Ready = []jaywind.RequestID{"r"}
+			opened, ended := 0, 0
+			var last time.Duration
+			for after := time.Duration(0); after <= 12*time.Second; after += tick {
+				s.Endpoints["e0"].Leaving = c.back == 0 || after < c.back
+				opens, ends := step(s, began.Add(after))
+				opened += len(opens)
+				ended += len(ends)
+				if len(opens)+len(ends) > 0 {
+					last = after
+				}
+			}
+			t.Logf("%d opened, %d ended, after %v", opened, ended, last)
+			is.Equal(opened, c.opens)
+			is.Equal(ended, c.ends)
+			is.True(last <= goesOnWithin) // the caller hears tokens or the final word
+		})
+	}
+}
--- a/internal/core/place/wait.go
+++ b/internal/core/place/wait.go
@@ -7,14 +7,16 @@
 )
 
 const (
-	freshWait   = time.Second      // for an endpoint, before any token
-	resumeWait  = 10 * time.Second // for an endpoint, after the last token
-	resumeStart = 2 * time.Second  // for a paced resume to start, so that output goes on in time
-	quickTries  = 3                // attempts in a row without a wait
-	triesLimit  = 6                // attempts without any token
+	freshWait   = time.Second             // for an endpoint, before any token
+	resumeWait  = 3800 * time.Millisecond // for an endpoint and the prefill there, after the last token; output has to go on within 4 s
+	resumeEnd   = 10 * time.Second        // for attempts that fail, after the last token
+	resumeStart = 2 * time.Second         // for a paced resume to start, so that output goes on in time
+	quickTries  = 3                       // attempts in a row without a wait
+	triesLimit  = 6                       // attempts without any token
 	tryPause    = 50 * time.Millisecond
 	tryCap      = time.Second
-	returnAfter = 2 * time.Second // what a caller is told when nothing better is known
+	resumeCap   = 200 * time.Millisecond // the same for a resume, whose caller waits
+	returnAfter = 2 * time.Second        // what a caller is told when nothing better is known
 	maxShift    = 8
 )
 
@@ -51,7 +53,7 @@
 	case q.state.Rules == nil || r.Tries == 0:
 		return ""
 	case r.Pinned():
-		if q.state.Now.Sub(r.BrokenAt) >= resumeWait {
+		if q.state.Now.Sub(r.BrokenAt) >= resumeEnd {
 			return "no endpoint could go on with the generation"
 		}
 		return ""
@@ -109,23 +111,31 @@
 	return max(1, g.Size)
 }
 
-// wait keeps a request without an endpoint for a bounded time.
+// wait keeps a request without an endpoint while one could still come in time.
 func (q *queue) wait(r *table.Request) {
 	s := q.state
-	since, limit := r.Arrived, freshWait
+	last := r.Arrived.Add(freshWait)
+	pause := pauseAfter(r.Waits)
 	if r.Pinned() {
-		since, limit = r.BrokenAt, resumeWait
+		last = r.BrokenAt.Add(latestStart(r))
+		pause = min(pause, resumeCap)
 	}
-	if s.Now.Sub(since) >= limit {
+	if !s.Now.Before(last) {
 		q.giveUp(r, "no endpoint can serve the request")
 		return
 	}
 	r.Avoid = nil
-	r.NextTry = s.Now.Add(pauseAfter(r.Waits))
+	r.NextTry = s.Now.Add(min(pause, last.Sub(s.Now)))
 	r.Waits++
 	q.keep(r)
 }
 
+// latestStart returns when a resume has to start after the last token, so that output goes on in time.
+func latestStart(r *table.Request) time.Duration {
+	prefill := time.Duration(r.Prefill()) * time.Second / table.PrefillRate
+	return max(resumeStart, resumeWait-prefill)
+}
+
 func (q *queue) keep(r *table.Request) {
 	q.state.Waiting = append(q.state.Waiting, r.ID)
 }
