--- a/embed/fleet_test.go
+++ b/embed/fleet_test.go
@@ -200,6 +200,8 @@
 		Seeds:    []jaywind.Address{fleetAddress(0), fleetAddress(1), fleetAddress(2)},
 		Gossiper: line{p.fabric, at},
 		Copier:   line{p.fabric, at},
+		Quota:    line{p.fabric, at},
+		Engine:   &prompt{},
 		Store:    own,
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -67,7 +67,7 @@
 // start passes requests on while the pool's limit allows.
 func start(s *table.State, p *table.Pool) {
 	for p.Queued > 0 {
-		if float64(p.Running) >= p.Limit*p.Usable || p.Backlog > 0 {
+		if !hasRoom(p) || p.Backlog > 0 {
 			p.Window.Full = true
 			return
 		}
@@ -82,11 +82,17 @@
 	}
 }
 
+// hasRoom tells whether one more request may run; without a usable endpoint one may, as the trial that closes a breaker.
+func hasRoom(p *table.Pool) bool {
+	return float64(p.Running) < max(1, p.Limit*p.Usable)
+}
+
 // refresh brings the pools up to date with the requests and the clock.
 func refresh(s *table.State) {
 	for m := range s.Rules.Models {
 		p := poolOf(s, m)
 		p.Running = 0
+		p.Opening = 0
 		p.Window.Overdue = 0
 	}
 	for _, r := range s.Requests {
@@ -97,6 +103,7 @@
 	for _, m := range slices.Sorted(maps.Keys(s.Pools)) {
 		p := s.Pools[m]
 		p.Usable = place.Usable(s, m)
+		ramp(p)
 		adjust(s, p)
 		expire(s, p)
 		sweep(p)
@@ -106,7 +113,11 @@
 // count adds a started request to its pool.
 func count(s *table.State, p *table.Pool, r *table.Request) {
 	p.Running++
-	if r.Phase != table.PhaseReady && r.LastFrame.Before(r.Opened) && s.Now.Sub(r.Opened) > table.FirstTarget {
+	if r.Phase == table.PhaseReady || !r.LastFrame.Before(r.Opened) {
+		return
+	}
+	p.Opening++
+	if s.Now.Sub(r.Opened) > table.FirstTarget {
 		p.Window.Overdue++
 	}
 }
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -211,6 +211,7 @@
 		"queues at the engines":       {window: with(func(w *table.Window) { w.Full, w.FirstTime = true, 20*time.Second }), running: 100, want: func(l float64) bool { return l < 100 }},
 		"late, but through resumes":   {window: with(func(w *table.Window) { w.LateFirsts = 40 }), running: 150, want: func(l float64) bool { return l == 100 }},
 		"few answers prove nothing":   {window: table.Window{Firsts: 2, LateFirsts: 2}, running: 100, want: func(l float64) bool { return l == 100 }},
+		"no answers prove nothing":    {window: table.Window{Full: true}, running: 100, want: func(l float64) bool { return l == 100 }},
 		"in time, resumes over limit": {window: with(func(w *table.Window) { w.Full = true }), running: 150, want: func(l float64) bool { return l >= 150 }},
 	}
 	for name, c := range tests {
@@ -246,3 +247,23 @@
 	started, _ := step(s, began, true)
 	is.Equal(started["light"], 20)
 }
+
+func TestRateHoldsWhateverTheSpacing(t *testing.T) {
+	for _, apart := range []time.Duration{time.Millisecond, 20 * time.Millisecond, 70 * time.Millisecond, 249 * time.Millisecond} {
+		t.Run(apart.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := newState()
+			total := 0
+			const span = 100 * time.Second
+			for at := time.Duration(0); at < span; at += apart {
+				poolOf(s, "heat").Limit = 1e6
+				clear(s.Requests)
+				ask(s, "paced", 1)
+				started, _ := step(s, began.Add(at), false)
+				total += started["paced"]
+			}
+			t.Logf("%d started", total)
+			is.True(total <= 8+4*100) // the burst and the rate
+		})
+	}
+}
--- a/internal/core/admit/refuse.go
+++ b/internal/core/admit/refuse.go
@@ -51,7 +51,7 @@
 
 // waitOf estimates how long a new request of an organisation would wait.
 func waitOf(p *table.Pool, o *table.Organisation, u rule.Organisation) time.Duration {
-	if p.Queued == 0 && float64(p.Running) < p.Limit*p.Usable {
+	if p.Queued == 0 && hasRoom(p) {
 		return 0
 	}
 	l := p.Lanes[o.Name]
@@ -81,8 +81,10 @@
 	if u.Rate <= 0 {
 		return 0
 	}
-	rate := u.Rate * s.Membership.Part()
-	burst := max(1, float64(u.Burst)*s.Membership.Part())
+	noteDemand(s, o, u)
+	part := share(s, o, u)
+	rate := u.Rate * part
+	burst := max(1, float64(u.Burst)*part)
 	if o.Filled.IsZero() {
 		o.Tokens = burst
 	} else {
@@ -90,7 +92,8 @@
 	}
 	o.Filled = s.Now
 	if o.Tokens < 1 {
-		return time.Duration(min((1-o.Tokens)/rate, returnCap.Seconds()) * float64(time.Second))
+		wait := time.Duration(min((1-o.Tokens)/rate, returnCap.Seconds()) * float64(time.Second))
+		return max(wait, 1) // rounding to no wait would let the request pass
 	}
 	o.Tokens--
 	return 0
--- a/internal/core/table/state.go
+++ b/internal/core/table/state.go
@@ -31,6 +31,7 @@
 	Calls         map[jaywind.RequestID]*ServiceCall
 	Retries       map[RetryKey]*RetryBudget
 	Ledger        Ledger
+	Quotas        Quotas
 
 	Queued  []jaywind.RequestID // wait for admission, oldest first
 	Ready   []jaywind.RequestID // wait for an endpoint, most urgent first
@@ -68,6 +69,7 @@
 		Moves:         map[jaywind.Model]*Move{},
 		Calls:         map[jaywind.RequestID]*ServiceCall{},
 		Retries:       map[RetryKey]*RetryBudget{},
+		Quotas:        Quotas{Pressing: map[jaywind.Organisation]*Organisation{}},
 	}
 }
 
