--- a/cmd/jaywind/answer_test.go
+++ b/cmd/jaywind/answer_test.go
@@ -32,6 +32,7 @@
 	*processes
 	at      map[string]string // addresses by name
 	running map[string]*exec.Cmd
+	more    string // added to the settings of the routers
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -70,6 +71,7 @@
 	text += fmt.Sprintf("[listen]\ncaller = %q\noperator = %q\nfleet = %q\n", f.address(vm+".caller"), f.address(vm+".operator"), f.address(vm+".fleet"))
 	text += fmt.Sprintf("[store]\nurl = \"http://%s\"\n", f.address("store"))
 	text += fmt.Sprintf("[fleet]\nseeds = [%s]\nentries = [%s]\n", strings.Join(seeds, ","), strings.Join(entries, ","))
+	text += f.more
 	f.running[vm] = f.start("jaywind", "route", "-settings", f.file(vm+".toml", text))
 }
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -79,6 +79,7 @@
 	batch := f.Int("batch", 0, "runs at full speed; more share the speed of these; no limit when 0")
 	fenced := f.Bool("fenced", true, "refuse an order with an old fencing number")
 	load := f.Duration("load", time.Second, "time from an order until the weights are loaded")
+	empty := f.Bool("empty", false, "start with no version loaded")
 	keep := f.Duration("keep", 10*time.Second, "how long a stream without a listener goes on")
 	return func() http.Handler {
 		e := &engine.Engine{
@@ -92,7 +93,11 @@
 			Exit:    func() { os.Exit(1) },
 		}
 		e.SetOrders(engine.Orders{Unfenced: !*fenced, LoadTime: *load})
-		return e.Handler()
+		h := e.Handler()
+		if *empty {
+			e.SetLoaded()
+		}
+		return h
 	}
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,6 +39,7 @@
 	orders Orders
 	loaded map[jaywind.Version]bool
 	made   int // tokens computed in all
+	asked  int // completions asked for, refused ones included
 	group  conc.WaitGroup
 }
 
@@ -56,6 +57,7 @@
 	m.GET("/v1/load", e.load)
 	m.POST("/v1/orders", e.order)
 	m.POST("/faults", e.setFaults)
+	m.GET("/counts", e.counts)
 	return m
 }
 
@@ -66,6 +68,13 @@
 	return e.made
 }
 
+// Asked returns how many completions the engine was asked for, refused ones included.
+func (e *Engine) Asked() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
 // Wait returns when all work of the engine has ended.
 func (e *Engine) Wait() { e.group.Wait() }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -14,6 +14,7 @@
 const bodyLimit = 4 << 20 // bytes of a request
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	e.noteAsked()
 	var ask completion
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit)).Decode(&ask); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -136,6 +137,20 @@
 	}
 }
 
+func (e *Engine) noteAsked() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked++
+}
+
+type counts struct {
+	Asked int `json:"asked"`
+}
+
+func (e *Engine) counts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, counts{Asked: e.Asked()})
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
