member: only a majority forgets the dead, and joins hand on their age

Cause 1: members found dead were forgotten after two hours in any case, so a router cut off for longer counted itself whole: it took new work on rules that may have been replaced, and a smaller side that has the store could have accepted rules alone. Now those who did not leave by the book are forgotten only while a majority of the known members lives; a smaller side and equal halves remember. The price: a fleet that loses more than half of its routers for good accepts nothing until as many have been replaced. Ruled out: stopping every side after two hours, since a store outage together with one dead router would stop the fleet; asking the VM list, which lags and which one router of a domain reads.

Whole tables now tell the ages; the field is left out by older routers and ignored by them.

Cause 3: a death is each router's own conclusion and no row that says dead is taken from another, but deaths were spread as news before suspicions.

Tests: TestLostStore (one router, smaller side for hours; not only in the case of causes), TestForgettingMakesNoMajority and TestDeadAreForgottenInSpiteOfJoins were red before.

--- a/gossip.go
+++ b/gossip.go
@@ -32,11 +32,12 @@
 	From     Member
 	Members  []Member
 	Notes    []Note
-	Relay    Address       // the receiver calls this member and says whether it answered
-	Reached  bool          // in a reply: whether the relayed member answered
-	Join     bool          // the sender wants the whole table in the reply
-	Whole    bool          // Members is the whole table
-	StoreAge time.Duration // since any member known to the sender reached the store; negative when none did
+	Relay    Address         // the receiver calls this member and says whether it answered
+	Reached  bool            // in a reply: whether the relayed member answered
+	Join     bool            // the sender wants the whole table in the reply
+	Whole    bool            // Members is the whole table
+	Ages     []time.Duration // with Whole: how long each of Members has been dead, 0 for the live
+	StoreAge time.Duration   // since any member known to the sender reached the store; negative when none did
 }
 
 // Note is a small fact that is spread to all routers once, such as a verdict on a version.
--- a/internal/core/member/cost_test.go
+++ b/internal/core/member/cost_test.go
@@ -33,6 +33,42 @@
 	}
 }
 
+// BenchmarkRegionsCut measures what a router sends while equal halves are cut and while they find each other again.
+func BenchmarkRegionsCut(b *testing.B) {
+	for _, n := range []int{100, 370} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				f := newRegions(n)
+				b.ReportMetric(f.bytes(10*time.Second), "B/s-quiet")
+				f.cutAt(domains(1, 3), 0)
+				b.ReportMetric(f.bytes(10*time.Second), "B/s-cut")
+				f.cut = nil
+				b.ReportMetric(f.bytes(newsTarget), "B/s-heal")
+				healed := newsTarget + f.until(2*time.Minute, f.joined)
+				if !f.joined() {
+					b.Fatal("the fleet is not whole again")
+				}
+				b.ReportMetric(healed.Seconds(), "s-heal")
+			}
+		})
+	}
+}
+
+// Sizes on the wire, from BenchmarkExchange of package gossip.
+const (
+	messageBytes = 11
+	rowBytes     = 82
+)
+
+// bytes lets time pass and returns the bytes that a router sends in a second, on average.
+func (f *fleet) bytes(d time.Duration) float64 {
+	told, rows := f.totals()
+	f.hold(d, 0)
+	after, rowsAfter := f.totals()
+	sent := messageBytes*(after-told) + rowBytes*(rowsAfter-rows)
+	return float64(sent) / float64(len(f.nodes)) / d.Seconds()
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/internal/core/member/fleet_test.go
+++ b/internal/core/member/fleet_test.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	tick = 20 * time.Millisecond
+	tick      = 20 * time.Millisecond
+	largeTick = 50 * time.Millisecond // of fleets of hundreds
 )
 
 // node is one router of a fake fleet, with its membership only.
@@ -26,6 +27,7 @@
 // fleet carries the messages between nodes in virtual time, a tick for each leg.
 type fleet struct {
 	now   time.Time
+	tick  time.Duration
 	nodes []*node
 	at    map[jaywind.Address]int
 	cut   func(from, to int) bool // whether a call from one to another fails
@@ -50,7 +52,7 @@
 var errCut = errors.New("cut")
 
 func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(1_800_000_000, 0), at: map[jaywind.Address]int{}, reply: map[uint64]exchange{}}
+	f := &fleet{now: time.Unix(1_800_000_000, 0), tick: tick, at: map[jaywind.Address]int{}, reply: map[uint64]exchange{}}
 	for i := range n {
 		s := table.New(uint64(i + 1))
 		s.Fleet.Self = jaywind.Member{
@@ -69,7 +71,7 @@
 // run moves time on in ticks.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); {
-		f.now = f.now.Add(tick)
+		f.now = f.now.Add(f.tick)
 		f.expire()
 		for i, n := range f.nodes {
 			if !n.down {
@@ -153,7 +155,7 @@
 func (f *fleet) until(limit time.Duration, done func() bool) time.Duration {
 	start := f.now
 	for !done() && f.now.Sub(start) < limit {
-		f.run(tick)
+		f.run(f.tick)
 	}
 	return f.now.Sub(start)
 }
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -233,6 +233,7 @@
 		size  int // of the side without the store
 		store int // a node that reaches the store all the time; -1 for none
 		cut   bool
+		aged  bool // the cut lasts for longer than dead members are remembered
 		want  bool // whether the side without the store stops
 	}{
 		"store down, no cut":                   {size: 4, store: -1, want: false},
@@ -241,6 +242,9 @@
 		"equal halves, the other has it":       {size: 6, store: 11, cut: true, want: false},
 		"equal halves, nobody has it":          {size: 6, store: -1, cut: true, want: false},
 		"smaller side in touch with the store": {size: 4, store: 0, cut: true, want: false},
+		"one router, cut off for hours":        {size: 1, store: 11, cut: true, aged: true, want: true},
+		"smaller side, cut off for hours":      {size: 4, store: 11, cut: true, aged: true, want: true},
+		"larger side, cut off for hours":       {size: 8, store: 11, cut: true, aged: true, want: false},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -250,6 +254,10 @@
 			if c.cut {
 				f.cut = func(a, b int) bool { return (a < c.size) != (b < c.size) }
 			}
+			if c.aged {
+				f.run(3 * deathTarget) // one router alone finds the others dead one after the other
+				f.now = f.now.Add(ForgetAfter)
+			}
 			for range 30 {
 				if c.store >= 0 {
 					f.nodes[c.store].inbox = append(f.nodes[c.store].inbox, table.StoreReached{})
@@ -268,3 +276,51 @@
 		})
 	}
 }
+
+func TestForgettingMakesNoMajority(t *testing.T) {
+	tests := map[string]struct {
+		size     int // of the side that is looked at, of 12
+		majority bool
+	}{
+		"smaller side": {size: 4},
+		"equal halves": {size: 6},
+		"larger side":  {size: 8, majority: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(12)
+			f.until(joinTarget, f.joined)
+			f.cut = func(a, b int) bool { return (a < c.size) != (b < c.size) }
+			f.run(deathTarget)
+			f.now = f.now.Add(ForgetAfter)
+			f.run(time.Second)
+			for i := range c.size {
+				live, all := Quorum(&f.nodes[i].state.Fleet)
+				is.Equal(live, c.size)
+				is.Equal(2*live > all, c.majority)
+			}
+			f.cut = nil
+			f.until(deathTarget, f.joined)
+			is.True(f.joined())
+		})
+	}
+}
+
+func TestDeadAreForgottenInSpiteOfJoins(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(12)
+	f.until(joinTarget, f.joined)
+	f.nodes[11].down = true
+	f.run(deathTarget)
+	is.Equal(f.count(jaywind.LivenessDead, only(11)), 11)
+	for _, i := range []int{3, 7} { // each learns of the dead from a whole table
+		f.now = f.now.Add(ForgetAfter * 2 / 5)
+		restart(f, i)
+		f.run(deathTarget)
+		is.Equal(f.count(jaywind.LivenessDead, only(11)), 11)
+	}
+	f.now = f.now.Add(ForgetAfter / 5)
+	f.run(time.Second)
+	is.Equal(f.count(jaywind.LivenessDead, only(11)), 0)
+}
--- a/internal/core/member/merge.go
+++ b/internal/core/member/merge.go
@@ -12,14 +12,14 @@
 	if g.From.VM != "" {
 		from := g.From
 		from.Liveness = jaywind.LivenessAlive
-		takeRow(s, from, g.Whole)
+		takeRow(s, from, g.Whole, 0)
 	}
-	for _, row := range g.Members {
+	for i, row := range g.Members {
 		if row.VM == s.Fleet.Self.VM {
 			takeSelf(s, g.From, row, inbound)
 			continue
 		}
-		takeRow(s, row, g.Whole)
+		takeRow(s, row, g.Whole, ageAt(g, i))
 	}
 	for _, n := range g.Notes {
 		takeNote(s, n)
@@ -30,6 +30,14 @@
 	fetchRules(s, g.From)
 }
 
+// ageAt returns how long a row of a whole table has been dead, 0 where that is not told.
+func ageAt(g jaywind.Gossip, i int) time.Duration {
+	if i >= len(g.Ages) {
+		return 0
+	}
+	return max(g.Ages[i], 0)
+}
+
 func noteStore(s *table.State, age time.Duration) {
 	if at := s.Now.Add(-age); at.After(s.Fleet.StoreAt) {
 		s.Fleet.StoreAt = at
@@ -37,7 +45,7 @@
 }
 
 // takeRow keeps the newer of a row and what is known; a death is decided here only.
-func takeRow(s *table.State, row jaywind.Member, whole bool) {
+func takeRow(s *table.State, row jaywind.Member, whole bool, age time.Duration) {
 	f := &s.Fleet
 	if row.VM == f.Self.VM || row.VM == "" {
 		return
@@ -45,7 +53,7 @@
 	m := f.Members[row.VM]
 	if m == nil {
 		if row.Liveness != jaywind.LivenessDead || whole {
-			addMember(s, row, whole)
+			addMember(s, row, whole, age)
 		}
 		return
 	}
@@ -61,9 +69,11 @@
 }
 
 // addMember adds a row; one out of a whole table is no news to others.
-func addMember(s *table.State, row jaywind.Member, whole bool) {
+//
+// The dead keep their age, or routers that join one after the other would hand them on for good.
+func addMember(s *table.State, row jaywind.Member, whole bool, age time.Duration) {
 	f := &s.Fleet
-	m := &table.Member{Member: row, Since: s.Now}
+	m := &table.Member{Member: row, Since: s.Now.Add(-age)}
 	if !whole {
 		m.Spread = spreadOf(f)
 	}
@@ -99,8 +109,14 @@
 }
 
 // watchMembers turns suspicions into deaths and forgets the long dead.
+//
+// The dead who did not leave by the book may live on the other side of a cut.
+// Only a majority forgets them: otherwise each side of a long cut would come
+// to count itself whole, and rules could be accepted without the other.
 func watchMembers(s *table.State) {
 	f := &s.Fleet
+	live, all := Quorum(f)
+	majority := 2*live > all
 	for id, m := range f.Members {
 		age := s.Now.Sub(m.Since)
 		switch m.Liveness {
@@ -109,7 +125,7 @@
 				setLiveness(s, m, jaywind.LivenessDead)
 			}
 		case jaywind.LivenessDead:
-			if age >= ForgetAfter {
+			if age >= ForgetAfter && (m.Leaving || majority) {
 				f.Drop(id)
 			}
 		}
@@ -119,6 +135,9 @@
 func setLiveness(s *table.State, m *table.Member, l jaywind.Liveness) {
 	m.Liveness = l
 	m.Since = s.Now
-	m.Spread = spreadOf(&s.Fleet)
+	m.Spread = 0
+	if l != jaywind.LivenessDead {
+		m.Spread = spreadOf(&s.Fleet)
+	}
 	s.Fleet.Epoch++
 }
--- a/internal/core/member/message.go
+++ b/internal/core/member/message.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"jaywind"
 	"jaywind/internal/core/table"
@@ -57,14 +58,25 @@
 		f.JoinGate = s.Now.Add(wholeInterval)
 		g.Whole = true
 		g.Notes = keptNotes(f)
-		g.Members = nil
-		for _, id := range f.Order {
-			g.Members = append(g.Members, f.Members[id].Member)
-		}
+		g.Members, g.Ages = wholeTable(s)
 	}
 	s.Emit(table.ReplyGossip{Ask: ask, Gossip: g})
 }
 
+// wholeTable returns all rows, and how long each has been dead.
+func wholeTable(s *table.State) (rows []jaywind.Member, ages []time.Duration) {
+	for _, id := range s.Fleet.Order {
+		m := s.Fleet.Members[id]
+		var age time.Duration
+		if m.Liveness == jaywind.LivenessDead {
+			age = s.Now.Sub(m.Since)
+		}
+		rows = append(rows, m.Member)
+		ages = append(ages, age)
+	}
+	return rows, ages
+}
+
 // tell sends a message and remembers what its answer is for.
 func tell(s *table.State, c table.GossipCall, at jaywind.Address, g jaywind.Gossip) {
 	f := &s.Fleet
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -77,6 +77,7 @@
 	full.Notes = []jaywind.Note{{Kind: "verdict", Key: "heat", Value: []byte{1, 2}}}
 	full.Relay = "http://10.0.0.9:8301"
 	full.Reached, full.Join, full.Whole = true, true, true
+	full.Ages = []time.Duration{0, time.Minute, 0}
 	tests := map[string]struct {
 		message jaywind.Gossip
 		secret  string
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -35,7 +35,8 @@
 	Reached bool     `cbor:"a,omitempty"`
 	Join    bool     `cbor:"j,omitempty"`
 	Whole   bool     `cbor:"w,omitempty"`
-	Age     int64    `cbor:"s"` // milliseconds; negative for never
+	Age     int64    `cbor:"s"`           // milliseconds; negative for never
+	Ages    []int64  `cbor:"g,omitempty"` // seconds
 }
 
 func memberOf(m jaywind.Member) member {
@@ -79,6 +80,9 @@
 	for _, m := range g.Members {
 		w.Members = append(w.Members, memberOf(m))
 	}
+	for _, d := range g.Ages {
+		w.Ages = append(w.Ages, int64(d/time.Second))
+	}
 	for _, n := range g.Notes {
 		w.Notes = append(w.Notes, note{Kind: n.Kind, Key: n.Key, Value: n.Value})
 	}
@@ -97,6 +101,9 @@
 	for _, m := range w.Members {
 		g.Members = append(g.Members, m.member())
 	}
+	for _, n := range w.Ages {
+		g.Ages = append(g.Ages, time.Duration(n)*time.Second)
+	}
 	for _, n := range w.Notes {
 		g.Notes = append(g.Notes, jaywind.Note{Kind: n.Kind, Key: n.Key, Value: n.Value})
 	}
