rules: only the chunks that changed are parsed again

At each change the whole text was parsed, although a router already reads only the chunks that it does not hold. A Parser keeps the parsed chunks of the last text, by their content, and merges them into a new set; the set goes in force whole, as before. A finding anywhere, a name that stands twice or a reference that leads nowhere has the text parsed as a whole, so that findings keep their places. Ruled out: changing the set in place by the differences, since its readers take it as immutable.

The first reading still parses all.

--- a/embed/rules.go
+++ b/embed/rules.go
@@ -41,6 +41,7 @@
 // rulebook follows the accepted rules, in the store or at other routers.
 type rulebook struct {
 	router *Router
+	parser rules.Parser
 
 	mu     sync.Mutex
 	held   jaywind.RulesHead
@@ -91,7 +92,7 @@
 	if !lost || rand.Float64() > share {
 		return
 	}
-	book := rules.Book{Store: r.Store, Cache: p.cached}
+	book := rules.Book{Store: r.Store, Cache: p.cached, Parser: &p.parser}
 	accepted, err := book.Read(ctx)
 	if err == nil {
 		r.post(table.StoreReached{})
@@ -136,7 +137,7 @@
 // watch posts each accepted set of rules.
 func (p *rulebook) watch(ctx context.Context) {
 	r := p.router
-	book := rules.Book{Store: r.Store, Cache: p.cached}
+	book := rules.Book{Store: r.Store, Cache: p.cached, Parser: &p.parser}
 	var last jaywind.Revision
 	retry := firstRetry
 	for ctx.Err() == nil {
@@ -205,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	set, findings := rule.Parse("rules", text)
+	set, findings := p.parser.Parse("rules", text)
 	if len(findings) > 0 {
 		return fmt.Errorf("%w: %s", rules.ErrFindings, findings[0])
 	}
--- a/internal/core/rule/parse.go
+++ b/internal/core/rule/parse.go
@@ -17,10 +17,7 @@
 // Parse reads the rules in text and returns the set with all findings, ordered by place.
 func Parse(file, text string) (*Set, []Finding) {
 	p := &parser{file: file, set: New(), lines: map[string]place{}}
-	for i, t := range strings.Split(text, "\n") {
-		p.number = i + 1
-		p.readRule(t)
-	}
+	p.readLines(text)
 	p.checkReferences()
 	slices.SortStableFunc(p.findings, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
@@ -42,6 +39,13 @@
 	lines    map[string]place // by kind and name
 }
 
+func (p *parser) readLines(text string) {
+	for i, t := range strings.Split(text, "\n") {
+		p.number = i + 1
+		p.readRule(t)
+	}
+}
+
 func (p *parser) report(column int, what string) {
 	p.findings = append(p.findings, Finding{File: p.file, Line: p.number, Column: column, What: what})
 }
--- /dev/null
+++ b/internal/core/rule/part.go
@@ -0,0 +1,71 @@
+package rule
+
+import (
+	"maps"
+	"strings"
+
+	"jaywind"
+)
+
+// Part is the rules on some consecutive lines of a text, read apart from the others.
+type Part struct {
+	set   *Set
+	count int  // rules read
+	sound bool // no findings, and the last line is ended
+}
+
+// ParsePart reads whole lines, without looking at what they refer to.
+func ParsePart(text string) *Part {
+	p := &parser{set: New(), lines: map[string]place{}}
+	p.readLines(text)
+	return &Part{
+		set:   p.set,
+		count: len(p.lines),
+		sound: len(p.findings) == 0 && strings.HasSuffix(text, "\n"),
+	}
+}
+
+// Merge returns the set that parts make up, or false when the text must be read as a whole to tell its findings.
+//
+// The parts stay as they are, so that a set made of them before does too.
+func Merge(parts []*Part) (*Set, bool) {
+	set := New()
+	set.Organisations = make(map[jaywind.Organisation]Organisation, countOrganisations(parts))
+	count := 0
+	for _, p := range parts {
+		if !p.sound {
+			return nil, false
+		}
+		count += p.count
+		set.add(p.set)
+	}
+	if set.size() != count {
+		return nil, false // a name stands twice
+	}
+	p := &parser{set: set, lines: map[string]place{}}
+	p.checkReferences()
+	return set, len(p.findings) == 0
+}
+
+func countOrganisations(parts []*Part) int {
+	n := 0
+	for _, p := range parts {
+		n += len(p.set.Organisations)
+	}
+	return n
+}
+
+func (s *Set) add(other *Set) {
+	maps.Copy(s.Endpoints, other.Endpoints)
+	maps.Copy(s.Drains, other.Drains)
+	maps.Copy(s.Models, other.Models)
+	maps.Copy(s.Moves, other.Moves)
+	maps.Copy(s.Organisations, other.Organisations)
+	maps.Copy(s.Services, other.Services)
+	maps.Copy(s.Routes, other.Routes)
+}
+
+func (s *Set) size() int {
+	return len(s.Endpoints) + len(s.Drains) + len(s.Models) + len(s.Moves) +
+		len(s.Organisations) + len(s.Services) + len(s.Routes)
+}
--- a/internal/platform/rules/book.go
+++ b/internal/platform/rules/book.go
@@ -45,6 +45,9 @@
 
 	// Cache returns chunks that need not be read again; none when nil.
 	Cache func(jaywind.ChunkID) (string, bool)
+
+	// Parser keeps what has been parsed from one reading to the next; each reads all anew when nil.
+	Parser *Parser
 }
 
 // head is the value that is swapped.
@@ -172,7 +175,7 @@
 			return Accepted{}, err
 		}
 	}
-	set, findings := rule.Parse(headKey, text)
+	set, findings := b.Parser.Parse(headKey, text)
 	if len(findings) > 0 {
 		return Accepted{}, fmt.Errorf("%w: %s", ErrFindings, findings[0])
 	}
