member: a cut that has healed buries nobody on one's own side

At 370 members, suspicions that a cut brought about are still on their way when it heals after seconds; each side took those of the other about its own members, who could not refute all of them within the 2 s of a suspicion. Now a router that hears that it was doubted itself takes no suspicions from others for 5 s, starts its own anew, once, and spreads them no further; and what one believed dead says against third ones is not taken. Price: a death in those seconds is found by own probes only, in up to a round.

TestShortCutBuriesNobody, a cut of 10 s, red before.

--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -20,6 +20,7 @@
 	SettleLimit    = 4 * time.Second         // from the start until the table can be taken as whole
 	ForgetAfter    = 2 * time.Hour           // from the death, longer than the cuts to live through
 	PauseLimit     = time.Second             // between full ticks; a longer gap is a pause of this router
+	BackLimit      = 5 * time.Second         // after it was doubted itself, while a router takes no suspicions from others
 	FreshLimit     = 10 * time.Second        // without news of the store before a smaller side stops
 	FetchLimit     = 1500 * time.Millisecond // for rules to arrive from a member
 	lookPeriod     = 100 * time.Millisecond  // between looks at all members
--- a/internal/core/member/merge.go
+++ b/internal/core/member/merge.go
@@ -9,6 +9,7 @@
 
 // merge takes up the rows of a message; inbound ones prove that this router can be reached.
 func merge(s *table.State, g jaywind.Gossip, inbound bool) {
+	cut := isDead(&s.Fleet, g.From.VM)
 	if g.From.VM != "" {
 		from := g.From
 		from.Liveness = jaywind.LivenessAlive
@@ -19,6 +20,9 @@
 			takeSelf(s, g.From, row, inbound)
 			continue
 		}
+		if row.Liveness == jaywind.LivenessSuspect && (cut || wasDoubted(s)) {
+			continue // a cut that has just healed may be the cause of it
+		}
 		takeRow(s, row, g.Whole, ageAt(g, i))
 	}
 	for _, n := range g.Notes {
@@ -88,6 +92,8 @@
 }
 
 // takeSelf refutes a suspicion if this router can be reached, and otherwise asks to be called.
+//
+// A router that was doubted may have been cut off, so for a while it trusts its own probes only.
 func takeSelf(s *table.State, from, row jaywind.Member, inbound bool) {
 	f := &s.Fleet
 	if row.Incarnation < f.Self.Incarnation {
@@ -99,6 +105,10 @@
 		}
 		return
 	}
+	if !wasDoubted(s) {
+		dropDoubts(s) // once, or a router that is doubted over and over would find nobody dead
+	}
+	f.BackAt = s.Now
 	if inbound {
 		f.Self.Incarnation = row.Incarnation + 1
 		return
@@ -108,6 +118,25 @@
 	tell(s, table.GossipCall{Target: from.VM, Purpose: table.PurposePush}, from.Fleet, g)
 }
 
+// isDead tells whether a member is believed dead.
+func isDead(f *table.Fleet, id jaywind.VM) bool {
+	m := f.Members[id]
+	return m != nil && m.Liveness == jaywind.LivenessDead
+}
+
+// wasDoubted tells whether this router was told a short while ago, or in the same message, that it is suspect or dead.
+func wasDoubted(s *table.State) bool { return s.Now.Sub(s.Fleet.BackAt) < BackLimit }
+
+// dropDoubts starts the suspicions of a router that was itself doubted anew and spreads them no further: a cut explains both.
+func dropDoubts(s *table.State) {
+	for _, m := range s.Fleet.Members {
+		if m.Liveness == jaywind.LivenessSuspect {
+			m.Spread = 0
+			m.Since = s.Now
+		}
+	}
+}
+
 // watchMembers turns suspicions into deaths and forgets the long dead.
 //
 // The dead who did not leave by the book may live on the other side of a cut.
--- a/internal/core/member/region_test.go
+++ b/internal/core/member/region_test.go
@@ -118,3 +118,46 @@
 		})
 	}
 }
+
+// falseDeaths returns how many pairs of routers on one side believe each other dead, and how many pairs there are.
+func (f *fleet) falseDeaths(far side) (dead, all int) {
+	for i, n := range f.nodes {
+		for _, m := range n.state.Fleet.Members {
+			if far(f.at[m.Fleet]) != far(i) {
+				continue
+			}
+			all++
+			if m.Liveness == jaywind.LivenessDead {
+				dead++
+			}
+		}
+	}
+	return dead, all
+}
+
+// TestShortCutBuriesNobody heals a cut while the suspicions that it brought about are still on their way.
+func TestShortCutBuriesNobody(t *testing.T) {
+	tests := map[string]side{
+		"equal halves":     domains(1, 3),
+		"a failure domain": domains(3),
+	}
+	for name, far := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newRegions(regionFleet)
+			f.cut = func(a, b int) bool { return far(a) != far(b) }
+			f.hold(deathTarget, 0)
+			f.cut = nil
+			worst, all := 0, 0
+			for range int(deathTarget / time.Second) {
+				f.hold(time.Second, 0)
+				var dead int
+				dead, all = f.falseDeaths(far)
+				worst = max(worst, dead)
+			}
+			t.Logf("%d of %d pairs of one side believed dead at worst", worst, all)
+			is.True(worst <= all/100)
+		})
+	}
+}
--- a/internal/core/table/member.go
+++ b/internal/core/table/member.go
@@ -73,6 +73,7 @@
 	LastFull time.Time // the last full tick, to notice a pause
 	JoinGate time.Time // no whole table is sent before then
 	Started  time.Time // the first tick
+	BackAt   time.Time // when it was last told that it is suspect or dead
 	Settled  bool      // a whole table brought nothing new
 
 	Notes    []*Note         // newest last
