jaywind: what an idle router costs is measured with processes

CAPACITY had figures of up to 100 routers in one process, where both ends of each message, the store and the runtime are shared. The budget is 3%, 16 KB/s, 128 MB.

--- a/cmd/jaywind/process_test.go
+++ b/cmd/jaywind/process_test.go
@@ -22,11 +22,12 @@
 	readyLimit  = 10 * time.Second
 	forceTarget = 3 * time.Second
 	routerCount = 3
+	domainCount = 4
 )
 
 // processes is a fleet of real processes on loopback.
 type processes struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	ports   []string // free addresses
 	store   string
@@ -36,7 +37,7 @@
 	callers []string
 }
 
-func startProcesses(t *testing.T, routers int) *processes {
+func startProcesses(t testing.TB, routers int) *processes {
 	t.Helper()
 	p := &processes{t: t, dir: t.TempDir()}
 	p.freePorts(3*routers + 4)
@@ -132,7 +133,7 @@
 	for i := range n {
 		operatorAt := p.port()
 		text := fmt.Sprintf("vm = \"vm%d\"\ndomain = \"%c\"\nsecret = \"%s\"\n[listen]\ncaller = %q\noperator = %q\nfleet = %q\n[store]\nurl = \"http://%s\"\n[fleet]\nseeds = [\"http://%s\"]\n",
-			i, 'a'+i, testSecret, p.callers[i], operatorAt, seeds[i], p.store, strings.Join(seeds, "\", \"http://"))
+			i, 'a'+i%domainCount, testSecret, p.callers[i], operatorAt, seeds[i], p.store, strings.Join(seeds, "\", \"http://"))
 		file := p.file(fmt.Sprintf("vm%d.toml", i), text)
 		c := p.start("jaywind", "route", "-settings", file)
 		p.files = append(p.files, file)
@@ -204,7 +205,7 @@
 	}
 }
 
-func eventually(t *testing.T, limit time.Duration, what string, done func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, done func() bool) {
 	t.Helper()
 	end := time.Now().Add(limit)
 	for !done() {
