move: a wrong digest or a crossed frame is a failure of its version

A version whose answers end with a digest that isn't that of the tokens, or whose frames belong to another request or attempt, failed its callers but counted as good at the end frame, or as nothing. Watch runs before intake, so that a trial keeps the digest up to the frame at hand; it starts from the request's at each tick.

The four new rows of TestWatchCountsOutcomes (wrong digest at the end and in its midst, frame of another request, of another attempt) failed first; "token and end in one tick" and "frame that comes twice" guard against counting good answers. The test's frames now carry the digest and position that a real end has, and its request keeps the tokens as intake does: before, a whole answer ended with a digest of nothing. No row expects less than before.

A gap in positions isn't counted: it was ruled out, as intake treats it the same as a connection that has to be resumed.

--- a/internal/core/move/watch.go
+++ b/internal/core/move/watch.go
@@ -87,6 +87,11 @@
 	if t == nil || e.Attempt != t.Attempt {
 		return
 	}
+	if !t.Judged && wrong(s, t, r, e.Frame) {
+		t.Judged = true
+		Count(s, m, t, table.MeasureFailure, true)
+		return
+	}
 	t.Last = s.Now
 	t.Frames++
 	if t.Frames == 1 {
@@ -104,6 +109,27 @@
 	}
 }
 
+// wrong tells whether a frame shows that its answer is not that of the request; intake has not taken it yet.
+func wrong(s *table.State, t *table.Trial, r *table.Request, f jaywind.Frame) bool {
+	if !t.Tick.Equal(s.Now) {
+		t.Tick = s.Now
+		t.Digest = r.Digest
+		t.Position = r.Position()
+	}
+	if f.Request != r.ID || f.Attempt != r.Attempt {
+		return true
+	}
+	if f.End {
+		return f.Position == t.Position && f.Digest != t.Digest
+	}
+	if f.Position != t.Position {
+		return false
+	}
+	t.Digest = t.Digest.Add(f.Token)
+	t.Position++
+	return f.Digest != 0 && f.Digest != t.Digest
+}
+
 func noteLoss(s *table.State, e table.Lost) {
 	m, t, _ := find(s, e.Request)
 	if t == nil || e.Attempt != t.Attempt || t.Judged {
--- a/internal/core/move/watch_test.go
+++ b/internal/core/move/watch_test.go
@@ -15,11 +15,25 @@
 type moment struct {
 	after  time.Duration // since the attempt was opened
 	event  table.Event
+	more   table.Event            // in the same tick
 	change func(r *table.Request) // before the tick
 }
 
 func frame(end bool) table.Event {
-	return table.Framed{Request: "r1", Attempt: 1, Frame: jaywind.Frame{Request: "r1", Attempt: 1, End: end}}
+	return framed(func(f *jaywind.Frame) { f.End = end })
+}
+
+// framed returns the first token of an answer, or with End set the end of an answer of one token.
+func framed(change func(f *jaywind.Frame)) table.Event {
+	f := jaywind.Frame{Request: "r1", Attempt: 1}
+	change(&f)
+	if f.End {
+		f.Position = 1
+	}
+	if f.End && f.Digest == 0 {
+		f.Digest = jaywind.Digest(0).Add(jaywind.Token{})
+	}
+	return table.Framed{Request: "r1", Attempt: 1, Frame: f}
 }
 
 func TestWatchCountsOutcomes(t *testing.T) {
@@ -37,7 +51,21 @@
 		"hangs before its first token": {moments: []moment{{}, {after: 1900 * time.Millisecond}, {after: 2 * time.Second}, {after: 9 * time.Second}}, bad: 1},
 		"hangs, then ends":             {moments: []moment{{event: frame(false)}, {after: 3 * time.Second}, {after: 4 * time.Second, event: frame(true)}}, bad: 1},
 		"left for another replica":     {moments: []moment{{event: frame(false)}, {change: second}}, bad: 1},
-		"resumed on the same engine":   {moments: []moment{{event: frame(false)}, {change: func(r *table.Request) { r.Attempt = 2; r.Reuse = true }}}},
+		"wrong digest at its end": {
+			moments: []moment{{event: frame(false)}, {event: framed(func(f *jaywind.Frame) { f.End = true; f.Digest = 7 })}}, bad: 1,
+		},
+		"token and end in one tick": {moments: []moment{{event: frame(false), more: frame(true)}}, good: 1},
+		"wrong digest in its midst, and more of it": {
+			moments: []moment{{event: framed(func(f *jaywind.Frame) { f.Digest = 7 })}, {event: frame(true)}}, bad: 1,
+		},
+		"frame of another request": {
+			moments: []moment{{event: frame(false)}, {event: framed(func(f *jaywind.Frame) { f.Request = "r2"; f.Position = 1 })}}, bad: 1,
+		},
+		"frame of another attempt": {
+			moments: []moment{{event: frame(false)}, {event: framed(func(f *jaywind.Frame) { f.Attempt = 9; f.Position = 1 })}}, bad: 1,
+		},
+		"frame that comes twice":     {moments: []moment{{event: frame(false)}, {event: frame(false)}, {event: frame(true)}}, good: 1},
+		"resumed on the same engine": {moments: []moment{{event: frame(false)}, {change: func(r *table.Request) { r.Attempt = 2; r.Reuse = true }}}},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -57,8 +85,12 @@
 				if o.event != nil {
 					events = append(events, o.event)
 				}
+				if o.more != nil {
+					events = append(events, o.more)
+				}
 				b.state.Begin(r.Opened.Add(o.after), true, events)
 				Watch{}.Step(b.state)
+				take(r, events)
 			}
 			got := b.move().Evidence.Own[table.Cell{Pair: table.Pair{Route: "risk"}, New: true}]
 			is.Equal(got.Good, c.good)
@@ -67,6 +99,17 @@
 	}
 }
 
+// take keeps the tokens of a tick, as intake does.
+func take(r *table.Request, events []table.Event) {
+	for _, e := range events {
+		f, ok := e.(table.Framed)
+		if ok && !f.Frame.End && f.Frame.Request == r.ID && f.Frame.Attempt == r.Attempt && f.Frame.Position == r.Position() && f.Frame.Digest == 0 {
+			r.Tokens = append(r.Tokens, f.Frame.Token)
+			r.Digest = r.Digest.Add(f.Frame.Token)
+		}
+	}
+}
+
 func TestReportsSum(t *testing.T) {
 	cell := table.Cell{Pair: table.Pair{Route: "risk"}, New: true}
 	of := func(life int64, number, good uint64) table.Report {
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -87,6 +87,9 @@
 	Last     time.Time // when its last frame came
 	Frames   int       // of the attempt
 	Judged   bool      // the attempt has counted as a failure or success
+	Tick     time.Time // up to which Digest and Position hold all tokens taken
+	Digest   jaywind.Digest
+	Position jaywind.Position
 }
 
 // Report is a router's running totals for a move, as it tells them to the others.
