move: beyond ten routers, collectors sum the reports and decide

With 370 routers each told all others and therefore only every 37 s, so that a version that turned bad kept up to 30% of the traffic. Now ten routers collect, as many in each failure domain; the others report to one of their own domain each second and follow the step, share and end in its answer.

An outcome takes one way only. Totals are a stream to one collector; with another collector a new stream begins at zero with what was not told yet, and a collector never hands on what it hears of sums. So a wrong, double, dead or woken collector costs bytes or a second of its routers' outcomes, and nothing counts twice. Ruled out: one collector a domain hears 92 routers, and sums handed back to members cost 300 bytes for each collector and second; the fleet's sums of two collectors can't be told apart at a change.

jaywind.Reporter returns the answer now; the fakes of TestReport and TestMoveOfAFleet follow it. New: TestCollect (9 rows of faults), a row of TestReport, two of TestMoveOfAFleet with twelve routers.

--- a/embed/moves.go
+++ b/embed/moves.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -25,6 +27,7 @@
 	router  *Router
 	records leader.Records
 	leader  *leader.Leader
+	leads   sync.Map // of answers to reports: an answered by jaywind.Model
 }
 
 func newMoves(r *Router) *moves {
@@ -66,7 +69,9 @@
 func (p *moves) execute(ctx context.Context, c table.Command) bool {
 	switch c := c.(type) {
 	case table.Tell:
-		p.tell(c.Report)
+		p.tell(c)
+	case table.Lead:
+		p.publish(c.Report)
 	case table.Recall:
 		p.router.group.Go(func() { p.recall(ctx, c) })
 	case table.Record:
@@ -81,7 +86,18 @@
 	return true
 }
 
-func (p *moves) tell(r table.Report) {
+// publish keeps the answer to the reports on a move.
+func (p *moves) publish(r table.Report) {
+	n, err := move.EncodeLead(r)
+	if err != nil {
+		p.router.Log.Error("moves: lead not encoded", zap.Error(err))
+		return
+	}
+	p.leads.Store(r.Move.Model, answered{r.Move, n})
+}
+
+func (p *moves) tell(c table.Tell) {
+	r := c.Report
 	if r.State != table.MoveGoing {
 		p.router.Log.Info("moves: move has ended", zap.String("model", string(r.Move.Model)),
 			zap.String("version", string(r.Move.To)), zap.String("state", string(r.State)), zap.String("reason", r.Reason))
@@ -91,43 +107,99 @@
 		p.router.Log.Error("moves: report not encoded", zap.Error(err))
 		return
 	}
+	if r.State != table.MoveGoing {
+		p.leads.Store(r.Move.Model, answered{r.Move, n})
+	}
 	if r.State != table.MoveGoing || p.router.Reporter == nil {
 		p.router.core.State.Fleet.Spread(n)
+	}
+	if p.router.Reporter == nil || r.State != table.MoveGoing && len(c.To) == 0 {
+		p.router.group.Go(func() { p.miss(r) })
 		return
 	}
-	members := p.router.Members()
-	p.router.group.Go(func() { p.report(members, n) })
+	members := p.named(c.To)
+	p.router.group.Go(func() { p.report(members, r, n) })
 }
 
-// report hands a report to each member; one that is not reached hears the totals with the next.
-func (p *moves) report(members []jaywind.Member, n jaywind.Note) {
+// miss says that a part has reached nobody.
+func (p *moves) miss(r table.Report) {
+	if r.Kind == table.ReportPart {
+		p.router.post(table.Unheard{Move: r.Move, Collector: r.To})
+	}
+}
+
+// named returns the members of these names that can be called, or all when none is named.
+func (p *moves) named(names []jaywind.VM) []jaywind.Member {
+	members := slices.Clone(p.router.Members())
+	return slices.DeleteFunc(members, func(m jaywind.Member) bool {
+		return m.VM == p.router.Self || m.Fleet == "" || len(names) > 0 && !slices.Contains(names, m.VM)
+	})
+}
+
+// report hands a report to members; one that is not reached hears the totals with the next.
+func (p *moves) report(members []jaywind.Member, r table.Report, n jaywind.Note) {
+	if len(members) == 0 {
+		p.miss(r)
+		return
+	}
 	calls := pool.New().WithMaxGoroutines(reportsOut)
 	for _, m := range members {
-		if m.VM == p.router.Self || m.Fleet == "" {
-			continue
-		}
-		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
-			defer cancel()
-			if err := p.router.Reporter.Report(ctx, m.Fleet, n); err != nil {
-				p.router.Log.Debug("moves: report not handed over", zap.String("to", string(m.VM)), zap.Error(err))
-			}
-		})
+		calls.Go(func() { p.call(m, r, n) })
 	}
 	calls.Wait()
 }
 
-// TakeReport takes a report of another router, or returns an error that wraps move.ErrNote.
-func (r *Router) TakeReport(n jaywind.Note) error {
+// call hands a report to one member and takes its answer.
+func (p *moves) call(m jaywind.Member, r table.Report, n jaywind.Note) {
+	ctx, cancel := context.WithTimeout(context.Background(), reportLimit)
+	defer cancel()
+	n.Key = "" // it serves the gossip only
+	answer, err := p.router.Reporter.Report(ctx, m.Fleet, n)
+	if err != nil {
+		p.router.Log.Debug("moves: report not handed over", zap.String("to", string(m.VM)), zap.Error(err))
+		p.miss(r)
+		return
+	}
+	if answer.Kind == "" {
+		return
+	}
+	heard, err := move.DecodeAnswer(answer, r.Move, m.VM)
+	if err != nil {
+		p.router.Log.Warn("moves: answer to a report not read", zap.String("from", string(m.VM)), zap.Error(err))
+		return
+	}
+	p.router.post(table.Reported{Report: heard})
+}
+
+// TakeReport takes a report of another router and returns the answer, or an error that wraps move.ErrNote.
+func (r *Router) TakeReport(n jaywind.Note) (jaywind.Note, error) {
 	r.init()
 	report, err := move.DecodeReport(n)
 	if err != nil {
-		return err
+		return jaywind.Note{}, err
 	}
 	if !r.post(table.Reported{Report: report}) {
-		return ErrStopped
+		return jaywind.Note{}, ErrStopped
+	}
+	if report.Kind != table.ReportPart {
+		return jaywind.Note{}, nil
+	}
+	return r.moves.answer(report.Move), nil
+}
+
+// answered is the answer to reports on a move.
+type answered struct {
+	move table.MoveID
+	note jaywind.Note
+}
+
+// answer returns what was published last for a move.
+func (p *moves) answer(id table.MoveID) jaywind.Note {
+	a, known := p.leads.Load(id.Model)
+	if !known || a.(answered).move != id {
+		return jaywind.Note{}
 	}
-	return nil
+	return a.(answered).note
 }
 
 // recall reads the record; without a store, nothing is on record.
--- a/embed/moves_test.go
+++ b/embed/moves_test.go
@@ -111,8 +111,8 @@
 
 func engineAddress(i int) jaywind.Address { return jaywind.Address(fmt.Sprint("http://10.0.2.", i)) }
 
-// startMove starts three routers before three engines of each version, with a move that ends in length.
-func startMove(t *testing.T, f *farm, length time.Duration) *troop {
+// startMove starts so many routers before three engines of each version, with a move that ends in length.
+func startMove(t *testing.T, f *farm, routers int, length time.Duration) *troop {
 	p := &troop{t: t, fabric: &fabric{routers: map[jaywind.Address]*embed.Router{}, cut: map[jaywind.Address]bool{}}}
 	text := "model heat version=v1 # test\n"
 	text += fmt.Sprintf("move heat from=v1 to=v2 by=%s # test\n", time.Now().Add(length).UTC().Format(time.RFC3339))
@@ -132,10 +132,10 @@
 	is.New(t).Equal(len(findings), 0)
 	p.store = &store.Store{}
 	ctx, stop := context.WithCancel(context.Background())
-	for i := range 3 {
+	for i := range routers {
 		at := fleetAddress(i)
 		r := &embed.Router{
-			Self: jaywind.VM(fmt.Sprint("vm", i)), Domain: jaywind.Domain(fmt.Sprint("d", i)), Seed: uint64(i + 1), Fleet: at,
+			Self: jaywind.VM(fmt.Sprint("vm", i)), Domain: jaywind.Domain(fmt.Sprint("d", i%3)), Seed: uint64(i + 1), Fleet: at,
 			Seeds: []jaywind.Address{fleetAddress(0)}, Gossiper: line{p.fabric, at}, Engine: f, Store: p.store, Reporter: line{p.fabric, at},
 		}
 		p.fabric.mu.Lock()
@@ -153,10 +153,10 @@
 }
 
 // Report hands over a report of a move as package evidence does.
-func (l line) Report(ctx context.Context, at jaywind.Address, n jaywind.Note) error {
+func (l line) Report(ctx context.Context, at jaywind.Address, n jaywind.Note) (jaywind.Note, error) {
 	r, err := l.reach(ctx, at)
 	if err != nil {
-		return err
+		return jaywind.Note{}, err
 	}
 	return r.TakeReport(n)
 }
@@ -165,7 +165,7 @@
 func (p *troop) ask(seconds int) (whole, all int) {
 	var mu sync.Mutex
 	for i := range seconds * 60 {
-		r := p.routers[i%3]
+		r := p.routers[i%len(p.routers)]
 		all++
 		p.group.Go(func() {
 			ctx := context.Background()
@@ -200,18 +200,21 @@
 func TestMoveOfAFleet(t *testing.T) {
 	const length = 150 * time.Second
 	tests := map[string]struct {
-		broken bool
-		state  table.MoveState
+		routers int
+		broken  bool
+		state   table.MoveState
 	}{
-		"good version": {state: table.MoveDone},
-		"bad version":  {broken: true, state: table.MoveBack},
+		"good version":                   {routers: 3, state: table.MoveDone},
+		"bad version":                    {routers: 3, broken: true, state: table.MoveBack},
+		"good version, three collectors": {routers: 12, state: table.MoveDone},
+		"bad version, three collectors":  {routers: 12, broken: true, state: table.MoveBack},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := &farm{broken: c.broken}
-				p := startMove(t, f, length)
+				p := startMove(t, f, c.routers, length)
 				time.Sleep(2 * time.Second)
 				whole, all := p.ask(145)
 				is.Equal(whole, all) // every caller has its whole answer
--- a/embed/router.go
+++ b/embed/router.go
@@ -65,6 +65,7 @@
 	storeAt  atomic.Int64 // when a known member last reached the store, in Unix nanoseconds
 	members  memberView
 	gossip   gossip
+	moves    *moves
 	rulebook rulebook
 }
 
@@ -99,12 +100,13 @@
 
 // newParts returns the parts for which the fields that they need are set.
 func (r *Router) newParts() []part {
+	r.moves = newMoves(r)
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
 		&loads{router: r},
 		&journaler{router: r},
-		newMoves(r),
+		r.moves,
 		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
 		&claimant{router: r},
 	}
--- /dev/null
+++ b/internal/core/move/collect_test.go
@@ -0,0 +1,291 @@
+package move
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+const (
+	fleetTick  = 250 * time.Millisecond
+	fleetSize  = 24
+	fleetTurns = 200 // with one outcome at each router
+	quietTurns = 40  // after them, for the last reports
+)
+
+// fleet is a number of routers in three failure domains that report by way of collectors.
+type fleet struct {
+	routers []*table.State
+	inbox   [][]table.Event
+	dead    map[int]bool                    // gone for good
+	asleep  map[int]bool                    // paused; what is sent to it waits
+	cut     func(i, j int) bool             // between routers, nil for nowhere
+	mangle  func(table.Event) []table.Event // of what arrives, nil for nothing
+	counted uint64
+	turn    int
+	history []uint64 // of counted, by turn
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{inbox: make([][]table.Event, n), dead: map[int]bool{}, asleep: map[int]bool{}}
+	for i := range n {
+		f.routers = append(f.routers, newRouter(i))
+	}
+	for i, s := range f.routers {
+		for j := range n {
+			if j != i {
+				f.meet(s, j)
+			}
+		}
+	}
+	return f
+}
+
+func fleetMember(i int) jaywind.Member {
+	return jaywind.Member{VM: jaywind.VM(fmt.Sprintf("vm%02d", i)), Domain: jaywind.Domain(fmt.Sprintf("d%d", i%3))}
+}
+
+func newRouter(i int) *table.State {
+	s := table.New(uint64(i))
+	s.Fleet.Self = fleetMember(i)
+	s.Self = s.Fleet.Self.VM
+	s.Rules = rules(start.Add(length))
+	for id, e := range s.Rules.Endpoints {
+		s.Endpoints[id] = &table.Endpoint{ID: id, Load: jaywind.Load{Loaded: []jaywind.Version{e.Version}}}
+	}
+	return s
+}
+
+func (f *fleet) meet(s *table.State, j int) {
+	s.Fleet.Put(&table.Member{Member: fleetMember(j)})
+	s.Membership.Members = len(s.Fleet.Members) + 1
+}
+
+// part makes one router forget another.
+func (f *fleet) part(i, j int) {
+	f.routers[i].Fleet.Drop(fleetMember(j).VM)
+	f.routers[i].Membership.Members = len(f.routers[i].Fleet.Members) + 1
+}
+
+func (f *fleet) index(vm jaywind.VM) int {
+	for i, s := range f.routers {
+		if s.Self == vm {
+			return i
+		}
+	}
+	return -1
+}
+
+// first returns the collector that router 0 would choose first.
+func (f *fleet) first() int {
+	return f.index(chosen(f.routers[0], f.routers[0].Moves["heat"])[0].VM)
+}
+
+// step runs a tick at each router, with one good outcome each if count is set.
+func (f *fleet) step(count bool) {
+	now := start.Add(time.Duration(f.turn) * fleetTick)
+	for i, s := range f.routers {
+		if f.dead[i] || f.asleep[i] {
+			continue
+		}
+		events := f.inbox[i]
+		f.inbox[i] = nil
+		s.Begin(now, true, events)
+		Decide{}.Step(s)
+		if count {
+			f.counted++
+			Count(s, s.Moves["heat"], &table.Trial{New: true, Route: "risk", Endpoint: "e7"}, table.MeasureFailure, false)
+		}
+		for _, c := range s.Take() {
+			f.carry(i, c)
+		}
+	}
+	f.history = append(f.history, f.counted)
+	f.turn++
+}
+
+// most returns how many outcomes a router can have judged: those since it began to collect, and a little before.
+func (f *fleet) most(i int) uint64 {
+	began := f.routers[i].Moves["heat"].Relay.Since.Sub(start) - startSlack - time.Second
+	if began < 0 {
+		return f.counted
+	}
+	return f.counted - f.history[began/fleetTick]
+}
+
+func (f *fleet) carry(i int, c table.Command) {
+	switch c := c.(type) {
+	case table.Tell:
+		for _, name := range c.To {
+			f.call(i, f.index(name), c.Report)
+		}
+	case table.Lead:
+		for j := range f.routers { // as if each had just reported
+			if j != i && !f.dead[j] && !f.asleep[j] && (f.cut == nil || !f.cut(i, j)) {
+				f.hand(j, table.Reported(c))
+			}
+		}
+	case table.Recall:
+		f.hand(i, table.Recorded{Move: c.Move, State: table.MoveGoing})
+	}
+}
+
+func (f *fleet) call(i, j int, r table.Report) {
+	away := f.cut != nil && f.cut(i, j)
+	if away || f.dead[j] || f.asleep[j] {
+		f.hand(i, table.Unheard{Move: r.Move, Collector: r.To})
+	}
+	if away || f.dead[j] {
+		return
+	}
+	f.hand(j, table.Reported{Report: r})
+}
+
+func (f *fleet) hand(i int, e table.Event) {
+	if f.mangle == nil {
+		f.inbox[i] = append(f.inbox[i], e)
+		return
+	}
+	f.inbox[i] = append(f.inbox[i], f.mangle(e)...)
+}
+
+// heard returns what a router has judged of the new version.
+func (f *fleet) heard(i int) uint64 {
+	return f.routers[i].Moves["heat"].Proof.Routes["risk"].New
+}
+
+// TestCollect counts one outcome at each router and tick: no collector may count one twice, and few may be lost.
+func TestCollect(t *testing.T) {
+	at := func(turn int, do func(f *fleet)) func(f *fleet) {
+		return func(f *fleet) {
+			if f.turn == turn {
+				do(f)
+			}
+		}
+	}
+	const second = uint64(fleetSize * time.Second / fleetTick)
+	tests := map[string]struct {
+		fault func(f *fleet) // before each tick
+		lost  uint64         // outcomes that a collector may miss
+	}{
+		"no fault": {},
+		"each report comes twice": {
+			fault: func(f *fleet) { f.mangle = func(e table.Event) []table.Event { return []table.Event{e, e} } },
+		},
+		"one report in seven is lost": {
+			fault: at(0, func(f *fleet) {
+				n := 0
+				f.mangle = func(e table.Event) []table.Event {
+					n++
+					if _, report := e.(table.Reported); report && n%7 == 0 && f.turn < fleetTurns {
+						return nil
+					}
+					return []table.Event{e}
+				}
+			}),
+			lost: 2 * second,
+		},
+		"a collector dies": {
+			fault: func(f *fleet) {
+				switch f.turn {
+				case 80:
+					f.dead[f.first()] = true
+				case 100:
+					gone := f.first()
+					for i := range f.routers {
+						f.part(i, gone)
+					}
+				}
+			},
+			lost: 2 * second,
+		},
+		"a collector pauses and wakes with old sums": {
+			fault: func(f *fleet) {
+				switch f.turn {
+				case 80:
+					f.asleep[f.first()] = true
+				case 110:
+					f.asleep[f.first()] = false
+				}
+			},
+			lost: 2 * second,
+		},
+		"two collectors at once": {
+			fault: at(80, func(f *fleet) {
+				gone := f.first()
+				for i := range f.routers {
+					if i%2 == 0 && i != gone {
+						f.part(i, gone) // half of the routers hold it for dead
+					}
+				}
+			}),
+			lost: second,
+		},
+		"cut between failure domains": {
+			fault: func(f *fleet) {
+				switch f.turn {
+				case 80:
+					f.cut = func(i, j int) bool { return (i%3 == 0) != (j%3 == 0) }
+				case 140:
+					f.cut = nil
+				}
+			},
+		},
+		"routers join": {
+			fault: at(80, func(f *fleet) {
+				f.routers = append(f.routers, newRouter(fleetSize))
+				f.inbox = append(f.inbox, nil)
+				for i, s := range f.routers {
+					if i == fleetSize {
+						for j := range fleetSize {
+							f.meet(s, j)
+						}
+						continue
+					}
+					f.meet(s, fleetSize)
+				}
+			}),
+			lost: 2 * second,
+		},
+		"a router is restarted": {
+			fault: at(80, func(f *fleet) {
+				i := f.first()
+				f.routers[i] = newRouter(i)
+				f.inbox[i] = nil
+				for j := range fleetSize {
+					if j != i {
+						f.meet(f.routers[i], j)
+					}
+				}
+			}),
+			lost: 2 * second,
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(fleetSize)
+			for f.turn < fleetTurns+quietTurns {
+				if c.fault != nil {
+					c.fault(f)
+				}
+				f.step(f.turn < fleetTurns)
+			}
+			best := uint64(0)
+			for i, s := range f.routers {
+				if f.dead[i] || !collects(s, s.Moves["heat"]) {
+					continue
+				}
+				t.Log(s.Self, "judged", f.heard(i), "of", f.counted, "at most", f.most(i))
+				is.True(f.heard(i) <= f.most(i)) // none twice
+				best = max(best, f.heard(i))
+			}
+			is.True(best+c.lost >= f.counted) // few lost
+		})
+	}
+}
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -11,12 +11,11 @@
 )
 
 const (
-	startSlack  = 5 * time.Second        // between the rows of routers that start a move together
-	readers     = 8                      // routers that read the record within one pause
-	askPause    = time.Second            // between tries to read or write the record
-	tellPause   = time.Second            // least time between two reports
-	tellPerPeer = 100 * time.Millisecond // more of it for each router, so that the bytes heard a second stay bounded
-	badNews     = 5                      // times as often a router may tell of new bad outcomes
+	startSlack = 5 * time.Second // between the rows of routers that start a move together
+	readers    = 8               // routers that read the record within one pause
+	askPause   = time.Second     // between tries to read or write the record
+	tellPause  = time.Second     // between two reports
+	badNews    = 5               // times as often a router of a small fleet may tell of new bad outcomes
 )
 
 // Decide follows the rules of moves and changes their shares and states; it runs before placement.
@@ -47,6 +46,10 @@
 		if m := byID(s, e.Report.Move); m != nil {
 			takeReport(s, m, e.Report)
 		}
+	case table.Unheard:
+		if m := byID(s, e.Move); m != nil {
+			shun(s, m, e.Collector)
+		}
 	case table.Recorded:
 		if m := byID(s, e.Move); m != nil {
 			takeRecord(s, m, e)
@@ -99,6 +102,7 @@
 		Started:  s.Now,
 		StepAt:   s.Now,
 		Evidence: newEvidence(),
+		Relay:    newRelay(s),
 		Trials:   map[jaywind.RequestID]*table.Trial{},
 		Proof:    newProof(),
 	}
@@ -119,7 +123,7 @@
 		return
 	}
 	finish(s, m, table.MoveBack, reason)
-	s.Emit(table.Tell{Report: report(s, m)})
+	s.Emit(table.Tell{Report: report(s, m), To: listeners(s, m)})
 	m.ToldAt = s.Now
 }
 
@@ -152,13 +156,16 @@
 		takeBack(s, m, r.Reason)
 		return
 	}
-	hear(m, r)
-	if began := time.Unix(0, r.Began); began.Before(m.Began) {
+	relay(s, m, r)
+	if began := time.Unix(0, r.Began); r.Began != 0 && began.Before(m.Began) {
 		m.Began = began
 	}
 	if r.Step > m.Step && !m.Suspect {
 		enter(s, m, min(r.Step, len(steps)-1))
 	}
+	if r.Kind == table.ReportLead {
+		takeLead(s, m, r)
+	}
 }
 
 // takeRecord follows the store: the state that it holds is final, whatever is seen later.
@@ -171,7 +178,7 @@
 		return
 	}
 	settle(s, m, e.State, e.Reason)
-	s.Emit(table.Tell{Report: report(s, m)})
+	s.Emit(table.Tell{Report: report(s, m), To: listeners(s, m)})
 }
 
 // settle takes over the state that the store holds.
@@ -199,8 +206,10 @@
 		takeBack(s, m, lateReason(s, m))
 		return
 	}
-	if s.Now.Sub(m.Evidence.Window) >= windowLength {
+	assign(s, m)
+	if collects(s, m) && s.Now.Sub(m.Evidence.Window) >= windowLength {
 		judgeWindow(s, m)
+		lead(s, m)
 	}
 	if m.State == table.MoveGoing && m.Known {
 		tell(s, m) // what it does not know itself, a router does not vouch for
@@ -231,18 +240,23 @@
 
 // ask emits a call on the store; of all routers about so many ask in one pause.
 func ask(s *table.State, m *table.Move, askers int, c table.Command) {
+	askOf(s, m, s.Membership.Members, askers, c)
+}
+
+// askOf does the same where only some routers can ask.
+func askOf(s *table.State, m *table.Move, all, askers int, c table.Command) {
 	if !m.AskedAt.IsZero() && s.Now.Sub(m.AskedAt) < askPause {
 		return
 	}
 	m.AskedAt = s.Now
-	if s.Random.IntN(max(s.Membership.Members, 1)) < askers {
+	if s.Random.IntN(max(all, 1)) < askers {
 		s.Emit(c)
 	}
 }
 
 func tell(s *table.State, m *table.Move) {
-	pause := max(tellPause, time.Duration(s.Membership.Members)*tellPerPeer)
-	if m.Fresh && pause <= tellPause {
+	pause := tellPause
+	if m.Fresh && mesh(s) {
 		pause /= badNews // in a larger fleet bad outcomes would be heard long before the good ones
 	}
 	if s.Now.Sub(m.ToldAt) < pause {
@@ -250,7 +264,7 @@
 	}
 	m.ToldAt = s.Now
 	m.Fresh = false
-	s.Emit(table.Tell{Report: report(s, m)})
+	s.Emit(table.Tell{Report: report(s, m), To: listeners(s, m)})
 }
 
 // lateReason says why a move has not ended by its time.
--- a/internal/core/move/doc.go
+++ b/internal/core/move/doc.go
@@ -11,5 +11,6 @@
 //	version := move.VersionFor(state, request)
 //
 // Routers tell each other their running totals, so that each judges by the sum,
-// and each stops by itself on what it has seen.
+// and each stops by itself on what it has seen. In a fleet of more than ten
+// some collect: the others report to one of them, and follow what it decides.
 package move
--- a/internal/core/move/grow.go
+++ b/internal/core/move/grow.go
@@ -122,7 +122,7 @@
 		return
 	}
 	m.Proposed = true
-	ask(s, m, 1, table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
+	askOf(s, m, judges(s, m), 1, table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
 }
 
 // enoughLoaded tells whether the new version has the replicas to carry a share, against those of the old one now.
--- a/internal/core/move/note.go
+++ b/internal/core/move/note.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -22,19 +23,23 @@
 
 // wireReport is a table.Report as a note's value.
 type wireReport struct {
-	Model   string     `cbor:"1,keyasint"`
-	Old     string     `cbor:"2,keyasint"`
-	New     string     `cbor:"3,keyasint"`
-	By      int64      `cbor:"4,keyasint"`
-	From    string     `cbor:"5,keyasint"`
-	Life    int64      `cbor:"6,keyasint"`
-	Number  uint64     `cbor:"7,keyasint"`
-	Began   int64      `cbor:"8,keyasint"`
-	Step    int        `cbor:"9,keyasint"`
-	State   string     `cbor:"10,keyasint"`
+	Model   string     `cbor:"1,keyasint,omitempty"`
+	Old     string     `cbor:"2,keyasint,omitempty"`
+	New     string     `cbor:"3,keyasint,omitempty"`
+	By      int64      `cbor:"4,keyasint,omitempty"`
+	From    string     `cbor:"5,keyasint,omitempty"`
+	Life    int64      `cbor:"6,keyasint,omitempty"`
+	Number  uint64     `cbor:"7,keyasint,omitempty"`
+	Began   int64      `cbor:"8,keyasint,omitempty"`
+	Step    int        `cbor:"9,keyasint,omitempty"`
+	State   string     `cbor:"10,keyasint,omitempty"` // empty while the move goes on
 	Reason  string     `cbor:"11,keyasint,omitempty"`
 	Final   bool       `cbor:"12,keyasint,omitempty"`
 	Tallies []wireCell `cbor:"13,keyasint,omitempty"`
+	Kind    int        `cbor:"14,keyasint,omitempty"`
+	To      string     `cbor:"15,keyasint,omitempty"`
+	Partial bool       `cbor:"16,keyasint,omitempty"`
+	Share   float64    `cbor:"17,keyasint,omitempty"`
 }
 
 type wireCell struct {
@@ -62,11 +67,34 @@
 	}
 }
 
+// EncodeLead returns a lead as an answer, without what the asker knows.
+func EncodeLead(r table.Report) (jaywind.Note, error) {
+	r.Move = table.MoveID{}
+	r.From = ""
+	n, err := EncodeReport(r)
+	n.Key = ""
+	return n, err
+}
+
+// DecodeAnswer reads what a router has answered to a report on a move, or returns an error that wraps ErrNote.
+func DecodeAnswer(n jaywind.Note, id table.MoveID, from jaywind.VM) (table.Report, error) {
+	r, err := DecodeReport(n)
+	if err == nil && r.Kind == table.ReportLead {
+		r.Move = id
+		r.From = from
+	}
+	return r, err
+}
+
 func wireOf(r table.Report) wireReport {
 	w := wireReport{
 		Model: string(r.Move.Model), Old: string(r.Move.From), New: string(r.Move.To), By: r.Move.By,
 		From: string(r.From), Life: r.Life, Number: r.Number, Began: r.Began,
 		Step: r.Step, State: string(r.State), Reason: r.Reason, Final: r.Final,
+		Kind: int(r.Kind), To: string(r.To), Partial: r.Partial, Share: r.Share,
+	}
+	if r.State == table.MoveGoing {
+		w.State = ""
 	}
 	for _, c := range slices.SortedFunc(maps.Keys(r.Tallies), compareCells) {
 		t := r.Tallies[c]
@@ -102,11 +130,16 @@
 	if err := cbor.Unmarshal(n.Value, &w); err != nil {
 		return table.Report{}, fmt.Errorf("%w: %w", ErrNote, err)
 	}
-	state := table.MoveState(w.State)
+	state := table.MoveState(cmp.Or(w.State, string(table.MoveGoing)))
 	if state != table.MoveGoing && state != table.MoveDone && state != table.MoveBack {
 		return table.Report{}, fmt.Errorf("%w: state %q", ErrNote, w.State)
 	}
+	kind := table.ReportKind(w.Kind)
+	if kind < table.ReportSum || kind > table.ReportLead {
+		return table.Report{}, fmt.Errorf("%w: kind %d", ErrNote, w.Kind)
+	}
 	r := table.Report{
+		Kind: kind, To: jaywind.VM(w.To), Partial: w.Partial, Share: min(max(w.Share, 0), 1),
 		Move: table.MoveID{Model: jaywind.Model(w.Model), From: jaywind.Version(w.Old), To: jaywind.Version(w.New), By: w.By},
 		From: jaywind.VM(w.From), Life: w.Life, Number: w.Number, Began: w.Began,
 		Step: max(w.Step, 0), State: state, Reason: w.Reason, Final: w.Final,
@@ -135,7 +168,7 @@
 		if n.Kind != NoteKind {
 			continue
 		}
-		if r, err := DecodeReport(n); err == nil {
+		if r, err := DecodeReport(n); err == nil && r.Kind != table.ReportPart {
 			handle(s, table.Reported{Report: r})
 		}
 	}
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -10,6 +10,7 @@
 const (
 	maxSources = 8  // named in one tally of a report
 	maxCells   = 48 // in one report
+	wholeEvery = 5  // reports, of which one holds all cells
 )
 
 // add puts a tally into a map of tallies and names at most limit sources, or any number for 0.
@@ -45,45 +46,110 @@
 	return out
 }
 
-// hear adds what another router has counted since its last report.
+// hear adds what another router has counted since its last report; parts go on in this router's own stream.
 func hear(m *table.Move, r table.Report) {
 	before, known := m.Evidence.Heard[r.From]
 	if known && (r.Life < before.Life || r.Life == before.Life && r.Number <= before.Number) {
 		return
 	}
-	m.Evidence.Heard[r.From] = r
-	if !known && r.Life < m.Started.UnixNano()-int64(startSlack) {
-		return // its totals are older than this row; they only serve as the base of later ones
+	if r.Partial && before.Life != r.Life {
+		return // the next whole report holds its cells as well
 	}
 	if before.Life != r.Life {
 		before = table.Report{}
 	}
+	r.Tallies = merged(before.Tallies, r.Tallies)
+	m.Evidence.Heard[r.From] = r
+	if !known && onlyBase(m, r) {
+		return
+	}
 	for c, t := range r.Tallies {
-		if fresh := since(t, before.Tallies[c]); fresh.Good+fresh.Bad > 0 {
-			add(m.Evidence.Pending, c, fresh, 0)
+		fresh := since(t, before.Tallies[c])
+		if fresh.Good+fresh.Bad == 0 {
+			continue
+		}
+		add(m.Evidence.Pending, c, fresh, 0)
+		if r.Kind == table.ReportPart {
+			add(m.Evidence.Own, c, fresh, maxSources)
 		}
 	}
 }
 
-// report returns the running totals of this router.
+// onlyBase tells whether the first report that is heard of a router is no more than the base of its later ones.
+func onlyBase(m *table.Move, r table.Report) bool {
+	if r.Kind == table.ReportPart {
+		return r.Number > 1 // a former life of this collector may have handed on the first ones
+	}
+	return r.Life < m.Relay.Since.UnixNano()-int64(startSlack) // its totals are older than what is judged here
+}
+
+// merged returns the cells and sources of a report with those that it left out.
+func merged(before, now map[table.Cell]table.Tally) map[table.Cell]table.Tally {
+	out := make(map[table.Cell]table.Tally, len(now))
+	maps.Copy(out, before)
+	for c, t := range now {
+		by := before[c].By
+		if len(by) > 0 {
+			by = maps.Clone(by)
+			maps.Copy(by, t.By)
+			t.By = by
+		}
+		out[c] = t
+	}
+	return out
+}
+
+// changed returns a tally with those sources only that have grown since the last report.
+func changed(t, last table.Tally) table.Tally {
+	t.By = maps.Clone(t.By)
+	maps.DeleteFunc(t.By, func(name table.Source, n uint64) bool { return n == last.By[name] })
+	return t
+}
+
+// untold returns what the own totals have grown by since the last report.
+func untold(m *table.Move) map[table.Cell]table.Tally {
+	out := map[table.Cell]table.Tally{}
+	for c, t := range m.Evidence.Own {
+		if fresh := since(t, m.Evidence.Told[c]); fresh.Good+fresh.Bad > 0 {
+			out[c] = fresh
+		}
+	}
+	return out
+}
+
+// report returns the running totals of this router, as a sum or as a part for its collector.
 func report(s *table.State, m *table.Move) table.Report {
 	m.Told++
 	r := table.Report{
 		Move:    m.ID,
 		From:    s.Self,
-		Life:    m.Started.UnixNano(),
+		Life:    m.Relay.Since.UnixNano(),
+		Partial: !mesh(s) && m.Told%wholeEvery != 1,
 		Number:  m.Told,
-		Began:   m.Began.UnixNano(),
 		Step:    m.Step,
 		State:   m.State,
 		Reason:  m.Reason,
 		Final:   m.Recorded,
 		Tallies: make(map[table.Cell]table.Tally, len(m.Evidence.Own)),
 	}
+	if !r.Partial {
+		r.Began = m.Began.UnixNano()
+	}
+	if !collects(s, m) {
+		r.Kind = table.ReportPart
+		r.To = m.Relay.Collector
+	}
 	for c, t := range m.Evidence.Own {
+		if last := m.Evidence.Told[c]; r.Partial && t.Good == last.Good && t.Bad == last.Bad {
+			continue
+		}
+		if r.Partial {
+			t = changed(t, m.Evidence.Told[c])
+		}
 		t.By = maps.Clone(t.By)
 		r.Tallies[c] = t
 	}
+	m.Evidence.Told = merged(m.Evidence.Told, r.Tallies)
 	return r
 }
 
--- a/internal/core/move/watch.go
+++ b/internal/core/move/watch.go
@@ -201,7 +201,9 @@
 		one = table.Tally{Bad: 1, By: map[table.Source]uint64{sourceOf(s, t): 1}}
 	}
 	add(m.Evidence.Own, cell, one, maxSources)
-	add(m.Evidence.Pending, cell, one, 0)
+	if collects(s, m) {
+		add(m.Evidence.Pending, cell, one, 0)
+	}
 }
 
 // sourceOf names what a failure is put down to: a replica of the new version, a failure domain of the old one.
--- a/internal/core/table/evidence.go
+++ b/internal/core/table/evidence.go
@@ -54,7 +54,8 @@
 
 // Evidence is what a router knows of the outcomes of a move.
 type Evidence struct {
-	Own     map[Cell]Tally        // running totals of this router
+	Own     map[Cell]Tally        // running totals of this router's stream of reports, with what it has collected
+	Told    map[Cell]Tally        // the same at the last report
 	Heard   map[jaywind.VM]Report // the last report of each other router
 	Pending map[Cell]Tally        // outcomes of all routers since the last window
 	Scores  map[Pair]*Score       // by route and measure
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -47,6 +47,7 @@
 	Starts   int // on the new version by this router
 	Proof    Proof
 	Evidence Evidence
+	Relay    Relay
 	Trials   map[jaywind.RequestID]*Trial
 	AskedAt  time.Time // when the record was last asked for or written
 	ToldAt   time.Time // when the last report was emitted
@@ -92,13 +93,41 @@
 	Position jaywind.Position
 }
 
+// ReportKind is what a report is for.
+type ReportKind int
+
+// The kinds of reports.
+const (
+	ReportSum  ReportKind = iota // running totals that count for each collector that hears them
+	ReportPart                   // running totals of one router alone, for one collector
+	ReportLead                   // what a collector has decided, for the routers that report to it
+)
+
+// Relay is how the totals of a move travel: a router collects, or reports to one that does.
+type Relay struct {
+	Collector jaywind.VM               // that this router reports to; itself when it collects
+	Since     time.Time                // when that began, and with it the stream of reports
+	Members   map[jaywind.VM]time.Time // routers that report to this one, and when they last did
+	Peers     map[jaywind.VM]time.Time // other collectors that were heard, and when
+	Shunned   map[jaywind.VM]time.Time // collectors that did not answer, and until when they are left out
+	LedAt     time.Time                // when the collector last told its decisions
+	Lead      uint64                   // number of the last lead
+	Chosen    []jaywind.Member         // collectors, best first
+	Place     int                      // of this router in its failure domain, by which one of several collectors is taken
+	Epoch     uint64                   // of the list of members from which they were chosen
+}
+
 // Report is a router's running totals for a move, as it tells them to the others.
 type Report struct {
+	Kind    ReportKind
 	Move    MoveID
 	From    jaywind.VM
-	Life    int64  // distinguishes the lives of a router, Unix nanoseconds
-	Number  uint64 // of the report within the life
-	Began   int64  // of the move as known there, Unix nanoseconds
+	To      jaywind.VM // of a part
+	Life    int64      // distinguishes the streams of reports of a router, Unix nanoseconds
+	Number  uint64     // of the report within the life
+	Partial bool       // cells that have not changed since the last report are left out
+	Share   float64    // of a lead
+	Began   int64      // of the move as known there, Unix nanoseconds
 	Step    int
 	State   MoveState
 	Reason  string
@@ -123,8 +152,20 @@
 	Reason string
 }
 
-// Tell spreads a report to all routers.
-type Tell struct{ Report Report }
+// Tell spreads a report to some routers, or to all when none is named; the end of a move goes to all in any case.
+type Tell struct {
+	Report Report
+	To     []jaywind.VM
+}
+
+// Lead publishes the decisions that this router, as a collector, answers reports with.
+type Lead struct{ Report Report }
+
+// Unheard says that a collector could not be handed a report.
+type Unheard struct {
+	Move      MoveID
+	Collector jaywind.VM
+}
 
 // Recall asks the store for the final state of a move.
 type Recall struct{ Move MoveID }
@@ -154,7 +195,9 @@
 func (Reported) event() {}
 func (Recorded) event() {}
 func (Stalled) event()  {}
+func (Unheard) event()  {}
 func (Tell) command()   {}
+func (Lead) command()   {}
 func (Recall) command() {}
 func (Record) command() {}
 func (Steer) command()  {}
--- a/internal/fleet/evidence/evidence.go
+++ b/internal/fleet/evidence/evidence.go
@@ -21,7 +21,12 @@
 	Value []byte `cbor:"3,keyasint"`
 }
 
-type taken struct{}
+// taken is the note that answers a report; it has no kind when there is none.
+type taken struct {
+	Kind  string `cbor:"1,keyasint,omitempty"`
+	Key   string `cbor:"2,keyasint,omitempty"`
+	Value []byte `cbor:"3,keyasint,omitempty"`
+}
 
 // Client is the jaywind.Reporter that calls other routers; calls end with their context.
 type Client struct {
@@ -30,29 +35,30 @@
 
 var _ jaywind.Reporter = (*Client)(nil)
 
-// Report hands a note to the router at an address.
-func (c *Client) Report(ctx context.Context, at jaywind.Address, n jaywind.Note) error {
+// Report hands a note to the router at an address and returns its answer.
+func (c *Client) Report(ctx context.Context, at jaywind.Address, n jaywind.Note) (jaywind.Note, error) {
 	client := connect.NewClient[report, taken](c.HTTP, string(at)+Path, cbor.ClientOptions()...)
-	_, err := client.CallUnary(ctx, connect.NewRequest(&report{Kind: n.Kind, Key: n.Key, Value: n.Value}))
+	a, err := client.CallUnary(ctx, connect.NewRequest(&report{Kind: n.Kind, Key: n.Key, Value: n.Value}))
 	if err != nil {
-		return fmt.Errorf("report to %s: %w", at, err)
+		return jaywind.Note{}, fmt.Errorf("report to %s: %w", at, err)
 	}
-	return nil
+	return jaywind.Note{Kind: a.Msg.Kind, Key: a.Msg.Key, Value: a.Msg.Value}, nil
 }
 
 // router is what the handler needs of a router.
 type router interface {
-	TakeReport(n jaywind.Note) error
+	TakeReport(n jaywind.Note) (jaywind.Note, error)
 }
 
 // NewHandler returns the handler of the path /fleet/evidence.
 func NewHandler(r router) http.Handler {
 	take := func(_ context.Context, q *connect.Request[report]) (*connect.Response[taken], error) {
 		n := jaywind.Note{Kind: q.Msg.Kind, Key: q.Msg.Key, Value: q.Msg.Value}
-		if err := r.TakeReport(n); err != nil {
+		a, err := r.TakeReport(n)
+		if err != nil {
 			return nil, connect.NewError(connect.CodeInvalidArgument, err)
 		}
-		return connect.NewResponse(&taken{}), nil
+		return connect.NewResponse(&taken{Kind: a.Kind, Key: a.Key, Value: a.Value}), nil
 	}
 	return connect.NewUnaryHandler(Path, take, cbor.HandlerOptions()...)
 }
--- a/internal/fleet/evidence/evidence_test.go
+++ b/internal/fleet/evidence/evidence_test.go
@@ -17,29 +17,32 @@
 
 // sink keeps what it is handed.
 type sink struct {
-	got jaywind.Note
-	err error
+	got    jaywind.Note
+	answer jaywind.Note
+	err    error
 }
 
-func (s *sink) TakeReport(n jaywind.Note) error {
+func (s *sink) TakeReport(n jaywind.Note) (jaywind.Note, error) {
 	s.got = n
-	return s.err
+	return s.answer, s.err
 }
 
 func TestReport(t *testing.T) {
 	tests := map[string]struct {
 		secret string
 		err    error // of the router
+		answer jaywind.Note
 		ok     bool
 	}{
 		"taken":        {secret: secret, ok: true},
+		"answered":     {secret: secret, answer: jaywind.Note{Kind: "move", Key: "lead", Value: []byte{3}}, ok: true},
 		"bad report":   {secret: secret, err: errors.New("not a report")},
 		"wrong secret": {secret: "0123456789abcdeg"},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			s := &sink{err: c.err}
+			s := &sink{err: c.err, answer: c.answer}
 			server := httptest.NewUnstartedServer(cbor.Guard(secret, NewHandler(s)))
 			server.Config.Protocols = cbor.Protocols()
 			server.Start()
@@ -47,10 +50,11 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			n := jaywind.Note{Kind: "move", Key: "k", Value: []byte{1, 2}}
-			err := (&Client{HTTP: cbor.NewHTTPClient(c.secret)}).Report(ctx, jaywind.Address(server.URL), n)
+			answer, err := (&Client{HTTP: cbor.NewHTTPClient(c.secret)}).Report(ctx, jaywind.Address(server.URL), n)
 			is.Equal(err == nil, c.ok)
 			if c.ok {
 				is.Equal(s.got, n)
+				is.Equal(answer, c.answer)
 			}
 		})
 	}
--- a/internal/measure/moves/kind.go
+++ b/internal/measure/moves/kind.go
@@ -11,13 +11,14 @@
 	Routers  int
 	Length   time.Duration // of the move
 	Tick     time.Duration
+	Lag      time.Duration // of a report from router to router
 }
 
 // The sizes that are studied: a model of the target's seven, the same over all its routers, and a model of today.
 var (
-	Target = Load{Name: "target", Rate: 543, Replicas: 134, Domains: 4, Routers: 8, Length: 5 * time.Minute, Tick: 100 * time.Millisecond}
-	Many   = Load{Name: "many", Rate: 543, Replicas: 134, Domains: 4, Routers: 370, Length: 5 * time.Minute, Tick: 100 * time.Millisecond}
-	Today  = Load{Name: "today", Rate: 5, Replicas: 12, Domains: 3, Routers: 8, Length: 30 * time.Minute, Tick: 500 * time.Millisecond}
+	Target = Load{Name: "target", Rate: 543, Replicas: 134, Domains: 4, Routers: 8, Length: 5 * time.Minute, Tick: 100 * time.Millisecond, Lag: reportLag}
+	Many   = Load{Name: "many", Rate: 543, Replicas: 134, Domains: 4, Routers: 370, Length: 5 * time.Minute, Tick: 100 * time.Millisecond, Lag: callLag}
+	Today  = Load{Name: "today", Rate: 5, Replicas: 12, Domains: 3, Routers: 8, Length: 30 * time.Minute, Tick: 500 * time.Millisecond, Lag: reportLag}
 )
 
 // Kind is a way in which the new version, or its surroundings, behave.
--- a/internal/measure/moves/run.go
+++ b/internal/measure/moves/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -16,8 +17,11 @@
 
 const (
 	reportLag   = 1500 * time.Millisecond
-	noticeDead  = time.Second     // until placement leaves a dead replica alone
-	hangNotice  = 2 * time.Second // until an attempt without a frame counts as failed
+	callLag     = 200 * time.Millisecond // of each hop, where reports go by way of collectors
+	spreadLag   = 3 * time.Second        // for a note to reach all routers
+	callBytes   = 95                     // of a call beyond those of the notes' values, without TCP and IP
+	noticeDead  = time.Second            // until placement leaves a dead replica alone
+	hangNotice  = 2 * time.Second        // until an attempt without a frame counts as failed
 	normalFail  = 0.004
 	firstMedian = 300 * time.Millisecond
 	firstSpread = 0.4
@@ -44,7 +48,10 @@
 	now     time.Time
 	routers []*table.State
 	inbox   map[due][]table.Event
-	pending map[int][]outcome // by tick
+	index   map[jaywind.VM]int // of routers
+	leads   []answer           // with which each collector answers
+	bytes   []int              // of reports and answers, in and out, by router
+	pending map[int][]outcome  // by tick
 	tick    int
 	record  *table.Recorded
 	inUse   [][]rule.Endpoint // of the new version, by router
@@ -63,6 +70,12 @@
 	router int
 }
 
+// answer is what a collector answers reports with.
+type answer struct {
+	report table.Report
+	size   int // bytes
+}
+
 type outcome struct {
 	router  int
 	trial   *table.Trial
@@ -79,6 +92,9 @@
 		random:  rand.New(rand.NewPCG(seed, 7)),
 		start:   time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC),
 		inbox:   map[due][]table.Event{},
+		index:   map[jaywind.VM]int{},
+		leads:   make([]answer, l.Routers),
+		bytes:   make([]int, l.Routers),
 		pending: map[int][]outcome{},
 		flight:  map[jaywind.EndpointID]int{},
 		dead:    map[jaywind.EndpointID]int{},
@@ -92,18 +108,41 @@
 	set := u.rules()
 	for i := range l.Routers {
 		s := table.New(seed*1000 + uint64(i))
-		s.Self = jaywind.VM(fmt.Sprintf("vm%d", i))
+		s.Self = vm(i)
 		s.Rules = set
 		s.Membership.Members = l.Routers
+		s.Fleet.Self = u.member(i)
 		s.Steered = u.start.Add(24 * time.Hour) // no orders here
 		for id, e := range set.Endpoints {
 			s.Endpoints[id] = &table.Endpoint{ID: id, Load: jaywind.Load{Loaded: []jaywind.Version{e.Version}}}
 		}
 		u.routers = append(u.routers, s)
 	}
+	u.meet()
 	return u
 }
 
+// member returns a router's row in the list of members.
+func (u *run) member(i int) jaywind.Member {
+	return jaywind.Member{VM: vm(i), Domain: jaywind.Domain(fmt.Sprintf("d%d", i%u.load.Domains))}
+}
+
+func vm(i int) jaywind.VM { return jaywind.VM(fmt.Sprintf("vm%d", i)) }
+
+// meet lets each router know all others; the rows are shared, as nothing changes them here.
+func (u *run) meet() {
+	rows := map[jaywind.VM]*table.Member{}
+	for i := range u.routers {
+		rows[vm(i)] = &table.Member{Member: u.member(i)}
+		u.index[vm(i)] = i
+	}
+	for i, s := range u.routers {
+		s.Fleet.Members = maps.Clone(rows)
+		delete(s.Fleet.Members, vm(i))
+		s.Fleet.Epoch++
+	}
+}
+
 func (u *run) rules() *rule.Set {
 	set := rule.New()
 	set.Models["heat"] = rule.Model{Name: "heat", Version: "v1"}
@@ -180,11 +219,10 @@
 func (u *run) carry(i int, c table.Command) {
 	switch c := c.(type) {
 	case table.Tell:
-		at := u.tick + int(reportLag/u.load.Tick)
-		for j := range u.routers {
-			if j != i {
-				u.inbox[due{at, j}] = append(u.inbox[due{at, j}], table.Reported(c))
-			}
+		u.tell(i, c)
+	case table.Lead:
+		if n, err := move.EncodeLead(c.Report); err == nil {
+			u.leads[i] = answer{c.Report, len(n.Value)}
 		}
 	case table.Recall:
 		u.reply(i, table.Recorded{Move: c.Move, State: table.MoveGoing})
@@ -196,6 +234,54 @@
 	}
 }
 
+// tell carries a report to those that it is for, and the answers of collectors back.
+func (u *run) tell(i int, c table.Tell) {
+	n, err := move.EncodeReport(c.Report)
+	if err != nil {
+		return
+	}
+	for _, name := range c.To {
+		u.call(i, u.index[name], c.Report, len(n.Value))
+	}
+	if c.Report.State != table.MoveGoing {
+		u.leads[i] = answer{c.Report, len(n.Value)}
+	}
+	if len(c.To) > 0 && c.Report.State == table.MoveGoing {
+		return
+	}
+	lag := u.load.Lag
+	if len(c.To) > 0 {
+		lag = spreadLag
+	}
+	for j := range u.routers {
+		if j == i {
+			continue
+		}
+		u.post(j, lag, table.Reported{Report: c.Report})
+		if len(c.To) == 0 {
+			u.bytes[i] += len(n.Value) + callBytes
+			u.bytes[j] += len(n.Value) + callBytes
+		}
+	}
+}
+
+// call carries a report of so many bytes to one router, and the answer back.
+func (u *run) call(i, j int, r table.Report, size int) {
+	u.post(j, u.load.Lag, table.Reported{Report: r})
+	size += callBytes
+	if r.Kind == table.ReportPart && u.leads[j].size > 0 {
+		u.post(i, 2*u.load.Lag, table.Reported{Report: u.leads[j].report})
+		size += u.leads[j].size
+	}
+	u.bytes[i] += size
+	u.bytes[j] += size
+}
+
+func (u *run) post(i int, lag time.Duration, e table.Event) {
+	at := due{u.tick + max(int(lag/u.load.Tick), 1), i}
+	u.inbox[at] = append(u.inbox[at], e)
+}
+
 func (u *run) reply(i int, e table.Recorded) {
 	if u.record != nil {
 		e = *u.record
--- a/internal/measure/moves/study.go
+++ b/internal/measure/moves/study.go
@@ -30,6 +30,7 @@
 	After      float64 // share later than 2 s after it showed itself bad
 	AfterRuns  int     // runs in which that was above 1 in 100
 	Reasons    map[string]int
+	Bytes      float64 // a second on the busiest router's reports and answers, in and out, over its whole move
 	MedianTime float64 // seconds from the start of the move to its end
 }
 
@@ -69,6 +70,7 @@
 		r.Back++
 	}
 	r.Reasons[m.Reason]++
+	r.Bytes = max(r.Bytes, float64(slices.Max(u.bytes))/max(m.Ended.Sub(u.start).Seconds(), 1))
 	if m.State == table.MoveBack && m.Ended.Before(u.start.Add(u.load.Length*9/10)) {
 		r.Verdicts++
 	}
@@ -81,13 +83,13 @@
 }
 
 // Header names the columns of a Result's String.
-const Header = "load    version                          runs  done  back  open  early  shown  share before  worst  after 2 s  runs >1%  median end"
+const Header = "load    version                          runs  done  back  open  early  shown  share before  worst  after 2 s  runs >1%  median end  KB/s"
 
 // String returns the result as one line of a table.
 func (r Result) String() string {
 	line := fmt.Sprintf("%-7s %-32s %5d %5d %5d %5d %6d", r.Load.Name, r.Kind.Name, r.Runs, r.Done, r.Back, r.Open, r.Verdicts)
 	if !r.Kind.Bad {
-		return line + fmt.Sprintf("%62.0f s", r.MedianTime)
+		return line + fmt.Sprintf("%62.0f s %5.1f", r.MedianTime, r.Bytes/1000)
 	}
-	return line + fmt.Sprintf(" %6d %12.2f%% %5.1f%% %9.3f%% %9d %9.0f s", r.Shown, 100*r.Before, 100*r.Early, 100*r.After, r.AfterRuns, r.MedianTime)
+	return line + fmt.Sprintf(" %6d %12.2f%% %5.1f%% %9.3f%% %9d %9.0f s %5.1f", r.Shown, 100*r.Before, 100*r.Early, 100*r.After, r.AfterRuns, r.MedianTime, r.Bytes/1000)
 }
