--- a/internal/core/move/watch_test.go
+++ b/internal/core/move/watch_test.go
@@ -117,17 +117,21 @@
 			Tallies: map[table.Cell]table.Tally{cell: {Good: good}}}
 	}
 	now := start.UnixNano()
+	partial := of(now-int64(time.Minute), 9, 0)
+	partial.Partial = true
+	partial.Tallies = nil
 	tests := map[string]struct {
 		reports []table.Report
 		sum     uint64
 	}{
-		"running totals":         {reports: []table.Report{of(now, 1, 5), of(now, 2, 9)}, sum: 9},
-		"one lost":               {reports: []table.Report{of(now, 1, 5), of(now, 7, 30)}, sum: 30},
-		"repeated":               {reports: []table.Report{of(now, 1, 5), of(now, 1, 5)}, sum: 5},
-		"late":                   {reports: []table.Report{of(now, 2, 9), of(now, 1, 5)}, sum: 9},
-		"the router began again": {reports: []table.Report{of(now, 4, 9), of(now+1, 1, 2)}, sum: 11},
-		"its former life, late":  {reports: []table.Report{of(now+1, 1, 2), of(now, 9, 50)}, sum: 2},
-		"older than this router": {reports: []table.Report{of(now-int64(time.Minute), 9, 50), of(now-int64(time.Minute), 10, 53)}, sum: 3},
+		"running totals":             {reports: []table.Report{of(now, 1, 5), of(now, 2, 9)}, sum: 9},
+		"one lost":                   {reports: []table.Report{of(now, 1, 5), of(now, 7, 30)}, sum: 30},
+		"repeated":                   {reports: []table.Report{of(now, 1, 5), of(now, 1, 5)}, sum: 5},
+		"late":                       {reports: []table.Report{of(now, 2, 9), of(now, 1, 5)}, sum: 9},
+		"the router began again":     {reports: []table.Report{of(now, 4, 9), of(now+1, 1, 2)}, sum: 11},
+		"its former life, late":      {reports: []table.Report{of(now+1, 1, 2), of(now, 9, 50)}, sum: 2},
+		"older, a partial one first": {reports: []table.Report{partial, of(partial.Life, 10, 50), of(partial.Life, 11, 53)}, sum: 3},
+		"older than this router":     {reports: []table.Report{of(now-int64(time.Minute), 9, 50), of(now-int64(time.Minute), 10, 53)}, sum: 3},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
