move: an end goes out by gossip from a member too, and counts stay apart

Two faults of the collectors. A member that took a move back while all collectors were dead spread its end as a note of the kind "part", which the others dropped: parts are checked by their addressee already, so that notes need no check of their own. And a router that turned collector shared one map of sources between its totals and its open window, so that each new failure counted twice by source in both. TestFollow/another_member_does,_all_collectors_are_dead and TestTurn failed first; both pass.

--- a/internal/core/move/collect.go
+++ b/internal/core/move/collect.go
@@ -123,8 +123,11 @@
 	m.Evidence.Own = rest
 	m.Proof = newProof()
 	m.Suspect = false
-	if collects(s, m) {
-		m.Evidence.Pending = merged(nil, rest)
+	if !collects(s, m) {
+		return
+	}
+	for c, t := range rest {
+		add(m.Evidence.Pending, c, t, 0)
 	}
 }
 
--- a/internal/core/move/collect_test.go
+++ b/internal/core/move/collect_test.go
@@ -28,6 +28,9 @@
 	cut     func(i, j int) bool             // between routers, nil for nowhere
 	mangle  func(table.Event) []table.Event // of what arrives, nil for nothing
 	counted uint64
+	gossip  bool           // carries notes
+	notes   []jaywind.Note // that the gossip brings in this tick
+	said    []jaywind.Note // that it brings in the next one
 	turn    int
 	history []uint64 // of counted, by turn
 }
@@ -90,6 +93,7 @@
 // step runs a tick at each router, with one good outcome each if count is set.
 func (f *fleet) step(count bool) {
 	now := start.Add(time.Duration(f.turn) * fleetTick)
+	f.notes, f.said = f.said, nil
 	for i, s := range f.routers {
 		if f.dead[i] || f.asleep[i] {
 			continue
@@ -97,6 +101,7 @@
 		events := f.inbox[i]
 		f.inbox[i] = nil
 		s.Begin(now, true, events)
+		s.Fleet.NotesIn = f.notes
 		Decide{}.Step(s)
 		if count {
 			f.counted++
@@ -122,6 +127,9 @@
 func (f *fleet) carry(i int, c table.Command) {
 	switch c := c.(type) {
 	case table.Tell:
+		if n, err := EncodeReport(c.Report); err == nil && f.gossip && c.Report.State != table.MoveGoing {
+			f.said = append(f.said, n)
+		}
 		for _, name := range c.To {
 			f.call(i, f.index(name), c.Report)
 		}
@@ -320,8 +328,22 @@
 			},
 			state: table.MoveGoing, turns: true,
 		},
-		"its collector takes back":  {fault: func(f *fleet, _, c int) { f.hand(c, table.Stalled{Move: id(), Reason: "not loaded"}) }, state: table.MoveBack},
-		"another collector does":    {fault: func(f *fleet, _, c int) { f.hand(f.other(c), table.Stalled{Move: id(), Reason: "not loaded"}) }, state: table.MoveBack},
+		"its collector takes back": {fault: func(f *fleet, _, c int) { f.hand(c, table.Stalled{Move: id(), Reason: "not loaded"}) }, state: table.MoveBack},
+		"another collector does":   {fault: func(f *fleet, _, c int) { f.hand(f.other(c), table.Stalled{Move: id(), Reason: "not loaded"}) }, state: table.MoveBack},
+		"another member does": {
+			fault: func(f *fleet, m, _ int) { f.hand(f.memberAfter(m), table.Stalled{Move: id(), Reason: "not loaded"}) },
+			state: table.MoveBack,
+		},
+		"another member does, all collectors are dead": {
+			fault: func(f *fleet, m, _ int) {
+				f.gossip = true
+				for i, s := range f.routers {
+					f.dead[i] = collects(s, s.Moves["heat"])
+				}
+				f.hand(f.memberAfter(m), table.Stalled{Move: id(), Reason: "not loaded"})
+			},
+			state: table.MoveBack,
+		},
 		"its collector is paused":   {fault: func(f *fleet, _, c int) { f.asleep[c] = true }, state: table.MoveGoing, leaves: true},
 		"its collector decides not": {fault: func(f *fleet, _, _ int) { f.mangle = noLeads }, state: table.MoveGoing, leaves: true},
 	}
@@ -349,10 +371,12 @@
 }
 
 // member returns a router that reports to another one.
-func (f *fleet) member() int {
-	for i, s := range f.routers {
-		if !collects(s, s.Moves["heat"]) {
-			return i
+func (f *fleet) member() int { return f.memberAfter(-1) }
+
+func (f *fleet) memberAfter(i int) int {
+	for j, s := range f.routers {
+		if j > i && !collects(s, s.Moves["heat"]) {
+			return j
 		}
 	}
 	return -1
@@ -374,3 +398,22 @@
 	}
 	return []table.Event{e}
 }
+
+// TestTurn lets a router with a bad outcome that it has not told collect, and count another one.
+func TestTurn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(fleetSize)
+	for range 40 {
+		f.step(false)
+	}
+	s := f.routers[f.member()]
+	m := s.Moves["heat"]
+	trial := &table.Trial{New: true, Route: "risk", Endpoint: "e7"}
+	Count(s, m, trial, table.MeasureFailure, true)
+	turnTo(s, m, s.Self)
+	Count(s, m, trial, table.MeasureFailure, true)
+	cell := table.Cell{Pair: table.Pair{Route: "risk"}, New: true}
+	want := table.Tally{Bad: 2, By: map[table.Source]uint64{"e7": 2}}
+	is.Equal(m.Evidence.Own[cell], want)
+	is.Equal(m.Evidence.Pending[cell], want)
+}
--- a/internal/core/move/note.go
+++ b/internal/core/move/note.go
@@ -168,7 +168,7 @@
 		if n.Kind != NoteKind {
 			continue
 		}
-		if r, err := DecodeReport(n); err == nil && r.Kind != table.ReportPart {
+		if r, err := DecodeReport(n); err == nil {
 			handle(s, table.Reported{Report: r})
 		}
 	}
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -144,7 +144,8 @@
 			continue
 		}
 		if r.Partial {
-			t = changed(t, m.Evidence.Told[c])
+			r.Tallies[c] = changed(t, m.Evidence.Told[c])
+			continue
 		}
 		t.By = maps.Clone(t.By)
 		r.Tallies[c] = t
