move: a member hears from its collector that the move stands

Eight routers a second read the record at first, and a router that had not said nothing, so that it heard nothing from its collector either: of 370 members most sat idle until they had read it themselves. With the store away all members held their collectors for undecided and came to collect themselves, 24 of 24 in TestRecordIsHeardOf. A member now reports blind, which vouches for nothing, and an unknown move is no reason to leave a collector. All three rows of the test failed without this.

The fake fleet of the tests hands out decisions as answers to parts, as the wire does; it had spread them to everybody, which hid the fault.

TestCollect keeps its bounds; with the first report only, "one report in seven is lost" missed 200 outcomes of at most 192.

--- a/internal/core/move/collect.go
+++ b/internal/core/move/collect.go
@@ -72,6 +72,9 @@
 	maps.DeleteFunc(m.Relay.Members, forget)
 	maps.DeleteFunc(m.Relay.Peers, forget)
 	maps.DeleteFunc(m.Relay.Shunned, func(_ jaywind.VM, until time.Time) bool { return !s.Now.Before(until) })
+	if !m.Known {
+		m.Relay.LedAt = s.Now // its collector may not know either
+	}
 	if !collects(s, m) && s.Now.Sub(m.Relay.LedAt) >= leadLimit {
 		shun(s, m, m.Relay.Collector)
 	}
--- a/internal/core/move/collect_test.go
+++ b/internal/core/move/collect_test.go
@@ -27,16 +27,18 @@
 	asleep  map[int]bool                    // paused; what is sent to it waits
 	cut     func(i, j int) bool             // between routers, nil for nowhere
 	mangle  func(table.Event) []table.Event // of what arrives, nil for nothing
+	answers map[int]table.Event             // of collectors to parts
 	counted uint64
-	gossip  bool           // carries notes
-	notes   []jaywind.Note // that the gossip brings in this tick
-	said    []jaywind.Note // that it brings in the next one
+	gossip  bool             // carries notes
+	store   func(i int) bool // whether it answers a router, nil for always
+	notes   []jaywind.Note   // that the gossip brings in this tick
+	said    []jaywind.Note   // that it brings in the next one
 	turn    int
 	history []uint64 // of counted, by turn
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{inbox: make([][]table.Event, n), dead: map[int]bool{}, asleep: map[int]bool{}}
+	f := &fleet{inbox: make([][]table.Event, n), dead: map[int]bool{}, asleep: map[int]bool{}, answers: map[int]table.Event{}}
 	for i := range n {
 		f.routers = append(f.routers, newRouter(i))
 	}
@@ -134,12 +136,11 @@
 			f.call(i, f.index(name), c.Report)
 		}
 	case table.Lead:
-		for j := range f.routers { // as if each had just reported
-			if j != i && !f.dead[j] && !f.asleep[j] && (f.cut == nil || !f.cut(i, j)) {
-				f.hand(j, table.Reported(c))
-			}
-		}
+		f.answers[i] = table.Reported(c)
 	case table.Recall:
+		if f.store != nil && !f.store(i) {
+			return
+		}
 		f.hand(i, table.Recorded{Move: c.Move, State: table.MoveGoing})
 	}
 }
@@ -153,6 +154,9 @@
 		return
 	}
 	f.hand(j, table.Reported{Report: r})
+	if answer := f.answers[j]; r.Kind == table.ReportPart && answer != nil {
+		f.hand(i, answer)
+	}
 }
 
 func (f *fleet) hand(i int, e table.Event) {
@@ -266,6 +270,7 @@
 				i := f.first()
 				f.routers[i] = newRouter(i)
 				f.inbox[i] = nil
+				delete(f.answers, i)
 				for j := range fleetSize {
 					if j != i {
 						f.meet(f.routers[i], j)
@@ -417,3 +422,33 @@
 	is.Equal(m.Evidence.Own[cell], want)
 	is.Equal(m.Evidence.Pending[cell], want)
 }
+
+// TestRecordIsHeardOf lets the store answer some routers only; the others hear by way of the collectors that the move stands.
+func TestRecordIsHeardOf(t *testing.T) {
+	tests := map[string]struct {
+		store func(f *fleet, i int) bool
+		known bool
+	}{
+		"one member reads it":    {store: func(f *fleet, i int) bool { return i == f.member() }, known: true},
+		"one collector reads it": {store: func(f *fleet, i int) bool { return i == f.first() }, known: true},
+		"nobody reads it":        {store: func(*fleet, int) bool { return false }},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(fleetSize)
+			f.store = func(i int) bool { return c.store(f, i) }
+			for range 120 {
+				f.step(false)
+			}
+			collectors := 0
+			for _, s := range f.routers {
+				is.Equal(s.Moves["heat"].Known, c.known)
+				if collects(s, s.Moves["heat"]) {
+					collectors++
+				}
+			}
+			is.Equal(collectors, 3) // nobody has left its collector
+		})
+	}
+}
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -144,7 +144,7 @@
 	if r.From == s.Self || m.Recorded {
 		return
 	}
-	m.Known = true
+	m.Known = m.Known || !r.Blind
 	if r.Final {
 		settle(s, m, r.State, r.Reason)
 		return
@@ -211,8 +211,8 @@
 		judgeWindow(s, m)
 		lead(s, m)
 	}
-	if m.State == table.MoveGoing && m.Known {
-		tell(s, m) // what it does not know itself, a router does not vouch for
+	if m.State == table.MoveGoing && (m.Known || !collects(s, m)) {
+		tell(s, m) // what it does not know itself, a router does not vouch for, but it asks its collector
 	}
 }
 
--- a/internal/core/move/note.go
+++ b/internal/core/move/note.go
@@ -40,6 +40,7 @@
 	To      string     `cbor:"15,keyasint,omitempty"`
 	Partial bool       `cbor:"16,keyasint,omitempty"`
 	Share   float64    `cbor:"17,keyasint,omitempty"`
+	Blind   bool       `cbor:"18,keyasint,omitempty"`
 }
 
 type wireCell struct {
@@ -91,7 +92,7 @@
 		Model: string(r.Move.Model), Old: string(r.Move.From), New: string(r.Move.To), By: r.Move.By,
 		From: string(r.From), Life: r.Life, Number: r.Number, Began: r.Began,
 		Step: r.Step, State: string(r.State), Reason: r.Reason, Final: r.Final,
-		Kind: int(r.Kind), To: string(r.To), Partial: r.Partial, Share: r.Share,
+		Kind: int(r.Kind), To: string(r.To), Partial: r.Partial, Share: r.Share, Blind: r.Blind,
 	}
 	if r.State == table.MoveGoing {
 		w.State = ""
@@ -139,7 +140,7 @@
 		return table.Report{}, fmt.Errorf("%w: kind %d", ErrNote, w.Kind)
 	}
 	r := table.Report{
-		Kind: kind, To: jaywind.VM(w.To), Partial: w.Partial, Share: min(max(w.Share, 0), 1),
+		Kind: kind, To: jaywind.VM(w.To), Partial: w.Partial, Blind: w.Blind, Share: min(max(w.Share, 0), 1),
 		Move: table.MoveID{Model: jaywind.Model(w.Model), From: jaywind.Version(w.Old), To: jaywind.Version(w.New), By: w.By},
 		From: jaywind.VM(w.From), Life: w.Life, Number: w.Number, Began: w.Began,
 		Step: max(w.Step, 0), State: state, Reason: w.Reason, Final: w.Final,
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -10,7 +10,8 @@
 const (
 	maxSources = 8  // named in one tally of a report
 	maxCells   = 48 // in one report
-	wholeEvery = 5  // reports, of which one holds all cells
+	wholeFirst = 2  // reports of a stream that hold all cells, so that a lost one costs a second
+	wholeEvery = 10 // later reports, of which one does
 )
 
 // add puts a tally into a map of tallies and names at most limit sources, or any number for 0.
@@ -124,12 +125,13 @@
 		Move:    m.ID,
 		From:    s.Self,
 		Life:    m.Relay.Since.UnixNano(),
-		Partial: !mesh(s) && m.Told%wholeEvery != 1,
+		Partial: !mesh(s) && m.Told > wholeFirst && m.Told%wholeEvery != 0,
 		Number:  m.Told,
 		Step:    m.Step,
 		State:   m.State,
 		Reason:  m.Reason,
 		Final:   m.Recorded,
+		Blind:   !m.Known,
 		Tallies: make(map[table.Cell]table.Tally, len(m.Evidence.Own)),
 	}
 	if !r.Partial {
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -127,6 +127,7 @@
 	Number  uint64     // of the report within the life
 	Partial bool       // cells that have not changed since the last report are left out
 	Share   float64    // of a lead
+	Blind   bool       // its router does not know whether the move still stands
 	Began   int64      // of the move as known there, Unix nanoseconds
 	Step    int
 	State   MoveState
