move: as many collectors in each failure domain, and ends go on by way of them

A record that one member reads was told to its collector and by gossip, which the collector did not pass on: a collector tells it to its members and the others now (TestFollow/another_member_hears_of_the_record failed first). A report of an end leaves out the totals, which nobody adds any more.

--- a/internal/core/move/collect.go
+++ b/internal/core/move/collect.go
@@ -60,8 +60,9 @@
 			m.Relay.Place++
 		}
 	}
-	n := max(len(domains), (len(staying)+groupSize-1)/groupSize)
-	m.Relay.Chosen = rendezvous.Pick("evidence"+key(m.ID), staying, n, "")
+	group := groupSize * max(len(domains), 1)
+	rounds := max((len(staying)+group-1)/group, 1) // each takes one of each domain
+	m.Relay.Chosen = rendezvous.Pick("evidence"+key(m.ID), staying, rounds*len(domains), "")
 	m.Relay.Epoch = s.Fleet.Epoch
 	return m.Relay.Chosen
 }
--- a/internal/core/move/collect_test.go
+++ b/internal/core/move/collect_test.go
@@ -37,7 +37,8 @@
 	history []uint64 // of counted, by turn
 }
 
-func newFleet(n int) *fleet {
+func newFleet() *fleet {
+	const n = fleetSize
 	f := &fleet{inbox: make([][]table.Event, n), dead: map[int]bool{}, asleep: map[int]bool{}, answers: map[int]table.Event{}}
 	for i := range n {
 		f.routers = append(f.routers, newRouter(i))
@@ -283,7 +284,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(fleetSize)
+			f := newFleet()
 			for f.turn < fleetTurns+quietTurns {
 				if c.fault != nil {
 					c.fault(f)
@@ -315,11 +316,12 @@
 func TestFollow(t *testing.T) {
 	const newer = 1 << 40
 	tests := map[string]struct {
-		fault   func(f *fleet, member, collector int)
-		follows bool // the share that is told
-		turns   bool // to collect itself at once
-		state   table.MoveState
-		leaves  bool // for another collector
+		fault    func(f *fleet, member, collector int)
+		follows  bool // the share that is told
+		turns    bool // to collect itself at once
+		state    table.MoveState
+		leaves   bool // for another collector
+		recorded bool
 	}{
 		"decision of its collector":  {fault: func(f *fleet, m, c int) { f.hand(m, f.leads(c, newer)) }, follows: true, state: table.MoveGoing, leaves: true},
 		"older decision":             {fault: func(f *fleet, m, c int) { f.hand(m, f.leads(c, 1)) }, state: table.MoveGoing},
@@ -349,13 +351,17 @@
 			},
 			state: table.MoveBack,
 		},
+		"another member hears of the record": {
+			fault: func(f *fleet, m, _ int) { f.hand(f.memberAfter(m), table.Recorded{Move: id(), State: table.MoveBack}) },
+			state: table.MoveBack, recorded: true,
+		},
 		"its collector is paused":   {fault: func(f *fleet, _, c int) { f.asleep[c] = true }, state: table.MoveGoing, leaves: true},
 		"its collector decides not": {fault: func(f *fleet, _, _ int) { f.mangle = noLeads }, state: table.MoveGoing, leaves: true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(fleetSize)
+			f := newFleet()
 			for range 40 {
 				f.step(true)
 			}
@@ -370,6 +376,7 @@
 				f.step(true)
 			}
 			is.Equal(s.Moves["heat"].State, c.state)
+			is.Equal(s.Moves["heat"].Recorded, c.recorded)
 			is.Equal(s.Moves["heat"].Relay.Collector != collector, c.leaves) // leaves it
 		})
 	}
@@ -407,7 +414,7 @@
 // TestTurn lets a router with a bad outcome that it has not told collect, and count another one.
 func TestTurn(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(fleetSize)
+	f := newFleet()
 	for range 40 {
 		f.step(false)
 	}
@@ -436,7 +443,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(fleetSize)
+			f := newFleet()
 			f.store = func(i int) bool { return c.store(f, i) }
 			for range 120 {
 				f.step(false)
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -147,6 +147,9 @@
 	m.Known = m.Known || !r.Blind
 	if r.Final {
 		settle(s, m, r.State, r.Reason)
+		if collects(s, m) && !mesh(s) {
+			s.Emit(table.Tell{Report: report(s, m), To: listeners(s, m)})
+		}
 		return
 	}
 	if m.State != table.MoveGoing {
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -141,6 +141,9 @@
 		r.Kind = table.ReportPart
 		r.To = m.Relay.Collector
 	}
+	if m.State != table.MoveGoing {
+		return r // an end needs no totals
+	}
 	for c, t := range m.Evidence.Own {
 		if last := m.Evidence.Told[c]; r.Partial && t.Good == last.Good && t.Bad == last.Bad {
 			continue
