--- a/embed/router.go
+++ b/embed/router.go
@@ -67,6 +67,7 @@
 	members  memberView
 	gossip   gossip
 	quota    quota
+	moves    *moves
 	rulebook rulebook
 }
 
@@ -101,12 +102,13 @@
 
 // newParts returns the parts for which the fields that they need are set.
 func (r *Router) newParts() []part {
+	r.moves = newMoves(r)
 	parts := []part{
 		&engines{router: r, streams: map[streamKey]context.CancelFunc{}},
 		&callers{router: r},
 		&loads{router: r},
 		&journaler{router: r},
-		newMoves(r),
+		r.moves,
 		&services{router: r, retries: map[jaywind.RequestID][]context.CancelFunc{}},
 		&claimant{router: r},
 	}
