move: routers give on what they don't use of the budget

Cause, seen first with processes: callers of one organisation keep to one router, whose even part of the budget (25 of 200 with eight routers, 20 of 60 with three) is below the outcomes that the first step wants; the others spend nothing, and a good version is taken back at its time for too little proof.

Now, up to ten routers, each second a router that is not short itself gives half of its unused part to those that have kept requests back since they were last heard. Gifts are running totals in the reports, so that one heard twice counts once and a lost one is spent by nobody: the sum stays the budget.

Ruled out: the whole budget at each router, which is eight times the exposure; parts by the reported demand, since a demand that grows elsewhere takes back what was already spent. Above ten routers parts stay even: callers there are many, and a part is below one request.

--- /dev/null
+++ b/internal/core/move/budget.go
@@ -0,0 +1,67 @@
+package move
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// mayStart tells whether the budget of this router allows one more start before the first proof.
+func mayStart(s *table.State, m *table.Move) bool {
+	return m.Step > 0 || m.Starts < part(s, m)
+}
+
+// part returns this router's part of the budget: an even one, less what it has given to others,
+// and what they have given to it. The parts of all members add up to about the whole.
+func part(s *table.State, m *table.Move) int {
+	members := max(s.Membership.Members, 1)
+	rest := uint64(m.Rule.Budget % members)
+	own := m.Rule.Budget / members
+	if xxhash.Sum64String(string(s.Self)+key(m.ID))%uint64(members) < rest {
+		own++
+	}
+	for _, n := range m.Gifts {
+		own -= n
+	}
+	for _, r := range m.Evidence.Heard {
+		own += r.Gifts[s.Self]
+	}
+	return own
+}
+
+// give passes half of what this router does not use of its part to those that have run short since
+// they were last heard. Callers keep to a few routers, so that even parts alone would prove nothing.
+// Gifts are running totals in the reports: one that is heard twice counts once, and a lost one is
+// spent by nobody.
+func give(s *table.State, m *table.Move) {
+	if !mesh(s) || m.Step > 0 || !m.Known {
+		return
+	}
+	short := m.Short > m.ShortAt
+	m.ShortAt = m.Short
+	needy := runShort(m)
+	spare := part(s, m) - m.Starts
+	if short || spare <= 0 || len(needy) == 0 {
+		return
+	}
+	for i := range (spare + 1) / 2 {
+		m.Gifts[needy[i%len(needy)]]++
+	}
+}
+
+// runShort returns the routers whose budget has kept requests back since this was last asked.
+func runShort(m *table.Move) []jaywind.VM {
+	var out []jaywind.VM
+	for _, vm := range slices.Sorted(maps.Keys(m.Evidence.Heard)) {
+		now := m.Evidence.Heard[vm].Short
+		if now > m.Needs[vm] {
+			out = append(out, vm)
+		}
+		m.Needs[vm] = now
+	}
+	return out
+}
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -103,6 +103,8 @@
 		StepAt:   s.Now,
 		Evidence: newEvidence(),
 		Relay:    newRelay(s),
+		Gifts:    map[jaywind.VM]int{},
+		Needs:    map[jaywind.VM]int{},
 		Trials:   map[jaywind.RequestID]*table.Trial{},
 		Proof:    newProof(),
 	}
@@ -267,6 +269,7 @@
 	}
 	m.ToldAt = s.Now
 	m.Fresh = false
+	give(s, m)
 	s.Emit(table.Tell{Report: report(s, m), To: listeners(s, m)})
 }
 
--- a/internal/core/move/note.go
+++ b/internal/core/move/note.go
@@ -23,24 +23,26 @@
 
 // wireReport is a table.Report as a note's value.
 type wireReport struct {
-	Model   string     `cbor:"1,keyasint,omitempty"`
-	Old     string     `cbor:"2,keyasint,omitempty"`
-	New     string     `cbor:"3,keyasint,omitempty"`
-	By      int64      `cbor:"4,keyasint,omitempty"`
-	From    string     `cbor:"5,keyasint,omitempty"`
-	Life    int64      `cbor:"6,keyasint,omitempty"`
-	Number  uint64     `cbor:"7,keyasint,omitempty"`
-	Began   int64      `cbor:"8,keyasint,omitempty"`
-	Step    int        `cbor:"9,keyasint,omitempty"`
-	State   string     `cbor:"10,keyasint,omitempty"` // empty while the move goes on
-	Reason  string     `cbor:"11,keyasint,omitempty"`
-	Final   bool       `cbor:"12,keyasint,omitempty"`
-	Tallies []wireCell `cbor:"13,keyasint,omitempty"`
-	Kind    int        `cbor:"14,keyasint,omitempty"`
-	To      string     `cbor:"15,keyasint,omitempty"`
-	Partial bool       `cbor:"16,keyasint,omitempty"`
-	Share   float64    `cbor:"17,keyasint,omitempty"`
-	Blind   bool       `cbor:"18,keyasint,omitempty"`
+	Model   string         `cbor:"1,keyasint,omitempty"`
+	Old     string         `cbor:"2,keyasint,omitempty"`
+	New     string         `cbor:"3,keyasint,omitempty"`
+	By      int64          `cbor:"4,keyasint,omitempty"`
+	From    string         `cbor:"5,keyasint,omitempty"`
+	Life    int64          `cbor:"6,keyasint,omitempty"`
+	Number  uint64         `cbor:"7,keyasint,omitempty"`
+	Began   int64          `cbor:"8,keyasint,omitempty"`
+	Step    int            `cbor:"9,keyasint,omitempty"`
+	State   string         `cbor:"10,keyasint,omitempty"` // empty while the move goes on
+	Reason  string         `cbor:"11,keyasint,omitempty"`
+	Final   bool           `cbor:"12,keyasint,omitempty"`
+	Tallies []wireCell     `cbor:"13,keyasint,omitempty"`
+	Kind    int            `cbor:"14,keyasint,omitempty"`
+	To      string         `cbor:"15,keyasint,omitempty"`
+	Partial bool           `cbor:"16,keyasint,omitempty"`
+	Share   float64        `cbor:"17,keyasint,omitempty"`
+	Blind   bool           `cbor:"18,keyasint,omitempty"`
+	Short   int            `cbor:"19,keyasint,omitempty"`
+	Gifts   map[string]int `cbor:"20,keyasint,omitempty"`
 }
 
 type wireCell struct {
@@ -97,6 +99,13 @@
 	if r.State == table.MoveGoing {
 		w.State = ""
 	}
+	w.Short = r.Short
+	for vm, n := range r.Gifts {
+		if w.Gifts == nil {
+			w.Gifts = map[string]int{}
+		}
+		w.Gifts[string(vm)] = n
+	}
 	for _, c := range slices.SortedFunc(maps.Keys(r.Tallies), compareCells) {
 		t := r.Tallies[c]
 		cell := wireCell{Route: string(c.Route), Measure: int(c.Measure), New: c.New, Good: t.Good, Bad: t.Bad}
@@ -144,8 +153,15 @@
 		Move: table.MoveID{Model: jaywind.Model(w.Model), From: jaywind.Version(w.Old), To: jaywind.Version(w.New), By: w.By},
 		From: jaywind.VM(w.From), Life: w.Life, Number: w.Number, Began: w.Began,
 		Step: max(w.Step, 0), State: state, Reason: w.Reason, Final: w.Final,
+		Short:   w.Short,
 		Tallies: make(map[table.Cell]table.Tally, len(w.Tallies)),
 	}
+	for vm, n := range w.Gifts {
+		if r.Gifts == nil {
+			r.Gifts = map[jaywind.VM]int{}
+		}
+		r.Gifts[jaywind.VM(vm)] = max(n, 0)
+	}
 	for _, c := range w.Tallies {
 		cell := table.Cell{Pair: table.Pair{Route: jaywind.Route(c.Route), Measure: table.Measure(c.Measure)}, New: c.New}
 		if _, known := standards[cell.Measure]; !known {
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -144,6 +144,10 @@
 	if m.State != table.MoveGoing {
 		return r // an end needs no totals
 	}
+	if mesh(s) && m.Step == 0 {
+		r.Short = m.Short
+		r.Gifts = maps.Clone(m.Gifts)
+	}
 	for c, t := range m.Evidence.Own {
 		if last := m.Evidence.Told[c]; r.Partial && t.Good == last.Good && t.Bad == last.Bad {
 			continue
--- a/internal/core/move/version.go
+++ b/internal/core/move/version.go
@@ -39,6 +39,7 @@
 		return m.ID.To
 	}
 	if !mayStart(s, m) {
+		m.Short++
 		return m.ID.From
 	}
 	m.Starts++
@@ -46,22 +47,6 @@
 	return m.ID.To
 }
 
-// mayStart tells whether the budget of this router allows one more start before the first proof.
-func mayStart(s *table.State, m *table.Move) bool {
-	return m.Step > 0 || m.Starts < part(s, m)
-}
-
-// part returns this router's part of the budget; the parts of all members add up to about the whole.
-func part(s *table.State, m *table.Move) int {
-	members := max(s.Membership.Members, 1)
-	rest := uint64(m.Rule.Budget % members)
-	own := m.Rule.Budget / members
-	if xxhash.Sum64String(string(s.Self)+key(m.ID))%uint64(members) < rest {
-		own++
-	}
-	return own
-}
-
 // servable tells whether some replica of the new version could take the request now.
 func servable(s *table.State, m *table.Move, r *table.Request) bool {
 	for id, e := range s.Rules.Endpoints {
--- a/internal/measure/moves/kind.go
+++ b/internal/measure/moves/kind.go
@@ -35,6 +35,7 @@
 	Replica bool // one replica in use dies
 	Domain  bool // a failure domain is lost
 	Double  bool // the traffic doubles and all answers slow down
+	One     bool // all requests come in at one router
 }
 
 // Kinds are the cases of the study.
@@ -43,6 +44,7 @@
 	{Name: "good, a replica dies", Replica: true},
 	{Name: "good, a failure domain is lost", Domain: true},
 	{Name: "good, load doubles", Double: true},
+	{Name: "good, all at one router", One: true},
 	{Name: "half fail", Bad: true, Fail: 0.5},
 	{Name: "one in 20 fails", Bad: true, Fail: 0.05},
 	{Name: "later, 3 in 10 fail", Bad: true, Fail: 0.3, Later: true},
@@ -50,4 +52,5 @@
 	{Name: "one route, 3 in 10 fail", Bad: true, Fail: 0.3, Route: true},
 	{Name: "slow", Bad: true, Slow: 1.8},
 	{Name: "3 in 10 hang", Bad: true, Hang: 0.3},
+	{Name: "half fail, all at one router", Bad: true, Fail: 0.5, One: true},
 }
--- a/internal/measure/moves/request.go
+++ b/internal/measure/moves/request.go
@@ -15,6 +15,9 @@
 // request starts one request at one router.
 func (u *run) request() {
 	i := u.random.IntN(len(u.routers))
+	if u.kind.One {
+		i = 0
+	}
 	m := u.move(i)
 	r := &table.Request{ID: jaywind.RequestID(fmt.Sprintf("r%x", u.random.Uint64())), Model: "heat", Route: u.route()}
 	recent := move.VersionFor(u.routers[i], r) == "v2"
