jaywind: process tests take ports that no outgoing connection is given

Cause: a full run ended red in TestMoveOfProcesses ("leader is killed in mid-move"): a router found its address in use. The tests asked the system for free ports, closed them and handed them to processes; until such a process listens, any outgoing connection may be given the same port, and the rows that run side by side open thousands.

Now ports are taken from 10,000 to 30,000, below the range of outgoing connections (32,768 to 60,999 here), each once a run. Ruled out: trying the start again, as other processes have the address in their settings by then.

--- a/cmd/jaywind/process_test.go
+++ b/cmd/jaywind/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -70,19 +71,35 @@
 	return p
 }
 
+// Ports for processes come from below the range that systems take the ports of outgoing connections
+// from: one found free there would often be taken before its process listens.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
+var nextPort atomic.Int64 // after firstPort, so that tests at the same time get different ones
+
+func init() {
+	nextPort.Store(rand.Int64N(lastPort - firstPort))
+}
+
 func (p *processes) freePorts(n int) {
-	var open []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			p.t.Fatal(err)
-		}
-		open = append(open, l)
-		p.ports = append(p.ports, l.Addr().String())
+		p.ports = append(p.ports, freePort(p.t))
 	}
-	for _, l := range open {
-		_ = l.Close()
+}
+
+func freePort(t testing.TB) string {
+	for range lastPort - firstPort {
+		at := fmt.Sprint("127.0.0.1:", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		if l, err := net.Listen("tcp", at); err == nil {
+			_ = l.Close()
+			return at
+		}
 	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (p *processes) port() string {
