move: under suspicion the share is divided by eight

Cause: at thin traffic a bad version gets most of its late traffic while its verdict waits for failures on a second replica or domain; halving the share left half of it there.

Ruled out: share 0 under suspicion, which brings no outcome to clear it.

--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -232,7 +232,7 @@
 	case worst >= suspectShare && !m.Suspect:
 		m.Suspect = true
 		m.Suspicions++
-		m.Share /= 2
+		m.Share /= suspectCut
 		m.Proof.Step = 0
 		m.Proof.Loaded = 0
 	case worst < clearShare && m.Suspect:
--- a/internal/core/move/judge.go
+++ b/internal/core/move/judge.go
@@ -20,6 +20,7 @@
 	leastOutcomes = 1000.0
 	sourceShare   = 0.6 // of the threshold, that one replica or failure domain can bring about
 	suspectShare  = 0.6 // of the threshold, at which the share is halved
+	suspectCut    = 8   // by which the share is divided under suspicion
 	clearShare    = 0.4 // of the threshold, at which growth stops, and below which the share is whole again
 	mostNormal    = 0.9 // rate of bad outcomes on the old version that is still compared with
 )
