move: close to its time all routers ask for the record of a move's end

Cause: TestMoveOfProcesses ("leader is killed in mid-move") was red in one of three full runs: "its time came before the store recorded the end". The last proof came a second before the move's time, each of three routers asks for the record with odds of one in three a second, and one of them was dead, so that with odds of 0.44 nobody asked.

In the last three seconds each router that judges asks; the store takes the first by compare-and-swap. Ruled out: a longer margin, which takes its time from the proof; asking by all at any time, which is 370 calls at once where each judges alone.

--- a/internal/core/move/grow.go
+++ b/internal/core/move/grow.go
@@ -30,6 +30,7 @@
 	paceShare   = 0.8  // of the time left, that the steps left are spread over
 	marginShare = 0.05 // of a move's time, kept for recording its end
 	mostMargin  = 10 * time.Second
+	lastAsks    = 3   // pauses before a move's time, within which all routers ask for its record
 	rateWindows = 30  // that the smoothed rates go back
 	fewWindows  = 20  // before which thin traffic is not told from a start
 	mostThin    = 0.9 // of a step's time, within which thin traffic should give its proof
@@ -122,7 +123,16 @@
 		return
 	}
 	m.Proposed = true
-	askOf(s, m, judges(s, m), 1, table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
+	askOf(s, m, judges(s, m), recorders(s, m), table.Record{Move: m.ID, State: table.MoveDone, Reason: "proved in all steps", At: s.Now})
+}
+
+// recorders returns how many routers ask for the record of an end within one pause; close to
+// the time of the move all do, since the draw might leave it to nobody.
+func recorders(s *table.State, m *table.Move) int {
+	if deadline(m).Sub(s.Now) < lastAsks*askPause {
+		return judges(s, m)
+	}
+	return 1
 }
 
 // enoughLoaded tells whether the new version has the replicas to carry a share, against those of the old one now.
--- /dev/null
+++ b/internal/core/move/record_test.go
@@ -0,0 +1,40 @@
+package move
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/table"
+)
+
+// TestEndIsRecordedInTime has the last proof come shortly before the move's time, with one of three routers dead.
+func TestEndIsRecordedInTime(t *testing.T) {
+	for seed := range 50 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			asked := 0
+			for i := range 2 {
+				s := newRouter(2*seed + i)
+				s.Membership.Members = 3
+				s.Begin(start, true, known())
+				Decide{}.Step(s)
+				s.Take()
+				m := s.Moves["heat"]
+				m.Step = len(steps) - 1
+				m.StepAt = start
+				m.Proof = table.Proof{Step: stepProof, Loaded: loadProof, Routes: map[jaywind.Route]table.Passed{"risk": {Old: routeProof, New: routeProof}}}
+				s.Now = deadline(m).Add(-askPause / 2)
+				grow(s, m)
+				for _, c := range s.Take() {
+					if r, ok := c.(table.Record); ok && r.State == table.MoveDone {
+						asked++
+					}
+				}
+			}
+			is.True(asked > 0)
+		})
+	}
+}
