move: a suspected share still brings enough outcomes for a verdict

Cause: divided by eight in any case, the share of a suspected version brings two or three outcomes in a move of 45 s, so that half of the work failing had no verdict: it went back at its time, "under suspicion", and TestMoveOfProcesses was red at the check that it is a verdict.

The share under suspicion is now an eighth, or what brings ten outcomes in a tenth of the move's time, but at most half.

--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -232,7 +232,7 @@
 	case worst >= suspectShare && !m.Suspect:
 		m.Suspect = true
 		m.Suspicions++
-		m.Share /= suspectCut
+		m.Share = suspectedShare(m)
 		m.Proof.Step = 0
 		m.Proof.Loaded = 0
 	case worst < clearShare && m.Suspect:
@@ -243,6 +243,16 @@
 	}
 }
 
+// suspectedShare returns the share under suspicion: as little as still brings a verdict soon.
+func suspectedShare(m *table.Move) float64 {
+	share := m.Share / suspectMost
+	soon := m.Rule.By.Sub(m.Began).Seconds() * suspectTime
+	if m.Evidence.Ended > 0 && soon > 0 {
+		share = max(share, suspectProof/(m.Evidence.Ended*soon))
+	}
+	return min(share, m.Share/suspectLeast)
+}
+
 // ask emits a call on the store; of all routers about so many ask in one pause.
 func ask(s *table.State, m *table.Move, askers int, c table.Command) {
 	askOf(s, m, s.Membership.Members, askers, c)
--- a/internal/core/move/judge.go
+++ b/internal/core/move/judge.go
@@ -19,8 +19,11 @@
 	falseAlarms   = 2.0   // factor on the outcomes of a move within the threshold's logarithm
 	leastOutcomes = 1000.0
 	sourceShare   = 0.6 // of the threshold, that one replica or failure domain can bring about
-	suspectShare  = 0.6 // of the threshold, at which the share is halved
-	suspectCut    = 8   // by which the share is divided under suspicion
+	suspectShare  = 0.6 // of the threshold, at which the share is cut
+	suspectLeast  = 2   // by which the share is divided then at least
+	suspectMost   = 8   // by which it is divided where that leaves enough outcomes for a verdict
+	suspectProof  = 10  // outcomes that are enough
+	suspectTime   = 0.1 // of the move's time, within which they are to come
 	clearShare    = 0.4 // of the threshold, at which growth stops, and below which the share is whole again
 	mostNormal    = 0.9 // rate of bad outcomes on the old version that is still compared with
 )
