--- a/internal/core/move/budget.go
+++ b/internal/core/move/budget.go
@@ -24,19 +24,19 @@
 	if xxhash.Sum64String(string(s.Self)+key(m.ID))%uint64(members) < rest {
 		own++
 	}
-	for _, n := range m.Gifts {
+	for _, n := range m.Given {
 		own -= n
 	}
 	for _, r := range m.Evidence.Heard {
-		own += r.Gifts[s.Self]
+		own += r.Given[s.Self]
 	}
 	return own
 }
 
 // give passes half of what this router does not use of its part to those that have run short since
 // they were last heard. Callers keep to a few routers, so that even parts alone would prove nothing.
-// Gifts are running totals in the reports: one that is heard twice counts once, and a lost one is
-// spent by nobody.
+// What is given travels as running totals in the reports: a report that is heard twice counts once,
+// and what a lost one gave is spent by nobody.
 func give(s *table.State, m *table.Move) {
 	if !mesh(s) || m.Step > 0 || !m.Known {
 		return
@@ -49,7 +49,7 @@
 		return
 	}
 	for i := range (spare + 1) / 2 {
-		m.Gifts[needy[i%len(needy)]]++
+		m.Given[needy[i%len(needy)]]++
 	}
 }
 
--- a/internal/core/move/budget_test.go
+++ b/internal/core/move/budget_test.go
@@ -42,7 +42,7 @@
 		"a giver begins again": {busy: one, strike: func(turn int, rs []*table.State) {
 			if turn == 40 {
 				rs[3].Moves["heat"].Starts = 0
-				rs[3].Moves["heat"].Gifts = map[jaywind.VM]int{}
+				rs[3].Moves["heat"].Given = map[jaywind.VM]int{}
 				rs[3].Moves["heat"].Relay.Since = rs[3].Now
 				rs[3].Moves["heat"].Told = 0
 			}
--- a/internal/core/move/decide.go
+++ b/internal/core/move/decide.go
@@ -103,7 +103,7 @@
 		StepAt:   s.Now,
 		Evidence: newEvidence(),
 		Relay:    newRelay(s),
-		Gifts:    map[jaywind.VM]int{},
+		Given:    map[jaywind.VM]int{},
 		Needs:    map[jaywind.VM]int{},
 		Trials:   map[jaywind.RequestID]*table.Trial{},
 		Proof:    newProof(),
--- a/internal/core/move/note.go
+++ b/internal/core/move/note.go
@@ -42,7 +42,7 @@
 	Share   float64        `cbor:"17,keyasint,omitempty"`
 	Blind   bool           `cbor:"18,keyasint,omitempty"`
 	Short   int            `cbor:"19,keyasint,omitempty"`
-	Gifts   map[string]int `cbor:"20,keyasint,omitempty"`
+	Given   map[string]int `cbor:"20,keyasint,omitempty"`
 }
 
 type wireCell struct {
@@ -100,11 +100,11 @@
 		w.State = ""
 	}
 	w.Short = r.Short
-	for vm, n := range r.Gifts {
-		if w.Gifts == nil {
-			w.Gifts = map[string]int{}
+	for vm, n := range r.Given {
+		if w.Given == nil {
+			w.Given = map[string]int{}
 		}
-		w.Gifts[string(vm)] = n
+		w.Given[string(vm)] = n
 	}
 	for _, c := range slices.SortedFunc(maps.Keys(r.Tallies), compareCells) {
 		t := r.Tallies[c]
@@ -156,11 +156,11 @@
 		Short:   w.Short,
 		Tallies: make(map[table.Cell]table.Tally, len(w.Tallies)),
 	}
-	for vm, n := range w.Gifts {
-		if r.Gifts == nil {
-			r.Gifts = map[jaywind.VM]int{}
+	for vm, n := range w.Given {
+		if r.Given == nil {
+			r.Given = map[jaywind.VM]int{}
 		}
-		r.Gifts[jaywind.VM(vm)] = max(n, 0)
+		r.Given[jaywind.VM(vm)] = max(n, 0)
 	}
 	for _, c := range w.Tallies {
 		cell := table.Cell{Pair: table.Pair{Route: jaywind.Route(c.Route), Measure: table.Measure(c.Measure)}, New: c.New}
--- a/internal/core/move/tally.go
+++ b/internal/core/move/tally.go
@@ -146,7 +146,7 @@
 	}
 	if mesh(s) && m.Step == 0 {
 		r.Short = m.Short
-		r.Gifts = maps.Clone(m.Gifts)
+		r.Given = maps.Clone(m.Given)
 	}
 	for c, t := range m.Evidence.Own {
 		if last := m.Evidence.Told[c]; r.Partial && t.Good == last.Good && t.Bad == last.Bad {
--- a/internal/core/table/move.go
+++ b/internal/core/table/move.go
@@ -47,7 +47,7 @@
 	Starts   int                // on the new version by this router
 	Short    int                // requests that its part of the budget kept back
 	ShortAt  int                // the same at the last report
-	Gifts    map[jaywind.VM]int // of its part of the budget, given to other routers in all
+	Given    map[jaywind.VM]int // of its part of the budget, given to other routers in all
 	Needs    map[jaywind.VM]int // requests that other routers have reported to be kept back
 	Proof    Proof
 	Evidence Evidence
@@ -138,7 +138,7 @@
 	Reason  string
 	Final   bool               // the state is in the store
 	Short   int                // requests that the budget kept back at its router
-	Gifts   map[jaywind.VM]int // parts of the budget that its router has given away
+	Given   map[jaywind.VM]int // parts of the budget that its router has given away
 	Tallies map[Cell]Tally
 }
 
