admit: the limit grows with each first token for a second only

Cause: at a sustained double load some requests always wait for their first token, so that a limit which was never too high kept growing by them and went on taking no notice of slow tokens; that is meant for a burst at a new router.

Now both hold for the first second of a pool. TestBurstAtANewRouter and TestGoodputAtTwiceCapacity keep their bounds.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -103,7 +103,7 @@
 	for _, m := range slices.Sorted(maps.Keys(s.Pools)) {
 		p := s.Pools[m]
 		p.Usable = place.Usable(s, m)
-		ramp(p)
+		ramp(s, p)
 		adjust(s, p)
 		expire(s, p)
 		sweep(p)
--- a/internal/core/admit/limit.go
+++ b/internal/core/admit/limit.go
@@ -31,6 +31,7 @@
 
 const (
 	adjustPeriod = 250 * time.Millisecond
+	burstTime    = time.Second            // from a pool's first request, for which its limit grows with each first token
 	queueHolds   = table.FirstTarget / 10 // delay in the engines' queues from which the limit does not grow
 	queueFalls   = table.FirstTarget / 5  // the same, from which it falls
 )
@@ -53,6 +54,7 @@
 	w := &p.Window
 	if w.Since.IsZero() {
 		w.Since = s.Now
+		p.Began = s.Now
 		return
 	}
 	if s.Now.Sub(w.Since) < adjustPeriod {
@@ -76,9 +78,9 @@
 //
 // A period is too long for a burst at a new router, which may wait in the queue
 // for little more than one.
-func ramp(p *table.Pool) {
+func ramp(s *table.State, p *table.Pool) {
 	w := &p.Window
-	if p.Proved {
+	if p.Proved || s.Now.Sub(p.Began) > burstTime {
 		return
 	}
 	if float64(p.Opening) > openingMost*float64(p.Running) {
--- a/internal/core/table/pool.go
+++ b/internal/core/table/pool.go
@@ -16,11 +16,12 @@
 	Backlog int     // resumes that wait for an endpoint
 	Virtual float64 // virtual time of the fair queue
 
-	Limit  float64 // requests that may run at once with all endpoints
-	Usable float64 // share of the endpoints that accept work
-	Proved bool    // whether the limit has once been too high
-	Rate   float64 // requests started a second, while some were queued
-	Base   Pace    // the best pace seen
+	Limit  float64   // requests that may run at once with all endpoints
+	Usable float64   // share of the endpoints that accept work
+	Proved bool      // whether the limit has once been too high
+	Began  time.Time // when the first request came
+	Rate   float64   // requests started a second, while some were queued
+	Base   Pace      // the best pace seen
 	Window Window
 }
 
