cbor: one connection that counts its bytes, for the ports and four tests

It now stands beside the transport between routers, with the counters of go-metrics.

With it, two benchmarks no longer skip where what they read is missing: a measure that can't be taken is said as a failure.

--- a/cmd/jaywind/idle_test.go
+++ b/cmd/jaywind/idle_test.go
@@ -64,7 +64,7 @@
 func (p *processes) proc(path string) string {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		p.t.Skip("no /proc here: ", err)
+		p.t.Fatal("this is read from /proc: ", err)
 	}
 	return string(text)
 }
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -100,7 +101,11 @@
 		d.ports[i].server = newServer(h)
 	}
 	last := &d.ports[len(d.ports)-1]
-	last.listener = newCountingListener(last.listener, d.router.Metrics())
+	traffic := cbor.Traffic{
+		In:  metrics.GetOrRegisterCounter("fleet.bytes.in", d.router.Metrics()),
+		Out: metrics.GetOrRegisterCounter("fleet.bytes.out", d.router.Metrics()),
+	}
+	last.listener = traffic.Listen(last.listener)
 }
 
 // fleetMux returns the handlers for calls from other routers.
--- /dev/null
+++ b/internal/fleet/cbor/count.go
@@ -0,0 +1,56 @@
+package cbor
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Traffic counts the bytes of connections; both counters must be set, and may be the same.
+type Traffic struct {
+	In  metrics.Counter
+	Out metrics.Counter
+}
+
+// Listen returns a listener whose connections are counted.
+func (t Traffic) Listen(l net.Listener) net.Listener {
+	return &countingListener{Listener: l, traffic: t}
+}
+
+// Conn returns a connection that is counted.
+func (t Traffic) Conn(c net.Conn) net.Conn {
+	return &countingConn{Conn: c, traffic: t}
+}
+
+type countingListener struct {
+	net.Listener
+	traffic Traffic
+}
+
+// Accept returns the next connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.Conn(c), nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic Traffic
+}
+
+// Read counts what it reads.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.In.Inc(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Out.Inc(int64(n))
+	return n, err
+}
--- a/internal/fleet/journal/journal_test.go
+++ b/internal/fleet/journal/journal_test.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"jaywind"
 	"jaywind/internal/fleet/cbor"
@@ -133,12 +133,13 @@
 // BenchmarkKeep sends batches of 15 tokens of one request and reports the bytes on the wire.
 func BenchmarkKeep(b *testing.B) {
 	s := serve(b, &Book{})
-	var sent atomic.Int64
+	sent := metrics.NewCounter()
+	traffic := cbor.Traffic{In: sent, Out: sent}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return &counter{Conn: c, sent: &sent}, err
+		return traffic.Conn(c), err
 	}
 	client := &Client{HTTP: &http.Client{Transport: signed{&http.Transport{Protocols: protocols, DialContext: dial}}}}
 	const tokens = 15
@@ -148,7 +149,7 @@
 			b.Fatal(err)
 		}
 	}
-	b.ReportMetric(float64(sent.Load())/float64(b.N), "B/message")
+	b.ReportMetric(float64(sent.Count())/float64(b.N), "B/message")
 }
 
 type signed struct{ next http.RoundTripper }
@@ -157,21 +158,3 @@
 	r.Header.Set("Authorization", "Bearer "+secret)
 	return s.next.RoundTrip(r)
 }
-
-// counter counts the bytes of a connection, both ways.
-type counter struct {
-	net.Conn
-	sent *atomic.Int64
-}
-
-func (c *counter) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent.Add(int64(n))
-	return n, err
-}
-
-func (c *counter) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.sent.Add(int64(n))
-	return n, err
-}
--- a/internal/fleet/journal/second_test.go
+++ b/internal/fleet/journal/second_test.go
@@ -11,13 +11,15 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"jaywind"
 	core "jaywind/internal/core/journal"
 	"jaywind/internal/core/table"
+	"jaywind/internal/fleet/cbor"
 )
 
 const (
@@ -52,20 +54,20 @@
 	f := newFlow(text)
 	f.keeps = keeps
 	f.run(b, warmUp, p)
-	sent, received := p.sent.Load(), p.received.Load()
+	sent, received := p.sent.Count(), p.received.Count()
 	messages, taken, spent := f.messages, f.taken, p.spent
 	f.run(b, measured, p)
 	seconds := measured.Seconds()
 	tokens := float64(f.taken - taken)
-	b.ReportMetric(float64(p.sent.Load()-sent)/seconds/1000, "KB/s-sent")
-	b.ReportMetric(float64(p.received.Load()-received)/seconds/1000, "KB/s-answers")
+	b.ReportMetric(float64(p.sent.Count()-sent)/seconds/1000, "KB/s-sent")
+	b.ReportMetric(float64(p.received.Count()-received)/seconds/1000, "KB/s-answers")
 	b.ReportMetric(float64(f.messages-messages)/seconds, "messages/s")
 	b.ReportMetric(tokens/seconds, "tokens/s")
 	b.ReportMetric(float64((p.spent-spent).Microseconds())/seconds, "us-calls/s")
 	if keeps {
 		return
 	}
-	b.ReportMetric(float64(p.sent.Load()-sent)/tokens, "B/token")
+	b.ReportMetric(float64(p.sent.Count()-sent)/tokens, "B/token")
 	b.ReportMetric(f.lag(), "tokens-behind")
 	b.ReportMetric(float64(f.worst), "tokens-behind-max")
 }
@@ -74,7 +76,7 @@
 func readTokens(b *testing.B) []jaywind.Token {
 	text, err := os.ReadFile(filepath.Join(build.Default.GOROOT, "src", "testdata", opticks))
 	if err != nil {
-		b.Skip(err)
+		b.Fatal(err)
 	}
 	var tokens []jaywind.Token
 	for _, word := range regexp.MustCompile(` ?[A-Za-z]{1,7}| ?[0-9]{1,3}| ?[^A-Za-z0-9\s]+|\s`).FindAllString(string(text), -1) {
@@ -191,14 +193,14 @@
 	clients  map[jaywind.VM]*Client
 	used     map[jaywind.VM]time.Time
 	spent    time.Duration
-	sent     atomic.Int64
-	received atomic.Int64
+	sent     metrics.Counter
+	received metrics.Counter
 }
 
 const idleLimit = 5 * time.Second // of the connections between routers
 
 func newPeers(b *testing.B) *peers {
-	return &peers{at: jaywind.Address(serve(b, &Book{}).URL), clients: map[jaywind.VM]*Client{}, used: map[jaywind.VM]time.Time{}}
+	return &peers{sent: metrics.NewCounter(), received: metrics.NewCounter(), at: jaywind.Address(serve(b, &Book{}).URL), clients: map[jaywind.VM]*Client{}, used: map[jaywind.VM]time.Time{}}
 }
 
 func (p *peers) keep(b *testing.B, now time.Time, k table.Keep) []jaywind.RequestID {
@@ -226,7 +228,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return &meter{Conn: c, peers: p}, err
+		return cbor.Traffic{In: p.received, Out: p.sent}.Conn(c), err
 	}
 	return closing{signed{&http.Transport{Protocols: protocols, DialContext: dial}}}
 }
@@ -236,21 +238,3 @@
 
 // CloseIdleConnections closes them.
 func (c closing) CloseIdleConnections() { c.next.(*http.Transport).CloseIdleConnections() }
-
-// meter counts the bytes of a connection each way.
-type meter struct {
-	net.Conn
-	peers *peers
-}
-
-func (m *meter) Write(p []byte) (int, error) {
-	n, err := m.Conn.Write(p)
-	m.peers.sent.Add(int64(n))
-	return n, err
-}
-
-func (m *meter) Read(p []byte) (int, error) {
-	n, err := m.Conn.Read(p)
-	m.peers.received.Add(int64(n))
-	return n, err
-}
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -4,13 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"jaywind"
 	"jaywind/internal/fleet/cbor"
@@ -61,45 +60,17 @@
 }
 
 // serve returns the address of a handler's server and the bytes that its connections carry.
-func serve(tb testing.TB, h *home) (jaywind.Address, *atomic.Int64) {
+func serve(tb testing.TB, h *home) (jaywind.Address, metrics.Counter) {
 	tb.Helper()
 	server := httptest.NewUnstartedServer(cbor.Guard(secret, NewHandler(h)))
 	server.Config.Protocols = cbor.Protocols()
-	count := &atomic.Int64{}
-	server.Listener = &counting{Listener: server.Listener, bytes: count}
+	count := metrics.NewCounter()
+	server.Listener = cbor.Traffic{In: count, Out: count}.Listen(server.Listener)
 	server.Start()
 	tb.Cleanup(server.Close)
 	return jaywind.Address(server.URL), count
 }
 
-// counting counts the bytes of its connections, both ways.
-type counting struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l *counting) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return &countingConn{Conn: c, bytes: l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkTell reports the bytes of a call both ways, on a new connection and on one that stands.
 func BenchmarkTell(b *testing.B) {
 	for _, n := range []int{1, 8, 32} {
@@ -121,7 +92,7 @@
 						c.HTTP = cbor.NewHTTPClient(secret)
 					}
 				}
-				b.ReportMetric(float64(count.Load())/float64(calls), "bytes/call")
+				b.ReportMetric(float64(count.Count())/float64(calls), "bytes/call")
 			})
 		}
 	}
