--- a/cmd/jaywind/apply.go
+++ b/cmd/jaywind/apply.go
@@ -12,8 +12,8 @@
 	"jaywind"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/operator/settings"
-	"jaywind/internal/platform/rules"
-	"jaywind/internal/platform/store"
+	"jaywind/internal/provider/rules"
+	"jaywind/internal/provider/store"
 )
 
 // exitPending says that rules stand in the store but are not yet held by a majority of the routers.
--- a/cmd/jaywind/apply_test.go
+++ b/cmd/jaywind/apply_test.go
@@ -14,7 +14,7 @@
 	"github.com/matryer/is"
 
 	"jaywind/internal/client/operator"
-	"jaywind/internal/platform/rules"
+	"jaywind/internal/provider/rules"
 	"jaywind/internal/standin/store"
 )
 
--- a/cmd/jaywind/once_test.go
+++ b/cmd/jaywind/once_test.go
@@ -14,7 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"jaywind"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 )
 
 const (
--- a/embed/fleet_test.go
+++ b/embed/fleet_test.go
@@ -14,7 +14,7 @@
 
 	"jaywind"
 	"jaywind/embed"
-	"jaywind/internal/platform/rules"
+	"jaywind/internal/provider/rules"
 	"jaywind/internal/standin/store"
 )
 
--- a/embed/moves.go
+++ b/embed/moves.go
@@ -13,7 +13,7 @@
 	"jaywind/internal/core/move"
 	"jaywind/internal/core/table"
 	"jaywind/internal/fleet/rendezvous"
-	"jaywind/internal/platform/leader"
+	"jaywind/internal/provider/leader"
 )
 
 const (
--- a/embed/moves_test.go
+++ b/embed/moves_test.go
@@ -17,7 +17,7 @@
 	"jaywind/embed"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
-	"jaywind/internal/platform/leader"
+	"jaywind/internal/provider/leader"
 	"jaywind/internal/standin/store"
 )
 
--- a/embed/rules.go
+++ b/embed/rules.go
@@ -16,7 +16,7 @@
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
 	"jaywind/internal/fleet/rendezvous"
-	"jaywind/internal/platform/rules"
+	"jaywind/internal/provider/rules"
 )
 
 const (
--- a/embed/types.go
+++ b/embed/types.go
@@ -5,7 +5,7 @@
 	"jaywind/internal/backend/service"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
-	"jaywind/internal/platform/store"
+	"jaywind/internal/provider/store"
 )
 
 // Ask is what a caller wants of Generate.
--- a/internal/core/claim/matrix_test.go
+++ b/internal/core/claim/matrix_test.go
@@ -13,7 +13,7 @@
 
 	"jaywind"
 	"jaywind/internal/core/table"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 )
 
 var errCut = errors.New("connection was cut")
--- a/internal/core/claim/world_test.go
+++ b/internal/core/claim/world_test.go
@@ -10,7 +10,7 @@
 	"jaywind/internal/core/claim"
 	"jaywind/internal/core/rule"
 	"jaywind/internal/core/table"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 )
 
 const (
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -24,7 +24,7 @@
 	"jaywind/internal/operator/burn"
 	"jaywind/internal/operator/scrape"
 	"jaywind/internal/operator/settings"
-	"jaywind/internal/platform/store"
+	"jaywind/internal/provider/store"
 )
 
 const (
--- a/internal/edge/ports/router.go
+++ b/internal/edge/ports/router.go
@@ -15,8 +15,8 @@
 	"jaywind/internal/fleet/ledger"
 	"jaywind/internal/fleet/quota"
 	"jaywind/internal/operator/settings"
-	"jaywind/internal/platform/vms"
-	"jaywind/internal/platform/weights"
+	"jaywind/internal/provider/vms"
+	"jaywind/internal/provider/weights"
 )
 
 // newRouter returns a router with the adapters that its settings ask for.
--- a/internal/fleet/ledger/bytes_test.go
+++ b/internal/fleet/ledger/bytes_test.go
@@ -13,7 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"jaywind"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 	"jaywind/internal/standin/store"
 )
 
--- a/internal/fleet/ledger/committer.go
+++ b/internal/fleet/ledger/committer.go
@@ -9,7 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"jaywind"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 )
 
 const (
--- a/internal/fleet/ledger/ledger_test.go
+++ b/internal/fleet/ledger/ledger_test.go
@@ -17,7 +17,7 @@
 
 	"jaywind"
 	"jaywind/internal/fleet/cbor"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 	"jaywind/internal/standin/store"
 )
 
--- a/internal/fleet/ledger/router.go
+++ b/internal/fleet/ledger/router.go
@@ -7,7 +7,7 @@
 
 	"jaywind"
 	"jaywind/internal/fleet/rendezvous"
-	"jaywind/internal/platform/claims"
+	"jaywind/internal/provider/claims"
 )
 
 const remoteLimit = 500 * time.Millisecond // for the preferred router to answer
--- a/internal/platform/store/breaker_test.go
+++ b/internal/provider/store/breaker_test.go
@@ -15,7 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"jaywind"
-	"jaywind/internal/platform/store"
+	"jaywind/internal/provider/store"
 )
 
 // failing answers nothing for a time and counts the calls of each second.
--- a/internal/platform/store/contract_test.go
+++ b/internal/provider/store/contract_test.go
@@ -13,7 +13,7 @@
 	"go.uber.org/goleak"
 
 	"jaywind"
-	"jaywind/internal/platform/store"
+	"jaywind/internal/provider/store"
 	standin "jaywind/internal/standin/store"
 )
 
--- a/internal/platform/store/use_test.go
+++ b/internal/provider/store/use_test.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"jaywind"
-	"jaywind/internal/platform/store"
+	"jaywind/internal/provider/store"
 	standin "jaywind/internal/standin/store"
 )
 
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -14,7 +14,7 @@
 	"jaywind/embed"
 	"jaywind/internal/edge/ports"
 	"jaywind/internal/operator/settings"
-	"jaywind/internal/platform/rules"
+	"jaywind/internal/provider/rules"
 	"jaywind/internal/standin/engine"
 	"jaywind/internal/standin/service"
 	"jaywind/internal/standin/store"
