--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
-
-	"go.uber.org/zap"
+	"os"
 
 	"jaywind/internal/edge/ports"
+	"jaywind/internal/operator/logs"
+	"jaywind/internal/operator/settings"
+	"jaywind/platform"
 )
 
+// bootVariable names the settings file where the command line does not.
+const bootVariable = "JAYWIND_BOOT"
+
 func route(ctx context.Context, c *console) int {
 	f := c.flags()
-	file := f.String("settings", "", "settings `file` of this router")
+	file := f.String("settings", os.Getenv(bootVariable), "settings `file` of this router; "+bootVariable+" names it otherwise")
 	if code, more := c.parse(f); !more {
 		return code
 	}
@@ -18,27 +23,27 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	log, err := newLog(s.Log.Level)
+	log, err := logs.New(s.Log.Level, c.out)
 	if err != nil {
 		return c.fail(err)
 	}
-	defer func() { _ = log.Sync() }()
-	d := &ports.Daemon{Settings: s, Log: log}
-	if err := d.Listen(); err != nil {
-		return c.fail(err)
+	defer log.Close()
+	if s.Platform != (settings.Platform{}) {
+		err = (&platform.Daemon{Settings: s, Log: log.Logger}).Run(ctx)
+	} else {
+		err = routeAlone(ctx, s, log)
 	}
-	if err := d.Run(ctx); err != nil {
+	if err != nil {
 		return c.fail(err)
 	}
 	return exitOK
 }
 
-func newLog(level string) (*zap.Logger, error) {
-	l, err := zap.ParseAtomicLevel(level)
-	if err != nil {
-		return nil, err
+// routeAlone serves with the product's own interfaces.
+func routeAlone(ctx context.Context, s settings.Settings, log *logs.Log) error {
+	d := &ports.Daemon{Settings: s, Log: log.Logger}
+	if err := d.Listen(); err != nil {
+		return err
 	}
-	config := zap.NewProductionConfig()
-	config.Level = l
-	return config.Build()
+	return d.Run(ctx)
 }
--- /dev/null
+++ b/internal/core/endpoint/choose.go
@@ -0,0 +1,164 @@
+package endpoint
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"jaywind"
+	"jaywind/internal/core/route"
+)
+
+const (
+	failPause  = 300 * time.Millisecond // without new work after a first failure; doubles with each
+	failCap    = 2400 * time.Millisecond
+	shakeSpan  = time.Second             // two endpoints of a failure domain that fail within it count as its failure
+	shakePause = 1500 * time.Millisecond // in which a failed domain is avoided
+
+	readScale  = 10000 // tokens left to read that weigh as much as a full endpoint
+	likeWeight = 0.25  // of the router's own preference, against a full endpoint
+	fillLimit  = 0.9   // of the memory that own work may take
+)
+
+// Need is what a call asks of an endpoint.
+type Need struct {
+	Model   jaywind.Model // empty for a plain call
+	Tokens  int           // of memory, at its end
+	Reading int           // tokens of the prompt
+	Version jaywind.Version
+	Avoid   []jaywind.EndpointID // that have failed the call
+}
+
+// Choose returns the endpoint of a service that suits a call best, or nil if it has none.
+func (t *Table) Choose(s *route.Service, n Need, now time.Time) *Endpoint {
+	return t.best(s, n, func(e *Endpoint) (rank int, weight float64) {
+		weight = e.load(s, n) + likeWeight*e.offset
+		switch {
+		case slices.Contains(n.Avoid, e.ID):
+			return 4, weight
+		case now.Before(e.closed):
+			return 3, e.closed.Sub(now).Seconds()
+		case !e.fits(s, n):
+			return 2, weight
+		case now.Before(t.shaken[e.Domain].till):
+			return 1, weight
+		}
+		return 0, weight
+	}, 3)
+}
+
+// Standby returns the endpoint that should hold the copy of a run at another one, or nil.
+func (t *Table) Standby(s *route.Service, run *Endpoint, n Need, now time.Time) *Endpoint {
+	if s.Engine == nil || !s.Engine.Copies {
+		return nil
+	}
+	return t.best(s, n, func(e *Endpoint) (rank int, weight float64) {
+		weight = float64(e.Held)/float64(max(1, s.Engine.Room)) + likeWeight*e.offset
+		switch {
+		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closed):
+			return 4, weight
+		case e.Domain == run.Domain:
+			return 2, weight
+		case now.Before(t.shaken[e.Domain].till):
+			return 1, weight
+		}
+		return 0, weight
+	}, 2)
+}
+
+// best returns the endpoint with the lowest rank up to worst, and among these with the lowest weight.
+func (t *Table) best(s *route.Service, n Need, judge func(*Endpoint) (int, float64), worst int) *Endpoint {
+	var found *Endpoint
+	rank, weight := worst, math.Inf(1)
+	for _, e := range t.services[s.Name] {
+		if e.Leaving || !e.serves(n) {
+			continue
+		}
+		if r, w := judge(e); r < rank || r == rank && w < weight {
+			found, rank, weight = e, r, w
+		}
+	}
+	return found
+}
+
+func (e *Endpoint) serves(n Need) bool {
+	if n.Version != "" && e.Version != n.Version {
+		return false
+	}
+	return n.Model == "" || slices.Contains(e.Models, n.Model)
+}
+
+// load is 1 for an endpoint that own calls fill.
+func (e *Endpoint) load(s *route.Service, n Need) float64 {
+	load := float64(e.Calls) / float64(max(1, e.Slots))
+	if s.Engine == nil {
+		return load
+	}
+	held := float64(e.Held+n.Tokens) / float64(max(1, s.Engine.Room))
+	return max(load, held) + float64(e.Reading)/readScale
+}
+
+// fits tells whether own work leaves a slot and memory for a call.
+func (e *Endpoint) fits(s *route.Service, n Need) bool {
+	if s.Engine == nil {
+		return true
+	}
+	return e.Calls < e.Slots && float64(e.Held+n.Tokens) <= fillLimit*float64(s.Engine.Room)
+}
+
+// Start counts a call that is sent to an endpoint.
+func (t *Table) Start(e *Endpoint, n Need) {
+	e.Calls++
+	e.Held += n.Tokens
+	e.Reading += n.Reading
+}
+
+// Read counts a call's first event.
+func (t *Table) Read(e *Endpoint, n Need) {
+	e.Reading -= n.Reading
+}
+
+// Finish counts the end of a call.
+func (t *Table) Finish(e *Endpoint, n Need) {
+	e.Calls--
+	e.Held -= n.Tokens
+}
+
+// Keep counts a copy at an endpoint, and Drop its end.
+func (t *Table) Keep(e *Endpoint, n Need) {
+	e.Held += n.Tokens
+}
+
+// Drop counts the end of a copy.
+func (t *Table) Drop(e *Endpoint, n Need) {
+	e.Held -= n.Tokens
+}
+
+// Fail counts a sign that an endpoint does not work; its domain is avoided once several show one.
+func (t *Table) Fail(e *Endpoint, now time.Time) {
+	e.closed = now.Add(min(failCap, failPause<<min(e.failures, 10)))
+	e.failures++
+	s := t.shaken[e.Domain]
+	if s.first != e.ID && now.Sub(s.at) < shakeSpan {
+		s.till = now.Add(shakePause)
+	}
+	s.first, s.at = e.ID, now
+	t.shaken[e.Domain] = s
+}
+
+// Succeed counts a sign that an endpoint works.
+func (t *Table) Succeed(e *Endpoint) {
+	e.failures = 0
+	e.closed = time.Time{}
+}
+
+// Usable returns how many endpoints of a service would be chosen now.
+func (t *Table) Usable(s *route.Service, now time.Time) int {
+	n := 0
+	for _, e := range t.services[s.Name] {
+		if !e.Leaving && !now.Before(e.closed) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/retry/budget.go
@@ -0,0 +1,63 @@
+package retry
+
+import "time"
+
+const (
+	cells  = 20  // of a window
+	margin = 0.8 // of the budget is used, as other routers count their windows at other times
+)
+
+// Budget counts the requests and repeats of one service at one router; set its fields before use.
+type Budget struct {
+	Share  float64       // repeats that one request allows
+	Spare  float64       // repeats that the whole fleet may make besides
+	Window time.Duration // over which both count
+
+	requests count
+	repeats  count
+}
+
+// Request counts a request.
+func (b *Budget) Request(now time.Time) {
+	b.requests.add(now, b.Window)
+}
+
+// Take counts a repeat and returns true, or returns false when the part of one of so many routers is spent.
+func (b *Budget) Take(now time.Time, routers int) bool {
+	allowed := margin * (b.Share*float64(b.requests.sum(now, b.Window)) + b.Spare/float64(max(1, routers)))
+	if float64(b.repeats.sum(now, b.Window)+1) > allowed {
+		return false
+	}
+	b.repeats.add(now, b.Window)
+	return true
+}
+
+// count is a sliding sum over one window, in cells.
+type count struct {
+	cell [cells]int
+	last int64 // number of the newest cell since the Unix epoch
+}
+
+func (c *count) add(now time.Time, window time.Duration) {
+	c.turn(now, window)
+	c.cell[c.last%cells]++
+}
+
+func (c *count) sum(now time.Time, window time.Duration) int {
+	c.turn(now, window)
+	total := 0
+	for _, n := range c.cell {
+		total += n
+	}
+	return total
+}
+
+// turn empties the cells that the window has left; a clock that went back leaves them as they are.
+func (c *count) turn(now time.Time, window time.Duration) {
+	at := now.UnixNano() / max(1, int64(window)/cells)
+	for range min(cells, max(0, at-c.last)) {
+		c.last++
+		c.cell[c.last%cells] = 0
+	}
+	c.last = max(c.last, at)
+}
--- /dev/null
+++ b/internal/core/retry/budget_test.go
@@ -0,0 +1,75 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"jaywind/internal/core/retry"
+)
+
+func TestTake(t *testing.T) {
+	tests := map[string]struct {
+		requests, routers int
+		wait              time.Duration // before the repeats
+		want              int
+	}{
+		"spare alone":           {requests: 0, routers: 1, want: 80},
+		"spare of ten routers":  {requests: 0, routers: 10, want: 8},
+		"share of the requests": {requests: 100, routers: 10, want: 48},
+		"requests of long ago":  {requests: 100, routers: 10, wait: 11 * time.Second, want: 8},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := retry.Budget{Share: 0.5, Spare: 100, Window: 10 * time.Second}
+			now := time.Unix(1000, 0)
+			for range c.requests {
+				b.Request(now)
+			}
+			now = now.Add(c.wait)
+			got := 0
+			for range 1000 {
+				if b.Take(now, c.routers) {
+					got++
+				}
+			}
+			is.New(t).Equal(got, c.want)
+		})
+	}
+}
+
+// TestFleetStaysInBudget: whatever the order, several routers together never exceed the fleet's budget in any window.
+func TestFleetStaysInBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const routers = 3
+		fleet := make([]retry.Budget, routers)
+		for i := range fleet {
+			fleet[i] = retry.Budget{Share: 0.5, Spare: 30, Window: 10 * time.Second}
+		}
+		now := time.Unix(1000, 0)
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			b := &fleet[rapid.IntRange(0, routers-1).Draw(t, "router")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Take(now, routers) {
+				repeats = append(repeats, now)
+			}
+			since := func(all []time.Time, span time.Duration) (n int) {
+				for _, at := range all {
+					if now.Sub(at) < span {
+						n++
+					}
+				}
+				return n
+			}
+			if got, limit := since(repeats, 10*time.Second), 0.5*float64(since(requests, 10500*time.Millisecond))+30; float64(got) > limit {
+				t.Fatalf("%d repeats, %.1f allowed", got, limit)
+			}
+		}
+	})
+}
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -16,6 +16,13 @@
 func (p *parser) check(s Settings) {
 	p.required("vm", s.VM)
 	p.required("domain", s.Domain)
+	if levels := []string{"debug", "info", "warn", "error"}; !slices.Contains(levels, s.Log.Level) {
+		p.at("log.level", "want one of "+strings.Join(levels, ", ")+", got "+strconv.Quote(s.Log.Level))
+	}
+	if s.Platform != (Platform{}) {
+		p.checkPlatform(s)
+		return
+	}
 	if len(s.Secret) < minSecret {
 		p.at("secret", fmt.Sprintf("want at least %d bytes, got %d", minSecret, len(s.Secret)))
 	}
@@ -35,9 +42,6 @@
 	for _, u := range s.Fleet.Operators {
 		p.url("fleet.operators", u, true)
 	}
-	if levels := []string{"debug", "info", "warn", "error"}; !slices.Contains(levels, s.Log.Level) {
-		p.at("log.level", "want one of "+strings.Join(levels, ", ")+", got "+strconv.Quote(s.Log.Level))
-	}
 	p.share("objectives.whole", s.Objectives.Whole)
 	p.share("objectives.resume", s.Objectives.Resume)
 	p.share("objectives.first", s.Objectives.First)
@@ -46,6 +50,31 @@
 	p.share("objectives.move", s.Objectives.Move)
 }
 
+// checkPlatform reports values that a router on the users' platform can't use.
+func (p *parser) checkPlatform(s Settings) {
+	f := s.Platform
+	p.listen("listen.caller", s.Listen.Caller)
+	p.listen("listen.operator", s.Listen.Operator)
+	p.distinct(s.Listen)
+	p.listen("platform.store", f.Store)
+	p.listen("platform.ready", f.Ready)
+	p.listen("platform.directory", f.Directory)
+	p.positive("platform.memory", f.Memory)
+	p.positive("platform.grace", f.Grace)
+	p.positive("platform.contact", f.Contact)
+	p.positive("platform.hint", f.Hint)
+	p.positive("platform.retry.window", f.Retry.Window)
+	if f.Retry.Share < 0 || f.Retry.Spare < 0 {
+		p.at("platform.retry.share", "want no negative budget")
+	}
+}
+
+func (p *parser) positive(key string, value int) {
+	if value <= 0 {
+		p.at(key, fmt.Sprintf("want a number above 0, got %d", value))
+	}
+}
+
 // at reports a finding at a key, or at the start of the file when the key is missing.
 func (p *parser) at(key, what string) {
 	place, found := p.places[key]
--- /dev/null
+++ b/internal/provider/follow/follow.go
@@ -0,0 +1,166 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+)
+
+// ErrCompacted is returned by a Source whose history no longer reaches back far enough.
+var ErrCompacted = errors.New("the history is gone")
+
+// Item is a key of the store, as it was written or deleted.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64 // of the change
+	Deleted  bool
+}
+
+// Source reads from the store.
+type Source interface {
+	// List returns all items under prefix and a revision from which to watch.
+	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// Watch waits for changes after a revision, and returns none once wait is over; errors may be ErrCompacted.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+}
+
+const (
+	defaultWait = 1800 * time.Millisecond // with the slack below within the time that a cut VM counts as in touch
+	waitSlack   = 700 * time.Millisecond  // for the answer to come
+	listLimit   = 1500 * time.Millisecond
+	retryFirst  = 100 * time.Millisecond
+	retryLast   = 800 * time.Millisecond
+)
+
+// Follower keeps up with one prefix; set its fields before Run.
+type Follower struct {
+	Source  Source
+	Prefix  string
+	Wait    time.Duration // longest wait for a change; 1.8 s when zero
+	Log     *zap.Logger
+	Changed func(Item)           // is called with each change, in the order of revisions for a key
+	Reached func(ok bool)        // is called after each call, with whether it was answered; may be nil
+	Listed  func(revision int64) // is called when a list is complete; may be nil
+
+	known map[string]int64 // revision of each key's item
+	after int64
+	away  time.Time // since the store does not answer; zero while it does
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.known = map[string]int64{}
+	if f.Wait == 0 {
+		f.Wait = defaultWait
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = retryFirst, retryLast
+	for ctx.Err() == nil {
+		err := f.list(ctx)
+		for err == nil {
+			pause.Reset()
+			err = f.watch(ctx)
+		}
+		if errors.Is(err, ErrCompacted) {
+			continue
+		}
+		f.sleep(ctx, pause.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// list reads everything and reports what is new, changed or no longer there.
+func (f *Follower) list(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	items, revision, err := f.Source.List(call, f.Prefix)
+	f.note(err)
+	if err != nil {
+		return err
+	}
+	there := make(map[string]bool, len(items))
+	for _, i := range items {
+		there[i.Key] = true
+		f.take(i)
+	}
+	for key, at := range f.known {
+		if !there[key] && at <= revision {
+			f.take(Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	f.after = revision
+	if f.Listed != nil {
+		f.Listed(revision)
+	}
+	return nil
+}
+
+// watch waits for changes once; the error is not nil when everything has to be listed again.
+func (f *Follower) watch(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, f.Wait+waitSlack)
+	defer cancel()
+	items, revision, err := f.Source.Watch(call, f.Prefix, f.after, f.Wait)
+	if err != nil && !errors.Is(err, ErrCompacted) && f.away.IsZero() {
+		// One lost answer is no reason to list: the same wait is asked for again.
+		f.note(err)
+		f.sleep(ctx, time.Duration(rand.Int64N(int64(retryFirst))))
+		return ctx.Err()
+	}
+	f.note(err)
+	if err != nil {
+		return err
+	}
+	for _, i := range items {
+		f.take(i)
+	}
+	f.after = max(f.after, revision)
+	return nil
+}
+
+// take reports a change unless a newer one of the key is known.
+func (f *Follower) take(i Item) {
+	if at, known := f.known[i.Key]; known && i.Revision <= at && !i.Deleted || known && i.Revision < at {
+		return
+	}
+	if i.Deleted {
+		if _, known := f.known[i.Key]; !known {
+			return
+		}
+		delete(f.known, i.Key)
+	} else {
+		f.known[i.Key] = i.Revision
+	}
+	f.Changed(i)
+}
+
+// note logs when the store goes away and comes back.
+func (f *Follower) note(err error) {
+	ok := err == nil || errors.Is(err, ErrCompacted)
+	if f.Reached != nil {
+		f.Reached(ok)
+	}
+	switch {
+	case errors.Is(err, ErrCompacted):
+		f.Log.Info("store: history gone, listing again", zap.Int64("after", f.after))
+	case !ok && f.away.IsZero():
+		f.away = time.Now()
+		f.Log.Warn("store: lost", zap.Error(err), zap.Int64("revision", f.after))
+	case ok && !f.away.IsZero():
+		f.Log.Info("store: regained", zap.Duration("away", time.Since(f.away)), zap.Int64("revision", f.after))
+		f.away = time.Time{}
+	}
+}
--- /dev/null
+++ b/internal/provider/roster/roster.go
@@ -0,0 +1,212 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/internal/provider/follow"
+)
+
+// Prefix is where the routers' keys are in the store.
+const Prefix = "jaywind/vm/"
+
+const (
+	leaseTime  = 2500 * time.Millisecond // a VM that lost power is in the list for no longer
+	renewEvery = 700 * time.Millisecond  // three renewals may be lost
+	callLimit  = 600 * time.Millisecond
+	// Grace is how long an entry that lapsed while the store was away may take to come back.
+	Grace = 2 * time.Second
+)
+
+// Member is one router that takes callers.
+type Member struct {
+	VM      jaywind.VM      `json:"vm"`
+	Domain  jaywind.Domain  `json:"domain"`
+	Entry   jaywind.Address `json:"entry"` // for callers
+	Fleet   jaywind.Address `json:"fleet"` // for other routers
+	Leaving bool            `json:"leaving"`
+
+	missing time.Time // when its key was missed; zero while it is there
+}
+
+// Keeper writes keys that live as long as a lease.
+type Keeper interface {
+	// Grant opens a lease that lapses after ttl unless it is renewed.
+	Grant(ctx context.Context, ttl time.Duration) (jaywind.LeaseID, error)
+	// Renew prolongs a lease, or returns jaywind.ErrLapsed.
+	Renew(ctx context.Context, id jaywind.LeaseID) error
+	// Put writes a key under a lease, whatever it holds.
+	Put(ctx context.Context, key string, value []byte, id jaywind.LeaseID) error
+}
+
+// Roster keeps this router's key and the list of all; set the exported fields before Run.
+type Roster struct {
+	Self   Member
+	Keeper Keeper
+	Log    *zap.Logger
+	Size   func(routers int) // is told how many routers there are; may be nil
+
+	mu      sync.Mutex
+	members map[jaywind.VM]Member
+	lease   jaywind.LeaseID
+	written bool // the key says what Self does
+}
+
+// Run holds the key until ctx ends.
+func (r *Roster) Run(ctx context.Context) error {
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	for {
+		r.hold(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// hold opens or renews the lease and writes the key if it says something else.
+func (r *Roster) hold(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if r.lease != "" {
+		err := r.Keeper.Renew(ctx, r.lease)
+		if errors.Is(err, jaywind.ErrLapsed) {
+			r.Log.Warn("roster: lease lapsed", zap.String("lease", string(r.lease)))
+			r.lease = ""
+		} else if err != nil {
+			r.Log.Debug("roster: not renewed", zap.Error(err))
+		}
+	}
+	if r.lease == "" {
+		id, err := r.Keeper.Grant(ctx, leaseTime)
+		if err != nil {
+			r.Log.Debug("roster: no lease", zap.Error(err))
+			return
+		}
+		r.lease = id
+		r.setWritten(false)
+	}
+	r.write(ctx)
+}
+
+func (r *Roster) setWritten(b bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.written = b
+}
+
+func (r *Roster) write(ctx context.Context) {
+	r.mu.Lock()
+	done, self := r.written, r.Self
+	r.written = true
+	r.mu.Unlock()
+	if done {
+		return
+	}
+	value, err := json.Marshal(self)
+	if err == nil {
+		err = r.Keeper.Put(ctx, Prefix+string(self.VM), value, r.lease)
+	}
+	if err != nil {
+		r.Log.Debug("roster: key not written", zap.Error(err))
+		r.setWritten(false)
+		if errors.Is(err, jaywind.ErrLapsed) {
+			r.lease = ""
+		}
+	}
+}
+
+// Leave tells all that this router takes no more callers.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Self.Leaving = true
+	r.written = false
+}
+
+// Learn takes a change of a key under Prefix; mayReturn says that a deleted one may have lapsed with the store away.
+func (r *Roster) Learn(i follow.Item, mayReturn bool) {
+	vm := jaywind.VM(strings.TrimPrefix(i.Key, Prefix))
+	var m Member
+	err := error(nil)
+	if !i.Deleted {
+		err = json.Unmarshal(i.Value, &m)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.members == nil {
+		r.members = map[jaywind.VM]Member{}
+	}
+	switch old, known := r.members[vm]; {
+	case err != nil || !i.Deleted && m.VM != vm:
+		r.Log.Warn("roster: unreadable entry", zap.String("key", i.Key), zap.Error(err))
+		return
+	case !i.Deleted:
+		r.members[vm] = m
+		r.Log.Info("roster: member", zap.String("vm", string(vm)), zap.Bool("leaving", m.Leaving), zap.Int64("revision", i.Revision))
+	case !known:
+		return
+	case mayReturn:
+		old.missing = time.Now()
+		r.members[vm] = old
+	default:
+		delete(r.members, vm)
+		r.Log.Info("roster: member gone", zap.String("vm", string(vm)), zap.Int64("revision", i.Revision))
+	}
+	r.report()
+}
+
+// Expire drops the members whose keys have been missing since before a time.
+func (r *Roster) Expire(before time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for vm, m := range r.members {
+		if !m.missing.IsZero() && m.missing.Before(before) {
+			delete(r.members, vm)
+			r.Log.Info("roster: member gone", zap.String("vm", string(vm)))
+		}
+	}
+	r.report()
+}
+
+// report tells how many routers there are; the caller holds mu.
+func (r *Roster) report() {
+	if r.Size != nil {
+		r.Size(max(1, len(r.members)))
+	}
+}
+
+// Entries returns where callers may connect: all members that do not leave, or all when all do.
+func (r *Roster) Entries() []jaywind.Address {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var staying, all []jaywind.Address
+	self := false
+	for vm, m := range r.members {
+		if vm == r.Self.VM {
+			self, m = true, r.Self
+		}
+		all = append(all, m.Entry)
+		if !m.Leaving {
+			staying = append(staying, m.Entry)
+		}
+	}
+	if !self && (!r.Self.Leaving || len(all) == 0) {
+		staying = append(staying, r.Self.Entry)
+	}
+	if len(staying) == 0 {
+		staying = all
+	}
+	slices.Sort(staying)
+	return staying
+}
--- /dev/null
+++ b/internal/relay/router/router.go
@@ -0,0 +1,271 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/retry"
+	"jaywind/internal/core/route"
+)
+
+const (
+	defaultWithin = 30 * time.Second      // for a caller that does not say how long it waits
+	lastMoment    = 10 * time.Millisecond // before a caller's own limit, for the final answer to arrive
+)
+
+// Router carries calls; set the exported fields before the first call.
+type Router struct {
+	Self     jaywind.VM
+	Domain   jaywind.Domain
+	Upstream jaywind.Upstream
+	Log      *zap.Logger
+	Metrics  metrics.Registry
+	Repeats  retry.Budget // of each service: its Share, Spare and Window
+
+	start sync.Once
+	meter meter
+
+	mu      sync.Mutex
+	set     *route.Set
+	table   endpoint.Table
+	budgets map[jaywind.ServiceName]*retry.Budget
+	routers int // that share the budgets
+}
+
+func (r *Router) init() {
+	r.start.Do(func() {
+		if r.Log == nil {
+			r.Log = zap.NewNop()
+		}
+		if r.Metrics == nil {
+			r.Metrics = metrics.NewRegistry()
+		}
+		r.meter.register(r.Metrics)
+		r.table.Self = r.Self
+		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
+		r.routers = 1
+	})
+}
+
+// Adopt puts a configuration in force unless a newer one is, and returns whether it did.
+func (r *Router) Adopt(s *route.Set) bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.set != nil && s.Version <= r.set.Version {
+		return false
+	}
+	r.set = s
+	r.meter.version.Update(int64(s.Version))
+	return true
+}
+
+// Config returns the configuration in force, or nil.
+func (r *Router) Config() *route.Set {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.set
+}
+
+// Learn takes an entry of the registry.
+func (r *Router) Learn(e endpoint.Entry) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table.Set(e) {
+		r.Log.Info("endpoint: learnt", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
+			zap.String("at", string(e.Address)), zap.String("domain", string(e.Domain)),
+			zap.String("version", string(e.Version)), zap.Bool("leaving", e.Leaving))
+	}
+	r.meter.endpoints.Update(int64(r.table.Count()))
+}
+
+// Forget drops an endpoint whose entry is gone; it is kept until expiry if the entry may come back.
+func (r *Router) Forget(id jaywind.EndpointID, mayReturn bool) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table.Get(id) == nil {
+		return
+	}
+	if mayReturn {
+		r.table.Miss(id, time.Now())
+		r.Log.Info("endpoint: entry missing", zap.String("endpoint", string(id)))
+		return
+	}
+	r.table.Remove(id)
+	r.Log.Info("endpoint: gone", zap.String("endpoint", string(id)))
+	r.meter.endpoints.Update(int64(r.table.Count()))
+}
+
+// Expire drops the endpoints whose entries have been missing since before a time.
+func (r *Router) Expire(before time.Time) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range r.table.Expire(before) {
+		r.Log.Info("endpoint: gone", zap.String("endpoint", string(id)))
+	}
+	r.meter.endpoints.Update(int64(r.table.Count()))
+}
+
+// Share tells how many routers share the budgets.
+func (r *Router) Share(routers int) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers = max(1, routers)
+	r.meter.members.Update(int64(r.routers))
+}
+
+// Ready tells whether calls can be served.
+func (r *Router) Ready() bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.set != nil && r.table.Count() > 0
+}
+
+// Serve takes a request to its final answer. It ends early when ctx does, which says that the caller is gone.
+func (r *Router) Serve(ctx context.Context, ask *Ask, answer Answer) {
+	r.init()
+	c, refusal := r.admit(ask, answer)
+	if refusal.Reason != "" {
+		r.meter.refuse(refusal)
+		r.Log.Info("request: refused", zap.String("request", string(ask.ID)), zap.String("reason", string(refusal.Reason)),
+			zap.String("host", ask.Host), zap.Duration("retry_after", refusal.After))
+		answer.Refuse(refusal)
+		return
+	}
+	if c.route.Kind == route.KindStream {
+		r.stream(ctx, c)
+		return
+	}
+	r.plain(ctx, c)
+}
+
+// admit finds the route of a request and checks its key.
+func (r *Router) admit(ask *Ask, answer Answer) (*call, Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.set == nil {
+		return nil, Refusal{Reason: ReasonUnready, After: jitter(time.Second)}
+	}
+	rt := r.set.Match(ask.Host, ask.Path)
+	if rt == nil {
+		return nil, Refusal{Reason: ReasonRoute}
+	}
+	holder, known := r.set.Holder(ask.Key)
+	if !known && !rt.Anonymous && r.set.Keyed() {
+		return nil, Refusal{Reason: ReasonKey}
+	}
+	c := &call{ask: ask, answer: answer, route: rt, set: r.set, holder: holder}
+	c.service = r.pickService(rt)
+	if c.service == nil {
+		return nil, Refusal{Reason: ReasonBusy, After: jitter(time.Second)}
+	}
+	within := defaultWithin
+	if ask.Within > 0 {
+		within = max(0, ask.Within-lastMoment)
+	}
+	if rt.Timeout > 0 {
+		within = min(within, rt.Timeout)
+	}
+	c.due = ask.Arrived.Add(within)
+	c.need = endpoint.Need{Model: ask.Model, Tokens: ask.Prompt + ask.Output, Reading: ask.Prompt}
+	if c.service.Engine == nil {
+		c.need = endpoint.Need{}
+	}
+	r.budget(c.service).Request(ask.Arrived)
+	return c, Refusal{}
+}
+
+// pickService draws one of a route's services by weight.
+func (r *Router) pickService(rt *route.Route) *route.Service {
+	total := 0
+	for _, s := range rt.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return nil
+	}
+	n := rand.IntN(total)
+	for _, s := range rt.Shares {
+		if n -= s.Weight; n < 0 {
+			return r.set.Services[s.Service]
+		}
+	}
+	return nil
+}
+
+func (r *Router) budget(s *route.Service) *retry.Budget {
+	b := r.budgets[s.Name]
+	if b == nil {
+		b = &retry.Budget{Share: r.Repeats.Share, Spare: r.Repeats.Spare, Window: r.Repeats.Window}
+		r.budgets[s.Name] = b
+	}
+	return b
+}
+
+// repeat takes a second send of a call from the budget.
+func (r *Router) repeat(c *call) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ok := r.budget(c.service).Take(time.Now(), r.routers)
+	if !ok {
+		r.meter.exhausted.Inc(1)
+	}
+	return ok
+}
+
+// place chooses an endpoint for a call and counts the call there.
+func (r *Router) place(c *call) *endpoint.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.table.Choose(c.service, c.need, time.Now())
+	if e != nil {
+		r.table.Start(e, c.need)
+		c.last = e.ID
+	}
+	return e
+}
+
+func (r *Router) finish(c *call, e *endpoint.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Finish(e, c.need)
+}
+
+// judge counts what an attempt showed of its endpoint.
+func (r *Router) judge(e *endpoint.Endpoint, works bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if works {
+		r.table.Succeed(e)
+		return
+	}
+	r.table.Fail(e, time.Now())
+}
+
+// sending returns what an attempt of a call sends to an endpoint.
+func (c *call) sending(e *endpoint.Endpoint, now time.Time) jaywind.Sending {
+	return jaywind.Sending{
+		Request: c.ask.ID, Endpoint: e.ID, At: e.Address,
+		Method: c.ask.Method, Host: c.ask.Host, Target: c.ask.Target, Header: c.ask.Header, Body: c.ask.Body,
+		Organisation: c.holder.Organisation,
+		Left:         c.left(now),
+	}
+}
+
+// jitter spreads callers who come back over half to one and a half times d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
--- /dev/null
+++ b/internal/relay/router/stream.go
@@ -0,0 +1,291 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/series"
+)
+
+const streamPause = 700 * time.Millisecond // for a refused caller to come back
+
+// flow is a stream on its way.
+type flow struct {
+	*call
+	plan    series.Plan
+	cursor  series.Cursor
+	begun   bool          // the head was passed on
+	gap     time.Duration // usual time between two events
+	lastAt  time.Time     // of the last event
+	events  int
+	standby *endpoint.Endpoint // keeps a copy of the current run
+}
+
+// run is one attempt of a stream at an endpoint.
+type run struct {
+	at     *endpoint.Endpoint
+	copied bool // goes on from a copy
+	events jaywind.Events
+}
+
+// stream carries a stream to its end, at as many endpoints as it takes.
+func (r *Router) stream(ctx context.Context, c *call) {
+	ctx, cancel := context.WithDeadline(ctx, c.due)
+	defer cancel()
+	f := &flow{call: c, plan: series.Plan{Repeatable: c.route.Repeatable(), Attempts: c.route.Attempts}}
+	if c.ask.Resumed {
+		f.cursor = series.From(c.ask.After)
+	}
+	step := series.StepFresh
+	for {
+		at := r.next(f, step)
+		if at == nil {
+			r.giveUp(f)
+			return
+		}
+		loss, err := r.attempt(ctx, f, run{at: at, copied: step == series.StepCopy})
+		if err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			r.cutShort(f, ctx.Err())
+			return
+		}
+		step = f.plan.Lost(loss)
+		if step == series.StepCopy && f.standby == nil {
+			step = series.StepFresh
+		}
+		c.need.Avoid = append(c.need.Avoid, at.ID)
+		last, _ := f.cursor.Last()
+		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Int("loss", int(loss)), zap.Int("next", int(step)),
+			zap.Int64("event", last), zap.Int64("silent_ms", f.silent()))...)
+		if step == series.StepEnd || !r.repeat(c) {
+			r.giveUp(f)
+			return
+		}
+	}
+}
+
+func (f *flow) silent() int64 {
+	if f.lastAt.IsZero() {
+		return -1
+	}
+	return time.Since(f.lastAt).Milliseconds()
+}
+
+// next returns the endpoint of the next attempt, which counts there already.
+func (r *Router) next(f *flow, step series.Step) *endpoint.Endpoint {
+	if step == series.StepCopy {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		at := f.standby
+		f.standby = nil
+		f.last = at.ID
+		r.table.Drop(at, f.need)
+		r.table.Start(at, f.need)
+		return at
+	}
+	r.dropCopy(f)
+	return r.place(f.call)
+}
+
+func (r *Router) dropCopy(f *flow) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.standby != nil {
+		r.table.Drop(f.standby, f.need)
+		f.standby = nil
+	}
+}
+
+// keepCopy chooses the endpoint that keeps a copy of the next run.
+func (r *Router) keepCopy(f *flow, at *endpoint.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f.standby = r.table.Standby(f.service, at, f.need, time.Now())
+	if f.standby != nil {
+		r.table.Keep(f.standby, f.need)
+	}
+}
+
+// attempt carries a stream on at one endpoint; a nil error means that it has ended whole or was answered.
+func (r *Router) attempt(ctx context.Context, f *flow, n run) (series.Loss, error) {
+	reading := true
+	stopReading := func() {
+		if reading {
+			r.mu.Lock()
+			r.table.Read(n.at, f.need)
+			r.mu.Unlock()
+			reading = false
+		}
+	}
+	defer r.finish(f.call, n.at)
+	defer stopReading()
+
+	s := f.sending(n.at, time.Now())
+	s.After, s.Resumed = f.cursor.Last()
+	s.Urgent = f.begun || f.ask.Resumed
+	source := f.ask.ID
+	if n.copied {
+		s.Copy = n.at.Address + jaywind.Address("/"+string(source))
+	}
+	r.keepCopy(f, n.at)
+	if f.standby != nil {
+		s.Standby = f.standby.Address
+	}
+	limit := series.First(f.ask.Prompt)
+	if n.copied {
+		limit = series.Silence(f.gap, 2*f.route.Pause)
+	}
+	events, reply, err := r.Upstream.Open(ctx, s, limit)
+	if err == nil && events == nil {
+		f.ran = true
+		f.sends++
+		return r.refusedStream(f, reply)
+	}
+	if err != nil {
+		return r.unopened(f, n, err)
+	}
+	defer func() { _ = events.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = events.Close() })
+	defer stop()
+	f.ran = true
+	f.sends++
+	f.plan.Began(f.standby != nil)
+	n.events = events
+	return r.follow(f, n, limit, stopReading)
+}
+
+// unopened notes why no stream was opened.
+func (r *Router) unopened(f *flow, n run, err error) (series.Loss, error) {
+	if !errors.Is(err, jaywind.ErrBusy) {
+		r.judge(n.at, false)
+	}
+	switch {
+	case n.copied && errors.Is(err, jaywind.ErrBusy):
+		r.meter.copyMissing.Inc(1)
+		return series.LossNoCopy, err
+	case errors.Is(err, jaywind.ErrNotSent):
+		return series.LossUnsent, err
+	case notRun(err):
+		r.meter.missed.Inc(1)
+		return series.LossNotRun, err
+	}
+	f.ran = true
+	f.sends++
+	f.plan.Began(false)
+	if errors.Is(err, jaywind.ErrSilent) {
+		return series.LossSilent, err
+	}
+	return series.LossBroken, err
+}
+
+// refusedStream handles an endpoint's answer that is no stream.
+func (r *Router) refusedStream(f *flow, reply jaywind.Reply) (series.Loss, error) {
+	f.plan.Began(false)
+	if f.begun || reply.Status >= http.StatusInternalServerError && f.sends < f.route.Attempts && f.route.Repeatable() {
+		return series.LossBroken, errors.New(http.StatusText(reply.Status))
+	}
+	r.reply(f.call, reply)
+	return 0, nil
+}
+
+// follow passes the events of an attempt on.
+func (r *Router) follow(f *flow, n run, limit time.Duration, first func()) (series.Loss, error) {
+	for {
+		e, err := n.events.Next(limit)
+		switch {
+		case errors.Is(err, io.EOF):
+			r.whole(f, n)
+			return 0, nil
+		case errors.Is(err, jaywind.ErrSilent):
+			r.judge(n.at, false)
+			return series.LossSilent, err
+		case err != nil:
+			r.judge(n.at, false)
+			return series.LossBroken, err
+		}
+		switch f.cursor.Take(e.ID) {
+		case series.Seen:
+			continue
+		case series.Gap:
+			return series.LossBroken, jaywind.ErrAnswer
+		}
+		first()
+		if !f.begun {
+			f.begun = true
+			r.meter.first.Update(time.Since(f.ask.Arrived).Milliseconds())
+			f.answer.Begin(n.events.Head())
+		}
+		if err := f.answer.Event(e.Raw); err != nil {
+			return series.LossBroken, err
+		}
+		r.pace(f, n)
+		limit = series.Silence(f.gap, f.route.Pause)
+	}
+}
+
+// pace measures the time between events.
+func (r *Router) pace(f *flow, n run) {
+	now := time.Now()
+	if f.lastAt.IsZero() {
+		f.lastAt = now
+		return
+	}
+	gap := now.Sub(f.lastAt)
+	f.lastAt = now
+	f.events++
+	if f.sends > 1 && n.copied && gap > f.gap {
+		r.meter.pause.Update(gap.Milliseconds())
+	}
+	f.gap += (gap - f.gap) / 8
+	if f.events == 1 {
+		f.gap = gap
+	}
+}
+
+// whole ends a stream that came to its end.
+func (r *Router) whole(f *flow, n run) {
+	r.dropCopy(f)
+	r.judge(n.at, true)
+	if !f.begun {
+		f.answer.Begin(n.events.Head())
+	}
+	r.meter.served(f.route.Kind, http.StatusOK, time.Since(f.ask.Arrived))
+	if n.copied {
+		r.meter.copyUsed.Inc(1)
+	}
+	r.Log.Info("stream: whole", f.fields(zap.Int("events", f.events), zap.Bool("from_copy", n.copied))...)
+}
+
+// giveUp ends a stream that can't go on.
+func (r *Router) giveUp(f *flow) {
+	r.dropCopy(f)
+	switch {
+	case f.begun:
+		r.meter.broken.Inc(1)
+		r.Log.Warn("stream: given up", f.fields(zap.Int("events", f.events))...)
+		f.answer.Break()
+	case f.ran:
+		r.refuse(f.call, ReasonLost, 0)
+	default:
+		r.refuse(f.call, ReasonBusy, streamPause)
+	}
+}
+
+// cutShort ends a stream whose time is over or whose caller is gone.
+func (r *Router) cutShort(f *flow, cause error) {
+	r.dropCopy(f)
+	if f.begun && !errors.Is(cause, context.Canceled) {
+		r.giveUp(f)
+		return
+	}
+	r.expire(f.call, cause)
+}
