--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -3,6 +3,12 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"jaywind/internal/edge/ports"
 	"jaywind/internal/operator/logs"
@@ -28,6 +34,14 @@
 		return c.fail(err)
 	}
 	defer log.Close()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	var group conc.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Go(func() { reload(ctx, hangups, *file, s, log) })
 	if s.Platform != (settings.Platform{}) {
 		err = (&platform.Daemon{Settings: s, Log: log.Logger}).Run(ctx)
 	} else {
@@ -39,6 +53,27 @@
 	return exitOK
 }
 
+// reload reads the settings again at each signal; all but the level of the log stays as it was at the start.
+func reload(ctx context.Context, hangups <-chan os.Signal, file string, first settings.Settings, log *logs.Log) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := loadSettings(file)
+		if err == nil {
+			err = log.SetLevel(s.Log.Level)
+		}
+		if err != nil {
+			log.Logger.Error("settings: not reloaded, the old ones stay", zap.Error(err))
+			continue
+		}
+		s.Log, first.Log = settings.Log{}, settings.Log{}
+		log.Logger.Info("settings: reloaded", zap.Bool("needs_restart", !reflect.DeepEqual(s, first)))
+	}
+}
+
 // routeAlone serves with the product's own interfaces.
 func routeAlone(ctx context.Context, s settings.Settings, log *logs.Log) error {
 	d := &ports.Daemon{Settings: s, Log: log.Logger}
--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// Peek waits until there are bytes to read, or returns jaywind.ErrSilent once limit is over.
+func (l *Link) Peek(limit time.Duration) error {
+	if err := l.Wait(limit); err != nil {
+		return err
+	}
+	_, err := l.reader.Peek(1)
+	return silence(err)
+}
+
 // Wait sets how long the next read from the link may take.
 func (l *Link) Wait(limit time.Duration) error {
 	return l.conn.SetReadDeadline(time.Now().Add(limit))
@@ -112,6 +121,9 @@
 
 // silence turns a timeout of the connection into jaywind.ErrSilent.
 func silence(err error) error {
+	if err == nil {
+		return nil
+	}
 	var late net.Error
 	if errors.As(err, &late) && late.Timeout() {
 		return jaywind.ErrSilent
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	dialLimit   = 400 * time.Millisecond // a first packet that is lost is repeated only after a second
+	dialLimit   = 150 * time.Millisecond // several round trips between failure domains; a first packet that is lost is repeated only after a second
 	defaultIdle = 4 * time.Second        // a connection may have gone silent, so old ones are not kept
 	maxIdle     = 16                     // connections kept for one address
 	bufferSize  = 2048                   // bytes; the answers are small and many connections are open
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	failPause  = 300 * time.Millisecond // without new work after a first failure; doubles with each
-	failCap    = 2400 * time.Millisecond
-	shakeSpan  = time.Second             // two endpoints of a failure domain that fail within it count as its failure
-	shakePause = 1500 * time.Millisecond // in which a failed domain is avoided
-
-	readScale  = 10000 // tokens left to read that weigh as much as a full endpoint
-	likeWeight = 0.25  // of the router's own preference, against a full endpoint
-	fillLimit  = 0.9   // of the memory that own work may take
+	failPause   = 300 * time.Millisecond // without new work after a first failure; doubles with each
+	failCap     = 2400 * time.Millisecond
+	absentPause = 4 * time.Second         // longer than the registry keeps a silent endpoint's entry
+	shakeSpan   = time.Second             // two endpoints of a failure domain that fail within it count as its failure
+	shakePause  = 1500 * time.Millisecond // in which a failed domain is avoided
+
+	readScale = 10000 // tokens left to read that weigh as much as a full endpoint
+	farWeight = 0.5   // of an endpoint that is preferred by the router farthest from this one
+	fillLimit = 0.9   // of the memory that own work may take
 )
 
 // Need is what a call asks of an endpoint.
@@ -31,8 +32,8 @@
 
 // Choose returns the endpoint of a service that suits a call best, or nil if it has none.
 func (t *Table) Choose(s *route.Service, n Need, now time.Time) *Endpoint {
-	return t.best(s, n, func(e *Endpoint) (rank int, weight float64) {
-		weight = e.load(s, n) + likeWeight*e.offset
+	return t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
+		weight = e.load(s, n) + farWeight*far
 		switch {
 		case slices.Contains(n.Avoid, e.ID):
 			return 4, weight
@@ -52,8 +53,8 @@
 	if s.Engine == nil || !s.Engine.Copies {
 		return nil
 	}
-	return t.best(s, n, func(e *Endpoint) (rank int, weight float64) {
-		weight = float64(e.Held)/float64(max(1, s.Engine.Room)) + likeWeight*e.offset
+	return t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
+		weight = float64(e.Held)/float64(max(1, s.Engine.Room)) + farWeight*far
 		switch {
 		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closed):
 			return 4, weight
@@ -67,14 +68,15 @@
 }
 
 // best returns the endpoint with the lowest rank up to worst, and among these with the lowest weight.
-func (t *Table) best(s *route.Service, n Need, judge func(*Endpoint) (int, float64), worst int) *Endpoint {
+func (t *Table) best(s *route.Service, n Need, judge func(*Endpoint, float64) (int, float64), worst int) *Endpoint {
 	var found *Endpoint
 	rank, weight := worst, math.Inf(1)
-	for _, e := range t.services[s.Name] {
+	all := t.services[s.Name]
+	for i, e := range all {
 		if e.Leaving || !e.serves(n) {
 			continue
 		}
-		if r, w := judge(e); r < rank || r == rank && w < weight {
+		if r, w := judge(e, t.distance(i, len(all))); r < rank || r == rank && w < weight {
 			found, rank, weight = e, r, w
 		}
 	}
@@ -124,6 +126,11 @@
 	e.Held -= n.Tokens
 }
 
+// Lost tells whether an endpoint that keeps a copy is known to be gone or seems not to work.
+func (t *Table) Lost(e *Endpoint, now time.Time) bool {
+	return t.rows[e.ID] != e || e.Leaving || now.Before(e.closed) || now.Before(t.shaken[e.Domain].till)
+}
+
 // Keep counts a copy at an endpoint, and Drop its end.
 func (t *Table) Keep(e *Endpoint, n Need) {
 	e.Held += n.Tokens
@@ -134,6 +141,12 @@
 	e.Held -= n.Tokens
 }
 
+// Absent counts a sign that an endpoint has gone, before the registry says so.
+func (t *Table) Absent(e *Endpoint, now time.Time) {
+	t.Fail(e, now)
+	e.closed = now.Add(absentPause)
+}
+
 // Fail counts a sign that an endpoint does not work; its domain is avoided once several show one.
 func (t *Table) Fail(e *Endpoint, now time.Time) {
 	e.closed = now.Add(min(failCap, failPause<<min(e.failures, 10)))
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -1,6 +1,8 @@
 package endpoint
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -32,12 +34,12 @@
 	missing  time.Time // when the entry was missed; zero while it is there
 	failures int       // in a row
 	closed   time.Time // takes new work again from then on
-	offset   float64   // of this router's preference, 0 to 1
+	spot     uint64    // on the ring of endpoints
 }
 
-// Table holds the endpoints that are known; set Self before use.
+// Table holds the endpoints that are known; its zero value is empty.
 type Table struct {
-	Self jaywind.VM // whose preference among equals decides
+	place, routers int // of this router among those that choose, from 0
 
 	rows     map[jaywind.EndpointID]*Endpoint
 	services map[jaywind.ServiceName][]*Endpoint
@@ -52,6 +54,7 @@
 }
 
 // Set adds an endpoint or replaces what is known of it, and returns whether that changed.
+// An entry of an endpoint whose address has a younger one is not taken.
 func (t *Table) Set(e Entry) bool {
 	if t.rows == nil {
 		t.rows = map[jaywind.EndpointID]*Endpoint{}
@@ -68,15 +71,45 @@
 	if old != nil {
 		t.Remove(e.ID)
 	}
-	row := &Endpoint{Entry: e, offset: preference(t.Self, e.ID)}
+	for _, o := range t.rows {
+		if o.Address == e.Address && o.Born > e.Born {
+			return false
+		}
+	}
+	t.supersede(e)
+	row := &Endpoint{Entry: e, spot: xxhash.Sum64String(string(e.ID))}
 	t.rows[e.ID] = row
-	t.services[e.Service] = append(t.services[e.Service], row)
+	all := t.services[e.Service]
+	at, _ := slices.BinarySearchFunc(all, row, func(a, b *Endpoint) int {
+		return cmp.Or(cmp.Compare(a.spot, b.spot), cmp.Compare(a.ID, b.ID))
+	})
+	t.services[e.Service] = slices.Insert(all, at, row)
 	return true
 }
 
-// preference differs from router to router, so that routers which see the same load choose different endpoints.
-func preference(self jaywind.VM, id jaywind.EndpointID) float64 {
-	return float64(xxhash.Sum64String(string(self)+"\x00"+string(id))>>11) / (1 << 53)
+// supersede drops the endpoints that an address had before; their entries may stay in the registry for a while.
+func (t *Table) supersede(e Entry) {
+	for id, o := range t.rows {
+		if o.Address == e.Address && o.Born < e.Born {
+			t.Remove(id)
+		}
+	}
+}
+
+// Divide tells which of so many routers this one is, counted from 0. Each prefers its own part
+// of a service's endpoints, where it knows all the work, and takes others when that is full.
+func (t *Table) Divide(place, routers int) {
+	t.place, t.routers = place, routers
+}
+
+// distance returns how far an endpoint, the i-th of n, is from this router's part: 0 inside and up to 1.
+func (t *Table) distance(i, n int) float64 {
+	if t.routers <= 1 {
+		return 0
+	}
+	d := float64(i)/float64(n) - (float64(t.place)+0.5)/float64(t.routers)
+	d = math.Abs(d - math.Round(d)) // on a ring of length 1
+	return max(0, 2*d-1/float64(t.routers))
 }
 
 // Get returns the row of an endpoint, or nil.
--- a/internal/core/route/set.go
+++ b/internal/core/route/set.go
@@ -54,9 +54,11 @@
 // Engine is what the endpoints of a model service have in common.
 type Engine struct {
 	Slots  int
-	Room   int  // tokens of memory
-	Copies bool // a run's memory may be copied to another endpoint
-	Stride int  // tokens of one event
+	Room   int           // tokens of memory
+	Copies bool          // a run's memory may be copied to another endpoint as it grows
+	Moves  bool          // the memory of a run that has begun may be copied
+	Keep   time.Duration // that a copy of a run that has begun is kept
+	Stride int           // tokens of one event
 }
 
 // Holder is who a key belongs to.
--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -31,23 +31,19 @@
 
 	runs   int
 	misses int // sends that did not run, since the last run
-	copied bool
 }
 
 // maxMisses bounds the sends of a stream that no endpoint takes.
 const maxMisses = 4
 
-// Began counts a run at an endpoint, which keeps a copy elsewhere or not.
-func (p *Plan) Began(copied bool) {
+// Began counts a run at an endpoint.
+func (p *Plan) Began() {
 	p.runs++
 	p.misses = 0
-	p.copied = copied
 }
 
-// Lost returns how the stream goes on after a loss.
-func (p *Plan) Lost(l Loss) Step {
-	copied := p.copied
-	p.copied = false
+// Lost returns how the stream goes on after a loss; copied tells whether an endpoint keeps a copy.
+func (p *Plan) Lost(l Loss, copied bool) Step {
 	switch l {
 	case LossNotRun, LossUnsent, LossNoCopy:
 		p.misses++
@@ -80,12 +76,5 @@
 	return limit
 }
 
-const (
-	readTime   = 300 * time.Microsecond // for a token of the prompt
-	firstFloor = 1500 * time.Millisecond
-)
-
-// First returns how long to wait for the first event of a prompt with so many tokens.
-func First(tokens int) time.Duration {
-	return firstFloor + time.Duration(tokens)*readTime
-}
+// First is how long to wait for a first event before the endpoint is asked, each time, whether it lives.
+const First = 700 * time.Millisecond
--- a/internal/operator/logs/logs.go
+++ b/internal/operator/logs/logs.go
@@ -22,6 +22,7 @@
 type Log struct {
 	Logger *zap.Logger
 
+	level   zap.AtomicLevel
 	queue   chan []byte
 	out     io.Writer
 	dropped atomic.Int64 // lines that found no room
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{queue: make(chan []byte, queueLength), out: out, ended: make(chan struct{})}
+	l := &Log{level: at, queue: make(chan []byte, queueLength), out: out, ended: make(chan struct{})}
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.MillisDurationEncoder
@@ -54,6 +55,16 @@
 	}
 }
 
+// SetLevel changes the level.
+func (l *Log) SetLevel(level string) error {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return err
+	}
+	l.level.SetLevel(at)
+	return nil
+}
+
 // Write queues a line, or counts it as dropped.
 func (l *Log) Write(line []byte) (int, error) {
 	select {
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -30,8 +30,9 @@
 }
 
 const (
-	defaultWait = 1800 * time.Millisecond // with the slack below within the time that a cut VM counts as in touch
-	waitSlack   = 700 * time.Millisecond  // for the answer to come
+	defaultWait = 2400 * time.Millisecond // with the slack, less than the 3 s after which a silent connection has to be seen
+	waitSlack   = 500 * time.Millisecond  // for the answer to come
+	gatherTime  = 150 * time.Millisecond  // after a change, for others that come with it
 	listLimit   = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
 	retryLast   = 800 * time.Millisecond
@@ -41,7 +42,7 @@
 type Follower struct {
 	Source  Source
 	Prefix  string
-	Wait    time.Duration // longest wait for a change; 1.8 s when zero
+	Wait    time.Duration // longest wait for a change; 2.4 s when zero
 	Log     *zap.Logger
 	Changed func(Item)           // is called with each change, in the order of revisions for a key
 	Reached func(ok bool)        // is called after each call, with whether it was answered; may be nil
@@ -128,6 +129,9 @@
 		f.take(i)
 	}
 	f.after = max(f.after, revision)
+	if len(items) > 0 {
+		f.sleep(ctx, gatherTime)
+	}
 	return nil
 }
 
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -20,7 +20,7 @@
 
 const (
 	leaseTime  = 2500 * time.Millisecond // a VM that lost power is in the list for no longer
-	renewEvery = 700 * time.Millisecond  // three renewals may be lost
+	renewEvery = 900 * time.Millisecond  // two renewals may be lost
 	callLimit  = 600 * time.Millisecond
 	// Grace is how long an entry that lapsed while the store was away may take to come back.
 	Grace = 2 * time.Second
@@ -52,7 +52,7 @@
 	Self   Member
 	Keeper Keeper
 	Log    *zap.Logger
-	Size   func(routers int) // is told how many routers there are; may be nil
+	Size   func(place, routers int) // is told how many routers there are, and which this one is; may be nil
 
 	mu      sync.Mutex
 	members map[jaywind.VM]Member
@@ -179,11 +179,22 @@
 	r.report()
 }
 
-// report tells how many routers there are; the caller holds mu.
+// report tells how many routers there are and which of them this one is; the caller holds mu.
 func (r *Roster) report() {
-	if r.Size != nil {
-		r.Size(max(1, len(r.members)))
+	if r.Size == nil {
+		return
+	}
+	place, routers := 0, 1
+	for vm, m := range r.members {
+		if vm == r.Self.VM || m.Leaving {
+			continue
+		}
+		routers++
+		if vm < r.Self.VM {
+			place++
+		}
 	}
+	r.Size(place, routers)
 }
 
 // Entries returns where callers may connect: all members that do not leave, or all when all do.
--- a/internal/relay/router/meter.go
+++ b/internal/relay/router/meter.go
@@ -21,6 +21,7 @@
 	version, endpoints, members   metrics.Gauge
 	missed, exhausted, gone       metrics.Counter
 	broken, copyUsed, copyMissing metrics.Counter
+	copyMade, copyFailed          metrics.Counter
 	first, pause                  metrics.Histogram // milliseconds
 	whole                         map[route.Kind]metrics.Histogram
 }
@@ -36,6 +37,8 @@
 	m.broken = metrics.GetOrRegisterCounter("streams.broken", r)
 	m.copyUsed = metrics.GetOrRegisterCounter("copies.used", r)
 	m.copyMissing = metrics.GetOrRegisterCounter("copies.missing", r)
+	m.copyMade = metrics.GetOrRegisterCounter("copies.made", r)
+	m.copyFailed = metrics.GetOrRegisterCounter("copies.failed", r)
 	m.first = histogram("streams.first_ms", r)
 	m.pause = histogram("streams.move_pause_ms", r)
 	m.whole = map[route.Kind]metrics.Histogram{}
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -70,7 +70,7 @@
 	if notRun(err) {
 		r.meter.missed.Inc(1)
 		if !errors.Is(err, jaywind.ErrBusy) && ctx.Err() == nil {
-			r.judge(e, false)
+			r.blame(e, err)
 		}
 		return reply, err
 	}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"jaywind"
@@ -31,6 +33,7 @@
 
 	start sync.Once
 	meter meter
+	group conc.WaitGroup // of copies that are being made
 
 	mu      sync.Mutex
 	set     *route.Set
@@ -48,7 +51,6 @@
 			r.Metrics = metrics.NewRegistry()
 		}
 		r.meter.register(r.Metrics)
-		r.table.Self = r.Self
 		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
 		r.routers = 1
 	})
@@ -117,12 +119,13 @@
 	r.meter.endpoints.Update(int64(r.table.Count()))
 }
 
-// Share tells how many routers share the budgets.
-func (r *Router) Share(routers int) {
+// Share tells how many routers share the budgets and the endpoints, and which of them this one is, from 0.
+func (r *Router) Share(place, routers int) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.routers = max(1, routers)
+	r.table.Divide(place, routers)
 	r.meter.members.Update(int64(r.routers))
 }
 
@@ -134,6 +137,9 @@
 	return r.set != nil && r.table.Count() > 0
 }
 
+// Wait returns when all copies that were being made have ended; no call may be served any more.
+func (r *Router) Wait() { r.group.Wait() }
+
 // Serve takes a request to its final answer. It ends early when ctx does, which says that the caller is gone.
 func (r *Router) Serve(ctx context.Context, ask *Ask, answer Answer) {
 	r.init()
@@ -244,6 +250,17 @@
 	r.table.Finish(e, c.need)
 }
 
+// blame counts a failure of an endpoint; one that does not answer a new connection, or that another has replaced, is gone.
+func (r *Router) blame(e *endpoint.Endpoint, cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(cause, jaywind.ErrNotSent) || errors.Is(cause, jaywind.ErrReplaced) {
+		r.table.Absent(e, time.Now())
+		return
+	}
+	r.table.Fail(e, time.Now())
+}
+
 // judge counts what an attempt showed of its endpoint.
 func (r *Router) judge(e *endpoint.Endpoint, works bool) {
 	r.mu.Lock()
@@ -258,7 +275,7 @@
 // sending returns what an attempt of a call sends to an endpoint.
 func (c *call) sending(e *endpoint.Endpoint, now time.Time) jaywind.Sending {
 	return jaywind.Sending{
-		Request: c.ask.ID, Endpoint: e.ID, At: e.Address,
+		Request: c.ask.ID, Endpoint: e.ID, Born: e.Born, At: e.Address,
 		Method: c.ask.Method, Host: c.ask.Host, Target: c.ask.Target, Header: c.ask.Header, Body: c.ask.Body,
 		Organisation: c.holder.Organisation,
 		Left:         c.left(now),
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -25,7 +25,11 @@
 	gap     time.Duration // usual time between two events
 	lastAt  time.Time     // of the last event
 	events  int
+	first   time.Duration      // to the first event
+	longest time.Duration      // between two events
 	standby *endpoint.Endpoint // keeps a copy of the current run
+	copy    jaywind.Copy       // that it keeps
+	guard   guard
 }
 
 // run is one attempt of a stream at an endpoint.
@@ -58,10 +62,7 @@
 			r.cutShort(f, ctx.Err())
 			return
 		}
-		step = f.plan.Lost(loss)
-		if step == series.StepCopy && f.standby == nil {
-			step = series.StepFresh
-		}
+		step = f.plan.Lost(loss, f.standby != nil)
 		c.need.Avoid = append(c.need.Avoid, at.ID)
 		last, _ := f.cursor.Last()
 		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Int("loss", int(loss)), zap.Int("next", int(step)),
@@ -110,8 +111,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f.standby = r.table.Standby(f.service, at, f.need, time.Now())
+	f.guard = guard{}
 	if f.standby != nil {
 		r.table.Keep(f.standby, f.need)
+		f.copy = jaywind.Copy{At: f.standby.Address, Name: string(f.ask.ID)}
 	}
 }
 
@@ -132,15 +135,14 @@
 	s := f.sending(n.at, time.Now())
 	s.After, s.Resumed = f.cursor.Last()
 	s.Urgent = f.begun || f.ask.Resumed
-	source := f.ask.ID
 	if n.copied {
-		s.Copy = n.at.Address + jaywind.Address("/"+string(source))
+		s.Copy = f.copy
 	}
 	r.keepCopy(f, n.at)
 	if f.standby != nil {
 		s.Standby = f.standby.Address
 	}
-	limit := series.First(f.ask.Prompt)
+	limit := series.First
 	if n.copied {
 		limit = series.Silence(f.gap, 2*f.route.Pause)
 	}
@@ -158,15 +160,17 @@
 	defer stop()
 	f.ran = true
 	f.sends++
-	f.plan.Began(f.standby != nil)
+	f.plan.Began()
 	n.events = events
-	return r.follow(f, n, limit, stopReading)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // copying ends with the run
+	return r.follow(ctx, f, n, limit, stopReading)
 }
 
 // unopened notes why no stream was opened.
 func (r *Router) unopened(f *flow, n run, err error) (series.Loss, error) {
 	if !errors.Is(err, jaywind.ErrBusy) {
-		r.judge(n.at, false)
+		r.blame(n.at, err)
 	}
 	switch {
 	case n.copied && errors.Is(err, jaywind.ErrBusy):
@@ -180,7 +184,7 @@
 	}
 	f.ran = true
 	f.sends++
-	f.plan.Began(false)
+	f.plan.Began()
 	if errors.Is(err, jaywind.ErrSilent) {
 		return series.LossSilent, err
 	}
@@ -189,7 +193,7 @@
 
 // refusedStream handles an endpoint's answer that is no stream.
 func (r *Router) refusedStream(f *flow, reply jaywind.Reply) (series.Loss, error) {
-	f.plan.Began(false)
+	f.plan.Began()
 	if f.begun || reply.Status >= http.StatusInternalServerError && f.sends < f.route.Attempts && f.route.Repeatable() {
 		return series.LossBroken, errors.New(http.StatusText(reply.Status))
 	}
@@ -198,7 +202,7 @@
 }
 
 // follow passes the events of an attempt on.
-func (r *Router) follow(f *flow, n run, limit time.Duration, first func()) (series.Loss, error) {
+func (r *Router) follow(ctx context.Context, f *flow, n run, limit time.Duration, first func()) (series.Loss, error) {
 	for {
 		e, err := n.events.Next(limit)
 		switch {
@@ -221,13 +225,15 @@
 		first()
 		if !f.begun {
 			f.begun = true
-			r.meter.first.Update(time.Since(f.ask.Arrived).Milliseconds())
+			f.first = time.Since(f.ask.Arrived)
+			r.meter.first.Update(f.first.Milliseconds())
 			f.answer.Begin(n.events.Head())
 		}
 		if err := f.answer.Event(e.Raw); err != nil {
 			return series.LossBroken, err
 		}
 		r.pace(f, n)
+		r.keepGuard(ctx, f, n)
 		limit = series.Silence(f.gap, f.route.Pause)
 	}
 }
@@ -242,6 +248,7 @@
 	gap := now.Sub(f.lastAt)
 	f.lastAt = now
 	f.events++
+	f.longest = max(f.longest, gap)
 	if f.sends > 1 && n.copied && gap > f.gap {
 		r.meter.pause.Update(gap.Milliseconds())
 	}
@@ -262,7 +269,8 @@
 	if n.copied {
 		r.meter.copyUsed.Inc(1)
 	}
-	r.Log.Info("stream: whole", f.fields(zap.Int("events", f.events), zap.Bool("from_copy", n.copied))...)
+	r.Log.Info("stream: whole", f.fields(zap.Int("events", f.events), zap.Bool("from_copy", n.copied),
+		zap.Int64("first_ms", f.first.Milliseconds()), zap.Int64("longest_ms", f.longest.Milliseconds()))...)
 }
 
 // giveUp ends a stream that can't go on.
@@ -271,7 +279,8 @@
 	switch {
 	case f.begun:
 		r.meter.broken.Inc(1)
-		r.Log.Warn("stream: given up", f.fields(zap.Int("events", f.events))...)
+		r.Log.Warn("stream: given up", f.fields(zap.Int("events", f.events), zap.Duration("timeout", f.route.Timeout),
+			zap.Duration("within", f.ask.Within))...)
 		f.answer.Break()
 	case f.ran:
 		r.refuse(f.call, ReasonLost, 0)
--- a/upstream.go
+++ b/upstream.go
@@ -20,6 +20,7 @@
 type Sending struct {
 	Request      RequestID
 	Endpoint     EndpointID
+	Born         int64 // start of the endpoint's incarnation, in Unix milliseconds; 0 if unknown
 	At           Address
 	Method       string
 	Host         string
@@ -31,10 +32,16 @@
 	After        int64         // id of the last event that the caller has; counts only with Resumed
 	Resumed      bool
 	Standby      Address // keeps a copy of the run's memory; empty for none
-	Copy         Address // has a copy of the run's memory, to go on from; empty for none
+	Copy         Copy    // of the run's memory, to go on from
 	Urgent       bool    // goes before new work at the endpoint
 }
 
+// Copy names a copy of a run's memory; the zero value names none.
+type Copy struct {
+	At   Address // that the name counts at: the endpoint that keeps the copy, or the one that it was made from
+	Name string
+}
+
 // Event is one event of a stream, with the bytes that carry it.
 type Event struct {
 	ID  int64
@@ -56,6 +63,9 @@
 type Upstream interface {
 	// Do sends a plain request and returns its whole answer.
 	Do(ctx context.Context, s Sending) (Reply, error)
-	// Open sends a request for a stream; an answer that is none is returned as a Reply.
+	// Open sends a request for a stream; an answer that is none is returned as a Reply. While no answer
+	// comes, it probes the endpoint each time that limit is over, and returns ErrSilent if that fails.
 	Open(ctx context.Context, s Sending, limit time.Duration) (Events, Reply, error)
+	// Duplicate copies the memory of a run that has begun at an address to another endpoint, and the run goes on.
+	Duplicate(ctx context.Context, at Address, run RequestID, to Address) (Copy, error)
 }
