--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -29,6 +29,7 @@
 	longest time.Duration      // between two events
 	standby *endpoint.Endpoint // keeps a copy of the current run
 	copy    jaywind.Copy       // that it keeps
+	grown   bool               // the current run has made an event, and so has memory to copy
 	guard   guard
 }
 
@@ -62,7 +63,7 @@
 			r.cutShort(f, ctx.Err())
 			return
 		}
-		step = f.plan.Lost(loss, f.standby != nil)
+		step = f.plan.Lost(loss, f.standby != nil && f.grown)
 		c.need.Avoid = append(c.need.Avoid, at.ID)
 		last, _ := f.cursor.Last()
 		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Int("loss", int(loss)), zap.Int("next", int(step)),
@@ -111,7 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f.standby = r.table.Standby(f.service, at, f.need, time.Now())
-	f.guard = guard{}
+	f.guard, f.grown = guard{}, false
 	if f.standby != nil {
 		r.table.Keep(f.standby, f.need)
 		f.copy = jaywind.Copy{At: f.standby.Address, Name: string(f.ask.ID)}
@@ -223,6 +224,7 @@
 			return series.LossBroken, jaywind.ErrAnswer
 		}
 		first()
+		f.grown = true
 		if !f.begun {
 			f.begun = true
 			f.first = time.Since(f.ask.Arrived)
@@ -269,7 +271,7 @@
 	if n.copied {
 		r.meter.copyUsed.Inc(1)
 	}
-	r.Log.Info("stream: whole", f.fields(zap.Int("events", f.events), zap.Bool("from_copy", n.copied),
+	r.Log.Info("stream: whole", f.fields(zap.Int("events", f.events), zap.Bool("from_copy", n.copied), zap.Bool("resumed", f.ask.Resumed),
 		zap.Int64("first_ms", f.first.Milliseconds()), zap.Int64("longest_ms", f.longest.Milliseconds()))...)
 }
 
