--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -35,17 +35,17 @@
 	return t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
 		weight = e.load(s, n) + farWeight*far
 		switch {
-		case slices.Contains(n.Avoid, e.ID):
-			return 4, weight
 		case now.Before(e.closed):
-			return 3, e.closed.Sub(now).Seconds()
+			return 4, e.closed.Sub(now).Seconds()
+		case slices.Contains(n.Avoid, e.ID):
+			return 3, weight
 		case !e.fits(s, n):
 			return 2, weight
 		case now.Before(t.shaken[e.Domain].till):
 			return 1, weight
 		}
 		return 0, weight
-	}, 3)
+	}, 4)
 }
 
 // Standby returns the endpoint that should hold the copy of a run at another one, or nil.
@@ -67,7 +67,7 @@
 	}, 2)
 }
 
-// best returns the endpoint with the lowest rank up to worst, and among these with the lowest weight.
+// best returns the endpoint with the lowest rank, which is at most worst, and among these with the lowest weight.
 func (t *Table) best(s *route.Service, n Need, judge func(*Endpoint, float64) (int, float64), worst int) *Endpoint {
 	var found *Endpoint
 	rank, weight := worst, math.Inf(1)
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -24,7 +24,7 @@
 	Born    int64           // start of the incarnation, in Unix milliseconds; 0 if unknown
 }
 
-// Endpoint is a row of the table.
+// Endpoint is a row of the table. What says where it is never changes, so a user may read that at any time.
 type Endpoint struct {
 	Entry
 	Calls   int // own calls that are open
@@ -62,9 +62,9 @@
 		t.shaken = map[jaywind.Domain]shake{}
 	}
 	old := t.rows[e.ID]
-	if old != nil && old.Born == e.Born && old.Address == e.Address && old.Service == e.Service {
+	if old != nil && old.Born == e.Born && old.Address == e.Address && old.Service == e.Service && old.Domain == e.Domain {
 		changed := old.Leaving != e.Leaving || old.Version != e.Version || !old.missing.IsZero()
-		old.Entry = e
+		old.Leaving, old.Version, old.Slots, old.Models = e.Leaving, e.Version, e.Slots, e.Models
 		old.missing = time.Time{}
 		return changed
 	}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -64,7 +64,9 @@
 			return
 		}
 		step = f.plan.Lost(loss, f.standby != nil && f.grown)
-		c.need.Avoid = append(c.need.Avoid, at.ID)
+		if loss != series.LossNoCopy { // an endpoint without the copy is as good as any other
+			c.need.Avoid = append(c.need.Avoid, at.ID)
+		}
 		last, _ := f.cursor.Last()
 		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Int("loss", int(loss)), zap.Int("next", int(step)),
 			zap.Int64("event", last), zap.Int64("silent_ms", f.silent()))...)
