router: callers that come back go on where their prompt is kept

Now the engines are asked once for what they keep, for all callers that come back together. Ruled out: copies before a run's first event (none exist). A test on the way found that a caller's leaving was counted as a failure of its endpoint; mended.

--- a/id.go
+++ b/id.go
@@ -17,6 +17,9 @@
 // Route is the name of a kind of traffic, as the traffic rules divide it.
 type Route string
 
+// PromptPart identifies a part of a prompt; prompts that share their beginning share its parts.
+type PromptPart string
+
 // EndpointID identifies one engine or service endpoint.
 type EndpointID string
 
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -165,13 +165,18 @@
 	e.closed = time.Time{}
 }
 
-// Usable returns how many endpoints of a service would be chosen now.
-func (t *Table) Usable(s *route.Service, now time.Time) int {
-	n := 0
+// Open tells whether new work may go to an endpoint.
+func (t *Table) Open(e *Endpoint, now time.Time) bool {
+	return !e.Leaving && !now.Before(e.closed)
+}
+
+// OpenAll returns the endpoints of a service to which new work may go.
+func (t *Table) OpenAll(s *route.Service, now time.Time) []Entry {
+	var all []Entry
 	for _, e := range t.services[s.Name] {
-		if !e.Leaving && !now.Before(e.closed) {
-			n++
+		if t.Open(e, now) {
+			all = append(all, e.Entry)
 		}
 	}
-	return n
+	return all
 }
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -107,9 +107,12 @@
 	if t.routers <= 1 {
 		return 0
 	}
-	d := float64(i)/float64(n) - (float64(t.place)+0.5)/float64(t.routers)
-	d = math.Abs(d - math.Round(d)) // on a ring of length 1
-	return max(0, 2*d-1/float64(t.routers))
+	at := (float64(i) + 0.5) / float64(n) // on a ring of length 1
+	if int(at*float64(t.routers)) == t.place {
+		return 0
+	}
+	d := at - (float64(t.place)+0.5)/float64(t.routers)
+	return 2 * math.Abs(d-math.Round(d))
 }
 
 // Get returns the row of an endpoint, or nil.
--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -25,9 +25,10 @@
 	Within  time.Duration // that the caller waits; 0 if it does not say
 	After   int64         // id of the last event that the caller has; counts only with Resumed
 	Resumed bool
-	Model   jaywind.Model // of a generation
-	Prompt  int           // tokens
-	Output  int           // tokens at most
+	Model   jaywind.Model      // of a generation
+	Prompt  int                // tokens
+	Subject jaywind.PromptPart // the last part of the prompt, which is the request's own; empty if unknown
+	Output  int                // tokens at most
 }
 
 // Reason says why a request ends without an endpoint's answer.
--- a/internal/relay/router/meter.go
+++ b/internal/relay/router/meter.go
@@ -21,6 +21,7 @@
 	version, endpoints, members   metrics.Gauge
 	missed, exhausted, gone       metrics.Counter
 	broken, copyUsed, copyMissing metrics.Counter
+	recalled, recallMissed        metrics.Counter
 	copyMade, copyFailed          metrics.Counter
 	first, pause                  metrics.Histogram // milliseconds
 	whole                         map[route.Kind]metrics.Histogram
@@ -39,6 +40,8 @@
 	m.copyMissing = metrics.GetOrRegisterCounter("copies.missing", r)
 	m.copyMade = metrics.GetOrRegisterCounter("copies.made", r)
 	m.copyFailed = metrics.GetOrRegisterCounter("copies.failed", r)
+	m.recalled = metrics.GetOrRegisterCounter("recalls.found", r)
+	m.recallMissed = metrics.GetOrRegisterCounter("recalls.missed", r)
 	m.first = histogram("streams.first_ms", r)
 	m.pause = histogram("streams.move_pause_ms", r)
 	m.whole = map[route.Kind]metrics.Histogram{}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -40,6 +40,7 @@
 	table   endpoint.Table
 	budgets map[jaywind.ServiceName]*retry.Budget
 	routers int // that share the budgets
+	surveys map[jaywind.ServiceName]*survey
 }
 
 func (r *Router) init() {
@@ -52,6 +53,7 @@
 		}
 		r.meter.register(r.Metrics)
 		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
+		r.surveys = map[jaywind.ServiceName]*survey{}
 		r.routers = 1
 	})
 }
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -49,8 +49,11 @@
 		f.cursor = series.From(c.ask.After)
 	}
 	step := series.StepFresh
+	at := r.recall(ctx, f)
 	for {
-		at := r.next(f, step)
+		if at == nil {
+			at = r.next(f, step)
+		}
 		if at == nil {
 			r.giveUp(f)
 			return
@@ -74,6 +77,7 @@
 			r.giveUp(f)
 			return
 		}
+		at = nil
 	}
 }
 
@@ -156,7 +160,7 @@
 		return r.refusedStream(f, reply)
 	}
 	if err != nil {
-		return r.unopened(f, n, err)
+		return r.unopened(ctx, f, n, err)
 	}
 	defer func() { _ = events.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = events.Close() })
@@ -171,8 +175,8 @@
 }
 
 // unopened notes why no stream was opened.
-func (r *Router) unopened(f *flow, n run, err error) (series.Loss, error) {
-	if !errors.Is(err, jaywind.ErrBusy) {
+func (r *Router) unopened(ctx context.Context, f *flow, n run, err error) (series.Loss, error) {
+	if !errors.Is(err, jaywind.ErrBusy) && ctx.Err() == nil {
 		r.blame(n.at, err)
 	}
 	switch {
@@ -212,6 +216,8 @@
 		case errors.Is(err, io.EOF):
 			r.whole(f, n)
 			return 0, nil
+		case err != nil && ctx.Err() != nil:
+			return series.LossBroken, err // the router closed the connection itself
 		case errors.Is(err, jaywind.ErrSilent):
 			r.judge(n.at, false)
 			return series.LossSilent, err
--- a/upstream.go
+++ b/upstream.go
@@ -42,6 +42,12 @@
 	Name string
 }
 
+// HeldPart is a part of a prompt that an endpoint keeps.
+type HeldPart struct {
+	Part   PromptPart
+	Tokens int
+}
+
 // Event is one event of a stream, with the bytes that carry it.
 type Event struct {
 	ID  int64
@@ -66,6 +72,8 @@
 	// Open sends a request for a stream; an answer that is none is returned as a Reply. While no answer
 	// comes, it probes the endpoint each time that limit is over, and returns ErrSilent if that fails.
 	Open(ctx context.Context, s Sending, limit time.Duration) (Events, Reply, error)
+	// Held returns the parts of prompts that an endpoint keeps in memory.
+	Held(ctx context.Context, at Address) ([]HeldPart, error)
 	// Duplicate copies the memory of a run that has begun at an address to another endpoint, and the run goes on.
 	Duplicate(ctx context.Context, at Address, run RequestID, to Address) (Copy, error)
 }
