--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -87,7 +87,7 @@
 	if r.table.Set(e) {
 		r.Log.Info("endpoint: learnt", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
 			zap.String("at", string(e.Address)), zap.String("domain", string(e.Domain)),
-			zap.String("version", string(e.Version)), zap.Bool("leaving", e.Leaving))
+			zap.String("version", string(e.Version)), zap.Int64("born", e.Born), zap.Bool("leaving", e.Leaving))
 	}
 	r.meter.endpoints.Update(int64(r.table.Count()))
 }
