follow: in a large fleet four routers follow the store and the others follow them

Now those with the widest links follow the store with short waits and serve what they know over the fleet port; the others wait there, change over when one is silent or stale, and ask the store only when none answers.

--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -19,15 +19,16 @@
 
 // Platform is what a router is told that serves on the users' platform.
 type Platform struct {
-	Store     string `toml:"store"`     // address of the metadata store
-	Region    string `toml:"region"`    // of this VM
-	Ready     string `toml:"ready"`     // address for the platform's question whether this VM is ready
-	Directory string `toml:"directory"` // address for callers who ask which VM to use
-	Memory    int    `toml:"memory"`    // MB that the process may use
-	Grace     int    `toml:"grace"`     // ms from SIGTERM to SIGKILL
-	Contact   int    `toml:"contact"`   // ms after which a disruption of the store is over
-	Hint      int    `toml:"hint"`      // s that a caller keeps the directory's answer, at most
-	Retry     Retry  `toml:"retry"`     // budget of the whole fleet
+	Store     string  `toml:"store"`     // address of the metadata store
+	Region    string  `toml:"region"`    // of this VM
+	Ready     string  `toml:"ready"`     // address for the platform's question whether this VM is ready
+	Directory string  `toml:"directory"` // address for callers who ask which VM to use
+	Memory    int     `toml:"memory"`    // MB that the process may use
+	Link      float64 `toml:"link"`      // Mbit/s of this VM\'s network
+	Grace     int     `toml:"grace"`     // ms from SIGTERM to SIGKILL
+	Contact   int     `toml:"contact"`   // ms after which a disruption of the store is over
+	Hint      int     `toml:"hint"`      // s that a caller keeps the directory's answer, at most
+	Retry     Retry   `toml:"retry"`     // budget of the whole fleet
 }
 
 // Retry is the budget for sends beyond a request's first.
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -44,9 +44,10 @@
 	Prefix  string
 	Wait    time.Duration // longest wait for a change; 2.4 s when zero
 	Log     *zap.Logger
-	Changed func(Item)           // is called with each change, in the order of revisions for a key
-	Reached func(ok bool)        // is called after each call, with whether it was answered; may be nil
-	Listed  func(revision int64) // is called when a list is complete; may be nil
+	Changed func(Item)    // is called with each change, in the order of revisions for a key
+	Reached func(ok bool) // is called after each call, with whether it was answered; may be nil
+	Board   *Board        // shows what is known to others; may be nil
+	Direct  func() bool   // whether the last answer was the store's own; always when nil
 
 	known map[string]int64 // revision of each key's item
 	after int64
@@ -104,9 +105,7 @@
 		}
 	}
 	f.after = revision
-	if f.Listed != nil {
-		f.Listed(revision)
-	}
+	f.confirm()
 	return nil
 }
 
@@ -129,6 +128,7 @@
 		f.take(i)
 	}
 	f.after = max(f.after, revision)
+	f.confirm()
 	if len(items) > 0 {
 		f.sleep(ctx, gatherTime)
 	}
@@ -148,9 +148,19 @@
 	} else {
 		f.known[i.Key] = i.Revision
 	}
+	if f.Board != nil {
+		f.Board.note(i)
+	}
 	f.Changed(i)
 }
 
+// confirm shows on the board that everything is known up to now.
+func (f *Follower) confirm() {
+	if f.Board != nil {
+		f.Board.confirm(f.after, f.Direct == nil || f.Direct())
+	}
+}
+
 // note logs when the store goes away and comes back.
 func (f *Follower) note(err error) {
 	ok := err == nil || errors.Is(err, ErrCompacted)
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"jaywind"
@@ -33,6 +35,7 @@
 	Entry   jaywind.Address `json:"entry"` // for callers
 	Fleet   jaywind.Address `json:"fleet"` // for other routers
 	Leaving bool            `json:"leaving"`
+	Link    float64         `json:"link"` // Mbit/s
 
 	missing time.Time // when its key was missed; zero while it is there
 }
@@ -197,6 +200,42 @@
 	r.Size(place, routers)
 }
 
+const (
+	readers     = 4  // routers that follow the store for the others, so that some are left when two are lost at once
+	readersFrom = 16 // routers below which each follows the store itself, as that costs less than a lost reader delays
+)
+
+// Readers returns the routers that this one should follow, in its order of preference, or none when it should follow
+// the store itself. The second result tells whether others follow this router.
+func (r *Roster) Readers() ([]Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Member
+	for vm, m := range r.members {
+		if !m.Leaving && m.missing.IsZero() && vm != r.Self.VM {
+			all = append(all, m)
+		}
+	}
+	if len(all)+1 < readersFrom {
+		return nil, false
+	}
+	if !r.Self.Leaving {
+		all = append(all, r.Self)
+	}
+	slices.SortFunc(all, func(a, b Member) int { // the widest links first, and among these an order that all share
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(mark(a.VM), mark(b.VM)))
+	})
+	all = all[:readers]
+	if slices.ContainsFunc(all, func(m Member) bool { return m.VM == r.Self.VM }) {
+		return nil, true
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(mark(r.Self.VM+a.VM), mark(r.Self.VM+b.VM)) })
+	return all, false
+}
+
+// mark spreads names evenly.
+func mark(vm jaywind.VM) uint64 { return xxhash.Sum64String(string(vm)) }
+
 // Entries returns where callers may connect: all members that do not leave, or all when all do.
 func (r *Roster) Entries() []jaywind.Address {
 	r.mu.Lock()
