follow: a reader that loses the store tells those who follow it at once

Tests of a large fleet whose readers die, hang or go stale; two faults they found are mended: a follower spun when it was stopped while it waited at a board, and a stale reader was followed for up to 2.5 s.

--- a/internal/provider/follow/board.go
+++ b/internal/provider/follow/board.go
@@ -58,6 +58,19 @@
 	if direct {
 		b.at = time.Now()
 	}
+	b.wake()
+}
+
+// lose notes that the store does not answer; those who wait are told at once, so that they follow another router.
+func (b *Board) lose() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at = time.Time{}
+	b.wake()
+}
+
+// wake ends all waits; the caller holds mu.
+func (b *Board) wake() {
 	if b.changed != nil {
 		close(b.changed)
 		b.changed = nil
@@ -82,8 +95,8 @@
 
 // Watch waits for changes after a revision; errors are ErrStale and ErrCompacted.
 func (b *Board) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	for {
 		items, revision, changed, err := b.since(prefix, after)
 		if err != nil || len(items) > 0 {
@@ -91,8 +104,10 @@
 		}
 		select {
 		case <-changed:
-		case <-ctx.Done():
+		case <-timer.C:
 			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
 		}
 	}
 }
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -64,7 +64,7 @@
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryLast
 	for ctx.Err() == nil {
 		err := f.list(ctx)
-		for err == nil {
+		for err == nil && ctx.Err() == nil {
 			pause.Reset()
 			err = f.watch(ctx)
 		}
@@ -167,6 +167,9 @@
 	if f.Reached != nil {
 		f.Reached(ok)
 	}
+	if !ok && f.Board != nil {
+		f.Board.lose()
+	}
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.Log.Info("store: history gone, listing again", zap.Int64("after", f.after))
--- /dev/null
+++ b/internal/provider/follow/follow_test.go
@@ -0,0 +1,233 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"jaywind/internal/provider/follow"
+)
+
+var errAway = errors.New("away")
+
+// store is a source that can be taken away, go stale and forget.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]follow.Item
+	events   []follow.Item
+	revision int64
+	floor    int64
+	away     bool
+	deaf     bool // watches hear nothing
+	calls    int
+}
+
+func (s *store) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	i := follow.Item{Key: key, Value: []byte(value), Revision: s.revision, Deleted: value == ""}
+	if i.Deleted {
+		delete(s.items, key)
+	} else {
+		if s.items == nil {
+			s.items = map[string]follow.Item{}
+		}
+		s.items[key] = i
+	}
+	s.events = append(s.events, i)
+}
+
+func (s *store) set(change func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+func (s *store) List(context.Context, string) ([]follow.Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.away {
+		return nil, 0, errAway
+	}
+	var items []follow.Item
+	for _, i := range s.items {
+		items = append(items, i)
+	}
+	return items, s.revision, nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
+	s.set(func(s *store) { s.calls++ })
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		var events []follow.Item
+		for _, i := range s.events {
+			if i.Revision > after && !s.deaf {
+				events = append(events, i)
+			}
+		}
+		away, gone, revision := s.away, after < s.floor, s.revision
+		s.mu.Unlock()
+		switch {
+		case away:
+			return nil, 0, errAway
+		case gone:
+			return nil, 0, follow.ErrCompacted
+		case ctx.Err() != nil:
+			return nil, 0, ctx.Err()
+		case len(events) > 0:
+			return events, revision, nil
+		case !time.Now().Before(end):
+			return nil, after, nil
+		}
+	}
+}
+
+// view is what a follower has reported.
+type view struct {
+	mu   sync.Mutex
+	keys map[string]string
+}
+
+func (v *view) change(i follow.Item) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if i.Deleted {
+		delete(v.keys, i.Key)
+		return
+	}
+	v.keys[i.Key] = string(i.Value)
+}
+
+func (v *view) String() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return fmt.Sprint(v.keys)
+}
+
+// TestLosses: whatever happens at the store, a follower knows what it holds soon afterwards.
+func TestLosses(t *testing.T) {
+	tests := map[string]func(s *store){
+		"plain change": func(s *store) { s.put("a", "2") },
+		"deletion":     func(s *store) { s.put("a", "") },
+		"away for a moment": func(s *store) {
+			s.set(func(s *store) { s.away = true })
+			s.put("a", "2")
+			s.later(func() { s.away = false })
+		},
+		"history is gone": func(s *store) {
+			s.set(func(s *store) { s.deaf = true })
+			s.put("a", "2")
+			s.later(func() { s.deaf, s.floor, s.events = false, s.revision, nil })
+		},
+		"deleted in the dark": func(s *store) {
+			s.set(func(s *store) { s.deaf = true })
+			s.put("a", "")
+			s.later(func() { s.deaf, s.floor, s.events = false, s.revision, nil })
+		},
+	}
+	for name, strike := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, v := &store{}, &view{keys: map[string]string{}}
+				s.put("a", "1")
+				s.put("b", "1")
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				defer func() { cancel(); group.Wait() }()
+				f := follow.Follower{Source: s, Log: zap.NewNop(), Changed: v.change}
+				group.Go(func() { _ = f.Run(ctx) })
+				time.Sleep(time.Second)
+				is := is.New(t)
+				is.Equal(v.String(), "map[a:1 b:1]")
+				strike(s)
+				time.Sleep(2 * time.Second) // the time within which a configuration has to be in force
+				want := map[string]string{}
+				s.set(func(s *store) {
+					for k, i := range s.items {
+						want[k] = string(i.Value)
+					}
+				})
+				is.Equal(v.String(), fmt.Sprint(want))
+			})
+		})
+	}
+}
+
+func (s *store) later(do func()) {
+	time.Sleep(700 * time.Millisecond)
+	s.set(func(*store) { do() })
+}
+
+// TestReaders: the pattern is a large fleet whose readers die, are cut off or go stale; followers are right within the
+// time that a configuration has, and the store is not asked by all.
+func TestReaders(t *testing.T) {
+	tests := map[string]struct {
+		strike func(first, second *reader)
+		calls  int // of the store by the follower at most
+	}{
+		"both fine":         {func(_, _ *reader) {}, 0},
+		"first one is dead": {func(a, _ *reader) { a.dead.Store(true) }, 0},
+		"first one hangs":   {func(a, _ *reader) { a.hangs.Store(true) }, 0},
+		"first one is stale": {func(a, _ *reader) {
+			a.source.set(func(s *store) { s.away = true })
+		}, 0},
+		"both are dead": {func(a, b *reader) { a.dead.Store(true); b.dead.Store(true) }, 8},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				defer func() { cancel(); group.Wait() }()
+				truth := &store{}
+				truth.put("a", "1")
+				first, second := newReader(ctx, &group, truth), newReader(ctx, &group, truth)
+				time.Sleep(time.Second)
+				v := &view{keys: map[string]string{}}
+				direct := &store{}
+				direct.copyOf(truth)
+				path := &follow.Path{Direct: direct, Peers: func() ([]follow.Peer, bool) {
+					return []follow.Peer{{Name: "first", Source: first}, {Name: "second", Source: second}}, false
+				}}
+				f := follow.Follower{Source: path, Log: zap.NewNop(), Changed: v.change, Direct: path.IsDirect}
+				group.Go(func() { _ = f.Run(ctx) })
+				time.Sleep(time.Second)
+				is.Equal(v.String(), "map[a:1]")
+				c.strike(first, second)
+				truth.put("a", "2")
+				first.source.copyOf(truth)
+				second.source.copyOf(truth)
+				direct.copyOf(truth)
+				time.Sleep(2 * time.Second)
+				is.Equal(v.String(), "map[a:2]")
+				direct.set(func(s *store) { is.True(s.calls <= c.calls) }) // the store is spared
+			})
+		})
+	}
+}
+
+// copyOf takes over what another store holds.
+func (s *store) copyOf(o *store) {
+	o.mu.Lock()
+	items, events, revision := o.items, o.events, o.revision
+	o.mu.Unlock()
+	s.set(func(s *store) {
+		s.items = map[string]follow.Item{}
+		for k, i := range items {
+			s.items[k] = i
+		}
+		s.events, s.revision = append([]follow.Item(nil), events...), revision
+	})
+}
