--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -23,10 +23,11 @@
 
 // Need is what a call asks of an endpoint.
 type Need struct {
-	Model   jaywind.Model // empty for a plain call
-	Tokens  int           // of memory, at its end
-	Reading int           // tokens of the prompt
-	Version jaywind.Version
+	Model   jaywind.Model        // empty for a plain call
+	Tokens  int                  // of memory, at its end
+	Reading int                  // tokens of the prompt
+	Version jaywind.Version      // the only one that may run it; empty for any
+	Without jaywind.Version      // the one that may not; empty for none
 	Avoid   []jaywind.EndpointID // that have failed the call
 }
 
@@ -84,7 +85,7 @@
 }
 
 func (e *Endpoint) serves(n Need) bool {
-	if n.Version != "" && e.Version != n.Version {
+	if n.Version != "" && e.Version != n.Version || n.Without != "" && e.Version == n.Without {
 		return false
 	}
 	return n.Model == "" || slices.Contains(e.Models, n.Model)
@@ -128,7 +129,8 @@
 
 // Lost tells whether an endpoint that keeps a copy is known to be gone or seems not to work.
 func (t *Table) Lost(e *Endpoint, now time.Time) bool {
-	return t.rows[e.ID] != e || e.Leaving || now.Before(e.closed) || now.Before(t.shaken[e.Domain].till)
+	keep, ending := t.ending[e.Service]
+	return t.rows[e.ID] != e || ending && e.Version != keep || e.Leaving || now.Before(e.closed) || now.Before(t.shaken[e.Domain].till)
 }
 
 // Keep counts a copy at an endpoint, and Drop its end.
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -44,6 +44,7 @@
 	rows     map[jaywind.EndpointID]*Endpoint
 	services map[jaywind.ServiceName][]*Endpoint
 	shaken   map[jaywind.Domain]shake
+	ending   map[jaywind.ServiceName]jaywind.Version // services of which only this version goes on
 }
 
 // shake is the last failure in a failure domain.
@@ -115,6 +116,25 @@
 	return 2 * math.Abs(d-math.Round(d))
 }
 
+// End tells that only one version of a service goes on, so that copies are kept there; empty for all versions.
+func (t *Table) End(s jaywind.ServiceName, keep jaywind.Version) {
+	if t.ending == nil {
+		t.ending = map[jaywind.ServiceName]jaywind.Version{}
+	}
+	if t.ending[s] = keep; keep == "" {
+		delete(t.ending, s)
+	}
+}
+
+// OfService returns what the registry says of a service's endpoints.
+func (t *Table) OfService(s jaywind.ServiceName) []Entry {
+	all := make([]Entry, len(t.services[s]))
+	for i, e := range t.services[s] {
+		all[i] = e.Entry
+	}
+	return all
+}
+
 // Get returns the row of an endpoint, or nil.
 func (t *Table) Get(id jaywind.EndpointID) *Endpoint {
 	return t.rows[id]
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -19,16 +19,23 @@
 
 // Platform is what a router is told that serves on the users' platform.
 type Platform struct {
-	Store     string  `toml:"store"`     // address of the metadata store
-	Region    string  `toml:"region"`    // of this VM
-	Ready     string  `toml:"ready"`     // address for the platform's question whether this VM is ready
-	Directory string  `toml:"directory"` // address for callers who ask which VM to use
-	Memory    int     `toml:"memory"`    // MB that the process may use
-	Link      float64 `toml:"link"`      // Mbit/s of this VM\'s network
-	Grace     int     `toml:"grace"`     // ms from SIGTERM to SIGKILL
-	Contact   int     `toml:"contact"`   // ms after which a disruption of the store is over
-	Hint      int     `toml:"hint"`      // s that a caller keeps the directory's answer, at most
-	Retry     Retry   `toml:"retry"`     // budget of the whole fleet
+	Store     string   `toml:"store"`     // address of the metadata store
+	Region    string   `toml:"region"`    // of this VM
+	Ready     string   `toml:"ready"`     // address for the platform's question whether this VM is ready
+	Directory string   `toml:"directory"` // address for callers who ask which VM to use
+	Memory    int      `toml:"memory"`    // MB that the process may use
+	Link      float64  `toml:"link"`      // Mbit/s of this VM\'s network
+	Grace     int      `toml:"grace"`     // ms from SIGTERM to SIGKILL
+	Contact   int      `toml:"contact"`   // ms after which a disruption of the store is over
+	Hint      int      `toml:"hint"`      // s that a caller keeps the directory's answer, at most
+	Retry     Retry    `toml:"retry"`     // budget of the whole fleet
+	Exposure  Exposure `toml:"exposure"`  // of a new version before it is known to be good
+}
+
+// Exposure bounds what a bad version may get.
+type Exposure struct {
+	Share float64 `toml:"share"` // of all requests for its service
+	Slack int     `toml:"slack"` // requests besides
 }
 
 // Retry is the budget for sends beyond a request's first.
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -200,6 +200,20 @@
 	r.Size(place, routers)
 }
 
+// Lead returns the router that acts for all where one has to: the first by name of those that stay. It is a matter of
+// speed only; what it writes is checked by the store.
+func (r *Roster) Lead() Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lead := r.Self
+	for _, m := range r.members {
+		if !m.Leaving && m.missing.IsZero() && (m.VM < lead.VM || lead.Leaving) {
+			lead = m
+		}
+	}
+	return lead
+}
+
 const (
 	readers     = 4  // routers that follow the store for the others, so that some are left when two are lost at once
 	readersFrom = 16 // routers below which each follows the store itself, as that costs less than a lost reader delays
--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -78,6 +78,7 @@
 	sends   int  // bytes of which may have left
 	ran     bool // may have run
 	last    jaywind.EndpointID
+	change  *change // the roll-out that its outcomes count for; nil for none
 }
 
 // fields are what each log line on a call says.
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -78,6 +78,7 @@
 	c.sends++
 	if ctx.Err() == nil {
 		r.judge(e, err == nil)
+		r.outcome(c, e, err != nil || reply.Status >= http.StatusInternalServerError, time.Since(now))
 	}
 	return reply, err
 }
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -41,6 +41,7 @@
 	budgets map[jaywind.ServiceName]*retry.Budget
 	routers int // that share the budgets
 	surveys map[jaywind.ServiceName]*survey
+	changes map[jaywind.ServiceName]*change
 }
 
 func (r *Router) init() {
@@ -54,6 +55,7 @@
 		r.meter.register(r.Metrics)
 		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
 		r.surveys = map[jaywind.ServiceName]*survey{}
+		r.changes = map[jaywind.ServiceName]*change{}
 		r.routers = 1
 	})
 }
@@ -192,6 +194,7 @@
 	if c.service.Engine == nil {
 		c.need = endpoint.Need{}
 	}
+	r.version(c)
 	r.budget(c.service).Request(ask.Arrived)
 	return c, Refusal{}
 }
@@ -239,8 +242,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.table.Choose(c.service, c.need, time.Now())
+	if e == nil && c.need.Version != "" {
+		// Rather another version that runs than none, unless that one is known to be bad.
+		any := c.need
+		any.Version = ""
+		e = r.table.Choose(c.service, any, time.Now())
+	}
 	if e != nil {
 		r.table.Start(e, c.need)
+		c.started(e)
 		c.last = e.ID
 	}
 	return e
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -37,6 +37,7 @@
 type run struct {
 	at     *endpoint.Endpoint
 	copied bool // goes on from a copy
+	begun  time.Time
 	events jaywind.Events
 }
 
@@ -58,7 +59,7 @@
 			r.giveUp(f)
 			return
 		}
-		loss, err := r.attempt(ctx, f, run{at: at, copied: step == series.StepCopy})
+		loss, err := r.attempt(ctx, f, run{at: at, copied: step == series.StepCopy, begun: time.Now()})
 		if err == nil {
 			return
 		}
@@ -157,7 +158,7 @@
 	if err == nil && events == nil {
 		f.ran = true
 		f.sends++
-		return r.refusedStream(f, reply)
+		return r.refusedStream(f, n, reply)
 	}
 	if err != nil {
 		return r.unopened(ctx, f, n, err)
@@ -199,8 +200,9 @@
 }
 
 // refusedStream handles an endpoint's answer that is no stream.
-func (r *Router) refusedStream(f *flow, reply jaywind.Reply) (series.Loss, error) {
+func (r *Router) refusedStream(f *flow, n run, reply jaywind.Reply) (series.Loss, error) {
 	f.plan.Began()
+	r.outcome(f.call, n.at, reply.Status >= http.StatusInternalServerError, 0)
 	if f.begun || reply.Status >= http.StatusInternalServerError && f.sends < f.route.Attempts && f.route.Repeatable() {
 		return series.LossBroken, errors.New(http.StatusText(reply.Status))
 	}
@@ -231,8 +233,11 @@
 		case series.Gap:
 			return series.LossBroken, jaywind.ErrAnswer
 		}
-		first()
-		f.grown = true
+		if !f.grown {
+			first()
+			f.grown = true
+			r.outcome(f.call, n.at, false, time.Since(n.begun))
+		}
 		if !f.begun {
 			f.begun = true
 			f.first = time.Since(f.ask.Arrived)
