--- /dev/null
+++ b/cmd/jaywind/explain.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+)
+
+const maxLogLine = 1 << 20 // bytes
+
+// logLine is one line of a router's log.
+type logLine struct {
+	file   string
+	source string // what stands before the line, such as a VM's name
+	at     string
+	text   string
+	fields map[string]any
+}
+
+func explain(_ context.Context, c *console) int {
+	f := c.flags()
+	id := f.String("id", "", "`id` of the request")
+	if code, more := c.parse(f); !more {
+		return code
+	}
+	if *id == "" || f.NArg() == 0 {
+		return c.misuse("want -id ID and the log files of one or more routers")
+	}
+	var lines []logLine
+	for _, name := range f.Args() {
+		found, bad, err := readLog(name, *id)
+		if err != nil {
+			return c.fail(err)
+		}
+		if len(bad) > 0 {
+			_, _ = fmt.Fprintf(c.err, "jaywind explain: %s: %d lines can't be read, the first is line %d\n", name, len(bad), bad[0])
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return c.fail(fmt.Errorf("no line names request %s; it may have been sampled out, or reached another router", *id))
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.at, b.at) })
+	c.printf("cause: %s\n", causeOf(lines))
+	for _, l := range lines {
+		c.printf("%s\n", l)
+	}
+	return exitOK
+}
+
+// readLog returns the lines of a file that name a request, and the numbers of those that can't be read.
+func readLog(name, id string) (lines []logLine, bad []int, err error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = file.Close() }()
+	lines, bad, err = scanLog(file, id)
+	for i := range lines {
+		lines[i].file = name
+	}
+	return lines, bad, err
+}
+
+func scanLog(r io.Reader, id string) (lines []logLine, bad []int, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for number := 1; s.Scan(); number++ {
+		source, text, found := strings.Cut(s.Text(), "{")
+		if !found {
+			continue // of another program
+		}
+		l := logLine{source: strings.TrimSpace(source)}
+		if err := json.Unmarshal([]byte("{"+text), &l.fields); err != nil {
+			bad = append(bad, number)
+			continue
+		}
+		if l.fields["request"] != id {
+			continue
+		}
+		l.at, _ = l.fields["ts"].(string)
+		l.text, _ = l.fields["msg"].(string)
+		lines = append(lines, l)
+	}
+	return lines, bad, s.Err()
+}
+
+// causeOf says what decided how a request ended: the last failure before its end.
+func causeOf(lines []logLine) string {
+	last := lines[len(lines)-1]
+	if last.text == "request: answered" || last.text == "stream: whole" {
+		return fmt.Sprintf("none, it was answered: %s", last.details())
+	}
+	for i := len(lines) - 1; i >= 0; i-- {
+		l := lines[i]
+		for _, key := range []string{"error", "cause", "reason"} {
+			if text, there := l.fields[key].(string); there {
+				return fmt.Sprintf("%s, at endpoint %v (%s)", text, l.fields["endpoint"], l.text)
+			}
+		}
+	}
+	return last.text
+}
+
+// details are the fields of a line that its place in the list does not tell.
+func (l logLine) details() string {
+	var parts []string
+	for _, key := range slices.Sorted(maps.Keys(l.fields)) {
+		switch key {
+		case "ts", "msg", "request", "level":
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s=%v", key, l.fields[key]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// String returns the line for a reader.
+func (l logLine) String() string {
+	where := l.source
+	if where == "" {
+		where = l.file
+	}
+	return fmt.Sprintf("%s  %s  %s  %s", l.at, where, l.text, l.details())
+}
--- a/cmd/jaywind/main.go
+++ b/cmd/jaywind/main.go
@@ -39,6 +39,7 @@
 	"entries": {"asks which entries an organisation should use", "jaywind entries -entry http://127.0.0.1:8101 -organisation lagos", entries},
 	"rules":   {"prints the rules in force with their version", "jaywind rules -settings vm1.toml", printRules},
 	"status":  {"prints routers, moves and what is leaving", "jaywind status -settings vm1.toml", status},
+	"explain": {"tells from logs how a request ended and why", "jaywind explain -id 9c41d07be2a35f68 vm1.log vm2.log", explain},
 	"route":   {"runs a router", "jaywind route -settings vm1.toml", route},
 	"version": {"prints the version", "jaywind version", version},
 }
