platform: work that can't end before the process does is refused in the drain

Also: the first list of a process may be an old one, at a tenth of the price, from which the watch goes on.

--- /dev/null
+++ b/internal/backend/link/link_test.go
@@ -0,0 +1,175 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/backend/link"
+)
+
+const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// peer answers each connection's requests with the given bytes, one after another, and closes after the last when told.
+func peer(t *testing.T, closes bool, answers ...string) jaywind.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() { talk(conn, closes, answers) })
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return jaywind.Address(l.Addr().String())
+}
+
+func talk(conn net.Conn, closes bool, answers []string) {
+	defer func() { _ = conn.Close() }()
+	b := make([]byte, len(request))
+	for _, a := range answers {
+		if _, err := io.ReadFull(conn, b); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, a)
+	}
+	if !closes {
+		_, _ = io.Copy(io.Discard, conn) // until the other side closes
+	}
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestReuse(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		closes bool
+		body   string
+		reused bool
+	}{
+		"length":             {whole, false, "ok", true},
+		"chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false, "ok", true},
+		"interim answer":     {"HTTP/1.1 100 Continue\r\n\r\n" + whole, false, "ok", true},
+		"bytes left over":    {whole + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", false, "ok", false},
+		"peer closes":        {whole, true, "ok", false},
+		"says it will close": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false, "ok", false},
+		"no length":          {"HTTP/1.1 200 OK\r\n\r\nok", true, "ok", false},
+		"short idle time":    {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", false, "ok", false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			at := peer(t, c.closes, c.answer)
+			p := &link.Pool{}
+			defer p.Close()
+			l, err := p.Get(context.Background(), at)
+			is.NoErr(err)
+			is.NoErr(l.Send([]byte(request)))
+			answer, err := l.Read("GET", time.Now().Add(5*time.Second))
+			is.NoErr(err)
+			body, reusable, err := l.Whole(answer)
+			is.NoErr(err)
+			is.Equal(string(body), c.body)
+			if reusable {
+				p.Put(l)
+			}
+			time.Sleep(20 * time.Millisecond) // for what comes behind the answer
+			second, err := p.Get(context.Background(), at)
+			is.NoErr(err)
+			defer func() { _ = second.Close() }()
+			_, reused := p.Counts()
+			is.Equal(reused == 1, c.reused)
+		})
+	}
+}
+
+func TestFailures(t *testing.T) {
+	is := is.New(t)
+	p := &link.Pool{}
+	defer p.Close()
+	_, err := p.Get(context.Background(), "127.0.0.1:1")
+	is.True(errors.Is(err, jaywind.ErrNotSent)) // nothing listens
+	tests := map[string]struct {
+		answer string
+		closes bool
+		want   error // of the head or of the body
+	}{
+		"nothing comes":     {"", false, jaywind.ErrSilent},
+		"closed at once":    {"", true, io.ErrUnexpectedEOF},
+		"body is cut":       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true, io.ErrUnexpectedEOF},
+		"chunks are cut":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", true, io.ErrUnexpectedEOF},
+		"body stops coming": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false, jaywind.ErrSilent},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := p.Dial(context.Background(), peer(t, c.closes, c.answer))
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			is.NoErr(l.Send([]byte(request)))
+			answer, err := l.Read("GET", time.Now().Add(100*time.Millisecond))
+			if err == nil {
+				_, _, err = l.Whole(answer)
+			}
+			is.True(errors.Is(err, c.want) || c.want == io.ErrUnexpectedEOF && errors.Is(err, io.EOF))
+			is.True(!errors.Is(err, jaywind.ErrNotSent)) // it may have run
+		})
+	}
+}
+
+func TestEvents(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 5000)
+	tests := map[string]struct {
+		text string
+		want []string // the events' bytes
+		ids  []int64
+		end  error
+	}{
+		"two":                 {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, []int64{1, 2}, io.EOF},
+		"cut in an event":     {"id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, []int64{1}, io.ErrUnexpectedEOF},
+		"cut before the end":  {"id: 1\ndata: a\n", nil, nil, io.ErrUnexpectedEOF},
+		"version line first":  {"x-weight-versions: 3\nid: 7\ndata: a\n\n", []string{"x-weight-versions: 3\nid: 7\ndata: a\n\n"}, []int64{7}, io.EOF},
+		"long line":           {"id: 1\n" + long + "\n\n", []string{"id: 1\n" + long + "\n\n"}, []int64{1}, io.EOF},
+		"id inside long data": {"id: 1\ndata: " + strings.Repeat("y", 2036) + "id: 9\n\n", []string{"id: 1\ndata: " + strings.Repeat("y", 2036) + "id: 9\n\n"}, []int64{1}, io.EOF},
+		"without an id":       {"data: a\n\n", nil, nil, jaywind.ErrAnswer},
+		"id is no number":     {"id: x\n\n", nil, nil, jaywind.ErrAnswer},
+		"carriage returns":    {"id: 1\r\ndata: a\r\n\r\n", []string{"id: 1\r\ndata: a\r\n\r\n"}, []int64{1}, io.EOF},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := (&link.Pool{}).Dial(context.Background(), peer(t, false, ""))
+			is.NoErr(err)
+			s := link.NewSeries(l, strings.NewReader(c.text), jaywind.Reply{})
+			defer func() { _ = s.Close() }()
+			var got []string
+			var ids []int64
+			for {
+				e, err := s.Next(time.Second)
+				if err != nil {
+					is.True(errors.Is(err, c.end))
+					break
+				}
+				got = append(got, string(e.Raw))
+				ids = append(ids, e.ID)
+			}
+			is.Equal(got, c.want)
+			is.Equal(ids, c.ids)
+		})
+	}
+}
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -47,7 +47,7 @@
 func Handler(s follow.Source) (path string, h http.Handler) {
 	m := http.NewServeMux()
 	m.Handle(listPath, connect.NewUnaryHandler(listPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
-		return answer(s.List(ctx, q.Msg.Prefix))
+		return answer(s.List(ctx, q.Msg.Prefix, true))
 	}, cbor.HandlerOptions()...))
 	m.Handle(watchPath, connect.NewUnaryHandler(watchPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
 		wait := min(time.Duration(q.Msg.Wait)*time.Millisecond, maxWait)
@@ -102,7 +102,7 @@
 }
 
 // List asks for all items under prefix.
-func (s *source) List(ctx context.Context, prefix string) ([]follow.Item, int64, error) {
+func (s *source) List(ctx context.Context, prefix string, _ bool) ([]follow.Item, int64, error) {
 	return call(ctx, s.list, ask{Prefix: prefix})
 }
 
--- a/internal/provider/follow/board.go
+++ b/internal/provider/follow/board.go
@@ -78,7 +78,7 @@
 }
 
 // List returns what is known under prefix, or ErrStale.
-func (b *Board) List(_ context.Context, prefix string) ([]Item, int64, error) {
+func (b *Board) List(_ context.Context, prefix string, _ bool) ([]Item, int64, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if time.Since(b.at) > boardFresh {
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -23,8 +23,9 @@
 
 // Source reads from the store.
 type Source interface {
-	// List returns all items under prefix and a revision from which to watch.
-	List(ctx context.Context, prefix string) ([]Item, int64, error)
+	// List returns all items under prefix and a revision from which to watch. Unless it is exact, the items may be
+	// some seconds old; a watch from the revision then tells what has changed since.
+	List(ctx context.Context, prefix string, exact bool) ([]Item, int64, error)
 	// Watch waits for changes after a revision, and returns none once wait is over; errors may be ErrCompacted.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
 }
@@ -51,6 +52,7 @@
 
 	known map[string]int64 // revision of each key's item
 	after int64
+	exact bool      // the next list has to be
 	away  time.Time // since the store does not answer; zero while it does
 }
 
@@ -89,11 +91,12 @@
 func (f *Follower) list(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
-	items, revision, err := f.Source.List(call, f.Prefix)
+	items, revision, err := f.Source.List(call, f.Prefix, f.exact)
 	f.note(err)
 	if err != nil {
 		return err
 	}
+	f.exact = true // of what is known already, an old list would undo changes
 	there := make(map[string]bool, len(items))
 	for _, i := range items {
 		there[i.Key] = true
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -52,7 +52,7 @@
 	change(s)
 }
 
-func (s *store) List(context.Context, string) ([]follow.Item, int64, error) {
+func (s *store) List(context.Context, string, bool) ([]follow.Item, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
--- a/internal/provider/follow/path.go
+++ b/internal/provider/follow/path.go
@@ -39,14 +39,14 @@
 func (p *Path) IsDirect() bool { return p.direct }
 
 // List reads everything from the first source that answers.
-func (p *Path) List(ctx context.Context, prefix string) (items []Item, revision int64, err error) {
+func (p *Path) List(ctx context.Context, prefix string, exact bool) (items []Item, revision int64, err error) {
 	err = p.each(ctx, func(ctx context.Context, s Source, peer, _ bool) error {
 		if peer {
 			limited, cancel := context.WithTimeout(ctx, peerList)
 			defer cancel()
 			ctx = limited
 		}
-		items, revision, err = s.List(ctx, prefix)
+		items, revision, err = s.List(ctx, prefix, exact)
 		return err
 	})
 	return items, revision, err
--- a/internal/provider/follow/reader_test.go
+++ b/internal/provider/follow/reader_test.go
@@ -28,11 +28,11 @@
 	return r
 }
 
-func (r *reader) List(ctx context.Context, prefix string) ([]follow.Item, int64, error) {
+func (r *reader) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
 	if err := r.fails(ctx); err != nil {
 		return nil, 0, err
 	}
-	return r.board.List(ctx, prefix)
+	return r.board.List(ctx, prefix, exact)
 }
 
 func (r *reader) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -199,6 +199,31 @@
 	return c, Refusal{}
 }
 
+// streamTime is how long a stream takes as a rule, beside others.
+const streamTime = 7 * time.Second
+
+// TooLate tells whether work on a route can't be expected to end within a time; 0 stands for any time.
+func (r *Router) TooLate(host, path string, within time.Duration) bool {
+	if within <= 0 {
+		return false
+	}
+	c := r.Config()
+	if c == nil {
+		return true
+	}
+	rt := c.Match(host, path)
+	switch {
+	case rt == nil:
+		return false
+	case rt.Kind == route.KindStream:
+		return within < streamTime
+	}
+	return within < min(rt.Timeout, plainTime)
+}
+
+// plainTime is how long a plain call may take to be finished by a router that ends.
+const plainTime = 1500 * time.Millisecond
+
 // pickService draws one of a route's services by weight.
 func (r *Router) pickService(rt *route.Route) *route.Service {
 	total := 0
