--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -76,5 +76,6 @@
 	return limit
 }
 
-// First is how long to wait for a first event before the endpoint is asked, each time, whether it lives.
-const First = 700 * time.Millisecond
+// First is how long to wait for a first event before the endpoint is asked whether it lives, and after each time: a
+// prompt of usual length is read by then.
+const First = 1100 * time.Millisecond
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -33,7 +33,8 @@
 const (
 	defaultWait = 2400 * time.Millisecond // with the slack, less than the 3 s after which a silent connection has to be seen
 	waitSlack   = 500 * time.Millisecond  // for the answer to come
-	gatherTime  = 150 * time.Millisecond  // after a change, for others that come with it
+	gatherTime  = 300 * time.Millisecond  // after a change of the store, for others that come with it
+	peerGather  = 50 * time.Millisecond   // the same after a change that came by way of another router
 	listLimit   = 1500 * time.Millisecond
 	retryFirst  = 100 * time.Millisecond
 	retryLast   = 800 * time.Millisecond
@@ -132,8 +133,12 @@
 	}
 	f.after = max(f.after, revision)
 	f.confirm()
-	if len(items) > 0 {
+	switch {
+	case len(items) == 0:
+	case f.direct():
 		f.sleep(ctx, gatherTime)
+	default:
+		f.sleep(ctx, peerGather)
 	}
 	return nil
 }
@@ -160,10 +165,12 @@
 // confirm shows on the board that everything is known up to now.
 func (f *Follower) confirm() {
 	if f.Board != nil {
-		f.Board.confirm(f.after, f.Direct == nil || f.Direct())
+		f.Board.confirm(f.after, f.direct())
 	}
 }
 
+func (f *Follower) direct() bool { return f.Direct == nil || f.Direct() }
+
 // note logs when the store goes away and comes back.
 func (f *Follower) note(err error) {
 	ok := err == nil || errors.Is(err, ErrCompacted)
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -215,7 +215,7 @@
 }
 
 const (
-	readers     = 4  // routers that follow the store for the others, so that some are left when two are lost at once
+	readers     = 3  // routers at least that follow the store for the others, so that one is left when two are lost at once
 	readersFrom = 16 // routers below which each follows the store itself, as that costs less than a lost reader delays
 )
 
@@ -224,53 +224,107 @@
 func (r *Roster) Readers() ([]Member, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	all := r.staying()
+	if len(all) < readersFrom {
+		return nil, false
+	}
+	slices.SortFunc(all, func(a, b Member) int { // the widest links first, and among these an order that all share
+		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(mark(a.VM), mark(b.VM)))
+	})
+	var chosen, others []Member // the first of each failure domain, and the rest
+	for _, m := range all {
+		if slices.ContainsFunc(chosen, func(o Member) bool { return o.Domain == m.Domain }) {
+			others = append(others, m)
+			continue
+		}
+		chosen = append(chosen, m)
+	}
+	chosen = append(chosen, others[:max(0, min(readers-len(chosen), len(others)))]...)
+	if slices.ContainsFunc(chosen, func(m Member) bool { return m.VM == r.Self.VM }) {
+		return nil, true
+	}
+	slices.SortFunc(chosen, func(a, b Member) int { // the own domain's first
+		return cmp.Or(r.away(a)-r.away(b), cmp.Compare(mark(r.Self.VM+a.VM), mark(r.Self.VM+b.VM)))
+	})
+	return chosen, false
+}
+
+// staying returns the routers that do not leave, this one among them unless it does; the caller holds mu.
+func (r *Roster) staying() []Member {
 	var all []Member
 	for vm, m := range r.members {
 		if !m.Leaving && m.missing.IsZero() && vm != r.Self.VM {
 			all = append(all, m)
 		}
 	}
-	if len(all)+1 < readersFrom {
-		return nil, false
-	}
 	if !r.Self.Leaving {
 		all = append(all, r.Self)
 	}
-	slices.SortFunc(all, func(a, b Member) int { // the widest links first, and among these an order that all share
-		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(mark(a.VM), mark(b.VM)))
-	})
-	all = all[:readers]
-	if slices.ContainsFunc(all, func(m Member) bool { return m.VM == r.Self.VM }) {
-		return nil, true
+	return all
+}
+
+// away is 0 for a member of this router's domain and 1 for any other.
+func (r *Roster) away(m Member) int {
+	if m.Domain == r.Self.Domain {
+		return 0
 	}
-	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(mark(r.Self.VM+a.VM), mark(r.Self.VM+b.VM)) })
-	return all, false
+	return 1
 }
 
 // mark spreads names evenly.
 func mark(vm jaywind.VM) uint64 { return xxhash.Sum64String(string(vm)) }
 
-// Entries returns where callers may connect: all members that do not leave, or all when all do.
-func (r *Roster) Entries() []jaywind.Address {
+const (
+	localLeast = 4 // members of a failure domain from which its callers are sent there first
+	localOther = 2 // members of each other domain that they may use as well, should their own be lost
+)
+
+// Entries returns where callers from a failure domain may connect: members that do not leave, or all when all do.
+func (r *Roster) Entries(d jaywind.Domain) []jaywind.Address {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var staying, all []jaywind.Address
-	self := false
+	var staying, all []Member
+	known := false
 	for vm, m := range r.members {
 		if vm == r.Self.VM {
-			self, m = true, r.Self
+			known, m = true, r.Self
 		}
-		all = append(all, m.Entry)
+		all = append(all, m)
 		if !m.Leaving {
-			staying = append(staying, m.Entry)
+			staying = append(staying, m)
 		}
 	}
-	if !self && (!r.Self.Leaving || len(all) == 0) {
-		staying = append(staying, r.Self.Entry)
+	if !known && (!r.Self.Leaving || len(all) == 0) {
+		staying = append(staying, r.Self)
 	}
 	if len(staying) == 0 {
 		staying = all
 	}
-	slices.Sort(staying)
-	return staying
+	return addresses(near(staying, d))
+}
+
+// near returns the members for callers of a domain: its own and a few others if it has enough, all otherwise.
+func near(members []Member, d jaywind.Domain) []Member {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(mark(a.VM), mark(b.VM)) })
+	count := map[jaywind.Domain]int{}
+	var chosen []Member
+	for _, m := range members {
+		count[m.Domain]++
+		if m.Domain == d || count[m.Domain] <= localOther {
+			chosen = append(chosen, m)
+		}
+	}
+	if count[d] < localLeast {
+		return members
+	}
+	return chosen
+}
+
+func addresses(members []Member) []jaywind.Address {
+	all := make([]jaywind.Address, len(members))
+	for i, m := range members {
+		all[i] = m.Entry
+	}
+	slices.Sort(all)
+	return all
 }
