router: a failure that was answered stands when no other endpoint takes the call

Found by reading: after a first endpoint had failed a safe call, refusals of the second were not counted, so the call was offered until the budget or its time was spent, and ended 502 though an answer was there.

--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -27,36 +27,48 @@
 	ctx, cancel := context.WithDeadline(ctx, c.due)
 	defer cancel()
 	misses := 0
+	var failed *jaywind.Reply // an endpoint's own failure, which is the answer if nothing better comes
 	for {
 		e := r.place(c)
 		if e == nil {
-			r.refuse(c, ReasonBusy, plainPause)
+			r.settle(c, failed)
 			return
 		}
 		reply, err := r.send(ctx, c, e)
 		switch {
-		case ctx.Err() != nil && err != nil:
-			r.expire(c, ctx.Err())
-			return
-		case err == nil && (reply.Status < http.StatusInternalServerError || !r.mayRepeat(c)):
+		case err == nil && reply.Status < http.StatusInternalServerError:
 			r.reply(c, reply)
 			return
-		case err == nil, c.ran && r.mayRepeat(c):
-		case c.ran:
-			r.refuse(c, ReasonLost, 0)
+		case err == nil:
+			failed = &reply
+		case ctx.Err() != nil:
+			r.expire(c, ctx.Err())
 			return
-		default:
+		case notRun(err):
 			misses++
-			if misses > maxMisses || !r.repeat(c) {
-				r.refuse(c, ReasonBusy, plainPause)
-				return
-			}
+		}
+		again := notRun(err) && misses <= maxMisses && r.repeat(c) || !notRun(err) && r.mayRepeat(c)
+		if !again {
+			r.settle(c, failed)
+			return
 		}
 		c.need.Avoid = append(c.need.Avoid, e.ID)
 		r.Log.Info("request: sent again", c.fields(zap.Int("status", reply.Status), zap.NamedError("cause", err))...)
 	}
 }
 
+// settle ends a call that is not sent again, with an endpoint's failure if there was one.
+func (r *Router) settle(c *call, failed *jaywind.Reply) {
+	switch {
+	case failed != nil:
+		r.reply(c, *failed)
+	case c.ran:
+		r.refuse(c, ReasonLost, 0)
+	default:
+		r.refuse(c, ReasonBusy, plainPause)
+	}
+}
+
 // mayRepeat takes a repeat from the budget if the call may run at one more endpoint.
 func (r *Router) mayRepeat(c *call) bool {
 	return c.route.Repeatable() && c.sends < c.route.Attempts && r.repeat(c)
