--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -16,12 +16,9 @@
 	"jaywind/platform"
 )
 
-// bootVariable names the settings file where the command line does not.
-const bootVariable = "JAYWIND_BOOT"
-
 func route(ctx context.Context, c *console) int {
 	f := c.flags()
-	file := f.String("settings", os.Getenv(bootVariable), "settings `file` of this router; "+bootVariable+" names it otherwise")
+	file := f.String("settings", os.Getenv(platform.BootVariable), "settings `file` of this router; "+platform.BootVariable+" names it otherwise")
 	if code, more := c.parse(f); !more {
 		return code
 	}
