--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -269,9 +269,9 @@
 	e := r.table.Choose(c.service, c.need, time.Now())
 	if e == nil && c.need.Version != "" {
 		// Rather another version that runs than none, unless that one is known to be bad.
-		any := c.need
-		any.Version = ""
-		e = r.table.Choose(c.service, any, time.Now())
+		other := c.need
+		other.Version = ""
+		e = r.table.Choose(c.service, other, time.Now())
 	}
 	if e != nil {
 		r.table.Start(e, c.need)
