--- a/internal/core/route/set.go
+++ b/internal/core/route/set.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -48,11 +49,13 @@
 type Service struct {
 	Name        jaywind.ServiceName
 	Connections int     // that an endpoint takes from all callers together; 0 for no limit
+	Health      string  // path of an endpoint's health check; empty if it has none
 	Engine      *Engine // nil for a plain service
 }
 
 // Engine is what the endpoints of a model service have in common.
 type Engine struct {
+	Models []jaywind.Model // that the service serves
 	Slots  int
 	Room   int           // tokens of memory
 	Copies bool          // a run's memory may be copied to another endpoint as it grows
@@ -126,6 +129,21 @@
 	return nil
 }
 
+// Serving returns the only service that serves a model, or nil if there are none or several.
+func (s *Set) Serving(m jaywind.Model) *Service {
+	var only *Service
+	for _, service := range s.Services {
+		if service.Engine == nil || !slices.Contains(service.Engine.Models, m) {
+			continue
+		}
+		if only != nil {
+			return nil
+		}
+		only = service
+	}
+	return only
+}
+
 // Holder returns who a key belongs to.
 func (s *Set) Holder(key string) (Holder, bool) {
 	h, known := s.keys[key]
--- a/internal/relay/router/meter.go
+++ b/internal/relay/router/meter.go
@@ -23,6 +23,7 @@
 	broken, copyUsed, copyMissing metrics.Counter
 	recalled, recallMissed        metrics.Counter
 	copyMade, copyFailed          metrics.Counter
+	identified                    metrics.Counter
 	first, pause                  metrics.Histogram // milliseconds
 	whole                         map[route.Kind]metrics.Histogram
 }
@@ -40,6 +41,7 @@
 	m.copyMissing = metrics.GetOrRegisterCounter("copies.missing", r)
 	m.copyMade = metrics.GetOrRegisterCounter("copies.made", r)
 	m.copyFailed = metrics.GetOrRegisterCounter("copies.failed", r)
+	m.identified = metrics.GetOrRegisterCounter("endpoints.identified", r)
 	m.recalled = metrics.GetOrRegisterCounter("recalls.found", r)
 	m.recallMissed = metrics.GetOrRegisterCounter("recalls.missed", r)
 	m.first = histogram("streams.first_ms", r)
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -82,7 +82,7 @@
 	if notRun(err) {
 		r.meter.missed.Inc(1)
 		if !errors.Is(err, jaywind.ErrBusy) && ctx.Err() == nil {
-			r.blame(e, err)
+			r.blame(ctx, c, e, err)
 		}
 		return reply, err
 	}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -30,6 +30,7 @@
 	Log      *zap.Logger
 	Metrics  metrics.Registry
 	Repeats  retry.Budget // of each service: its Share, Spare and Window
+	Blind    func() bool  // whether the registry can't be read now; nil for never
 
 	start sync.Once
 	meter meter
@@ -288,14 +289,17 @@
 }
 
 // blame counts a failure of an endpoint; one that does not answer a new connection, or that another has replaced, is gone.
-func (r *Router) blame(e *endpoint.Endpoint, cause error) {
+func (r *Router) blame(ctx context.Context, c *call, e *endpoint.Endpoint, cause error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if errors.Is(cause, jaywind.ErrNotSent) || errors.Is(cause, jaywind.ErrReplaced) {
 		r.table.Absent(e, time.Now())
-		return
+	} else {
+		r.table.Fail(e, time.Now())
+	}
+	r.mu.Unlock()
+	if errors.Is(cause, jaywind.ErrReplaced) && r.Blind != nil && r.Blind() {
+		r.identify(ctx, c, e)
 	}
-	r.table.Fail(e, time.Now())
 }
 
 // judge counts what an attempt showed of its endpoint.
--- a/internal/relay/router/router_test.go
+++ b/internal/relay/router/router_test.go
@@ -42,6 +42,10 @@
 	return jaywind.Copy{}, jaywind.ErrBusy
 }
 
+func (u *engines) Identify(context.Context, jaywind.Address, string) (jaywind.Identity, error) {
+	return jaywind.Identity{}, jaywind.ErrBusy
+}
+
 // events is a stream that numbers its events.
 type events struct{ next, last int64 }
 
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -186,7 +186,7 @@
 // unopened notes why no stream was opened.
 func (r *Router) unopened(ctx context.Context, f *flow, n run, err error) (series.Loss, error) {
 	if !errors.Is(err, jaywind.ErrBusy) && ctx.Err() == nil {
-		r.blame(n.at, err)
+		r.blame(ctx, f.call, n.at, err)
 	}
 	switch {
 	case n.copied && errors.Is(err, jaywind.ErrBusy):
--- a/upstream.go
+++ b/upstream.go
@@ -48,6 +48,13 @@
 	Tokens int
 }
 
+// Identity is what an endpoint says of itself.
+type Identity struct {
+	ID     EndpointID
+	Born   int64   // start of the incarnation, in Unix milliseconds; 0 if it does not say
+	Models []Model // that an engine serves
+}
+
 // Event is one event of a stream, with the bytes that carry it.
 type Event struct {
 	ID  int64
@@ -76,4 +83,7 @@
 	Held(ctx context.Context, at Address) ([]HeldPart, error)
 	// Duplicate copies the memory of a run that has begun at an address to another endpoint, and the run goes on.
 	Duplicate(ctx context.Context, at Address, run RequestID, to Address) (Copy, error)
+	// Identify asks the engine at an address who it is; health is the path of its service's health check. It is an error
+	// if the engine does not count itself as healthy.
+	Identify(ctx context.Context, at Address, health string) (Identity, error)
 }
