fleet/loan: routers borrow repeats from each other

A router whose part is spent asks up to three others for one repeat; the lender counts it as its own, so the sum of the parts stays what it was. 0.3 of a part is never lent.

Ruled out: no engines to take the streams (copies were there, 36 of 144 were replaced by 24 s), deadlines (17 s left).

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -4,6 +4,7 @@
 
 const (
 	cells  = 20  // of a window
+	lent   = 0.7 // of a part may go to others; the rest is for what this router may lose in the next seconds
 	margin = 0.8 // of the budget is used, as other routers count their windows at other times
 )
 
@@ -24,8 +25,18 @@
 
 // Take counts a repeat and returns true, or returns false when the part of one of so many routers is spent.
 func (b *Budget) Take(now time.Time, routers int) bool {
-	allowed := margin * (b.Share*float64(b.requests.sum(now, b.Window)) + b.Spare/float64(max(1, routers)))
-	if float64(b.repeats.sum(now, b.Window)+1) > allowed {
+	return b.take(now, routers, 1)
+}
+
+// Lend counts a repeat of another router as Take does, but leaves the last of the part for own repeats.
+func (b *Budget) Lend(now time.Time, routers int) bool {
+	return b.take(now, routers, lent)
+}
+
+// take counts a repeat if all repeats stay within a share of this router's part.
+func (b *Budget) take(now time.Time, routers int, share float64) bool {
+	part := margin * (b.Share*float64(b.requests.sum(now, b.Window)) + b.Spare/float64(max(1, routers)))
+	if float64(b.repeats.sum(now, b.Window)+1) > share*part {
 		return false
 	}
 	b.repeats.add(now, b.Window)
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -249,6 +250,20 @@
 	return chosen, false
 }
 
+// Some returns the fleet addresses of some other routers that stay, drawn at random.
+func (r *Roster) Some(most int) []jaywind.Address {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []jaywind.Address
+	for _, m := range r.staying() {
+		if m.VM != r.Self.VM {
+			all = append(all, m.Fleet)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(most, len(all))]
+}
+
 // staying returns the routers that do not leave, this one among them unless it does; the caller holds mu.
 func (r *Roster) staying() []Member {
 	var all []Member
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -30,7 +30,9 @@
 	Log      *zap.Logger
 	Metrics  metrics.Registry
 	Repeats  retry.Budget // of each service: its Share, Spare and Window
-	Blind    func() bool  // whether the registry can't be read now; nil for never
+	// Borrow takes a repeat of a service from another router's part of the budget; nil for never.
+	Borrow func(ctx context.Context, s jaywind.ServiceName) bool
+	Blind  func() bool // whether the registry can't be read now; nil for never
 
 	start sync.Once
 	meter meter
@@ -252,17 +254,31 @@
 	return b
 }
 
-// repeat takes a second send of a call from the budget.
-func (r *Router) repeat(c *call) bool {
+// repeat takes a second send of a call from the budget, from this router's part or another's.
+func (r *Router) repeat(ctx context.Context, c *call) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	ok := r.budget(c.service).Take(time.Now(), r.routers)
+	r.mu.Unlock()
+	if !ok && r.Borrow != nil && r.Borrow(ctx, c.service.Name) {
+		r.meter.borrowed.Inc(1)
+		ok = true
+	}
 	if !ok {
 		r.meter.exhausted.Inc(1)
+		r.Log.Info("request: no repeat left", c.fields()...)
 	}
 	return ok
 }
 
+// Lend counts a repeat of another router as this one's, if that is in its budget.
+func (r *Router) Lend(s jaywind.ServiceName) bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.budgets[s]
+	return b != nil && b.Lend(time.Now(), r.routers)
+}
+
 // place chooses an endpoint for a call and counts the call there.
 func (r *Router) place(c *call) *endpoint.Endpoint {
 	r.mu.Lock()
