fleet/sighting: engines that came back are told to all routers; what was not sent is no repeat

An attempt that did not reach the endpoint was counted against the budget as well, though nothing arrived.

A router that has identified an engine tells all others, which take it under the same conditions. A send whose connection was refused takes nothing from the budget.

--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -140,6 +140,16 @@
 	return t.rows[id]
 }
 
+// At returns the endpoint at an address, or nil.
+func (t *Table) At(a jaywind.Address) *Endpoint {
+	for _, e := range t.rows {
+		if e.Address == a {
+			return e
+		}
+	}
+	return nil
+}
+
 // Remove forgets an endpoint.
 func (t *Table) Remove(id jaywind.EndpointID) {
 	e := t.rows[id]
--- a/internal/relay/router/identify.go
+++ b/internal/relay/router/identify.go
@@ -27,18 +27,38 @@
 		r.Log.Info("endpoint: not identified", c.fields(zap.String("at", string(old.Address)), zap.Error(err))...)
 		return
 	}
+	e := old.Entry
+	e.ID, e.Born, e.Models, e.Leaving = id.ID, id.Born, id.Models, false
+	if r.confirm(e) && r.Sighted != nil {
+		r.Sighted(e)
+	}
+}
+
+// HearOf takes an engine that another router has identified, if this one can't read the registry either.
+func (r *Router) HearOf(e endpoint.Entry) {
+	r.init()
+	c := r.Config()
+	if r.Blind == nil || !r.Blind() || c == nil || c.Services[e.Service] == nil || c.Services[e.Service].Engine == nil || r.changing(e.Service) {
+		return
+	}
+	r.confirm(e)
+}
+
+// confirm adds an engine that has replaced a known one at its address, and returns false if it is known already or that
+// one is not. It lapses unless the registry has it once it is back.
+func (r *Router) confirm(e endpoint.Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.table.Get(id.ID); e != nil {
-		return // the registry, or another call, was faster
+	old := r.table.At(e.Address)
+	if old == nil || old.ID == e.ID || old.Service != e.Service || old.Born >= e.Born {
+		return false
 	}
-	e := old.Entry
-	e.ID, e.Born, e.Models, e.Leaving = id.ID, id.Born, id.Models, false
 	r.table.Set(e)
-	r.table.Miss(e.ID, time.Now()) // it lapses unless the registry confirms it
+	r.table.Miss(e.ID, time.Now())
 	r.meter.identified.Inc(1)
-	r.Log.Info("endpoint: identified", c.fields(zap.String("as", string(e.ID)), zap.String("at", string(e.Address)),
-		zap.Int64("born", e.Born))...)
+	r.Log.Info("endpoint: identified", zap.String("endpoint", string(e.ID)), zap.String("instead_of", string(old.ID)),
+		zap.String("at", string(e.Address)), zap.Int64("born", e.Born))
+	return true
 }
 
 // changing tells whether a roll-out of a service goes on.
--- a/internal/relay/router/identify_test.go
+++ b/internal/relay/router/identify_test.go
@@ -92,3 +92,28 @@
 		})
 	}
 }
+
+// TestHearOf: what another router has identified is taken only by one that can't read the registry, and only in place
+// of an older engine of the same service.
+func TestHearOf(t *testing.T) {
+	tests := map[string]struct {
+		blind bool
+		entry endpoint.Entry
+		want  int64 // engines that are identified
+	}{
+		"came back":          {true, endpoint.Entry{ID: "e3", Service: "pool", Address: "e1", Born: 9}, 1},
+		"registry is there":  {false, endpoint.Entry{ID: "e3", Service: "pool", Address: "e1", Born: 9}, 0},
+		"older":              {true, endpoint.Entry{ID: "e3", Service: "pool", Address: "e1", Born: -1}, 0},
+		"address is unknown": {true, endpoint.Entry{ID: "e3", Service: "pool", Address: "e7", Born: 9}, 0},
+		"other service":      {true, endpoint.Entry{ID: "e3", Service: "desk", Address: "e1", Born: 9}, 0},
+		"known":              {true, endpoint.Entry{ID: "e1", Service: "pool", Address: "e1", Born: 9}, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRouter(&engines{events: 3})
+			r.Blind = func() bool { return c.blind }
+			r.HearOf(c.entry)
+			is.New(t).Equal(metrics.GetOrRegisterCounter("endpoints.identified", r.Metrics).Count(), c.want)
+		})
+	}
+}
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -47,7 +47,7 @@
 		case notRun(err):
 			misses++
 		}
-		again := notRun(err) && misses <= maxMisses && r.repeat(ctx, c) || !notRun(err) && r.mayRepeat(ctx, c)
+		again := notRun(err) && misses <= maxMisses && r.repeat(ctx, c, err) || !notRun(err) && r.mayRepeat(ctx, c, err)
 		if !again {
 			r.settle(c, failed)
 			return
@@ -70,8 +70,8 @@
 }
 
 // mayRepeat takes a repeat from the budget if the call may run at one more endpoint.
-func (r *Router) mayRepeat(ctx context.Context, c *call) bool {
-	return c.route.Repeatable() && c.sends < c.route.Attempts && r.repeat(ctx, c)
+func (r *Router) mayRepeat(ctx context.Context, c *call, cause error) bool {
+	return c.route.Repeatable() && c.sends < c.route.Attempts && r.repeat(ctx, c, cause)
 }
 
 // send makes one attempt and notes what it showed.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -30,6 +30,8 @@
 	Log      *zap.Logger
 	Metrics  metrics.Registry
 	Repeats  retry.Budget // of each service: its Share, Spare and Window
+	// Sighted is told of an engine that this router has identified while the registry is away; it must not wait. May be nil.
+	Sighted func(e endpoint.Entry)
 	// Borrow takes a repeat of a service from another router's part of the budget; nil for never.
 	Borrow func(ctx context.Context, s jaywind.ServiceName) bool
 	Blind  func() bool // whether the registry can't be read now; nil for never
@@ -254,8 +256,12 @@
 	return b
 }
 
-// repeat takes a second send of a call from the budget, from this router's part or another's.
-func (r *Router) repeat(ctx context.Context, c *call) bool {
+// repeat takes another send of a call from the budget, from this router's part or another's. If the last attempt did not
+// get as far as the endpoint, which cause tells, the next one is no repeat.
+func (r *Router) repeat(ctx context.Context, c *call, cause error) bool {
+	if errors.Is(cause, jaywind.ErrNotSent) {
+		return true
+	}
 	r.mu.Lock()
 	ok := r.budget(c.service).Take(time.Now(), r.routers)
 	r.mu.Unlock()
--- a/internal/relay/router/router_test.go
+++ b/internal/relay/router/router_test.go
@@ -116,3 +116,29 @@
 		})
 	}
 }
+
+// unsent are engines of which one takes no connection.
+type unsent struct {
+	engines
+	tried int
+}
+
+func (u *unsent) Open(ctx context.Context, s jaywind.Sending, limit time.Duration) (jaywind.Events, jaywind.Reply, error) {
+	u.tried++
+	if u.tried == 1 {
+		return nil, jaywind.Reply{}, jaywind.ErrNotSent
+	}
+	return u.engines.Open(ctx, s, limit)
+}
+
+// TestUnsentIsNoRepeat: an attempt that reached no engine leaves the budget as it was.
+func TestUnsentIsNoRepeat(t *testing.T) {
+	is := is.New(t)
+	u := &unsent{engines: engines{events: 3}}
+	r := newRouter(u)
+	r.Repeats = retry.Budget{Window: time.Second} // no repeat at all
+	who := &caller{reads: 3}
+	r.Serve(context.Background(), &router.Ask{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Within: time.Second}, who)
+	is.Equal(who.events, 3)
+	is.Equal(u.tried, 2)
+}
