provider/follow: a VM that starts while the store is away learns from a seed

A first list may be some seconds old by its contract. If the store does not answer it within 0.6 s, the seeds of the settings are asked, which answer with what they believe, however old. All later lists are exact, so only the store or a reader that hears from it can change that knowledge back.

TestStartInTheDark.

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -23,11 +23,12 @@
 	peerLimit = 256 // addresses whose clients are kept
 )
 
-// ask is a question for items; After and Wait are for changes only.
+// ask is a question for items; After and Wait are for changes only, and Old says that a list may be.
 type ask struct {
 	Prefix string `cbor:"1,keyasint"`
 	After  int64  `cbor:"2,keyasint,omitempty"`
 	Wait   int64  `cbor:"3,keyasint,omitempty"` // milliseconds
+	Old    bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // told is the answer.
@@ -47,7 +48,7 @@
 func Handler(s follow.Source) (path string, h http.Handler) {
 	m := http.NewServeMux()
 	m.Handle(listPath, connect.NewUnaryHandler(listPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
-		return answer(s.List(ctx, q.Msg.Prefix, true))
+		return answer(s.List(ctx, q.Msg.Prefix, !q.Msg.Old))
 	}, cbor.HandlerOptions()...))
 	m.Handle(watchPath, connect.NewUnaryHandler(watchPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
 		wait := min(time.Duration(q.Msg.Wait)*time.Millisecond, maxWait)
@@ -102,8 +103,8 @@
 }
 
 // List asks for all items under prefix.
-func (s *source) List(ctx context.Context, prefix string, _ bool) ([]follow.Item, int64, error) {
-	return call(ctx, s.list, ask{Prefix: prefix})
+func (s *source) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+	return call(ctx, s.list, ask{Prefix: prefix, Old: !exact})
 }
 
 // Watch asks for changes after a revision.
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -59,6 +59,9 @@
 	p.listen("platform.store", f.Store)
 	p.listen("platform.ready", f.Ready)
 	p.listen("platform.directory", f.Directory)
+	for _, at := range f.SeedList() {
+		p.listen("platform.seeds", string(at))
+	}
 	p.positive("platform.memory", f.Memory)
 	p.positive("platform.grace", f.Grace)
 	p.positive("platform.contact", f.Contact)
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -1,6 +1,10 @@
 package settings
 
-import "jaywind"
+import (
+	"strings"
+
+	"jaywind"
+)
 
 // Settings is what a router is told at its start.
 type Settings struct {
@@ -26,12 +30,24 @@
 	Memory    int      `toml:"memory"`    // MB that the process may use
 	Link      float64  `toml:"link"`      // Mbit/s of this VM\'s network
 	Grace     int      `toml:"grace"`     // ms from SIGTERM to SIGKILL
+	Seeds     string   `toml:"seeds"`     // fleet addresses of some routers, with commas between them; they may be gone
 	Contact   int      `toml:"contact"`   // ms after which a disruption of the store is over
 	Hint      int      `toml:"hint"`      // s that a caller keeps the directory's answer, at most
 	Retry     Retry    `toml:"retry"`     // budget of the whole fleet
 	Exposure  Exposure `toml:"exposure"`  // of a new version before it is known to be good
 }
 
+// SeedList returns the seeds.
+func (p Platform) SeedList() []jaywind.Address {
+	var all []jaywind.Address
+	for at := range strings.SplitSeq(p.Seeds, ",") {
+		if at = strings.TrimSpace(at); at != "" {
+			all = append(all, jaywind.Address(at))
+		}
+	}
+	return all
+}
+
 // Exposure bounds what a bad version may get.
 type Exposure struct {
 	Share float64 `toml:"share"` // of all requests for its service
--- a/internal/provider/follow/board.go
+++ b/internal/provider/follow/board.go
@@ -77,11 +77,12 @@
 	}
 }
 
-// List returns what is known under prefix, or ErrStale.
-func (b *Board) List(_ context.Context, prefix string, _ bool) ([]Item, int64, error) {
+// List returns what is known under prefix, or ErrStale; a list that need not be exact may be as old as the last word
+// from the store.
+func (b *Board) List(_ context.Context, prefix string, exact bool) ([]Item, int64, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if time.Since(b.at) > boardFresh {
+	if exact && time.Since(b.at) > boardFresh || b.revision == 0 {
 		return nil, 0, ErrStale
 	}
 	var items []Item
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -231,3 +231,49 @@
 		s.events, s.revision = append([]follow.Item(nil), events...), revision
 	})
 }
+
+// TestStartInTheDark: a router that starts while the store is away learns from a seed what the others believe, and what
+// the store holds once that is back.
+func TestStartInTheDark(t *testing.T) {
+	tests := map[string]struct {
+		dead int // of two seeds
+		want string
+	}{
+		"seeds live":      {0, "map[a:1]"},
+		"one seed lives":  {1, "map[a:1]"},
+		"no seed is left": {2, "map[]"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				defer func() { cancel(); group.Wait() }()
+				truth := &store{}
+				truth.put("a", "1")
+				seeds := []*reader{newReader(ctx, &group, truth), newReader(ctx, &group, truth)}
+				time.Sleep(time.Second)
+				for i, r := range seeds {
+					r.source.set(func(s *store) { s.away = true })
+					r.dead.Store(i < c.dead)
+				}
+				time.Sleep(5 * time.Second) // their knowledge is old
+				direct := &store{away: true}
+				path := &follow.Path{Direct: direct, Peers: func() ([]follow.Peer, bool) { return nil, false }, Seeds: func() []follow.Peer {
+					return []follow.Peer{{Name: "first", Source: seeds[0]}, {Name: "second", Source: seeds[1]}}
+				}}
+				v := &view{keys: map[string]string{}}
+				f := follow.Follower{Source: path, Log: zap.NewNop(), Changed: v.change, Direct: path.IsDirect}
+				group.Go(func() { _ = f.Run(ctx) })
+				time.Sleep(time.Second)
+				is.Equal(v.String(), c.want)
+				truth.put("a", "2")
+				direct.copyOf(truth)
+				direct.set(func(s *store) { s.away = false })
+				time.Sleep(2 * time.Second)
+				is.Equal(v.String(), "map[a:2]")
+			})
+		})
+	}
+}
--- a/internal/provider/follow/path.go
+++ b/internal/provider/follow/path.go
@@ -12,6 +12,8 @@
 	peerWait    = 800 * time.Millisecond  // of one that follows another, which may be cut off without notice
 	peerSlack   = 300 * time.Millisecond  // for a peer's answer to come
 	peerList    = time.Second             // for a peer's whole list
+	freshList   = 600 * time.Millisecond  // for a first list before seeds are asked; it takes some ms as a rule
+	seedList    = 250 * time.Millisecond  // for a seed's list
 	peerPause   = 2 * time.Second         // in which a peer that failed is not asked
 	directPause = 2500 * time.Millisecond // between two calls of the store while both peers and store fail
 )
@@ -27,6 +29,7 @@
 type Path struct {
 	Direct Source
 	Peers  func() (peers []Peer, reader bool) // in the order of preference; reader tells whether others follow this router
+	Seeds  func() []Peer                      // asked for an old list when nothing else answers; may be nil
 	Used   func(peer string)                  // is told when the source changes; empty for the store; may be nil
 
 	failed map[string]time.Time // when a peer last failed
@@ -38,8 +41,31 @@
 // IsDirect tells whether the last answer was the store's own.
 func (p *Path) IsDirect() bool { return p.direct }
 
-// List reads everything from the first source that answers.
-func (p *Path) List(ctx context.Context, prefix string, exact bool) (items []Item, revision int64, err error) {
+// List reads everything from the first source that answers. A list that need not be exact may come from a seed, which
+// perhaps does not hear from the store either: a router that has just started learns what the others believe.
+func (p *Path) List(ctx context.Context, prefix string, exact bool) ([]Item, int64, error) {
+	if exact || p.Seeds == nil {
+		return p.list(ctx, prefix, exact)
+	}
+	first, cancel := context.WithTimeout(ctx, freshList)
+	defer cancel()
+	items, revision, err := p.list(first, prefix, exact)
+	if err == nil {
+		return items, revision, nil
+	}
+	for _, seed := range p.Seeds() {
+		limited, cancel := context.WithTimeout(ctx, seedList)
+		items, revision, seedErr := seed.Source.List(limited, prefix, false)
+		cancel()
+		if seedErr == nil {
+			p.note(seed.Name, false)
+			return items, revision, nil
+		}
+	}
+	return nil, 0, err
+}
+
+func (p *Path) list(ctx context.Context, prefix string, exact bool) (items []Item, revision int64, err error) {
 	err = p.each(ctx, func(ctx context.Context, s Source, peer, _ bool) error {
 		if peer {
 			limited, cancel := context.WithTimeout(ctx, peerList)
