--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,8 @@
 //	standin engine -listen 127.0.0.1:9101 -id e1 -model heat -version v1
 //	standin service -listen 127.0.0.1:9301 -name s1
 //	standin store -listen 127.0.0.1:9200
+//	standin platform -listen 127.0.0.1:9400
+//	standin replica -listen 127.0.0.1:9401 -id i-1 -service pool -engine -store 127.0.0.1:9400
 //	standin vms -listen 127.0.0.1:9300 -lag 5s
 //
 // Faults are switched by POST /faults with the switches as JSON.
@@ -10,12 +12,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,14 +31,17 @@
 	"jaywind/internal/standin/store"
 	"jaywind/internal/standin/vms"
 	"jaywind/internal/standin/weights"
+	"jaywind/platform/standin"
 )
 
 var kinds = map[string]func(*flag.FlagSet) func() http.Handler{
-	"engine":  engineFlags,
-	"service": serviceFlags,
-	"store":   storeFlags,
-	"vms":     vmsFlags,
-	"weights": weightsFlags,
+	"engine":   engineFlags,
+	"platform": platformFlags,
+	"replica":  replicaFlags,
+	"service":  serviceFlags,
+	"store":    storeFlags,
+	"vms":      vmsFlags,
+	"weights":  weightsFlags,
 }
 
 func main() {
@@ -49,7 +56,7 @@
 
 func run(ctx context.Context, args []string) error {
 	if len(args) == 0 || kinds[args[0]] == nil {
-		return errors.New("want a kind: engine, service, store, vms or weights")
+		return errors.New("want a kind: engine, platform, replica, service, store, vms or weights")
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	listen := f.String("listen", "127.0.0.1:0", "`address` to listen on")
@@ -119,3 +126,62 @@
 	turns := f.Float64("rate", 0, "loads granted a second; no limit when 0")
 	return func() http.Handler { return (&weights.Store{Rate: *turns}).Handler() }
 }
+
+func platformFlags(*flag.FlagSet) func() http.Handler {
+	return func() http.Handler { return standin.NewStore() }
+}
+
+// replicaFlags makes a replica that registers itself, prints a JSON line for each run and its end, and takes faults by
+// POST /faults and the order to drain by POST /drain.
+func replicaFlags(f *flag.FlagSet) func() http.Handler {
+	r := &standin.Replica{Version: "v1"}
+	f.StringVar(&r.ID, "id", "i-1", "`id` of the replica")
+	f.StringVar(&r.Service, "service", "pool", "`name` of its service")
+	f.StringVar(&r.Zone, "zone", "a", "its `zone`")
+	f.StringVar(&r.Address, "at", "", "`address` that it registers")
+	f.BoolVar(&r.Engine, "engine", false, "stream events")
+	f.DurationVar(&r.Work, "work", 10*time.Millisecond, "time of a plain request")
+	f.DurationVar(&r.Gap, "gap", 20*time.Millisecond, "time between two events")
+	f.DurationVar(&r.Read, "read", 100*time.Millisecond, "time to read a prompt")
+	f.IntVar(&r.Events, "events", 50, "events of a whole stream")
+	store := f.String("store", "", "`address` of the platform's store")
+	return func() http.Handler {
+		r.Born = time.Now().UnixMilli()
+		g := &standin.Registration{Replica: r, Store: *store}
+		out := &journal{}
+		r.Ran = func(run standin.Run) { out.write(run, g.Draining(), "run") }
+		r.Ended = func(run standin.Run, left bool) {
+			what := "end"
+			if left {
+				what = "left"
+			}
+			out.write(run, g.Draining(), what)
+		}
+		var group conc.WaitGroup
+		group.Go(func() { g.Run(context.Background()) }) // ends with the process
+		m := http.NewServeMux()
+		m.Handle("/", r)
+		m.HandleFunc("POST /drain", func(http.ResponseWriter, *http.Request) { g.Drain() })
+		m.HandleFunc("POST /faults", func(w http.ResponseWriter, q *http.Request) {
+			var faults standin.Faults
+			if err := json.NewDecoder(q.Body).Decode(&faults); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			r.Set(faults)
+		})
+		return m
+	}
+}
+
+// journal prints what a replica sees, so that it is known also after the replica was killed.
+type journal struct{ mu sync.Mutex }
+
+func (j *journal) write(r standin.Run, draining int64, what string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_ = json.NewEncoder(os.Stdout).Encode(standin.Sight{
+		At: time.Now().UnixMilli(), What: what, Attempt: r.Attempt, Replica: r.Replica, Target: r.Target,
+		Organisation: r.Header.Get("X-Tenant"), Draining: draining,
+	}) // whoever started the replica and reads no more is gone
+}
--- /dev/null
+++ b/internal/measure/soak/process.go
@@ -0,0 +1,208 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"jaywind/internal/standin/relay"
+)
+
+// span is a time in which something was disturbed; its end is zero while it lasts.
+type span struct{ from, till time.Time }
+
+// process is one program that is started, and started again, under a name.
+type process struct {
+	name string
+	bin  string
+	args []string
+	log  io.Writer // of standard error, and of standard output unless lines is set
+	read func(io.Reader)
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	gone    chan struct{} // closed when the present incarnation has ended
+	ended   time.Time     // when the last one did
+	busy    bool          // a strike is ending or pausing it
+	spans   []span        // in which it was ended or paused
+	group   conc.WaitGroup
+}
+
+// start starts the next incarnation.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := exec.Command(p.bin, p.args...)
+	c.Stderr = p.log
+	gone := make(chan struct{})
+	if p.read == nil {
+		c.Stdout = p.log
+	} else {
+		out, err := c.StdoutPipe()
+		if err != nil {
+			return err
+		}
+		p.group.Go(func() { p.read(out) })
+	}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	p.command, p.gone = c, gone
+	p.group.Go(func() {
+		_, _ = c.Process.Wait() // how it ended is known from the signals that were sent
+		p.mu.Lock()
+		p.ended = time.Now()
+		p.mu.Unlock()
+		close(gone)
+	})
+	return nil
+}
+
+// signal sends a signal to the present incarnation; one that has ended takes none.
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return
+	}
+	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		_, _ = fmt.Fprintf(p.log, "soak: signal %v: %v\n", s, err)
+	}
+}
+
+// pid returns the id of the present incarnation, or 0 if it has ended.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	select {
+	case <-p.gone:
+		return 0
+	default:
+		return p.command.Process.Pid
+	}
+}
+
+// wait waits for the end of the present incarnation and returns false if that takes too long.
+func (p *process) wait(limit time.Duration) bool {
+	p.mu.Lock()
+	gone := p.gone
+	p.mu.Unlock()
+	select {
+	case <-gone:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// end kills the process for good.
+func (p *process) end() {
+	if p.pid() != 0 {
+		p.signal(syscall.SIGKILL)
+		p.wait(longest)
+	}
+	p.group.Wait()
+}
+
+// claim reserves the process for one strike; a strike on one that is taken does nothing.
+func (p *process) claim() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy {
+		return false
+	}
+	p.busy = true
+	return true
+}
+
+func (p *process) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = false
+}
+
+// disturb notes that the process is disturbed from now on, until the returned function is called.
+func (p *process) disturb() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := len(p.spans)
+	p.spans = append(p.spans, span{from: time.Now()})
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.spans[i].till = time.Now()
+	}
+}
+
+// disturbed tells whether the process was disturbed between two times, with some time before and after.
+func (p *process) disturbed(from, till time.Time, margin time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return overlaps(p.spans, from, till, margin)
+}
+
+func overlaps(spans []span, from, till time.Time, margin time.Duration) bool {
+	for _, s := range spans {
+		if s.from.Before(till.Add(margin)) && (s.till.IsZero() || s.till.Add(margin).After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+const firstPort, lastPort = 20000, 31999 // below those that connections take for themselves
+
+// ports hands out free ports of loopback.
+type ports struct{ next int }
+
+// take returns a free address.
+func (p *ports) take() (string, error) {
+	for range lastPort - firstPort {
+		p.next++
+		if p.next < firstPort || p.next > lastPort {
+			p.next = firstPort
+		}
+		at := "127.0.0.1:" + strconv.Itoa(p.next)
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		return at, l.Close()
+	}
+	return "", errors.New("no free port")
+}
+
+// gate is a relay before one process.
+type gate struct {
+	relay.Relay
+	at       string
+	listener net.Listener
+}
+
+func openGate(group *conc.WaitGroup, target string) (*gate, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	g := &gate{at: l.Addr().String(), listener: l}
+	g.Target = target
+	group.Go(func() { _ = g.Serve(l) }) // ends with close
+	return g, nil
+}
+
+func (g *gate) close() {
+	_ = g.listener.Close()
+	g.Close()
+}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -16,9 +16,10 @@
 
 // Faults are the switches that tests set.
 type Faults struct {
-	Silent bool // carry nothing more, for good, on the connections that are open when it is set
-	Forth  bool // hold back what goes to the target
-	Back   bool // hold back what the target sends
+	Silent bool          // carry nothing more, for good, on the connections that are open when it is set
+	Forth  bool          // hold back what goes to the target
+	Back   bool          // hold back what the target sends
+	Delay  time.Duration // of each part, in both directions
 }
 
 // Relay carries connections to a target; set Target before Serve.
@@ -60,6 +61,21 @@
 	r.changed = make(chan struct{})
 }
 
+// Reset ends the connections that are open.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n := range r.lines {
+		n.close()
+	}
+}
+
+func (r *Relay) delay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults.Delay
+}
+
 // Serve carries the connections of a listener until Close, or returns the listener's error.
 func (r *Relay) Serve(l net.Listener) error {
 	var group conc.WaitGroup
@@ -135,6 +151,7 @@
 			return
 		}
 		if count > 0 {
+			time.Sleep(r.delay())
 			if _, err := to.Write(buffer[:count]); err != nil {
 				n.close()
 				return
