soak: what a router owes when it is asked to end, and work after its caller has left, are checked

A request that a router had read before it ended by itself was excused, as any near its end was; now only what crossed the end, and what the grace cut off. Replicas that go on for a caller that has left are found by the end of their runs.

--- a/internal/measure/soak/process.go
+++ b/internal/measure/soak/process.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -18,7 +19,10 @@
 )
 
 // span is a time in which something was disturbed; its end is zero while it lasts.
-type span struct{ from, till time.Time }
+type span struct {
+	from, till time.Time
+	asked      time.Time // when a process was asked to end, if it did so by itself
+}
 
 // process is one program that is started, and started again, under a name.
 type process struct {
@@ -137,8 +141,20 @@
 func (p *process) disturb() (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.note(span{from: time.Now()})
+}
+
+// rest notes that the process has ended by itself after it was asked to, until the returned function is called.
+func (p *process) rest(asked time.Time) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.note(span{from: p.ended, asked: asked})
+}
+
+// note keeps a span; the caller holds mu.
+func (p *process) note(s span) (end func()) {
 	i := len(p.spans)
-	p.spans = append(p.spans, span{from: time.Now()})
+	p.spans = append(p.spans, s)
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -154,12 +170,11 @@
 }
 
 func overlaps(spans []span, from, till time.Time, margin time.Duration) bool {
-	for _, s := range spans {
-		if s.from.Before(till.Add(margin)) && (s.till.IsZero() || s.till.Add(margin).After(from)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(spans, func(s span) bool { return s.overlaps(from, till, margin) })
+}
+
+func (s span) overlaps(from, till time.Time, margin time.Duration) bool {
+	return s.from.Before(till.Add(margin)) && (s.till.IsZero() || s.till.Add(margin).After(from))
 }
 
 const firstPort, lastPort = 20000, 31999 // below those that connections take for themselves
--- a/internal/measure/soak/record.go
+++ b/internal/measure/soak/record.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -83,9 +85,12 @@
 	case a.status/100 == 4 && !r.mayDeny(a):
 		r.fail("denied", a.id, fmt.Sprintf("status %d", a.status))
 	}
-	if a.status == 0 && !r.mayClose(a) {
+	if a.status == 0 && !a.mayClose() {
 		r.fail("answer", a.id, fmt.Sprintf("no answer from %s: %v", a.at.name, a.err))
 	}
+	if a.brokenOff() && a.at.leaving(a.ended) && !a.mayClose() {
+		r.fail("answer", a.id, fmt.Sprintf("broken off by %s, which was asked to end", a.at.name))
+	}
 	if took := a.ended.Sub(a.sent); took > a.limit()+lateBound+slack && !a.at.disturbed(a.sent, a.ended, slack) {
 		r.fail("late", a.id, fmt.Sprintf("answered by %s after %v", a.at.name, took.Round(time.Millisecond)))
 	}
@@ -126,12 +131,32 @@
 	return a.sent.Sub(since) < applyTime+slack || !r.fleet.inTouch(since, a.sent)
 }
 
-// mayClose tells whether a connection may end without an answer: its router was ended, paused or had just left.
-func (r *record) mayClose(a *attempt) bool {
+// crossing is how long before a process ends a request may still be on its way to it.
+const crossing = 300 * time.Millisecond
+
+// mayClose tells whether an answer may be missing or cut: its router was killed or paused, or it had left in time. A
+// router that was asked to end finishes what it has, for as long as its grace lasts.
+func (a *attempt) mayClose() bool {
 	a.at.mu.Lock()
-	ended := a.at.ended
-	a.at.mu.Unlock()
-	return a.at.disturbed(a.sent, a.ended, slack) || !ended.IsZero() && a.ended.Sub(ended).Abs() < slack
+	defer a.at.mu.Unlock()
+	for _, s := range a.at.spans {
+		if !s.overlaps(a.sent, a.ended, slack) {
+			continue
+		}
+		if s.asked.IsZero() || a.sent.After(s.from.Add(-crossing)) || s.from.Sub(s.asked) >= grace*5/6 {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *attempt) brokenOff() bool { return a.status == http.StatusOK && !a.whole && a.left.IsZero() }
+
+// leaving tells whether a process ended by itself just before a time.
+func (p *process) leaving(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.spans, func(s span) bool { return !s.asked.IsZero() && at.Sub(s.from).Abs() < crossing })
 }
 
 // settle checks what only the whole run shows: callers' and replicas' sights together.
@@ -145,6 +170,7 @@
 				runs++
 				r.settleRun(a, s)
 			}
+			r.settleLeft(a, s)
 		}
 		promised := a.status == http.StatusServiceUnavailable && !a.sealed
 		if a.unsafe() && runs > 1 {
@@ -177,12 +203,20 @@
 	if since := r.rules.revoked(s.Organisation); !since.IsZero() && at.Sub(since) > revokeTime+slack && r.fleet.inTouch(since, at) {
 		r.broken = append(r.broken, Violation{"revoked", a.id, fmt.Sprintf("it ran %v after its key was revoked", at.Sub(since))})
 	}
-	if a.left.IsZero() || a.at.disturbed(a.left, at.Add(leftBound), slack) {
+}
+
+// settleLeft checks that no replica begins or goes on with a request once its caller has left; the caller holds mu.
+func (r *record) settleLeft(a *attempt, s standin.Sight) {
+	at := time.UnixMilli(s.At)
+	if a.left.IsZero() || at.Sub(a.left) <= leftBound+slack || a.at.disturbed(a.left, at, slack) {
 		return
 	}
-	if at.Sub(a.left) > leftBound+slack {
-		r.broken = append(r.broken, Violation{"gone", a.id, "it was sent to a replica after its caller had left"})
+	for _, e := range r.fleet.replicas {
+		if strings.HasPrefix(s.Replica, "i-"+e.name+"-") && e.disturbed(a.sent, at, slack) {
+			return // what says that the caller has left may not get there
+		}
 	}
+	r.broken = append(r.broken, Violation{"gone", a.id, fmt.Sprintf("%s at %s %v after its caller had left", s.What, s.Replica, at.Sub(a.left))})
 }
 
 const (
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -49,17 +49,41 @@
 		change func(c *record, a *attempt)
 		want   string // the promise that is broken; empty for none
 	}{
-		"served":                 {func(c *record, a *attempt) { c.see(run(a, 0)) }, ""},
-		"not the endpoint's":     {func(_ *record, a *attempt) { a.sealed = false }, "whole"},
-		"other bytes":            {func(_ *record, a *attempt) { a.text = "POST /buy/y b" }, "whole"},
-		"whole stream":           {func(_ *record, a *attempt) { stream(a) }, ""},
-		"short stream":           {func(_ *record, a *attempt) { stream(a); a.got-- }, "whole"},
-		"broken stream":          {func(_ *record, a *attempt) { stream(a); a.got, a.whole = 3, false }, ""},
-		"wrong piece":            {func(_ *record, a *attempt) { stream(a); a.disorder = "x" }, "order"},
-		"refused for good":       {func(_ *record, a *attempt) { a.status, a.sealed = 404, false }, "denied"},
-		"unknown key":            {func(_ *record, a *attempt) { a.status, a.sealed, a.key = 401, false, extraKey(0) }, ""},
-		"no answer":              {func(_ *record, a *attempt) { a.status, a.whole = 0, false }, "answer"},
-		"router was killed":      {func(_ *record, a *attempt) { a.status, a.whole = 0, false; a.at.spans = []span{{a.sent, a.ended}} }, ""},
+		"served":             {func(c *record, a *attempt) { c.see(run(a, 0)) }, ""},
+		"not the endpoint's": {func(_ *record, a *attempt) { a.sealed = false }, "whole"},
+		"other bytes":        {func(_ *record, a *attempt) { a.text = "POST /buy/y b" }, "whole"},
+		"whole stream":       {func(_ *record, a *attempt) { stream(a) }, ""},
+		"short stream":       {func(_ *record, a *attempt) { stream(a); a.got-- }, "whole"},
+		"broken stream":      {func(_ *record, a *attempt) { stream(a); a.got, a.whole = 3, false }, ""},
+		"wrong piece":        {func(_ *record, a *attempt) { stream(a); a.disorder = "x" }, "order"},
+		"refused for good":   {func(_ *record, a *attempt) { a.status, a.sealed = 404, false }, "denied"},
+		"unknown key":        {func(_ *record, a *attempt) { a.status, a.sealed, a.key = 401, false, extraKey(0) }, ""},
+		"no answer":          {func(_ *record, a *attempt) { a.status, a.whole = 0, false }, "answer"},
+		"router was killed": {func(_ *record, a *attempt) {
+			a.status, a.whole = 0, false
+			a.at.spans = []span{{from: a.sent, till: a.ended}}
+		}, ""},
+		"router ended by itself, early": {func(_ *record, a *attempt) {
+			a.status, a.whole = 0, false
+			a.at.spans = []span{{from: a.sent.Add(time.Second), asked: a.sent}}
+		}, "answer"},
+		"router's grace was over": {func(_ *record, a *attempt) {
+			a.status, a.whole = 0, false
+			a.at.spans = []span{{from: a.sent.Add(time.Second), asked: a.sent.Add(time.Second - grace)}}
+		}, ""},
+		"stream cut by a router that ended": {func(_ *record, a *attempt) {
+			stream(a)
+			a.got, a.whole, a.ended = 3, false, a.sent.Add(time.Second)
+			a.at.spans = []span{{from: a.ended, asked: a.sent}}
+		}, "answer"},
+		"goes on after the caller left": {func(c *record, a *attempt) {
+			stream(a)
+			a.left, a.got, a.whole = a.sent, 1, false
+			s := run(a, 5*time.Second)
+			s.What = "end"
+			c.see(run(a, 0))
+			c.see(s)
+		}, "gone"},
 		"late":                   {func(_ *record, a *attempt) { a.ended = a.sent.Add(plainTime + lateBound + slack + 1) }, "late"},
 		"ran twice":              {func(c *record, a *attempt) { c.see(run(a, 0)); c.see(run(a, 1)) }, "once"},
 		"refused and ran":        {func(c *record, a *attempt) { c.see(run(a, 0)); a.status, a.sealed = 503, false }, "refused"},
--- a/internal/measure/soak/strike.go
+++ b/internal/measure/soak/strike.go
@@ -78,12 +78,16 @@
 	case FaultReplica:
 		n.faultReplica(ctx, s, e)
 	case CutReplica:
+		defer e.disturb()()
 		n.through(ctx, s, e.gate, relay.Faults{Forth: s.Variant == "forth", Back: s.Variant == "back"})
 	case DelayReplica:
+		defer e.disturb()()
 		n.through(ctx, s, e.gate, relay.Faults{Delay: s.For / 10})
 	case SilenceReplica:
+		defer e.disturb()()
 		n.through(ctx, s, e.gate, relay.Faults{Silent: true})
 	case ResetReplica:
+		defer e.disturb()()
 		e.gate.Reset()
 	case CutStore:
 		defer f.shakeStore()()
@@ -144,13 +148,14 @@
 		return
 	}
 	defer r.release()
+	asked := time.Now()
 	r.signal(syscall.SIGTERM)
 	if !r.wait(grace) {
 		n.record.fail("end", "", r.name+" did not end within its grace")
 		r.signal(syscall.SIGKILL)
 		r.wait(longest)
 	}
-	defer r.disturb()()
+	defer r.rest(asked)()
 	hold(ctx, s)
 	n.restart(&r.process)
 	n.awaitReady(r)
