--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -55,26 +55,6 @@
 	}, 4)
 }
 
-// Own returns the endpoint of this router's part that suits a call best, and its load, or nil if none suits.
-func (t *Table) Own(s *route.Service, n Need, now time.Time) (*Endpoint, float64) {
-	var load float64
-	e := t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
-		if far > 0 || !t.Suits(e, s, n, now) {
-			return 1, 0
-		}
-		return 0, e.load(s, n)
-	}, 0)
-	if e != nil {
-		load = e.load(s, n)
-	}
-	return e, load
-}
-
-// Suits tells whether an endpoint may take a call and nothing speaks against it.
-func (t *Table) Suits(e *Endpoint, s *route.Service, n Need, now time.Time) bool {
-	return !e.Leaving && e.serves(n) && !now.Before(e.closed) && !slices.Contains(n.Avoid, e.ID) && e.fits(s, n) && !now.Before(t.shaken[e.Domain].till)
-}
-
 // Standby returns the endpoint that should hold the copy of a run at another one, or nil.
 func (t *Table) Standby(s *route.Service, run *Endpoint, n Need, now time.Time) *Endpoint {
 	if s.Engine == nil || !s.Engine.Copies {
--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -9,7 +9,6 @@
 	"jaywind"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/route"
-	"jaywind/internal/fleet/offer"
 )
 
 // Ask is one request of a caller.
@@ -77,7 +76,6 @@
 	due     time.Time // the final answer is given by then
 	need    endpoint.Need
 	work    *endpoint.Work // of the current attempt
-	lent    *offer.Offer   // the engine of the current attempt, if another router offered it
 	sends   int            // bytes of which may have left
 	ran     bool           // may have run
 	last    jaywind.EndpointID
--- a/internal/relay/router/meter.go
+++ b/internal/relay/router/meter.go
@@ -23,7 +23,7 @@
 	broken, copyUsed, copyMissing metrics.Counter
 	recalled, recallMissed        metrics.Counter
 	copyMade, copyFailed          metrics.Counter
-	identified, borrowed, offered metrics.Counter
+	identified, borrowed          metrics.Counter
 	first, pause                  metrics.Histogram // milliseconds
 	whole                         map[route.Kind]metrics.Histogram
 }
@@ -35,7 +35,6 @@
 	m.members = metrics.GetOrRegisterGauge("members", r)
 	m.missed = metrics.GetOrRegisterCounter("sends.not_run", r)
 	m.exhausted = metrics.GetOrRegisterCounter("repeats.over_budget", r)
-	m.offered = metrics.GetOrRegisterCounter("offers.taken", r)
 	m.borrowed = metrics.GetOrRegisterCounter("repeats.borrowed", r)
 	m.gone = metrics.GetOrRegisterCounter("requests.caller_gone", r)
 	m.broken = metrics.GetOrRegisterCounter("streams.broken", r)
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -29,7 +29,7 @@
 	misses := 0
 	var failed *jaywind.Reply // an endpoint's own failure, which is the answer if nothing better comes
 	for {
-		e := r.place(ctx, c)
+		e := r.place(c)
 		if e == nil {
 			r.settle(c, failed)
 			return
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -30,8 +30,6 @@
 	Log      *zap.Logger
 	Metrics  metrics.Registry
 	Repeats  retry.Budget // of each service: its Share, Spare and Window
-	// Market is where other routers offer engines of their parts; nil for none.
-	Market market
 	// Sighted is told of an engine that this router has identified while the registry is away; it must not wait. May be nil.
 	Sighted func(e endpoint.Entry)
 	// Borrow takes a repeat of a service from another router's part of the budget; nil for never.
@@ -46,8 +44,7 @@
 	set     *route.Set
 	table   endpoint.Table
 	budgets map[jaywind.ServiceName]*retry.Budget
-	routers int                         // that share the budgets
-	guests  map[jaywind.RequestID]guest // requests of other routers, at engines of this one's part
+	routers int // that share the budgets
 	surveys map[jaywind.ServiceName]*survey
 	changes map[jaywind.ServiceName]*change
 }
@@ -289,13 +286,10 @@
 }
 
 // place chooses an endpoint for a call and counts the call there.
-func (r *Router) place(ctx context.Context, c *call) *endpoint.Endpoint {
-	e := r.shop(ctx, c)
+func (r *Router) place(c *call) *endpoint.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e == nil {
-		e = r.table.Choose(c.service, c.need, time.Now())
-	}
+	e := r.table.Choose(c.service, c.need, time.Now())
 	if e == nil && c.need.Version != "" {
 		// Rather another version that runs than none, unless that one is known to be bad.
 		other := c.need
@@ -314,7 +308,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Finish(e, c.work)
-	r.giveBack(c)
 }
 
 // blame counts a failure of an endpoint; one that does not answer a new connection, or that another has replaced, is gone.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -57,7 +57,7 @@
 	at := r.recall(ctx, f)
 	for {
 		if at == nil {
-			at = r.next(ctx, f, step)
+			at = r.next(f, step)
 		}
 		if at == nil {
 			r.giveUp(f)
@@ -98,7 +98,7 @@
 }
 
 // next returns the endpoint of the next attempt, which counts there already.
-func (r *Router) next(ctx context.Context, f *flow, step series.Step) *endpoint.Endpoint {
+func (r *Router) next(f *flow, step series.Step) *endpoint.Endpoint {
 	if step == series.StepCopy {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -110,7 +110,7 @@
 		return at
 	}
 	r.dropCopy(f)
-	return r.place(ctx, f.call)
+	return r.place(f.call)
 }
 
 func (r *Router) dropCopy(f *flow) {
