--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -16,11 +16,8 @@
 	shakeSpan   = time.Second             // two endpoints of a failure domain that fail within it count as its failure
 	shakePause  = 1500 * time.Millisecond // in which a failed domain is avoided
 
-	readScale = 10000 // tokens read meanwhile by which a stream is delayed that weigh as much as a full memory
-	stepCost  = 25    // tokens of a prompt that an engine reads in the time of one token of its answers, as measured on both sites
-	otherWork = 0.5   // that an endpoint of another router's part is expected to have, which this router can't see
-	farWeight = 0.3   // of an endpoint that is preferred by the router farthest from this one
-	copyFar   = 0.5   // the same for a standby
+	readScale = 10000 // tokens left to read that weigh as much as a full endpoint
+	farWeight = 0.5   // of an endpoint that is preferred by the router farthest from this one
 	fillLimit = 0.9   // of the memory that own work may take
 )
 
@@ -38,9 +35,6 @@
 func (t *Table) Choose(s *route.Service, n Need, now time.Time) *Endpoint {
 	return t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
 		weight = e.load(s, n) + farWeight*far
-		if far > 0 {
-			weight += otherWork
-		}
 		switch {
 		case now.Before(e.closed):
 			return 4, e.closed.Sub(now).Seconds()
@@ -61,7 +55,7 @@
 		return nil
 	}
 	return t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
-		weight = float64(e.Held)/float64(max(1, s.Engine.Room)) + copyFar*far
+		weight = float64(e.Held)/float64(max(1, s.Engine.Room)) + farWeight*far
 		switch {
 		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closed):
 			return 4, weight
@@ -97,17 +91,14 @@
 	return n.Model == "" || slices.Contains(e.Models, n.Model)
 }
 
-// load weighs what a call would find at an endpoint and do there. A plain endpoint that own calls fill has 1. At an
-// engine the call waits for the prompts before it, and its own prompt delays each stream there for as long as both last.
+// load is 1 for an endpoint that own calls fill.
 func (e *Endpoint) load(s *route.Service, n Need) float64 {
+	load := float64(e.Calls) / float64(max(1, e.Slots))
 	if s.Engine == nil {
-		return float64(e.Calls) / float64(max(1, e.Slots))
-	}
-	delay := e.Reading
-	for _, w := range e.work {
-		delay += min(stepCost*w.output, n.Reading)
+		return load
 	}
-	return float64(e.Held+n.Tokens)/float64(max(1, s.Engine.Room)) + float64(delay)/readScale
+	held := float64(e.Held+n.Tokens) / float64(max(1, s.Engine.Room))
+	return max(load, held) + float64(e.Reading)/readScale
 }
 
 // fits tells whether own work leaves a slot and memory for a call.
@@ -119,34 +110,21 @@
 }
 
 // Start counts a call that is sent to an endpoint.
-func (t *Table) Start(e *Endpoint, n Need) *Work {
-	w := &Work{need: n, output: n.Tokens - n.Reading}
+func (t *Table) Start(e *Endpoint, n Need) {
 	e.Calls++
 	e.Held += n.Tokens
 	e.Reading += n.Reading
-	e.work = append(e.work, w)
-	return w
-}
-
-// Read counts a call's first event, or its end if there was none.
-func (t *Table) Read(e *Endpoint, w *Work) {
-	if !w.read {
-		w.read = true
-		e.Reading -= w.need.Reading
-	}
 }
 
-// Made counts tokens of a call's answer.
-func (t *Table) Made(w *Work, tokens int) {
-	w.output = max(0, w.output-tokens)
+// Read counts a call's first event.
+func (t *Table) Read(e *Endpoint, n Need) {
+	e.Reading -= n.Reading
 }
 
 // Finish counts the end of a call.
-func (t *Table) Finish(e *Endpoint, w *Work) {
-	t.Read(e, w)
+func (t *Table) Finish(e *Endpoint, n Need) {
 	e.Calls--
-	e.Held -= w.need.Tokens
-	e.work = slices.DeleteFunc(e.work, func(o *Work) bool { return o == w })
+	e.Held -= n.Tokens
 }
 
 // Lost tells whether an endpoint that keeps a copy is known to be gone or seems not to work.
--- a/internal/core/endpoint/doc.go
+++ b/internal/core/endpoint/doc.go
@@ -6,8 +6,8 @@
 // report of the endpoint's:
 //
 //	e := table.Choose(service, endpoint.Need{Tokens: 6000}, now)
-//	work := table.Start(e, need)
-//	defer table.Finish(e, work)
+//	table.Start(e, need)
+//	defer table.Finish(e, need)
 //
 // A Table does no I/O and takes the time from its caller. Its user serialises
 // the calls.
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -92,9 +92,9 @@
 
 func busyThenFree(t *endpoint.Table) {
 	e := t.Get("e1")
-	w := t.Start(e, need(40000))
-	t.Read(e, w)
-	t.Finish(e, w)
+	t.Start(e, need(40000))
+	t.Read(e, need(40000))
+	t.Finish(e, need(40000))
 }
 
 // replace lets a younger endpoint take the address of e1, whose entry is then written once more.
@@ -183,24 +183,3 @@
 		is.Equal(tab.Get(jaywind.EndpointID(fmt.Sprintf("e%d", n))).Calls, 3)
 	}
 }
-
-// TestPromptDelaysOthers: the pattern is a pool in which each engine has a stream; a prompt goes to the one whose stream
-// is about to end, which it delays least, and not behind another prompt.
-func TestPromptDelaysOthers(t *testing.T) {
-	is := is.New(t)
-	tab := table()
-	n := need(5000)
-	n.Tokens = 5800 // 800 of them are the answer's
-	var work []*endpoint.Work
-	for i := 1; i <= 3; i++ {
-		work = append(work, tab.Start(tab.Get(jaywind.EndpointID(fmt.Sprintf("e%d", i))), n))
-	}
-	for i, w := range work[:2] { // e3 still reads
-		tab.Read(tab.Get(jaywind.EndpointID(fmt.Sprintf("e%d", i+1))), w)
-	}
-	tab.Made(work[0], 100)
-	tab.Made(work[1], 790)
-	is.Equal(tab.Choose(engine, n, start).ID, jaywind.EndpointID("e2"))
-	tab.Finish(tab.Get("e1"), work[0])
-	is.Equal(tab.Choose(engine, n, start).ID, jaywind.EndpointID("e1")) // has nothing to delay
-}
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -31,20 +31,12 @@
 	Held    int // tokens of memory that own calls and copies take
 	Reading int // tokens of own prompts before their first event
 
-	work     []*Work   // own calls that are open
 	missing  time.Time // when the entry was missed; zero while it is there
 	failures int       // in a row
 	closed   time.Time // takes new work again from then on
 	spot     uint64    // on the ring of endpoints
 }
 
-// Work is one own call at an endpoint.
-type Work struct {
-	need   Need
-	read   bool // its prompt
-	output int  // tokens of its answer that are left, at most
-}
-
 // Table holds the endpoints that are known; its zero value is empty.
 type Table struct {
 	place, routers int // of this router among those that choose, from 0
--- a/internal/relay/router/ask.go
+++ b/internal/relay/router/ask.go
@@ -75,9 +75,8 @@
 	holder  route.Holder
 	due     time.Time // the final answer is given by then
 	need    endpoint.Need
-	work    *endpoint.Work // of the current attempt
-	sends   int            // bytes of which may have left
-	ran     bool           // may have run
+	sends   int  // bytes of which may have left
+	ran     bool // may have run
 	last    jaywind.EndpointID
 	change  *change // the roll-out that its outcomes count for; nil for none
 }
--- a/internal/relay/router/recall.go
+++ b/internal/relay/router/recall.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	r.meter.recalled.Inc(1)
-	f.work = r.table.Start(e, f.need)
+	r.table.Start(e, f.need)
 	f.last = e.ID
 	return e
 }
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -297,7 +297,7 @@
 		e = r.table.Choose(c.service, other, time.Now())
 	}
 	if e != nil {
-		c.work = r.table.Start(e, c.need)
+		r.table.Start(e, c.need)
 		c.started(e)
 		c.last = e.ID
 	}
@@ -307,7 +307,7 @@
 func (r *Router) finish(c *call, e *endpoint.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.table.Finish(e, c.work)
+	r.table.Finish(e, c.need)
 }
 
 // blame counts a failure of an endpoint; one that does not answer a new connection, or that another has replaced, is gone.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -106,7 +106,7 @@
 		f.standby = nil
 		f.last = at.ID
 		r.table.Drop(at, f.need)
-		f.work = r.table.Start(at, f.need)
+		r.table.Start(at, f.need)
 		return at
 	}
 	r.dropCopy(f)
@@ -136,7 +136,17 @@
 
 // attempt carries a stream on at one endpoint; a nil error means that it has ended whole or was answered.
 func (r *Router) attempt(ctx context.Context, f *flow, n run) (series.Loss, error) {
+	reading := true
+	stopReading := func() {
+		if reading {
+			r.mu.Lock()
+			r.table.Read(n.at, f.need)
+			r.mu.Unlock()
+			reading = false
+		}
+	}
 	defer r.finish(f.call, n.at)
+	defer stopReading()
 
 	s := f.sending(n.at, time.Now())
 	s.After, s.Resumed = f.cursor.Last()
@@ -170,7 +180,7 @@
 	n.events = events
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // copying ends with the run
-	return r.follow(ctx, f, n, limit)
+	return r.follow(ctx, f, n, limit, stopReading)
 }
 
 // unopened notes why no stream was opened.
@@ -209,7 +219,7 @@
 }
 
 // follow passes the events of an attempt on.
-func (r *Router) follow(ctx context.Context, f *flow, n run, limit time.Duration) (series.Loss, error) {
+func (r *Router) follow(ctx context.Context, f *flow, n run, limit time.Duration, first func()) (series.Loss, error) {
 	for {
 		e, err := n.events.Next(limit)
 		switch {
@@ -231,8 +241,8 @@
 		case series.Gap:
 			return series.LossBroken, jaywind.ErrAnswer
 		}
-		r.progress(f, n)
 		if !f.grown {
+			first()
 			f.grown = true
 			r.outcome(f.call, n.at, false, time.Since(n.begun))
 		}
@@ -251,16 +261,6 @@
 	}
 }
 
-// progress counts an event at the endpoint that made it.
-func (r *Router) progress(f *flow, n run) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.table.Read(n.at, f.work)
-	if engine := f.service.Engine; engine != nil {
-		r.table.Made(f.work, engine.Stride)
-	}
-}
-
 // pace measures the time between events.
 func (r *Router) pace(f *flow, n run) {
 	now := time.Now()
