router: a caller that comes back waits for the engine that keeps its prompt, not for the others

Cause: KNOWN-RED had TestComingBack, which failed once beside load: a caller went on at another engine than the one that kept its prompt. A survey gave all engines 150 ms together and took what it had by then; an engine that answers later, on a machine with much other work, was passed over, and a caller whose holder answers at once waited for those that are gone.

A survey now ends for a caller as soon as an engine that keeps most of its prompt has answered, and lasts 400 ms at most: a prompt that is read anew takes a second. Its log line says how many engines were asked and how many answered.

--- a/internal/relay/router/recall.go
+++ b/internal/relay/router/recall.go
@@ -13,16 +13,65 @@
 )
 
 const (
-	surveyLimit = 150 * time.Millisecond // for all endpoints to say what they keep
+	// For all endpoints to say what they keep: reading a prompt anew takes a second, so it pays to wait this long.
+	surveyLimit = 400 * time.Millisecond
 	surveyFresh = 100 * time.Millisecond // within which callers share a survey: many come back at once when a router dies
 	surveyCalls = 24                     // at a time
 )
 
-// survey is what the engines of a service kept at some time.
+// survey is what the engines of a service kept at some time. Some engines take long to answer, or never do.
 type survey struct {
 	begun time.Time
-	done  chan struct{}
-	where map[jaywind.PromptPart]holder // may be read once done is closed
+	done  chan struct{} // closed when all have answered or the time is over
+
+	mu      sync.Mutex
+	where   map[jaywind.PromptPart]holder
+	changed chan struct{} // closed, and replaced, with each answer
+	asked   int
+	heard   int
+}
+
+// find waits until some engine is known to keep most of a part of so many tokens, or the survey is done, and returns
+// which keeps the most.
+func (s *survey) find(part jaywind.PromptPart, tokens int) (holder, bool) {
+	for {
+		s.mu.Lock()
+		h, found := s.where[part]
+		changed := s.changed
+		s.mu.Unlock()
+		if found && 2*h.tokens >= tokens {
+			return h, true
+		}
+		select {
+		case <-s.done:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			h, found = s.where[part]
+			return h, found
+		case <-changed:
+		}
+	}
+}
+
+// hear takes an engine's answer.
+func (s *survey) hear(from jaywind.EndpointID, parts []jaywind.HeldPart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard++
+	for _, h := range parts {
+		if h.Tokens > s.where[h.Part].tokens {
+			s.where[h.Part] = holder{id: from, tokens: h.Tokens}
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// answered returns how many engines have answered, and how many were asked.
+func (s *survey) answered() (heard, asked int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard, s.asked
 }
 
 // holder is the endpoint that keeps most of a part.
@@ -38,18 +87,18 @@
 		return nil
 	}
 	s := r.survey(ctx, f, surveyFresh)
-	<-s.done
-	if _, found := s.where[f.ask.Subject]; !found && s.begun.Before(f.ask.Arrived) {
+	h, found := s.find(f.ask.Subject, f.ask.Prompt)
+	if !found && s.begun.Before(f.ask.Arrived) {
 		s = r.survey(ctx, f, 0)
-		<-s.done
+		h, found = s.find(f.ask.Subject, f.ask.Prompt)
 	}
+	heard, asked := s.answered()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h, found := s.where[f.ask.Subject]
 	e := r.table.Get(h.id)
 	usable := found && e != nil && r.table.Open(e, time.Now())
 	r.Log.Info("stream: caller came back", f.fields(zap.Bool("prompt_kept", found), zap.String("holder", string(h.id)),
-		zap.Int("tokens", h.tokens), zap.Bool("usable", usable), zap.Int64("survey_ms", time.Since(s.begun).Milliseconds()))...)
+		zap.Int("tokens", h.tokens), zap.Bool("usable", usable), zap.Int("asked", asked), zap.Int("answered", heard), zap.Int64("survey_ms", time.Since(s.begun).Milliseconds()))...)
 	if !usable {
 		r.meter.recallMissed.Inc(1)
 		return nil
@@ -68,9 +117,9 @@
 	if s := r.surveys[f.service.Name]; s != nil && now.Sub(s.begun) < fresh {
 		return s
 	}
-	s := &survey{begun: now, done: make(chan struct{}), where: map[jaywind.PromptPart]holder{}}
-	r.surveys[f.service.Name] = s
 	targets := r.table.OpenAll(f.service, now)
+	s := &survey{begun: now, done: make(chan struct{}), where: map[jaywind.PromptPart]holder{}, changed: make(chan struct{}), asked: len(targets)}
+	r.surveys[f.service.Name] = s
 	r.group.Go(func() { r.ask(context.WithoutCancel(ctx), s, targets) })
 	return s
 }
@@ -79,7 +128,6 @@
 	defer close(s.done)
 	ctx, cancel := context.WithTimeout(ctx, surveyLimit)
 	defer cancel()
-	var mu sync.Mutex
 	p := pool.New().WithMaxGoroutines(surveyCalls)
 	for _, e := range targets {
 		p.Go(func() {
@@ -88,13 +136,7 @@
 				r.Log.Debug("stream: endpoint does not say what it keeps", zap.String("endpoint", string(e.ID)), zap.Error(err))
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			for _, h := range parts {
-				if h.Tokens > s.where[h.Part].tokens {
-					s.where[h.Part] = holder{id: e.ID, tokens: h.Tokens}
-				}
-			}
+			s.hear(e.ID, parts)
 		})
 	}
 	p.Wait()
