--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -40,7 +40,7 @@
 	defer cancel()
 	group.Go(func() { reload(ctx, hangups, *file, s, log) })
 	if s.Platform != (settings.Platform{}) {
-		err = (&platform.Daemon{Settings: s, Log: log.Logger}).Run(ctx)
+		err = (&platform.Daemon{Settings: s, Log: log.Logger, LeftOut: log.Left}).Run(ctx)
 	} else {
 		err = routeAlone(ctx, s, log)
 	}
