--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -110,3 +110,27 @@
 		})
 	}
 }
+
+// TestAct: the operator hears of an end only once it stands, and an end is never taken back.
+func TestAct(t *testing.T) {
+	steps := func(target jaywind.Version, p rollout.Phase) rollout.Steps {
+		return rollout.Steps{Target: target, Phase: p}
+	}
+	tests := map[string]struct {
+		stored, decided rollout.Steps
+		want            rollout.Action
+	}{
+		"nothing is there":           {rollout.Steps{}, steps("v2", rollout.PhaseTrial), rollout.ActSteps},
+		"it is there":                {steps("v2", rollout.PhaseTrial), steps("v2", rollout.PhaseTrial), rollout.ActStatus},
+		"the end is not there":       {steps("v2", rollout.PhaseTrial), steps("v2", rollout.PhaseBack), rollout.ActSteps},
+		"the end is there":           {steps("v2", rollout.PhaseBack), steps("v2", rollout.PhaseBack), rollout.ActStatus},
+		"another end is there":       {steps("v2", rollout.PhaseBack), steps("v2", rollout.PhaseDone), rollout.ActNone},
+		"a new lead would begin":     {steps("v2", rollout.PhaseDone), steps("v2", rollout.PhaseTrial), rollout.ActNone},
+		"the end of an older target": {steps("v1", rollout.PhaseDone), steps("v2", rollout.PhaseTrial), rollout.ActSteps},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(rollout.Act(c.stored, c.decided), c.want)
+		})
+	}
+}
