--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -12,6 +12,11 @@
 	StepEnd               // the stream is given up
 )
 
+var stepNames = [...]string{StepFresh: "read anew", StepCopy: "from the copy", StepEnd: "end"}
+
+// String returns the step as logs name it.
+func (s Step) String() string { return stepNames[s] }
+
 // Loss is how an attempt ended.
 type Loss int
 
@@ -24,6 +29,13 @@
 	LossNoCopy             // there is no copy at the standby
 )
 
+var lossNames = [...]string{
+	LossNotRun: "not run", LossUnsent: "not sent", LossBroken: "broken", LossSilent: "silent", LossNoCopy: "no copy",
+}
+
+// String returns the loss as logs name it.
+func (l Loss) String() string { return lossNames[l] }
+
 // Plan decides how one stream goes on; set the exported fields before use.
 type Plan struct {
 	Repeatable bool // whether it may run more than once
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -80,7 +80,7 @@
 			c.need.Avoid = append(c.need.Avoid, at.ID)
 		}
 		last, _ := f.cursor.Last()
-		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Int("loss", int(loss)), zap.Int("next", int(step)),
+		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Stringer("loss", loss), zap.Stringer("next", step),
 			zap.Int64("event", last), zap.Int64("silent_ms", f.silent()))...)
 		if step == series.StepEnd || !r.repeat(ctx, c, err) {
 			r.giveUp(f)
