--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -50,7 +50,7 @@
 // weights say how often each kind is drawn, out of their sum.
 var weights = map[Kind]int{
 	KillRouter: 6, StopRouter: 6, PauseRouter: 4, ReloadRouter: 2, KillAll: 1,
-	KillReplica: 8, PauseReplica: 3, DrainReplica: 4, FaultReplica: 8,
+	KillReplica: 8, PauseReplica: 3, DrainReplica: 4, FaultReplica: 20,
 	CutReplica: 3, DelayReplica: 3, ResetReplica: 3, SilenceReplica: 3,
 	CutStore: 3, SilenceStore: 2, StoreOutage: 3, ForgetHistory: 2, Configure: 5, Revoke: 2,
 }
@@ -83,7 +83,7 @@
 
 const (
 	calm      = 1500 * time.Millisecond // of traffic before the first fault
-	meanPause = 600 * time.Millisecond  // between two faults; several overlap, as each lasts longer
+	meanPause = 450 * time.Millisecond  // between two faults; several overlap, as each lasts longer
 	longest   = 3 * time.Second         // that a fault lasts
 	shortest  = 200 * time.Millisecond
 )
--- a/internal/measure/soak/rules.go
+++ b/internal/measure/soak/rules.go
@@ -34,7 +34,7 @@
 	routes := []object{
 		route("stream", "/stream/", "streaming", "pool", streamTime, 5),
 		route("get", "/get/", "safe", "desk", plainTime, 3),
-		route("buy", "/buy/", "unsafe", "desk", plainTime, 1),
+		route("buy", "/buy/", "unsafe", "desk", plainTime, 3),
 	}
 	for i := range u.routes {
 		routes = append(routes, route(fmt.Sprintf("new%d", i), newPrefix(i), "safe", "desk", plainTime, 3))
