--- a/cmd/jaywind/explain.go
+++ b/cmd/jaywind/explain.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -33,19 +34,30 @@
 	if *id == "" || f.NArg() == 0 {
 		return c.misuse("want -id ID and the log files of one or more routers")
 	}
-	var lines []logLine
+	var lines, starts []logLine
 	for _, name := range f.Args() {
 		found, bad, err := readLog(name, *id)
 		if err != nil {
 			return c.fail(err)
 		}
+		for _, l := range found {
+			l.file = name
+			if l.text == startLine {
+				starts = append(starts, l)
+			} else {
+				lines = append(lines, l)
+			}
+		}
 		if len(bad) > 0 {
 			_, _ = fmt.Fprintf(c.err, "jaywind explain: %s: %d lines can't be read, the first is line %d\n", name, len(bad), bad[0])
 		}
-		lines = append(lines, found...)
 	}
 	if len(lines) == 0 {
-		return c.fail(fmt.Errorf("no line names request %s; it may have been sampled out, or reached another router", *id))
+		for _, l := range starts {
+			c.printf("%s\n", l)
+		}
+		return c.fail(fmt.Errorf("no line names request %s: its router may have ended before it did (see the starts above), "+
+			"it may have reached another one, or its line was sampled out", *id))
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.at, b.at) })
 	c.printf("cause: %s\n", causeOf(lines))
@@ -55,18 +67,17 @@
 	return exitOK
 }
 
-// readLog returns the lines of a file that name a request, and the numbers of those that can't be read.
+// startLine is what a router logs first.
+const startLine = "router: started"
+
+// readLog returns the lines of a file that name a request or a router's start, and the numbers of those that can't be read.
 func readLog(name, id string) (lines []logLine, bad []int, err error) {
 	file, err := os.Open(name)
 	if err != nil {
 		return nil, nil, err
 	}
 	defer func() { _ = file.Close() }()
-	lines, bad, err = scanLog(file, id)
-	for i := range lines {
-		lines[i].file = name
-	}
-	return lines, bad, err
+	return scanLog(file, id)
 }
 
 func scanLog(r io.Reader, id string) (lines []logLine, bad []int, err error) {
@@ -82,11 +93,11 @@
 			bad = append(bad, number)
 			continue
 		}
-		if l.fields["request"] != id {
+		l.text, _ = l.fields["msg"].(string)
+		if l.fields["request"] != id && l.text != startLine {
 			continue
 		}
 		l.at, _ = l.fields["ts"].(string)
-		l.text, _ = l.fields["msg"].(string)
 		lines = append(lines, l)
 	}
 	return lines, bad, s.Err()
@@ -95,6 +106,9 @@
 // causeOf says what decided how a request ended: the last failure before its end.
 func causeOf(lines []logLine) string {
 	last := lines[len(lines)-1]
+	if status, _ := last.fields["status"].(float64); status >= http.StatusInternalServerError {
+		return fmt.Sprintf("the endpoint's own failure was passed on: %s", last.details())
+	}
 	if last.text == "request: answered" || last.text == "stream: whole" {
 		return fmt.Sprintf("none, it was answered: %s", last.details())
 	}
--- a/cmd/jaywind/explain_test.go
+++ b/cmd/jaywind/explain_test.go
@@ -15,6 +15,8 @@
 	lostLine  = `{"level":"warn","ts":"2026-12-04T00:00:02Z","msg":"stream: lost","request":"a1","endpoint":"e1","error":"EOF","next":0}` + "\n"
 	endLine   = `{"level":"warn","ts":"2026-12-04T00:00:03Z","msg":"stream: given up","request":"a1","endpoint":"e2","sends":2}` + "\n"
 	wholeLine = `{"level":"info","ts":"2026-12-04T00:00:04Z","msg":"stream: whole","request":"a1","endpoint":"e2","sends":2}` + "\n"
+	failLine  = `{"level":"info","ts":"2026-12-04T00:00:04Z","msg":"request: answered","request":"a1","endpoint":"e2","status":500}` + "\n"
+	startText = `{"level":"info","ts":"2026-12-04T00:00:05Z","msg":"router: started","vm":"vm1"}` + "\n"
 	otherLine = `{"level":"info","ts":"2026-12-04T00:00:01Z","msg":"request: answered","request":"a2","endpoint":"e1"}` + "\n"
 )
 
@@ -30,6 +32,9 @@
 		"answered":              {[]string{lostLine + wholeLine}, exitOK, []string{"cause: none, it was answered", "2026", "2026"}, ""},
 		"prefix before lines":   {[]string{"  1.5 vm-1 " + lostLine}, exitOK, []string{"cause: EOF", "2026-12-04T00:00:02Z  1.5 vm-1"}, ""},
 		"bad lines":             {[]string{"{\"x\n" + lostLine + "text\n"}, exitOK, []string{"cause: EOF", "2026"}, "1 lines can't be read, the first is line 1"},
+		"endpoint's failure":    {[]string{failLine}, exitOK, []string{"cause: the endpoint's own failure was passed on: endpoint=e2 status=500"}, ""},
+		"starts are left out":   {[]string{startText + endLine + lostLine}, exitOK, []string{"cause: EOF", "2026-12-04T00:00:02Z", "2026-12-04T00:00:03Z"}, ""},
+		"its router ended":      {[]string{otherLine + startText}, exitFault, []string{"2026-12-04T00:00:05Z"}, "its router may have ended"},
 		"unknown request":       {[]string{otherLine}, exitFault, nil, "no line names request a1"},
 	}
 	for name, c := range tests {
