--- a/internal/measure/soak/run.go
+++ b/internal/measure/soak/run.go
@@ -44,7 +44,7 @@
 	}
 	r.rules = &rules{}
 	r.fleet = &fleet{size: r.Plan.Size, bin: r.Bin, keep: r.Keep}
-	r.fleet.ports.next = firstPort + int(r.Plan.Seed*97%uint64(lastPort-firstPort))
+	r.fleet.ports.next = firstPort + (int(r.Plan.Seed%1e6)*97+os.Getpid()*131)%(lastPort-firstPort) // away from other soaks
 	r.record = newRecord(r.fleet, r.rules, r.Out)
 	r.fleet.sight = r.record.see
 	defer r.fleet.stop()
