--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -180,8 +180,5 @@
 func (j *journal) write(r standin.Run, draining int64, what string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	_ = json.NewEncoder(os.Stdout).Encode(standin.Sight{
-		At: time.Now().UnixMilli(), What: what, Attempt: r.Attempt, Replica: r.Replica, Target: r.Target,
-		Organisation: r.Header.Get("X-Tenant"), Draining: draining,
-	}) // whoever started the replica and reads no more is gone
+	_ = json.NewEncoder(os.Stdout).Encode(r.Sight(what, draining)) // whoever started the replica and reads no more is gone
 }
--- a/internal/measure/soak/caller.go
+++ b/internal/measure/soak/caller.go
@@ -3,15 +3,15 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
+
+	"jaywind/platform/standin"
 )
 
 const (
@@ -53,16 +53,16 @@
 	record *record
 	random *rand.Rand
 
-	client  http.Client
-	known   []*router
-	knownAt time.Time
-	count   int
+	transport *http.Transport
+	known     []*router
+	knownAt   time.Time
+	count     int
 }
 
 // run sends requests until ctx ends; a request that is under way ends by itself.
 func (c *caller) run(ctx context.Context) {
-	c.client.Transport = newTransport()
-	defer c.client.CloseIdleConnections()
+	c.transport = newTransport()
+	defer c.transport.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.request()
 		time.Sleep(time.Duration(c.random.Int64N(int64(2 * thinkTime))))
@@ -127,21 +127,13 @@
 }
 
 func (c *caller) resolve(from *router) []*router {
-	client := http.Client{Timeout: time.Second}
-	a, err := client.Get("http://" + from.directory + "/api/resolve?name=" + host + "&region=r&zone=zone0")
+	addresses, err := standin.Resolve(from.directory, host, "zone0")
 	if err != nil {
 		return nil
 	}
-	defer func() { _ = a.Body.Close() }()
-	var answer struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.NewDecoder(a.Body).Decode(&answer) != nil {
-		return nil
-	}
 	var all []*router
 	for _, r := range c.fleet.routers {
-		for _, at := range answer.Addresses {
+		for _, at := range addresses {
 			if at == r.caller {
 				all = append(all, r)
 			}
@@ -166,32 +158,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit+patience)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.at.caller+a.target, strings.NewReader(a.body))
-	if err != nil {
-		panic(err) // all addresses are loopback's
-	}
-	q.GetBody = nil // the transport sends nothing a second time
-	q.Host = host
-	q.Header.Set("X-Attempt-Id", a.id)
-	q.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
-	q.Header.Set("Authorization", "Bearer "+key)
+	q := standin.Request{Attempt: a.id, At: a.at.caller, Host: host, Target: a.target, Body: a.body, Key: key, Within: limit, After: after}
 	if a.stream() {
-		q.Header.Set("X-Model", "m")
-		q.Header.Set("X-Token-Usage", "1000,300")
-		q.Header.Set("X-Prompt-Prefix", "aa:200,"+strconv.Itoa(c.number)+":800")
-	}
-	if after > 0 {
-		q.Header.Set("Last-Event-Id", strconv.Itoa(after))
+		q.Prompt, q.Tokens, q.Output = fmt.Sprintf("aa:200,%d:800", c.number), 1000, 300
 	}
 	a.sent = time.Now()
-	answer, err := c.client.Transport.RoundTrip(q)
+	answer, err := q.Send(ctx, c.transport)
 	if err != nil {
 		a.err, a.ended = err, time.Now()
 		c.knownAt = time.Time{}
 		return a
 	}
 	defer func() { _ = answer.Body.Close() }()
-	a.status, a.sealed = answer.StatusCode, answer.Header.Get("X-Replica-Seal") != ""
+	a.status, a.sealed = answer.StatusCode, standin.Sealed(answer)
 	if a.stream() && a.status == http.StatusOK {
 		a.readEvents(answer.Body, leaveAt, cancel)
 	} else {
--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,13 +17,12 @@
 )
 
 const (
-	zones      = 3
-	events     = 50 // of a whole stream
-	grace      = 4 * time.Second
-	drainTime  = 2 * time.Second // in which a replica that leaves may still get work
-	memoryMB   = 200             // that a router may take
-	maxFiles   = 1024            // descriptors of a router
-	adminLimit = 500 * time.Millisecond
+	zones     = 3
+	events    = 50 // of a whole stream
+	grace     = 4 * time.Second
+	drainTime = 2 * time.Second // in which a replica that leaves may still get work
+	memoryMB  = 200             // that a router may take
+	maxFiles  = 1024            // descriptors of a router
 )
 
 // router is one VM's process.
@@ -65,7 +62,7 @@
 }
 
 // start starts all processes and waits until the routers are ready.
-func (f *fleet) start(first string) error {
+func (f *fleet) start(first standin.Config) error {
 	var err error
 	if f.storeAt, err = f.ports.take(); err != nil {
 		return err
@@ -74,7 +71,7 @@
 	if err := f.store.start(); err != nil {
 		return err
 	}
-	if err := f.until(func() bool { return f.admin("put?key=op/config", []byte(first)) == nil }); err != nil {
+	if err := f.until(func() bool { return f.operator().Configure(first) == nil }); err != nil {
 		return fmt.Errorf("the store does not start: %w", err)
 	}
 	for i := range f.size.Engines + f.size.Plain {
@@ -214,33 +211,9 @@
 	return r.start()
 }
 
-func (r *router) isReady() bool {
-	client := http.Client{Timeout: adminLimit}
-	a, err := client.Get("http://" + r.ready + "/api/ready")
-	if err != nil {
-		return false
-	}
-	_ = a.Body.Close()
-	return a.StatusCode == http.StatusOK
-}
-
-// admin makes a call of the store's admin interface.
-func (f *fleet) admin(call string, body []byte) error {
-	return post("http://"+f.storeAt+"/standin/"+call, body)
-}
+func (r *router) isReady() bool { return standin.Ready(r.ready) }
 
-func post(url string, body []byte) error {
-	client := http.Client{Timeout: adminLimit}
-	a, err := client.Post(url, "application/json", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	_ = a.Body.Close()
-	if a.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", url, a.StatusCode)
-	}
-	return nil
-}
+func (f *fleet) operator() standin.Operator { return standin.Operator(f.storeAt) }
 
 // shakeStore notes that the store, or the way of some router to it, is disturbed until the returned function is called.
 func (f *fleet) shakeStore() (end func()) {
--- a/internal/measure/soak/rules.go
+++ b/internal/measure/soak/rules.go
@@ -1,10 +1,11 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
+
+	"jaywind/platform/standin"
 )
 
 const (
@@ -23,38 +24,22 @@
 	keys    []time.Time // when each extra key was revoked; zero for the one that holds
 }
 
-type object = map[string]any
-
-// text returns the configuration as it is to be; the caller holds mu.
-func (u *rules) text() []byte {
-	route := func(name, prefix, kind, service string, limit time.Duration, attempts int) object {
-		return object{"name": name, "host": host, "prefix": prefix, "kind": kind, "service": service, "timeoutMs": limit.Milliseconds(),
-			"targetLatencyMs": 300, "priority": 1, "maxAttempts": attempts, "resumeStreams": kind == "streaming", "gapAimMs": 700}
-	}
-	routes := []object{
-		route("stream", "/stream/", "streaming", "pool", streamTime, 5),
-		route("get", "/get/", "safe", "desk", plainTime, 3),
-		route("buy", "/buy/", "unsafe", "desk", plainTime, 3),
-	}
+// next returns the next version of the configuration; the caller holds mu.
+func (u *rules) next() standin.Config {
+	u.version += 3
+	c := standin.Config{Version: u.version, Host: host, Keys: map[string]string{"key": "org"}, Routes: []standin.Route{
+		{Name: "stream", Prefix: "/stream/", Kind: "streaming", Service: "pool", Limit: streamTime, Attempts: 5},
+		{Name: "get", Prefix: "/get/", Kind: "safe", Service: "desk", Limit: plainTime, Attempts: 3},
+		{Name: "buy", Prefix: "/buy/", Kind: "unsafe", Service: "desk", Limit: plainTime, Attempts: 3},
+	}}
 	for i := range u.routes {
-		routes = append(routes, route(fmt.Sprintf("new%d", i), newPrefix(i), "safe", "desk", plainTime, 3))
+		c.Routes = append(c.Routes, standin.Route{Name: fmt.Sprintf("new%d", i), Prefix: newPrefix(i), Kind: "safe", Service: "desk",
+			Limit: plainTime, Attempts: 3})
 	}
-	tenants := []object{{"name": "org", "apiKeys": []string{"key"}}}
 	if n := len(u.keys); n > 0 {
-		tenants = append(tenants, object{"name": extraOrg(n - 1), "apiKeys": []string{extraKey(n - 1)}})
-	}
-	u.version += 3
-	b, err := json.Marshal(object{"version": u.version, "routes": routes, "tenants": tenants,
-		"services": []object{
-			{"name": "pool", "healthPath": "/healthz", "maxConnections": 500, "engine": object{"slots": 16, "kvCapacity": 55000,
-				"backups": true, "moves": true, "handleS": 4, "stride": 6, "models": []object{{"name": "m"}}}},
-			{"name": "desk", "healthPath": "/healthz", "maxConnections": 500}},
-		"limits": object{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-	if err != nil {
-		panic(err) // all of it can be encoded
+		c.Keys[extraKey(n-1)] = extraOrg(n - 1)
 	}
-	return b
+	return c
 }
 
 func newPrefix(i int) string { return fmt.Sprintf("/new%d/", i) }
@@ -62,11 +47,11 @@
 func extraOrg(i int) string  { return fmt.Sprintf("org-extra%d", i) }
 
 // first returns the configuration to start with.
-func (u *rules) first() []byte {
+func (u *rules) first() standin.Config {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.keys = []time.Time{{}}
-	return u.text()
+	return u.next()
 }
 
 // addRoute puts a configuration with one more route in force.
@@ -74,7 +59,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.routes = append(u.routes, time.Time{})
-	if f.admin("put?key=op/config", u.text()) != nil {
+	if f.operator().Configure(u.next()) != nil {
 		u.routes = u.routes[:len(u.routes)-1] // the store is away, so the operator waits for another time
 		return
 	}
@@ -86,7 +71,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.keys = append(u.keys, time.Time{})
-	if f.admin("put?key=op/config", u.text()) != nil {
+	if f.operator().Configure(u.next()) != nil {
 		u.keys = u.keys[:len(u.keys)-1]
 		return
 	}
--- a/internal/measure/soak/run.go
+++ b/internal/measure/soak/run.go
@@ -48,7 +48,7 @@
 	r.record = newRecord(r.fleet, r.rules, r.Out)
 	r.fleet.sight = r.record.see
 	defer r.fleet.stop()
-	if err := r.fleet.start(string(r.rules.first())); err != nil {
+	if err := r.fleet.start(r.rules.first()); err != nil {
 		return nil, err
 	}
 	r.traffic(ctx)
@@ -94,7 +94,7 @@
 	for i, at := range r.fleet.routers {
 		c := &caller{number: 1000 + i, fleet: r.fleet, rules: r.rules, record: r.record,
 			random: rand.New(rand.NewPCG(r.Plan.Seed, uint64(i)+1000)), known: []*router{at}} //nolint:gosec // no secret
-		c.client.Transport = newTransport()
+		c.transport = newTransport()
 		group.Go(func() {
 			for _, prefix := range []string{"/get/", "/buy/", "/stream/"} {
 				r.proveServed(ctx, c, prefix, end)
--- a/internal/measure/soak/strike.go
+++ b/internal/measure/soak/strike.go
@@ -97,12 +97,12 @@
 		n.through(ctx, s, r.store, relay.Faults{Silent: true})
 	case StoreOutage:
 		defer f.shakeStore()()
-		n.admin("fail?outage=" + s.Variant)
+		n.operate(s.Variant, f.operator().Fail(s.Variant))
 		hold(ctx, s)
-		n.admin("fail?outage=none")
+		n.operate("none", f.operator().Fail("none"))
 	case ForgetHistory:
 		defer f.shakeStore()()
-		n.admin("forget")
+		n.operate("forget", f.operator().Forget())
 	case Configure:
 		n.rules.addRoute(f)
 	case Revoke:
@@ -110,9 +110,10 @@
 	}
 }
 
-func (n *nemesis) admin(call string) {
-	if err := n.fleet.admin(call, nil); err != nil {
-		n.record.note("the store does not take %s: %v", call, err)
+// operate notes that the store has not taken an order.
+func (n *nemesis) operate(order string, err error) {
+	if err != nil {
+		n.record.note("the store does not take %s: %v", order, err)
 	}
 }
 
@@ -198,7 +199,7 @@
 		return
 	}
 	defer e.release()
-	if err := post("http://"+e.address+"/drain", nil); err != nil {
+	if err := standin.Post("http://"+e.address+"/drain", nil); err != nil {
 		n.record.note("%s takes no order to drain: %v", e.name, err)
 		return
 	}
@@ -231,7 +232,7 @@
 func (n *nemesis) setFaults(e *replica, f standin.Faults) {
 	b, err := json.Marshal(f)
 	if err == nil {
-		err = post("http://"+e.address+"/faults", b)
+		err = standin.Post("http://"+e.address+"/faults", b)
 	}
 	if err != nil {
 		n.record.note("%s takes no fault: %v", e.name, err)
