soak: roll-outs of good and bad versions, lost and late answers of the store, lapsed leases

A bad version must not be completed and gets no more than its share; on a good one's completion the old replicas are killed without notice, as the platform does.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -134,9 +134,11 @@
 // replicaFlags makes a replica that registers itself, prints a JSON line for each run and its end, and takes faults by
 // POST /faults and the order to drain by POST /drain.
 func replicaFlags(f *flag.FlagSet) func() http.Handler {
-	r := &standin.Replica{Version: "v1"}
+	r := &standin.Replica{}
 	f.StringVar(&r.ID, "id", "i-1", "`id` of the replica")
 	f.StringVar(&r.Service, "service", "pool", "`name` of its service")
+	f.StringVar(&r.Version, "version", "v1", "`version` of its software")
+	bad := f.Bool("bad", false, "fail all requests from the start")
 	f.StringVar(&r.Zone, "zone", "a", "its `zone`")
 	f.StringVar(&r.Address, "at", "", "`address` that it registers")
 	f.BoolVar(&r.Engine, "engine", false, "stream events")
@@ -147,6 +149,7 @@
 	store := f.String("store", "", "`address` of the platform's store")
 	return func() http.Handler {
 		r.Born = time.Now().UnixMilli()
+		r.Set(standin.Faults{Error: *bad})
 		g := &standin.Registration{Replica: r, Store: *store}
 		out := &journal{}
 		r.Ran = func(run standin.Run) { out.write(run, g.Draining(), "run") }
--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -40,6 +40,8 @@
 	gate    *gate  // whose address is registered
 	service string
 	zone    string
+	version string
+	bad     bool // it fails all requests
 	starts  int
 }
 
@@ -98,6 +100,8 @@
 
 // file opens the log of a process; without one its lines go nowhere.
 func (f *fleet) file(name string) io.Writer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	file, err := os.Create(filepath.Join(f.keep, name+".log"))
 	if err != nil {
 		return io.Discard
@@ -118,22 +122,35 @@
 	return fmt.Errorf("not within %v", startLimit)
 }
 
+// firstVersion is what all replicas run at the start.
+const firstVersion = "v1"
+
 func (f *fleet) addReplica(i int) error {
-	at, err := f.ports.take()
+	service := "desk"
+	if i < f.size.Engines {
+		service = "pool"
+	}
+	r, err := f.newReplica(fmt.Sprintf("replica%d", i), service, firstVersion, i, false)
 	if err != nil {
 		return err
 	}
-	r := &replica{address: at, service: "desk", zone: fmt.Sprintf("zone%d", i%zones)}
-	if i < f.size.Engines {
-		r.service = "pool"
+	f.replicas = append(f.replicas, r)
+	return nil
+}
+
+// newReplica starts a replica in the i-th zone.
+func (f *fleet) newReplica(name, service, version string, i int, bad bool) (*replica, error) {
+	at, err := f.ports.take()
+	if err != nil {
+		return nil, err
 	}
+	r := &replica{address: at, service: service, version: version, bad: bad, zone: fmt.Sprintf("zone%d", i%zones)}
 	if r.gate, err = openGate(&f.group, at); err != nil {
-		return err
+		return nil, err
 	}
-	r.name, r.bin, r.log, r.read = fmt.Sprintf("replica%d", i), f.program("standin"), f.file(fmt.Sprintf("replica%d", i)), f.readSights
-	f.replicas = append(f.replicas, r)
+	r.name, r.bin, r.log, r.read = name, f.program("standin"), f.file(name), f.readSights
 	r.renew(f, true)
-	return r.start()
+	return r, r.start()
 }
 
 // renew sets the arguments of the next incarnation, under a new id or that of the last one.
@@ -141,7 +158,7 @@
 	if newID {
 		r.starts++
 	}
-	r.args = []string{"replica", "-listen", r.address, "-at", r.gate.at, "-id", fmt.Sprintf("i-%s-%d", r.name, r.starts),
+	r.args = []string{"replica", "-version", r.version, fmt.Sprintf("-bad=%v", r.bad), "-listen", r.address, "-at", r.gate.at, "-id", fmt.Sprintf("i-%s-%d", r.name, r.starts),
 		"-service", r.service, "-zone", r.zone, "-store", f.storeAt, "-events", fmt.Sprint(events)}
 	if r.service == "pool" {
 		r.args = append(r.args, "-engine")
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -44,7 +44,9 @@
 	StoreOutage    Kind = "store outage"
 	ForgetHistory  Kind = "store forgets its history"
 	Configure      Kind = "new configuration"
+	LapseLeases    Kind = "all leases lapse"
 	Revoke         Kind = "revoke a key"
+	RollOut        Kind = "roll out a version"
 )
 
 // weights say how often each kind is drawn, out of their sum.
@@ -53,6 +55,7 @@
 	KillReplica: 8, PauseReplica: 3, DrainReplica: 4, FaultReplica: 20,
 	CutReplica: 3, DelayReplica: 3, ResetReplica: 3, SilenceReplica: 3,
 	CutStore: 3, SilenceStore: 2, StoreOutage: 3, ForgetHistory: 2, Configure: 5, Revoke: 2,
+	LapseLeases: 1, RollOut: 4,
 }
 
 // variants of the kinds that have some; a variant of a cut names the direction that is held back.
@@ -61,7 +64,8 @@
 	FaultReplica: {"shed", "error", "lose", "hang", "extra", "cut", "mute", "jump", "foreign", "encoded"},
 	CutReplica:   {"forth", "back"},
 	CutStore:     {"forth", "back"},
-	StoreOutage:  {"busy", "silent", "mute"},
+	StoreOutage:  {"busy", "silent", "mute", "slow", "lost"},
+	RollOut:      {"good", "bad"},
 }
 
 // Strike is one fault.
--- a/internal/measure/soak/strike.go
+++ b/internal/measure/soak/strike.go
@@ -18,6 +18,8 @@
 	rules  *rules
 	record *record
 	mends  sync.WaitGroup // of strikes that have not been mended yet
+	change sync.Mutex     // held by the roll-out that goes on
+	count  int            // of roll-outs
 }
 
 // run strikes until the plan or ctx ends, and returns once all is mended.
@@ -103,6 +105,11 @@
 	case ForgetHistory:
 		defer f.shakeStore()()
 		n.operate("forget", f.operator().Forget())
+	case LapseLeases:
+		defer f.shakeStore()()
+		n.operate("lapse", f.operator().Lapse())
+	case RollOut:
+		n.rollOut(ctx, s.Variant == "bad")
 	case Configure:
 		n.rules.addRoute(f)
 	case Revoke:
