soak: a router is in touch by what disturbs itself, not any other

A router that sent work to replicas that drain, broken by hand, passed: the bounds of knowledge were checked only while no router at all was disturbed, which is hardly ever.

--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -59,8 +60,8 @@
 	files    []*os.File
 	sight    func(standin.Sight)
 
-	mu         sync.Mutex
-	storeSpans []span
+	mu     sync.Mutex
+	shaken []shaken
 }
 
 // start starts all processes and waits until the routers are ready.
@@ -232,31 +233,36 @@
 
 func (f *fleet) operator() standin.Operator { return standin.Operator(f.storeAt) }
 
-// shakeStore notes that the store, or the way of some router to it, is disturbed until the returned function is called.
-func (f *fleet) shakeStore() (end func()) {
+// shakeStore notes that the store, or the way of one router to it, is disturbed until the returned function is called.
+func (f *fleet) shakeStore(only *router) (end func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	i := len(f.storeSpans)
-	f.storeSpans = append(f.storeSpans, span{from: time.Now()})
+	i := len(f.shaken)
+	f.shaken = append(f.shaken, shaken{span{from: time.Now()}, only})
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.storeSpans[i].till = time.Now()
+		f.shaken[i].till = time.Now()
 	}
 }
 
+// shaken is a time in which the store was disturbed, for one router or for all when that is nil.
+type shaken struct {
+	span
+	only *router
+}
+
 // contact is how long after a disturbance the time bounds hold again.
 const contact = 3 * time.Second
 
-// inTouch tells whether nothing that spreads knowledge was disturbed from contact before a time until another.
-func (f *fleet) inTouch(from, till time.Time) bool {
-	f.mu.Lock()
-	shaken := overlaps(f.storeSpans, from, till, contact)
-	f.mu.Unlock()
-	for _, r := range f.routers {
-		shaken = shaken || r.disturbed(from, till, contact)
+// inTouch tells whether nothing that a router knows by was disturbed from contact before a time until another.
+func (f *fleet) inTouch(r *router, from, till time.Time) bool {
+	if r.disturbed(from, till, contact) {
+		return false
 	}
-	return !shaken
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !slices.ContainsFunc(f.shaken, func(s shaken) bool { return (s.only == nil || s.only == r) && s.overlaps(from, till, contact) })
 }
 
 // stop ends all processes.
--- a/internal/measure/soak/record.go
+++ b/internal/measure/soak/record.go
@@ -128,7 +128,7 @@
 		return false
 	}
 	_, since, _ := r.rules.newest()
-	return a.sent.Sub(since) < applyTime+slack || !r.fleet.inTouch(since, a.sent)
+	return a.sent.Sub(since) < applyTime+slack || !r.fleet.inTouch(a.at, since, a.sent)
 }
 
 // crossing is how long before a process ends a request may still be on its way to it.
@@ -196,11 +196,11 @@
 	}
 	if s.Draining > 0 {
 		since := time.UnixMilli(s.Draining)
-		if at.Sub(since) > drainTime+standin.Heartbeat+slack && r.fleet.inTouch(since, at) {
+		if at.Sub(since) > drainTime+standin.Heartbeat+slack && r.fleet.inTouch(a.at, since, at) {
 			r.broken = append(r.broken, Violation{"drain", a.id, fmt.Sprintf("%s got it %v after it began to drain", s.Replica, at.Sub(since))})
 		}
 	}
-	if since := r.rules.revoked(s.Organisation); !since.IsZero() && at.Sub(since) > revokeTime+slack && r.fleet.inTouch(since, at) {
+	if since := r.rules.revoked(s.Organisation); !since.IsZero() && at.Sub(since) > revokeTime+slack && r.fleet.inTouch(a.at, since, at) {
 		r.broken = append(r.broken, Violation{"revoked", a.id, fmt.Sprintf("it ran %v after its key was revoked", at.Sub(since))})
 	}
 }
--- a/internal/measure/soak/strike.go
+++ b/internal/measure/soak/strike.go
@@ -92,21 +92,21 @@
 		defer e.disturb()()
 		e.gate.Reset()
 	case CutStore:
-		defer f.shakeStore()()
+		defer f.shakeStore(r)()
 		n.through(ctx, s, r.store, relay.Faults{Forth: s.Variant == "forth", Back: s.Variant == "back"})
 	case SilenceStore:
-		defer f.shakeStore()()
+		defer f.shakeStore(r)()
 		n.through(ctx, s, r.store, relay.Faults{Silent: true})
 	case StoreOutage:
-		defer f.shakeStore()()
+		defer f.shakeStore(nil)()
 		n.operate(s.Variant, f.operator().Fail(s.Variant))
 		hold(ctx, s)
 		n.operate("none", f.operator().Fail("none"))
 	case ForgetHistory:
-		defer f.shakeStore()()
+		defer f.shakeStore(nil)()
 		n.operate("forget", f.operator().Forget())
 	case LapseLeases:
-		defer f.shakeStore()()
+		defer f.shakeStore(nil)()
 		n.operate("lapse", f.operator().Lapse())
 	case RollOut:
 		n.rollOut(ctx, s.Variant == "bad")
@@ -210,7 +210,7 @@
 		n.record.note("%s takes no order to drain: %v", e.name, err)
 		return
 	}
-	hold(ctx, Strike{For: drainTime + 4*time.Second}) // for the streams that it has
+	hold(ctx, Strike{For: drainTime + 5*time.Second}) // for the streams that it has
 	defer e.disturb()()
 	e.signal(syscall.SIGKILL)
 	e.wait(longest)
