retry: a router that starts takes only what is left of the spare repeats for one window

Found by reading: routers that are all killed have spent up to 0.8 of the fleet's budget, and their successors had all of it again within the same window. With few requests the sum passed the bound (8 routers, 12 requests each: up to 240 + 0.64 a request, 150 + 0.8 allowed). For its first window a router takes a quarter of its spare part, which is what the margin leaves. TestAllRoutersRestart fails without it.

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -13,6 +13,7 @@
 	Share  float64       // repeats that one request allows
 	Spare  float64       // repeats that the whole fleet may make besides
 	Window time.Duration // over which both count
+	Since  time.Time     // start of the router; what it has spent before is not known
 
 	requests count
 	repeats  count
@@ -35,7 +36,11 @@
 
 // take counts a repeat if all repeats stay within a share of this router's part.
 func (b *Budget) take(now time.Time, routers int, share float64) bool {
-	part := margin * (b.Share*float64(b.requests.sum(now, b.Window)) + b.Spare/float64(max(1, routers)))
+	spare := b.Spare / float64(max(1, routers))
+	if now.Sub(b.Since) < b.Window {
+		spare *= (1 - margin) / margin // the rest of this window's may have been spent by the process before
+	}
+	part := margin * (b.Share*float64(b.requests.sum(now, b.Window)) + spare)
 	if float64(b.repeats.sum(now, b.Window)+1) > share*part {
 		return false
 	}
--- a/internal/core/retry/budget_test.go
+++ b/internal/core/retry/budget_test.go
@@ -73,3 +73,33 @@
 		}
 	})
 }
+
+// TestAllRoutersRestart: the pattern is a fleet that has spent its budget when all its routers are killed; those that
+// start know nothing of that, and the budget holds all the same.
+func TestAllRoutersRestart(t *testing.T) {
+	is := is.New(t)
+	const routers, requests, spare = 8, 12, 150
+	budget := retry.Budget{Share: 0.8, Spare: spare, Window: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	spend := func() (spent int) {
+		for range routers {
+			b := budget
+			for range requests {
+				b.Request(now)
+			}
+			for b.Take(now, routers) {
+				spent++
+			}
+		}
+		return spent
+	}
+	spent := spend()
+	is.True(spent > spare)
+	for range 6 { // whenever they are killed within the window, they spend what they may
+		now = now.Add(1500 * time.Millisecond)
+		budget.Since = now
+		is.True(float64(spent+spend()) <= 0.8*2*routers*requests+spare)
+	}
+	now = now.Add(10 * time.Second)
+	is.Equal(spend(), spent) // and have all of it again a window later
+}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -29,7 +29,7 @@
 	Upstream jaywind.Upstream
 	Log      *zap.Logger
 	Metrics  metrics.Registry
-	Repeats  retry.Budget // of each service: its Share, Spare and Window
+	Repeats  retry.Budget // of each service: its Share, Spare, Window and Since
 	// Sighted is told of an engine that this router has identified while the registry is away; it must not wait. May be nil.
 	Sighted func(e endpoint.Entry)
 	// Borrow takes a repeat of a service from another router's part of the budget; nil for never.
@@ -250,7 +250,7 @@
 func (r *Router) budget(s *route.Service) *retry.Budget {
 	b := r.budgets[s.Name]
 	if b == nil {
-		b = &retry.Budget{Share: r.Repeats.Share, Spare: r.Repeats.Spare, Window: r.Repeats.Window}
+		b = &retry.Budget{Share: r.Repeats.Share, Spare: r.Repeats.Spare, Window: r.Repeats.Window, Since: r.Repeats.Since}
 		r.budgets[s.Name] = b
 	}
 	return b
