soak: each run has a block of ports to itself

A run holds a listener on the first port of its block now. A router that does not come back is asked with pauses, and 40 violations at most are named.

--- a/internal/measure/soak/process.go
+++ b/internal/measure/soak/process.go
@@ -177,18 +177,35 @@
 	return s.from.Before(till.Add(margin)) && (s.till.IsZero() || s.till.Add(margin).After(from))
 }
 
-const firstPort, lastPort = 20000, 31999 // below those that connections take for themselves
+const (
+	firstPort, lastPort = 20000, 31999 // below those that connections take for themselves
+	blockPorts          = 1000         // of one run, which other runs leave alone also while nobody listens there
+)
 
-// ports hands out free ports of loopback.
-type ports struct{ next int }
+// ports hands out free ports of a block that belongs to this run for as long as guard is open.
+type ports struct {
+	guard     net.Listener
+	next, end int
+}
+
+// claim takes a block, beginning with the one at some place.
+func (p *ports) claim(place int) error {
+	const blocks = (lastPort + 1 - firstPort) / blockPorts
+	for i := range blocks {
+		first := firstPort + (place+i)%blocks*blockPorts
+		guard, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(first))
+		if err == nil {
+			p.guard, p.next, p.end = guard, first, first+blockPorts
+			return nil
+		}
+	}
+	return errors.New("other runs have all ports")
+}
 
 // take returns a free address.
 func (p *ports) take() (string, error) {
-	for range lastPort - firstPort {
+	for p.next+1 < p.end {
 		p.next++
-		if p.next < firstPort || p.next > lastPort {
-			p.next = firstPort
-		}
 		at := "127.0.0.1:" + strconv.Itoa(p.next)
 		l, err := net.Listen("tcp", at)
 		if err != nil {
--- a/internal/measure/soak/run.go
+++ b/internal/measure/soak/run.go
@@ -23,6 +23,7 @@
 	provenCalls = 5                // of each kind, one after another, that show that a router works
 	watchEvery  = time.Second      // between two looks at memory and descriptors
 	shownBroken = 5                // violations whose requests are told whole
+	namedBroken = 40               // violations that are named
 )
 
 // Run is one soak; set the exported fields before Do.
@@ -44,7 +45,10 @@
 	}
 	r.rules = &rules{}
 	r.fleet = &fleet{size: r.Plan.Size, bin: r.Bin, keep: r.Keep}
-	r.fleet.ports.next = firstPort + (int(r.Plan.Seed%1e6)*97+os.Getpid()*131)%(lastPort-firstPort) // away from other soaks
+	if err := r.fleet.ports.claim(os.Getpid()); err != nil {
+		return nil, err
+	}
+	defer func() { _ = r.fleet.ports.guard.Close() }()
 	r.record = newRecord(r.fleet, r.rules, r.Out)
 	r.fleet.sight = r.record.see
 	defer r.fleet.stop()
@@ -121,6 +125,7 @@
 		served++
 		if last.left.IsZero() && (last.status != http.StatusOK || !last.whole) {
 			served = 0
+			time.Sleep(thinkTime)
 		}
 	}
 }
@@ -177,6 +182,10 @@
 		_, _ = fmt.Fprintf(r.Out, "%6d %s\n", c.outcomes[name], name)
 	}
 	for i, v := range c.broken {
+		if i == namedBroken {
+			_, _ = fmt.Fprintf(r.Out, "and %d more\n", len(c.broken)-i)
+			break
+		}
 		_, _ = fmt.Fprintf(r.Out, "BROKEN %s %s: %s\n", v.Promise, v.Request, v.What)
 		if v.Request == "" || i >= shownBroken {
 			continue
