--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -93,6 +93,9 @@
 	call, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
 	items, revision, err := f.Source.List(call, f.Prefix, f.exact)
+	if ctx.Err() != nil {
+		return ctx.Err() // the follower ends, which says nothing of the store
+	}
 	f.note(err)
 	if err != nil {
 		return err
@@ -118,6 +121,9 @@
 	call, cancel := context.WithTimeout(ctx, f.Wait+waitSlack)
 	defer cancel()
 	items, revision, err := f.Source.Watch(call, f.Prefix, f.after, f.Wait)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	if err != nil && !errors.Is(err, ErrCompacted) && f.away.IsZero() {
 		// One lost answer is no reason to list: the same wait is asked for again.
 		f.note(err)
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -277,3 +277,21 @@
 		})
 	}
 }
+
+// TestEndIsNoLoss: a follower that is told to end while it waits does not say that the store is lost.
+func TestEndIsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &store{}
+		s.put("a", "1")
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		lost := false
+		f := follow.Follower{Source: s, Log: zap.NewNop(), Changed: func(follow.Item) {}, Reached: func(ok bool) { lost = lost || !ok }}
+		group.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(time.Second)
+		cancel()
+		group.Wait()
+		is.True(!lost)
+	})
+}
