--- a/internal/measure/soak/record.go
+++ b/internal/measure/soak/record.go
@@ -85,12 +85,6 @@
 	case a.status/100 == 4 && !r.mayDeny(a):
 		r.fail("denied", a.id, fmt.Sprintf("status %d", a.status))
 	}
-	if a.status == 0 && !a.mayClose() {
-		r.fail("answer", a.id, fmt.Sprintf("no answer from %s: %v", a.at.name, a.err))
-	}
-	if a.brokenOff() && a.at.leaving(a.ended) && !a.mayClose() {
-		r.fail("answer", a.id, fmt.Sprintf("broken off by %s, which was asked to end", a.at.name))
-	}
 	if took := a.ended.Sub(a.sent); took > a.limit()+lateBound+slack && !a.at.disturbed(a.sent, a.ended, slack) {
 		r.fail("late", a.id, fmt.Sprintf("answered by %s after %v", a.at.name, took.Round(time.Millisecond)))
 	}
@@ -159,7 +153,8 @@
 	return slices.ContainsFunc(p.spans, func(s span) bool { return !s.asked.IsZero() && at.Sub(s.from).Abs() < crossing })
 }
 
-// settle checks what only the whole run shows: callers' and replicas' sights together.
+// settle checks what only the whole run shows: callers' and replicas' sights together, and with them when routers ended,
+// which is known a little later than their callers see it.
 func (r *record) settle() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,6 +167,12 @@
 			}
 			r.settleLeft(a, s)
 		}
+		if a.status == 0 && !a.mayClose() {
+			r.broken = append(r.broken, Violation{"answer", id, fmt.Sprintf("no answer from %s: %v", a.at.name, a.err)})
+		}
+		if a.brokenOff() && a.at.leaving(a.ended) && !a.mayClose() {
+			r.broken = append(r.broken, Violation{"answer", id, fmt.Sprintf("broken off by %s, which was asked to end", a.at.name)})
+		}
 		promised := a.status == http.StatusServiceUnavailable && !a.sealed
 		if a.unsafe() && runs > 1 {
 			r.broken = append(r.broken, Violation{"once", id, fmt.Sprintf("an unsafe call ran %d times", runs)})
