--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -190,7 +190,6 @@
 link = 1000.0
 grace = %d
 seeds = "%s"
-contact = 3000
 hint = 1
 [platform.retry]
 share = 0.8
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -64,7 +64,6 @@
 	}
 	p.positive("platform.memory", f.Memory)
 	p.positive("platform.grace", f.Grace)
-	p.positive("platform.contact", f.Contact)
 	p.positive("platform.hint", f.Hint)
 	p.positive("platform.retry.window", f.Retry.Window)
 	if f.Retry.Share < 0 || f.Retry.Spare < 0 {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -31,7 +31,6 @@
 	Link      float64  `toml:"link"`      // Mbit/s of this VM\'s network
 	Grace     int      `toml:"grace"`     // ms from SIGTERM to SIGKILL
 	Seeds     string   `toml:"seeds"`     // fleet addresses of some routers, with commas between them; they may be gone
-	Contact   int      `toml:"contact"`   // ms after which a disruption of the store is over
 	Hint      int      `toml:"hint"`      // s that a caller keeps the directory's answer, at most
 	Retry     Retry    `toml:"retry"`     // budget of the whole fleet
 	Exposure  Exposure `toml:"exposure"`  // of a new version before it is known to be good
--- a/internal/operator/settings/template_test.go
+++ b/internal/operator/settings/template_test.go
@@ -14,7 +14,7 @@
 	"nodeName": "front-a-1", "zone": "a", "region": "r", "ip": "10.1.0.19",
 	"listen.front": "10.1.0.19:8740", "listen.ready": "10.1.0.19:8749", "listen.control": "10.1.0.19:8748", "listen.directory": "10.1.0.19:8746",
 	"seeds": "10.1.0.19:8748,10.2.0.13:8748", "platform.address": "10.200.1.7:8742", "limits.memoryMb": "284", "limits.linkMbps": "1000.0",
-	"bounds.graceS": "8", "bounds.contactMs": "3000", "bounds.retryBudgetRatio": "0.8", "bounds.retryBudgetSlack": "150",
+	"bounds.graceS": "8", "bounds.retryBudgetRatio": "0.8", "bounds.retryBudgetSlack": "150",
 	"bounds.budgetWindowS": "10", "bounds.exposureShare": "0.1", "bounds.exposureSlack": "50",
 }
 
@@ -50,7 +50,7 @@
 		"bad seed":      {map[string]string{"seeds": "10.1.0.19:8748,x"}, "platform.seeds"},
 		"no memory":     {map[string]string{"limits.memoryMb": "0"}, "platform.memory"},
 		"no name":       {map[string]string{"nodeName": ""}, "vm: want a name"},
-		"not a number":  {map[string]string{"bounds.contactMs": "soon"}, ""},
+		"not a number":  {map[string]string{"bounds.budgetWindowS": "soon"}, ""},
 		"whole numbers": {map[string]string{"limits.linkMbps": "10", "bounds.retryBudgetRatio": "1"}, ""},
 	}
 	for name, c := range tests {
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -25,8 +25,6 @@
 	leaseTime  = 2500 * time.Millisecond // a VM that lost power is in the list for no longer
 	renewEvery = 900 * time.Millisecond  // two renewals may be lost
 	callLimit  = 600 * time.Millisecond
-	// Grace is how long an entry that lapsed while the store was away may take to come back.
-	Grace = 2 * time.Second
 )
 
 // Member is one router that takes callers.
