endpoint: one whose entry is missing is the last choice

An entry that goes within two seconds of the store's return, or that a router which was cut off misses in its first list, may have lapsed or may stand for an endpoint that has left, which must not get work. It was used like any other until it was known; now only if nothing else takes the call. Endpoints known by their own word are no such case and have a mark of their own (Sight), as missing ones would be the last choice too. TestChoose, rows missing, all missing, sighted; TestSighted.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -38,7 +38,7 @@
 		switch {
 		case now.Before(e.closed):
 			return 4, e.closed.Sub(now).Seconds()
-		case slices.Contains(n.Avoid, e.ID):
+		case slices.Contains(n.Avoid, e.ID), !e.missing.IsZero(): // one that is missing may have left
 			return 3, weight
 		case !e.fits(s, n):
 			return 2, weight
@@ -57,7 +57,7 @@
 	return t.best(s, n, func(e *Endpoint, far float64) (rank int, weight float64) {
 		weight = float64(e.Held)/float64(max(1, s.Engine.Room)) + farWeight*far
 		switch {
-		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closed):
+		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closed) || !e.missing.IsZero():
 			return 4, weight
 		case e.Domain == run.Domain:
 			return 2, weight
--- a/internal/core/endpoint/endpoint_test.go
+++ b/internal/core/endpoint/endpoint_test.go
@@ -45,10 +45,19 @@
 		need    endpoint.Need
 		want    []jaywind.EndpointID // any of these; none when empty
 	}{
-		"all alike":     {func(*endpoint.Table) {}, need(6000), []jaywind.EndpointID{"e1", "e2", "e3"}},
-		"least work":    {func(t *endpoint.Table) { t.Start(t.Get("e1"), need(6000)); t.Start(t.Get("e3"), need(6000)) }, need(6000), []jaywind.EndpointID{"e2"}},
-		"avoided":       {func(*endpoint.Table) {}, need(6000, "e1", "e2"), []jaywind.EndpointID{"e3"}},
-		"all avoided":   {func(*endpoint.Table) {}, need(6000, "e1", "e2", "e3"), []jaywind.EndpointID{"e1", "e2", "e3"}},
+		"all alike":   {func(*endpoint.Table) {}, need(6000), []jaywind.EndpointID{"e1", "e2", "e3"}},
+		"least work":  {func(t *endpoint.Table) { t.Start(t.Get("e1"), need(6000)); t.Start(t.Get("e3"), need(6000)) }, need(6000), []jaywind.EndpointID{"e2"}},
+		"avoided":     {func(*endpoint.Table) {}, need(6000, "e1", "e2"), []jaywind.EndpointID{"e3"}},
+		"all avoided": {func(*endpoint.Table) {}, need(6000, "e1", "e2", "e3"), []jaywind.EndpointID{"e1", "e2", "e3"}},
+		"missing":     {func(t *endpoint.Table) { t.Miss("e1", start); t.Miss("e3", start) }, need(6000), []jaywind.EndpointID{"e2"}},
+		"all missing": {func(t *endpoint.Table) { t.Miss("e1", start); t.Miss("e2", start); t.Miss("e3", start) }, need(6000), []jaywind.EndpointID{"e1", "e2", "e3"}},
+		"sighted": {func(t *endpoint.Table) {
+			leave(t, 1)
+			leave(t, 2)
+			leave(t, 3)
+			e := entry(9, "a")
+			t.Sight(e)
+		}, need(6000), []jaywind.EndpointID{"e9"}},
 		"leaving":       {func(t *endpoint.Table) { leave(t, 1); leave(t, 3) }, need(6000), []jaywind.EndpointID{"e2"}},
 		"all leaving":   {func(t *endpoint.Table) { leave(t, 1); leave(t, 2); leave(t, 3) }, need(6000), nil},
 		"other model":   {func(*endpoint.Table) {}, endpoint.Need{Model: "x"}, nil},
@@ -183,3 +192,14 @@
 		is.Equal(tab.Get(jaywind.EndpointID(fmt.Sprintf("e%d", n))).Calls, 3)
 	}
 }
+
+// TestSighted: an endpoint known by its own word lapses unless the registry has it.
+func TestSighted(t *testing.T) {
+	is := is.New(t)
+	tab := table()
+	tab.Sight(entry(8, "a"))
+	tab.Sight(entry(9, "b"))
+	tab.Set(entry(9, "b"))
+	is.Equal(tab.Expire(start), []jaywind.EndpointID{"e8"})
+	is.Equal(tab.Count(), 4)
+}
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -32,6 +32,7 @@
 	Reading int // tokens of own prompts before their first event
 
 	missing  time.Time // when the entry was missed; zero while it is there
+	sighted  bool      // it is known by its own word only, as the registry is away
 	failures int       // in a row
 	closed   time.Time // takes new work again from then on
 	spot     uint64    // on the ring of endpoints
@@ -64,9 +65,9 @@
 	}
 	old := t.rows[e.ID]
 	if old != nil && old.Born == e.Born && old.Address == e.Address && old.Service == e.Service && old.Domain == e.Domain {
-		changed := old.Leaving != e.Leaving || old.Version != e.Version || !old.missing.IsZero()
+		changed := old.Leaving != e.Leaving || old.Version != e.Version || !old.missing.IsZero() || old.sighted
 		old.Leaving, old.Version, old.Slots, old.Models = e.Leaving, e.Version, e.Slots, e.Models
-		old.missing = time.Time{}
+		old.missing, old.sighted = time.Time{}, false
 		return changed
 	}
 	if old != nil {
@@ -167,11 +168,18 @@
 	}
 }
 
-// Expire removes the endpoints that were missed before a time and returns their ids.
+// Sight adds an endpoint that is known by its own word only; it lapses with those that are missed.
+func (t *Table) Sight(e Entry) {
+	if t.Set(e) {
+		t.rows[e.ID].sighted = true
+	}
+}
+
+// Expire removes the endpoints that were missed before a time, and those only sighted, and returns their ids.
 func (t *Table) Expire(before time.Time) []jaywind.EndpointID {
 	var gone []jaywind.EndpointID
 	for id, e := range t.rows {
-		if !e.missing.IsZero() && e.missing.Before(before) {
+		if !e.missing.IsZero() && e.missing.Before(before) || e.sighted {
 			gone = append(gone, id)
 		}
 	}
--- a/internal/relay/router/identify.go
+++ b/internal/relay/router/identify.go
@@ -53,8 +53,7 @@
 	if old == nil || old.ID == e.ID || old.Service != e.Service || old.Born >= e.Born {
 		return false
 	}
-	r.table.Set(e)
-	r.table.Miss(e.ID, time.Now())
+	r.table.Sight(e)
 	r.meter.identified.Inc(1)
 	r.Log.Info("endpoint: identified", zap.String("endpoint", string(e.ID)), zap.String("instead_of", string(old.ID)),
 		zap.String("at", string(e.Address)), zap.Int64("born", e.Born))
