router: a caller that leaves does not put its engine under suspicion

Its log, kept since, shows why: the survey asked one engine of two, as the other one was closed to new work after its caller had left. follow looked at the context that it derived for copying; when the caller's context ends, the connection may be closed before a derived context has ended, and the broken connection was taken for a failure of the engine. The caller's own context is looked at now.

--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -178,9 +178,9 @@
 	f.sends++
 	f.plan.Began()
 	n.events = events
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // copying ends with the run
-	return r.follow(ctx, f, n, limit, stopReading)
+	copying, cancel := context.WithCancel(ctx)
+	defer cancel() // with the run
+	return r.follow(ctx, copying, f, n, limit, stopReading)
 }
 
 // unopened notes why no stream was opened.
@@ -218,8 +218,9 @@
 	return 0, nil
 }
 
-// follow passes the events of an attempt on.
-func (r *Router) follow(ctx context.Context, f *flow, n run, limit time.Duration, first func()) (series.Loss, error) {
+// follow passes the events of an attempt on. Whether the caller is gone is told by ctx itself: when it ends, the connection
+// may be closed before a context that derives from it, such as copying, has ended.
+func (r *Router) follow(ctx, copying context.Context, f *flow, n run, limit time.Duration, first func()) (series.Loss, error) {
 	for {
 		e, err := n.events.Next(limit)
 		switch {
@@ -256,7 +257,7 @@
 			return series.LossBroken, fmt.Errorf("%w: %w", errCallerGone, err)
 		}
 		r.pace(f, n)
-		r.keepGuard(ctx, f, n)
+		r.keepGuard(copying, f, n)
 		limit = series.Silence(f.gap, f.route.Pause)
 	}
 }
