--- a/cmd/jaywind/main.go
+++ b/cmd/jaywind/main.go
@@ -40,6 +40,8 @@
 	"rules":   {"prints the rules in force with their version", "jaywind rules -settings vm1.toml", printRules},
 	"status":  {"prints routers, moves and what is leaving", "jaywind status -settings vm1.toml", status},
 	"explain": {"tells from logs how a request ended and why", "jaywind explain -id 9c41d07be2a35f68 vm1.log vm2.log", explain},
+	"record":  {"writes snapshots of routers' metrics", "jaywind record -for 1m vm1=http://127.0.0.1:9464/metrics > day.jsonl", record},
+	"plot":    {"draws recorded metrics over time", "jaywind plot -out day.svg day.jsonl", drawHistory},
 	"route":   {"runs a router", "jaywind route -settings vm1.toml", route},
 	"version": {"prints the version", "jaywind version", version},
 }
--- a/cmd/jaywind/main_test.go
+++ b/cmd/jaywind/main_test.go
@@ -43,6 +43,13 @@
 		"missing settings file": {[]string{"route", "-settings", missing}, exitFault, "no such file"},
 		"no settings":           {[]string{"route"}, exitFault, "want -settings FILE"},
 		"nothing to ask":        {[]string{"ask", "-model", "heat"}, exitUsage, "want -entry, -model and a prompt"},
+		"nothing to record":     {[]string{"record"}, exitUsage, "want one or more NAME=URL"},
+		"no URL to record":      {[]string{"record", "vm1"}, exitUsage, `"vm1": want NAME=URL`},
+		"recorded twice":        {[]string{"record", "a=http://h/m", "a=http://h/n"}, exitUsage, `"a" is named twice`},
+		"never recorded":        {[]string{"record", "-every", "0s", "a=http://h/m"}, exitUsage, "want -every above zero"},
+		"nothing to draw":       {[]string{"plot", "-out", "day.svg"}, exitUsage, "want -out FILE and one file"},
+		"missing history":       {[]string{"plot", "-out", "day.svg", missing}, exitFault, "no such file"},
+		"empty history":         {[]string{"plot", "-out", "day.svg", "-"}, exitFault, "no snapshots to draw"},
 		"bad number":            {[]string{"ask", "-tokens", "many"}, exitUsage, "invalid value"},
 	}
 	for name, c := range tests {
--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -31,6 +31,7 @@
 	process
 	caller, ready, directory string // addresses
 	peers                    string // address for other routers
+	metrics                  string // URL
 	store                    *gate  // its way to the store
 }
 
@@ -223,6 +224,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
+	r.metrics = "http://" + operator + "/metrics"
 	r.name, r.bin, r.args, r.log = fmt.Sprintf("vm%d", i), f.program("jaywind"), []string{"route", "-settings", settings}, f.file(fmt.Sprintf("vm%d", i))
 	f.routers = append(f.routers, r)
 	return r.start()
--- a/internal/measure/soak/run.go
+++ b/internal/measure/soak/run.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"jaywind/internal/operator/history"
 )
 
 const (
@@ -83,6 +85,7 @@
 		callers.Go(func() { c.run(asking) })
 	}
 	callers.Go(func() { r.watch(asking) })
+	callers.Go(func() { r.keepMetrics(asking) })
 	n := &nemesis{fleet: r.fleet, rules: r.rules, record: r.record}
 	n.run(ctx, r.Plan)
 	r.record.note("all is mended")
@@ -91,6 +94,23 @@
 	callers.Wait()
 }
 
+// keepMetrics writes what the routers count, to be drawn with jaywind plot.
+func (r *Run) keepMetrics(ctx context.Context) {
+	file, err := os.Create(filepath.Join(r.Keep, "metrics.jsonl"))
+	if err != nil {
+		r.record.note(err.Error())
+		return
+	}
+	defer func() { _ = file.Close() }()
+	vms := map[string]string{}
+	for _, at := range r.fleet.routers {
+		vms[at.name] = at.metrics
+	}
+	if err := (&history.Recorder{VMs: vms, Out: file}).Run(ctx); err != nil {
+		r.record.note(err.Error())
+	}
+}
+
 // recover checks that each router serves each kind of request once all is mended.
 func (r *Run) recover(ctx context.Context) {
 	end := time.Now().Add(recoverTime)
