follow: a list that takes long is not cut off and asked for again for ever

One cause: a fresh VM's first list was cut off after 600 ms, and any list after 1.5 s, always with the same limit; a list that takes longer, because it is long or all start at once, never ended (TestLongList: nothing known after a minute). Now seeds are asked beside the list rather than instead of it, and each list that took too long doubles the limit, up to 24 s.

What is left is that all list from the store at once.

--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -35,7 +35,8 @@
 	waitSlack   = 500 * time.Millisecond  // for the answer to come
 	gatherTime  = 300 * time.Millisecond  // after a change of the store, for others that come with it
 	peerGather  = 50 * time.Millisecond   // the same after a change that came by way of another router
-	listLimit   = 1500 * time.Millisecond
+	listLimit   = 1500 * time.Millisecond // for a list; twice as long after each that took longer
+	listLonger  = 4                       // times that it is doubled
 	retryFirst  = 100 * time.Millisecond
 	retryLast   = 800 * time.Millisecond
 )
@@ -54,6 +55,7 @@
 	known map[string]int64 // revision of each key's item
 	after int64
 	exact bool      // the next list has to be
+	slow  int       // lists lately that took too long
 	away  time.Time // since the store does not answer; zero while it does
 }
 
@@ -90,7 +92,7 @@
 
 // list reads everything and reports what is new, changed or no longer there.
 func (f *Follower) list(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, listLimit)
+	call, cancel := context.WithTimeout(ctx, listLimit<<f.slow)
 	defer cancel()
 	items, revision, err := f.Source.List(call, f.Prefix, f.exact)
 	if ctx.Err() != nil {
@@ -98,8 +100,12 @@
 	}
 	f.note(err)
 	if err != nil {
+		if call.Err() != nil { // asked for again as short, a list that is long or comes slowly would never end
+			f.slow = min(f.slow+1, listLonger)
+		}
 		return err
 	}
+	f.slow = max(f.slow-1, 0)
 	f.exact = true // of what is known already, an old list would undo changes
 	there := make(map[string]bool, len(items))
 	for _, i := range items {
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -295,3 +295,59 @@
 		is.True(!lost)
 	})
 }
+
+// slow is a store whose lists take their time, as when many routers ask at once or the list is long.
+type slow struct {
+	*store
+	takes time.Duration
+}
+
+func (s *slow) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+	select {
+	case <-time.After(s.takes):
+		return s.store.List(ctx, prefix, exact)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// TestLongList fails when a list that takes longer than usual is cut off and asked for again for ever, by a router that
+// has just started and by one that has to list again.
+func TestLongList(t *testing.T) {
+	tests := map[string]struct {
+		takes, within time.Duration
+	}{
+		"a bit longer than seeds are waited for": {takes: 800 * time.Millisecond, within: time.Second},
+		"longer than usual":                      {takes: 2 * time.Second, within: 6 * time.Second},
+		"much longer":                            {takes: 10 * time.Second, within: 40 * time.Second},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				truth := &store{}
+				truth.put("a", "1")
+				seed := &store{away: true}
+				path := &follow.Path{
+					Direct: &slow{truth, c.takes},
+					Peers:  func() ([]follow.Peer, bool) { return nil, false },
+					Seeds:  func() []follow.Peer { return []follow.Peer{{Name: "seed", Source: seed}} },
+				}
+				known := make(chan follow.Item, 4)
+				f := follow.Follower{Source: path, Log: zap.NewNop(), Changed: func(i follow.Item) { known <- i }, Direct: path.IsDirect}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				group.Go(func() { _ = f.Run(ctx) })
+				begun := time.Now()
+				select {
+				case <-known:
+				case <-time.After(time.Minute):
+					t.Error("nothing is known after a minute")
+				}
+				is.True(time.Since(begun) <= c.within)
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
--- a/internal/provider/follow/path.go
+++ b/internal/provider/follow/path.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -12,7 +14,7 @@
 	peerWait    = 800 * time.Millisecond  // of one that follows another, which may be cut off without notice
 	peerSlack   = 300 * time.Millisecond  // for a peer's answer to come
 	peerList    = time.Second             // for a peer's whole list
-	freshList   = 600 * time.Millisecond  // for a first list before seeds are asked; it takes some ms as a rule
+	freshList   = 600 * time.Millisecond  // for a first list before seeds are asked beside it; it takes some ms as a rule
 	seedList    = 250 * time.Millisecond  // for a seed's list
 	peerPause   = 2 * time.Second         // in which a peer that failed is not asked
 	directPause = 2500 * time.Millisecond // between two calls of the store while both peers and store fail
@@ -47,22 +49,46 @@
 	if exact || p.Seeds == nil {
 		return p.list(ctx, prefix, exact)
 	}
-	first, cancel := context.WithTimeout(ctx, freshList)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	items, revision, err := p.list(first, prefix, exact)
-	if err == nil {
-		return items, revision, nil
+	var group conc.WaitGroup
+	defer group.Wait()
+	own := make(chan listed, 1)
+	group.Go(func() {
+		items, revision, err := p.list(ctx, prefix, exact)
+		own <- listed{items, revision, err}
+	})
+	timer := time.NewTimer(freshList)
+	defer timer.Stop()
+	var l listed
+	select {
+	case l = <-own:
+		if l.err == nil {
+			return l.items, l.revision, nil
+		}
+		own <- l // for when no seed answers
+	case <-timer.C: // the list goes on beside the seeds: when many routers start at once, it takes its time
 	}
 	for _, seed := range p.Seeds() {
-		limited, cancel := context.WithTimeout(ctx, seedList)
-		items, revision, seedErr := seed.Source.List(limited, prefix, false)
-		cancel()
-		if seedErr == nil {
+		limited, cancelSeed := context.WithTimeout(ctx, seedList)
+		items, revision, err := seed.Source.List(limited, prefix, false)
+		cancelSeed()
+		if err == nil {
+			cancel()
+			group.Wait()
 			p.note(seed.Name, false)
 			return items, revision, nil
 		}
 	}
-	return nil, 0, err
+	l = <-own
+	return l.items, l.revision, l.err
+}
+
+// listed is the outcome of a list.
+type listed struct {
+	items    []Item
+	revision int64
+	err      error
 }
 
 func (p *Path) list(ctx context.Context, prefix string, exact bool) (items []Item, revision int64, err error) {
