follow, feed: of many VMs that start at once few ask the store

On the wire a list is about 1 MB, a VM's link 10 Mbit/s.

A fresh VM now lists the members first (one page), then asks the routers that it is to follow, and some others drawn at random, until one has the list; the store only when none is there or 2.5 s are over. A router sends two lists at a time and refuses more, so that whoever has the list hands it on; lists of more than 16 KB are compressed. Refusals that say 'later' and 'stale' are told apart from routers that are gone, which are not waited for.

Ruled out: the restart itself (77 VMs, all killed at 6 s: first answers 0.2 s after the start in the median, before and after; config read at 0.10 s), leases (keys are written again at once).

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -1,9 +1,11 @@
 package feed
 
 import (
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +23,9 @@
 	watchPath = prefix + "watch"
 	maxWait   = 5 * time.Second
 	peerLimit = 256 // addresses whose clients are kept
+
+	listsMost     = 2        // that are sent at the same time; more would share the link, and all be late
+	compressBytes = 16 << 10 // of a list, from which it is compressed: entries are much alike
 )
 
 // ask is a question for items; After and Wait are for changes only, and Old says that a list may be.
@@ -47,9 +52,9 @@
 // Handler returns the handler for routers that follow this one, and the path below which it is mounted.
 func Handler(s follow.Source) (path string, h http.Handler) {
 	m := http.NewServeMux()
-	m.Handle(listPath, connect.NewUnaryHandler(listPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
+	m.Handle(listPath, limited(connect.NewUnaryHandler(listPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
 		return answer(s.List(ctx, q.Msg.Prefix, !q.Msg.Old))
-	}, cbor.HandlerOptions()...))
+	}, append(cbor.HandlerOptions(), connect.WithCompressMinBytes(compressBytes), connect.WithCompression("gzip", newReader, newWriter))...)))
 	m.Handle(watchPath, connect.NewUnaryHandler(watchPath, func(ctx context.Context, q *connect.Request[ask]) (*connect.Response[told], error) {
 		wait := min(time.Duration(q.Msg.Wait)*time.Millisecond, maxWait)
 		return answer(s.Watch(ctx, q.Msg.Prefix, q.Msg.After, wait))
@@ -57,10 +62,35 @@
 	return prefix, m
 }
 
+// limited refuses lists beyond those that are being sent: whoever asks has others to ask.
+func limited(h http.Handler) http.Handler {
+	places := make(chan struct{}, listsMost)
+	refuse := connect.NewErrorWriter(cbor.HandlerOptions()...)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case places <- struct{}{}:
+			defer func() { <-places }()
+			h.ServeHTTP(w, r)
+		default:
+			_ = refuse.Write(w, r, connect.NewError(connect.CodeResourceExhausted, follow.ErrLater)) // or the asker sees it broken off
+		}
+	})
+}
+
+func newReader() connect.Decompressor { return &gzip.Reader{} }
+
+// newWriter returns a fast compressor: a VM has a fraction of a core.
+func newWriter() connect.Compressor {
+	w, _ := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed) // the level is one that it knows
+	return w
+}
+
 func answer(items []follow.Item, revision int64, err error) (*connect.Response[told], error) {
 	switch {
 	case errors.Is(err, follow.ErrCompacted):
 		return nil, connect.NewError(connect.CodeOutOfRange, err)
+	case errors.Is(err, follow.ErrStale):
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -114,8 +144,13 @@
 
 func call(ctx context.Context, c *connect.Client[ask, told], q ask) ([]follow.Item, int64, error) {
 	a, err := c.CallUnary(ctx, connect.NewRequest(&q))
-	if connect.CodeOf(err) == connect.CodeOutOfRange {
+	switch connect.CodeOf(err) {
+	case connect.CodeOutOfRange:
 		return nil, 0, follow.ErrCompacted
+	case connect.CodeFailedPrecondition:
+		return nil, 0, follow.ErrStale
+	case connect.CodeResourceExhausted:
+		return nil, 0, follow.ErrLater
 	}
 	if err != nil {
 		return nil, 0, fmt.Errorf("feed: %w", err)
--- a/internal/operator/history/plot.go
+++ b/internal/operator/history/plot.go
@@ -20,6 +20,7 @@
 const (
 	plotWidth  = 24 * vg.Centimeter
 	panelHigh  = 6 * vg.Centimeter
+	headroom   = 1.3 // for the legend
 	firstEvent = "jaywind_streams_first_ms"
 )
 
@@ -104,6 +105,7 @@
 		p.Add(curve)
 		p.Legend.Add(l.name, curve)
 	}
+	p.Y.Max *= headroom
 	return p, nil
 }
 
--- a/internal/provider/follow/board.go
+++ b/internal/provider/follow/board.go
@@ -11,6 +11,9 @@
 // ErrStale is returned by a Board whose router has not heard from the store lately.
 var ErrStale = errors.New("not in touch with the store")
 
+// ErrLater is returned by the Source of another router that has too many lists to send.
+var ErrLater = errors.New("other lists are being sent")
+
 const (
 	boardEvents = 4096                    // kept for routers that are behind
 	boardFresh  = 1700 * time.Millisecond // since the store answered; a reader waits for it no longer than directWait and its slack
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -45,6 +45,7 @@
 type Follower struct {
 	Source  Source
 	Prefix  string
+	First   string        // prefix of the items by which the Source knows whom to ask; listed before all else unless empty
 	Wait    time.Duration // longest wait for a change; 2.4 s when zero
 	Log     *zap.Logger
 	Changed func(Item)    // is called with each change, in the order of revisions for a key
@@ -90,9 +91,30 @@
 	}
 }
 
+// prepare lists what the Source needs before the first whole list.
+func (f *Follower) prepare(ctx context.Context) {
+	if f.First == "" || f.exact {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	items, _, err := f.Source.List(call, f.First, false)
+	if err != nil {
+		return // the whole list shows whether the store is away
+	}
+	for _, i := range items {
+		f.take(i)
+	}
+}
+
 // list reads everything and reports what is new, changed or no longer there.
 func (f *Follower) list(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, listLimit<<f.slow)
+	f.prepare(ctx)
+	limit := listLimit << f.slow
+	if !f.exact {
+		limit += peerPatience
+	}
+	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	items, revision, err := f.Source.List(call, f.Prefix, f.exact)
 	if ctx.Err() != nil {
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -351,3 +354,98 @@
 		})
 	}
 }
+
+// TestStartOfMany starts a router of a large fleet whose readers start at the same time: it fails when the router asks the
+// store for the whole list, though a reader has it a moment later, or when it waits for readers that are gone.
+func TestStartOfMany(t *testing.T) {
+	tests := map[string]struct {
+		refuses      error
+		readerStarts time.Duration // after the router; 0 for never
+		within       time.Duration
+		whole        int // lists of everything that the store is asked for
+	}{
+		"readers start a bit later":       {refuses: errAway, readerStarts: 300 * time.Millisecond, within: 600 * time.Millisecond},
+		"readers have their lists later":  {refuses: follow.ErrStale, readerStarts: 1500 * time.Millisecond, within: 2 * time.Second},
+		"readers have many lists to send": {refuses: follow.ErrLater, readerStarts: 1500 * time.Millisecond, within: 2 * time.Second},
+		"readers are gone":                {refuses: errAway, within: time.Second, whole: 1},
+		"readers never have their lists":  {refuses: follow.ErrStale, within: 3 * time.Second, whole: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				truth := &store{}
+				truth.put("members/vm2", "at")
+				truth.put("endpoints/e1", "1")
+				direct := &counted{Source: truth}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				peer := &late{refuses: c.refuses}
+				if c.readerStarts > 0 {
+					group.Go(func() {
+						time.Sleep(c.readerStarts)
+						peer.reader.Store(newReader(ctx, &group, truth))
+					})
+				}
+				told := make(chan string, 4)
+				member := false
+				path := &follow.Path{
+					Direct: direct,
+					Peers: func() ([]follow.Peer, bool) {
+						if !member {
+							return nil, false
+						}
+						return []follow.Peer{{Name: "vm2", Source: peer}}, false
+					},
+					Seeds: func() []follow.Peer { return nil },
+				}
+				f := follow.Follower{Source: path, First: "members/", Log: zap.NewNop(), Direct: path.IsDirect, Changed: func(i follow.Item) {
+					member = member || i.Key == "members/vm2"
+					told <- i.Key
+				}}
+				begun := time.Now()
+				group.Go(func() { _ = f.Run(ctx) })
+				is.Equal(<-told, "members/vm2")
+				is.Equal(<-told, "endpoints/e1")
+				is.True(time.Since(begun) <= c.within)
+				is.Equal(int(direct.whole.Load()), c.whole)
+				cancel()
+				group.Wait()
+			})
+		})
+	}
+}
+
+// counted is a source that lists by prefix and counts the whole lists.
+type counted struct {
+	follow.Source
+	whole atomic.Int64
+}
+
+func (c *counted) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+	if prefix == "" {
+		c.whole.Add(1)
+	}
+	items, revision, err := c.Source.List(ctx, prefix, exact)
+	return slices.DeleteFunc(items, func(i follow.Item) bool { return !strings.HasPrefix(i.Key, prefix) }), revision, err
+}
+
+// late is a router that refuses until it has started.
+type late struct {
+	refuses error // until it has started
+	reader  atomic.Pointer[reader]
+}
+
+func (l *late) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+	if r := l.reader.Load(); r != nil {
+		return r.List(ctx, prefix, exact)
+	}
+	return nil, 0, l.refuses
+}
+
+func (l *late) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
+	if r := l.reader.Load(); r != nil {
+		return r.Watch(ctx, prefix, after, wait)
+	}
+	return nil, 0, errAway
+}
--- a/internal/provider/follow/path.go
+++ b/internal/provider/follow/path.go
@@ -4,20 +4,24 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
 )
 
 const (
-	directWait  = time.Second             // of a router that others follow
-	peerWait    = 800 * time.Millisecond  // of one that follows another, which may be cut off without notice
-	peerSlack   = 300 * time.Millisecond  // for a peer's answer to come
-	peerList    = time.Second             // for a peer's whole list
-	freshList   = 600 * time.Millisecond  // for a first list before seeds are asked beside it; it takes some ms as a rule
-	seedList    = 250 * time.Millisecond  // for a seed's list
-	peerPause   = 2 * time.Second         // in which a peer that failed is not asked
-	directPause = 2500 * time.Millisecond // between two calls of the store while both peers and store fail
+	directWait   = time.Second             // of a router that others follow
+	peerWait     = 800 * time.Millisecond  // of one that follows another, which may be cut off without notice
+	peerSlack    = 300 * time.Millisecond  // for a peer's answer to come
+	peerList     = time.Second             // for a peer's whole list
+	freshList    = 600 * time.Millisecond  // for a first list before seeds are asked beside it; it takes some ms as a rule
+	seedList     = 250 * time.Millisecond  // for a seed's list
+	peerPatience = 2500 * time.Millisecond // for a first list of the routers to follow, before the store is asked
+	peerStart    = 700 * time.Millisecond  // for one of them to answer at all
+	peerAgain    = 50 * time.Millisecond   // between two rounds of asking them, at least
+	peerPause    = 2 * time.Second         // in which a peer that failed is not asked
+	directPause  = 2500 * time.Millisecond // between two calls of the store while both peers and store fail
 )
 
 // Peer is another router that may be followed.
@@ -31,9 +35,11 @@
 type Path struct {
 	Direct Source
 	Peers  func() (peers []Peer, reader bool) // in the order of preference; reader tells whether others follow this router
+	Others func() []Peer                      // some drawn at random, asked for a first list when Peers are busy; may be nil
 	Seeds  func() []Peer                      // asked for an old list when nothing else answers; may be nil
 	Used   func(peer string)                  // is told when the source changes; empty for the store; may be nil
 
+	began  time.Time            // of the first list by way of peers; zero before
 	failed map[string]time.Time // when a peer last failed
 	tried  time.Time            // when the store last failed
 	last   string               // the peer that answered last; empty for the store
@@ -49,6 +55,9 @@
 	if exact || p.Seeds == nil {
 		return p.list(ctx, prefix, exact)
 	}
+	if items, revision, found := p.patient(ctx, prefix); found {
+		return items, revision, nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group conc.WaitGroup
@@ -84,6 +93,45 @@
 	return l.items, l.revision, l.err
 }
 
+// patient reads a first list from the routers to follow, which perhaps have started at the same time and list
+// themselves: if all routers of a large fleet asked the store, none would have its list soon. Each router sends a few
+// lists at a time only, so that others that have theirs hand it on.
+func (p *Path) patient(ctx context.Context, prefix string) (items []Item, revision int64, found bool) {
+	if p.began.IsZero() {
+		p.began = time.Now()
+	}
+	for time.Since(p.began) < peerPatience && ctx.Err() == nil {
+		peers, _ := p.Peers()
+		if len(peers) == 0 {
+			return nil, 0, false
+		}
+		if p.Others != nil {
+			peers = append(slices.Clone(peers), p.Others()...)
+		}
+		alive := false
+		for _, peer := range peers {
+			limited, cancel := context.WithTimeout(ctx, peerList)
+			items, revision, err := peer.Source.List(limited, prefix, false)
+			cancel()
+			if err == nil {
+				p.note(peer.Name, false)
+				return items, revision, true
+			}
+			alive = alive || errors.Is(err, ErrStale) || errors.Is(err, ErrLater)
+		}
+		if !alive && time.Since(p.began) >= peerStart {
+			return nil, 0, false
+		}
+		timer := time.NewTimer(peerAgain + time.Duration(rand.Int64N(int64(peerAgain))))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+	return nil, 0, false
+}
+
 // listed is the outcome of a list.
 type listed struct {
 	items    []Item
