follow: only a large fleet's VMs wait for each other's first list

Now the next router is asked when one is slow to answer (120 ms), and only fleets of more than 120 wait for others at all: 77 VMs that list 230 keys at once are served by the store in 65 ms. A first list comes from the store itself, not from routers that perhaps stopped with this one.

TestStartOfMany has a silent reader now.

--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -360,6 +360,7 @@
 func TestStartOfMany(t *testing.T) {
 	tests := map[string]struct {
 		refuses      error
+		silent       bool          // another reader, which is asked first, does not answer
 		readerStarts time.Duration // after the router; 0 for never
 		within       time.Duration
 		whole        int // lists of everything that the store is asked for
@@ -368,6 +369,7 @@
 		"readers have their lists later":  {refuses: follow.ErrStale, readerStarts: 1500 * time.Millisecond, within: 2 * time.Second},
 		"readers have many lists to send": {refuses: follow.ErrLater, readerStarts: 1500 * time.Millisecond, within: 2 * time.Second},
 		"readers are gone":                {refuses: errAway, within: time.Second, whole: 1},
+		"the first reader is silent":      {refuses: errAway, silent: true, readerStarts: 50 * time.Millisecond, within: 400 * time.Millisecond},
 		"readers never have their lists":  {refuses: follow.ErrStale, within: 3 * time.Second, whole: 1},
 	}
 	for name, c := range tests {
@@ -395,9 +397,13 @@
 						if !member {
 							return nil, false
 						}
+						if c.silent {
+							return []follow.Peer{{Name: "vm1", Source: &late{}}, {Name: "vm2", Source: peer}}, false
+						}
 						return []follow.Peer{{Name: "vm2", Source: peer}}, false
 					},
-					Seeds: func() []follow.Peer { return nil },
+					Others: func() []follow.Peer { return []follow.Peer{{Name: "vm3", Source: &late{refuses: errAway}}} },
+					Seeds:  func() []follow.Peer { return nil },
 				}
 				f := follow.Follower{Source: path, First: "members/", Log: zap.NewNop(), Direct: path.IsDirect, Changed: func(i follow.Item) {
 					member = member || i.Key == "members/vm2"
@@ -432,7 +438,7 @@
 
 // late is a router that refuses until it has started.
 type late struct {
-	refuses error // until it has started
+	refuses error // until it has started; silent when nil
 	reader  atomic.Pointer[reader]
 }
 
@@ -440,6 +446,10 @@
 	if r := l.reader.Load(); r != nil {
 		return r.List(ctx, prefix, exact)
 	}
+	if l.refuses == nil {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	return nil, 0, l.refuses
 }
 
--- a/internal/provider/follow/path.go
+++ b/internal/provider/follow/path.go
@@ -19,6 +19,7 @@
 	seedList     = 250 * time.Millisecond  // for a seed's list
 	peerPatience = 2500 * time.Millisecond // for a first list of the routers to follow, before the store is asked
 	peerStart    = 700 * time.Millisecond  // for one of them to answer at all
+	peerSlow     = 120 * time.Millisecond  // of an answer, after which another router is asked as well
 	peerAgain    = 50 * time.Millisecond   // between two rounds of asking them, at least
 	peerPause    = 2 * time.Second         // in which a peer that failed is not asked
 	directPause  = 2500 * time.Millisecond // between two calls of the store while both peers and store fail
@@ -35,7 +36,7 @@
 type Path struct {
 	Direct Source
 	Peers  func() (peers []Peer, reader bool) // in the order of preference; reader tells whether others follow this router
-	Others func() []Peer                      // some drawn at random, asked for a first list when Peers are busy; may be nil
+	Others func() []Peer                      // some drawn at random that may hand on a first list, none in a fleet that is not large; may be nil
 	Seeds  func() []Peer                      // asked for an old list when nothing else answers; may be nil
 	Used   func(peer string)                  // is told when the source changes; empty for the store; may be nil
 
@@ -55,8 +56,10 @@
 	if exact || p.Seeds == nil {
 		return p.list(ctx, prefix, exact)
 	}
-	if items, revision, found := p.patient(ctx, prefix); found {
-		return items, revision, nil
+	if p.Others != nil {
+		if items, revision, found := p.patient(ctx, prefix); found {
+			return items, revision, nil
+		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -64,8 +67,8 @@
 	defer group.Wait()
 	own := make(chan listed, 1)
 	group.Go(func() {
-		items, revision, err := p.list(ctx, prefix, exact)
-		own <- listed{items, revision, err}
+		items, revision, err := p.Direct.List(ctx, prefix, exact) // routers to follow may have stopped with this one
+		own <- listed{items: items, revision: revision, err: err}
 	})
 	timer := time.NewTimer(freshList)
 	defer timer.Stop()
@@ -73,6 +76,7 @@
 	select {
 	case l = <-own:
 		if l.err == nil {
+			p.note("", true)
 			return l.items, l.revision, nil
 		}
 		own <- l // for when no seed answers
@@ -90,6 +94,10 @@
 		}
 	}
 	l = <-own
+	p.direct = false
+	if l.err == nil {
+		p.note("", true)
+	}
 	return l.items, l.revision, l.err
 }
 
@@ -102,22 +110,14 @@
 	}
 	for time.Since(p.began) < peerPatience && ctx.Err() == nil {
 		peers, _ := p.Peers()
-		if len(peers) == 0 {
+		others := p.Others()
+		if len(peers) == 0 || len(others) == 0 {
 			return nil, 0, false
 		}
-		if p.Others != nil {
-			peers = append(slices.Clone(peers), p.Others()...)
-		}
-		alive := false
-		for _, peer := range peers {
-			limited, cancel := context.WithTimeout(ctx, peerList)
-			items, revision, err := peer.Source.List(limited, prefix, false)
-			cancel()
-			if err == nil {
-				p.note(peer.Name, false)
-				return items, revision, true
-			}
-			alive = alive || errors.Is(err, ErrStale) || errors.Is(err, ErrLater)
+		got, alive := race(ctx, prefix, slices.Concat(peers, others))
+		if got.err == nil {
+			p.note(got.peer, false)
+			return got.items, got.revision, true
 		}
 		if !alive && time.Since(p.began) >= peerStart {
 			return nil, 0, false
@@ -132,8 +132,52 @@
 	return nil, 0, false
 }
 
+// race asks peers for an old list one after the other, the next when the one before has refused or is slow to answer,
+// and returns the first list; alive tells otherwise whether one of them may have it later.
+func race(ctx context.Context, prefix string, peers []Peer) (first listed, alive bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	answers := make(chan listed, len(peers))
+	asked, answered := 0, 0
+	ask := func() {
+		peer := peers[asked]
+		asked++
+		group.Go(func() {
+			limited, cancel := context.WithTimeout(ctx, peerList)
+			defer cancel()
+			items, revision, err := peer.Source.List(limited, prefix, false)
+			answers <- listed{peer.Name, items, revision, err}
+		})
+	}
+	next := time.NewTicker(peerSlow)
+	defer next.Stop()
+	first.err = ErrStale
+	for answered < len(peers) {
+		if asked == answered {
+			ask()
+			next.Reset(peerSlow)
+		}
+		select {
+		case a := <-answers:
+			answered++
+			if a.err == nil {
+				return a, true
+			}
+			alive = alive || errors.Is(a.err, ErrStale) || errors.Is(a.err, ErrLater)
+		case <-next.C:
+			if asked < len(peers) {
+				ask()
+			}
+		}
+	}
+	return first, alive
+}
+
 // listed is the outcome of a list.
 type listed struct {
+	peer     string
 	items    []Item
 	revision int64
 	err      error
