--- a/internal/operator/logs/logs_test.go
+++ b/internal/operator/logs/logs_test.go
@@ -73,3 +73,21 @@
 	_, err = logs.New("loud", &out)
 	is.True(err != nil)
 }
+
+// BenchmarkTenfold logs ten times the lines of a VM at its usual load, 100 requests a second of which each brings one, and
+// reports how many lines a second reach the output.
+func BenchmarkTenfold(b *testing.B) {
+	const second = 10 * 100
+	for b.Loop() {
+		var out bytes.Buffer
+		l, err := logs.New("info", &out)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for i := range second {
+			l.Logger.Info("request: answered", zap.Int("n", i), zap.String("request", "9c41d07be2a35f68"), zap.String("endpoint", "i-1547065c89"))
+		}
+		l.Close()
+		b.ReportMetric(float64(strings.Count(out.String(), "\n")), "lines/s")
+	}
+}
