follow, platform: a silent store is asked again as soon as before

Cause: a limit that doubles with each list that took too long, meant for lists that come slowly, also doubled while nothing came at all, so that a call on a dead connection lasted up to 6 s. Ruled out: first lists (the VM did not start), the roster (no member missing).

A store that is silent counts as such after the same time as before; one that is slow but answers is listened to.

--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -24,7 +24,8 @@
 // Source reads from the store.
 type Source interface {
 	// List returns all items under prefix and a revision from which to watch. Unless it is exact, the items may be
-	// some seconds old; a watch from the revision then tells what has changed since.
+	// some seconds old; a watch from the revision then tells what has changed since. It ends with an error when nothing
+	// comes for a second or two, but may take longer in all.
 	List(ctx context.Context, prefix string, exact bool) ([]Item, int64, error)
 	// Watch waits for changes after a revision, and returns none once wait is over; errors may be ErrCompacted.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
@@ -35,8 +36,8 @@
 	waitSlack   = 500 * time.Millisecond  // for the answer to come
 	gatherTime  = 300 * time.Millisecond  // after a change of the store, for others that come with it
 	peerGather  = 50 * time.Millisecond   // the same after a change that came by way of another router
-	listLimit   = 1500 * time.Millisecond // for a list; twice as long after each that took longer
-	listLonger  = 4                       // times that it is doubled
+	listLimit   = 20 * time.Second        // for a list, however slowly it comes; the Source ends one that no longer comes
+	firstLimit  = 1500 * time.Millisecond // for the items by which the Source knows whom to ask
 	retryFirst  = 100 * time.Millisecond
 	retryLast   = 800 * time.Millisecond
 )
@@ -56,7 +57,6 @@
 	known map[string]int64 // revision of each key's item
 	after int64
 	exact bool      // the next list has to be
-	slow  int       // lists lately that took too long
 	away  time.Time // since the store does not answer; zero while it does
 }
 
@@ -96,7 +96,7 @@
 	if f.First == "" || f.exact {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, listLimit)
+	call, cancel := context.WithTimeout(ctx, firstLimit)
 	defer cancel()
 	items, _, err := f.Source.List(call, f.First, false)
 	if err != nil {
@@ -110,11 +110,7 @@
 // list reads everything and reports what is new, changed or no longer there.
 func (f *Follower) list(ctx context.Context) error {
 	f.prepare(ctx)
-	limit := listLimit << f.slow
-	if !f.exact {
-		limit += peerPatience
-	}
-	call, cancel := context.WithTimeout(ctx, limit)
+	call, cancel := context.WithTimeout(ctx, listLimit)
 	defer cancel()
 	items, revision, err := f.Source.List(call, f.Prefix, f.exact)
 	if ctx.Err() != nil {
@@ -122,12 +118,8 @@
 	}
 	f.note(err)
 	if err != nil {
-		if call.Err() != nil { // asked for again as short, a list that is long or comes slowly would never end
-			f.slow = min(f.slow+1, listLonger)
-		}
 		return err
 	}
-	f.slow = max(f.slow-1, 0)
 	f.exact = true // of what is known already, an old list would undo changes
 	there := make(map[string]bool, len(items))
 	for _, i := range items {
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -299,7 +299,7 @@
 	})
 }
 
-// slow is a store whose lists take their time, as when many routers ask at once or the list is long.
+// slow is a store whose lists take their time, page by page, as when many routers ask at once or the list is long.
 type slow struct {
 	*store
 	takes time.Duration
@@ -321,8 +321,8 @@
 		takes, within time.Duration
 	}{
 		"a bit longer than seeds are waited for": {takes: 800 * time.Millisecond, within: time.Second},
-		"longer than usual":                      {takes: 2 * time.Second, within: 6 * time.Second},
-		"much longer":                            {takes: 10 * time.Second, within: 40 * time.Second},
+		"longer than usual":                      {takes: 2 * time.Second, within: 3 * time.Second},
+		"much longer":                            {takes: 10 * time.Second, within: 12 * time.Second},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
