endpoint, router, platform: replicas that leave or ask for a pause say so in their answers

Cause: the platform's replicas now say Server-Leaving in all answers and may add Retry-After to a 503. Neither was read: a leaving replica got new work until the registry said so, and one that asked for a pause got the next call.

Change: the head of each answer that is the replica's own is reported to the router before the answer is used, also those of probes, lookups and copies. A departure holds for that incarnation over older registry entries, re-listings and removals; other VMs are told after a delay in which the registry or another VM usually says it first, so that 195 VMs don't all tell each other. A pause keeps every kind of call from the incarnation: Choose, standbys, copies and, last, the client itself before it writes. If all endpoints have asked for a pause the caller is refused at once with the time of the first return.

Not read: replies to a request for another version (421 with a replica id other than the expected one), as they say nothing about the expected replica.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -32,16 +32,18 @@
 }
 
 // Choose returns the best endpoint of a service for a call, or nil if there is none. These criteria
-// apply, the most important first: not closed after a failure; neither in Avoid nor missing from
-// the registry; room for the call; outside a failed domain; low load and a short ring distance.
-// Among closed endpoints the one that opens first is best.
+// apply, the most important first: not closed after a failure; neither in Avoid, nor missing from
+// the registry, nor busy with its first call after a pause; room for the call; outside a failed
+// domain; low load and a short ring distance. Among closed endpoints the one that opens first is
+// best. One that has asked for a pause is never chosen.
 func (t *Table) Choose(s *route.Service, n Requirements, now time.Time) *Endpoint {
-	return t.best(s, n, func(e *Endpoint, distance float64) (rank int, weight float64) {
+	return t.best(s, n, now, func(e *Endpoint, distance float64) (rank int, weight float64) {
 		weight = e.load(s, n) + distanceWeight*distance
 		switch {
 		case now.Before(e.closedUntil):
 			return 4, e.closedUntil.Sub(now).Seconds()
-		case slices.Contains(n.Avoid, e.ID), !e.missingSince.IsZero(): // a missing endpoint may have stopped
+		case slices.Contains(n.Avoid, e.ID), !e.missingSince.IsZero(), // a missing endpoint may have stopped
+			e.returning && e.Calls > 0:
 			return 3, weight
 		case !e.fits(s, n):
 			return 2, weight
@@ -58,7 +60,7 @@
 	if s.Engine == nil || !s.Engine.CopiesMemory {
 		return nil
 	}
-	return t.best(s, n, func(e *Endpoint, distance float64) (rank int, weight float64) {
+	return t.best(s, n, now, func(e *Endpoint, distance float64) (rank int, weight float64) {
 		weight = float64(e.HeldTokens)/float64(max(1, s.Engine.MemoryTokens)) + distanceWeight*distance
 		switch {
 		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closedUntil) || !e.missingSince.IsZero():
@@ -74,12 +76,12 @@
 
 // best returns the eligible endpoint with the lowest rank, and among equals the lowest weight, as
 // judge returns them. It returns nil if every rank exceeds worst.
-func (t *Table) best(s *route.Service, n Requirements, judge func(*Endpoint, float64) (int, float64), worst int) *Endpoint {
+func (t *Table) best(s *route.Service, n Requirements, now time.Time, judge func(*Endpoint, float64) (int, float64), worst int) *Endpoint {
 	var found *Endpoint
 	rank, weight := worst, math.Inf(1)
 	all := t.services[s.Name]
 	for i, e := range all {
-		if e.Leaving || !e.serves(n) {
+		if e.Leaving || e.IsPaused(now) || !e.serves(n) {
 			continue
 		}
 		if r, w := judge(e, t.distance(i, len(all))); r < rank || r == rank && w < weight {
@@ -132,11 +134,11 @@
 	e.HeldTokens -= n.MemoryTokens
 }
 
-// CopyLost reports whether the copy at an endpoint can't be relied on: the endpoint is gone or
-// leaving, runs a version that is not retained, or it or its domain has failed.
+// CopyLost reports whether the copy at an endpoint can't be relied on: the endpoint is gone,
+// leaving or paused, runs a version that is not retained, or it or its domain has failed.
 func (t *Table) CopyLost(e *Endpoint, now time.Time) bool {
 	version, restricted := t.retained[e.Service]
-	return t.rows[e.ID] != e || restricted && e.Version != version || e.Leaving || now.Before(e.closedUntil) || now.Before(t.domainFailures[e.Domain].avoidUntil)
+	return t.rows[e.ID] != e || restricted && e.Version != version || !t.AcceptsCalls(e, now) || now.Before(e.closedUntil) || now.Before(t.domainFailures[e.Domain].avoidUntil)
 }
 
 // AddCopy counts a copy at an endpoint until RemoveCopy.
@@ -172,11 +174,17 @@
 func (t *Table) RecordSuccess(e *Endpoint) {
 	e.failures = 0
 	e.closedUntil = time.Time{}
+	e.returning = false
+}
+
+// AcceptsCalls reports whether an endpoint is neither leaving nor paused.
+func (t *Table) AcceptsCalls(e *Endpoint, now time.Time) bool {
+	return !e.Leaving && !e.IsPaused(now)
 }
 
 // AcceptsWork reports whether new work may go to an endpoint.
 func (t *Table) AcceptsWork(e *Endpoint, now time.Time) bool {
-	return !e.Leaving && !now.Before(e.closedUntil)
+	return t.AcceptsCalls(e, now) && !now.Before(e.closedUntil)
 }
 
 // AcceptingWork returns the endpoints of a service to which new work may go.
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -24,6 +24,11 @@
 	Incarnation int64           // start time of the incarnation, in Unix milliseconds; 0 if unknown
 }
 
+// Ref returns the reference to the incarnation.
+func (e *Entry) Ref() jaywind.EndpointRef {
+	return jaywind.EndpointRef{ID: e.ID, Incarnation: e.Incarnation, Address: e.Address}
+}
+
 // Endpoint is a row of the table. Its ID, Service, Address, Domain and Incarnation never change, so
 // they may be read at any time.
 type Endpoint struct {
@@ -36,6 +41,8 @@
 	unregistered bool      // known from its own identity only, because the registry can't be read
 	failures     int       // consecutive
 	closedUntil  time.Time // it takes no new work before then
+	pausedUntil  time.Time // it gets no calls at all before then, as it has asked for
+	returning    bool      // it has not completed a call since its last pause
 	ringHash     uint64    // position on the ring of endpoints
 }
 
@@ -47,6 +54,8 @@
 	services       map[jaywind.ServiceName][]*Endpoint
 	domainFailures map[jaywind.Domain]domainFailure
 	retained       map[jaywind.ServiceName]jaywind.Version // services of which only this version remains
+	departures     departures
+	pauses         map[incarnation]time.Time // ends of the pauses of endpoints without a row
 }
 
 // domainFailure is the last failure in a failure domain.
@@ -64,6 +73,11 @@
 		t.services = map[jaywind.ServiceName][]*Endpoint{}
 		t.domainFailures = map[jaywind.Domain]domainFailure{}
 	}
+	if started := (incarnation{e.ID, e.Incarnation}); e.Leaving {
+		t.departures.add(started)
+	} else {
+		e.Leaving = t.departures.known[started]
+	}
 	old := t.rows[e.ID]
 	if old != nil && old.Incarnation == e.Incarnation && old.Address == e.Address && old.Service == e.Service && old.Domain == e.Domain {
 		changed := old.Leaving != e.Leaving || old.Version != e.Version || !old.missingSince.IsZero() || old.unregistered
@@ -80,7 +94,8 @@
 		}
 	}
 	t.removeOlder(e)
-	row := &Endpoint{Entry: e, ringHash: xxhash.Sum64String(string(e.ID))}
+	row := &Endpoint{Entry: e, ringHash: xxhash.Sum64String(string(e.ID)), pausedUntil: t.pauses[incarnation{e.ID, e.Incarnation}]}
+	row.returning = !row.pausedUntil.IsZero()
 	t.rows[e.ID] = row
 	all := t.services[e.Service]
 	at, _ := slices.BinarySearchFunc(all, row, func(a, b *Endpoint) int {
@@ -161,6 +176,7 @@
 		return
 	}
 	delete(t.rows, id)
+	t.keepPause(e)
 	t.services[e.Service] = slices.DeleteFunc(t.services[e.Service], func(o *Endpoint) bool { return o == e })
 }
 
--- a/internal/fleet/sighting/doc.go
+++ b/internal/fleet/sighting/doc.go
@@ -1,8 +1,9 @@
-// Package sighting announces endpoints between routers while the registry can't be read. A
-// router that has identified an endpoint by itself announces it to all other routers, so that
-// they need not identify it by a call that is refused.
+// Package sighting announces between routers what the registry does not tell. While it can't be
+// read, a router that has identified an endpoint by itself announces it to all other routers, so
+// that they need not identify it by a call that is refused. A router that an endpoint has told of
+// its departure announces that, unless the registry or another router does so first.
 //
-//	mux.Handle(sighting.Path, sighting.NewHandler(router))
+//	sighting.Handle(mux, router)
 //	a := sighting.Announcer{HTTP: client, Peers: peers, Log: log, Group: &group}
 //	a.Announce(entry)
 package sighting
--- a/internal/fleet/sighting/sighting.go
+++ b/internal/fleet/sighting/sighting.go
@@ -16,8 +16,10 @@
 	"jaywind/internal/fleet/cbor"
 )
 
-// Path is the HTTP path of the handler.
-const Path = "/fleet/sighting"
+const (
+	path          = "/fleet/sighting"
+	departurePath = path + "/departure"
+)
 
 const (
 	announceTimeout    = 500 * time.Millisecond // for all routers together; a router that is missed identifies the endpoint by itself
@@ -36,15 +38,37 @@
 	Born    int64    `cbor:"8,keyasint"` // endpoint.Entry.Incarnation, in Unix milliseconds
 }
 
+// departure is an endpoint that is leaving, on the wire.
+type departure struct {
+	ID      string `cbor:"1,keyasint"`
+	Born    int64  `cbor:"2,keyasint"` // jaywind.EndpointRef.Incarnation, in Unix milliseconds
+	Address string `cbor:"3,keyasint"`
+}
+
 type emptyResponse struct{}
 
 // endpointReceiver is the part of a router that the handler uses.
 type endpointReceiver interface {
 	AddIdentified(e endpoint.Entry)
+	MarkLeaving(e jaywind.EndpointRef)
 }
 
-// NewHandler returns the handler for Path.
-func NewHandler(r endpointReceiver) http.Handler {
+// Handle adds the handlers of announcements to a mux.
+func Handle(m *http.ServeMux, r endpointReceiver) {
+	m.Handle(path, newIdentifiedHandler(r))
+	m.Handle(departurePath, newDepartureHandler(r))
+}
+
+func newDepartureHandler(r endpointReceiver) http.Handler {
+	handle := func(_ context.Context, req *connect.Request[departure]) (*connect.Response[emptyResponse], error) {
+		msg := req.Msg
+		r.MarkLeaving(jaywind.EndpointRef{ID: jaywind.EndpointID(msg.ID), Incarnation: msg.Born, Address: jaywind.Address(msg.Address)})
+		return connect.NewResponse(&emptyResponse{}), nil
+	}
+	return connect.NewUnaryHandler(departurePath, handle, cbor.HandlerOptions()...)
+}
+
+func newIdentifiedHandler(r endpointReceiver) http.Handler {
 	handle := func(_ context.Context, req *connect.Request[announcement]) (*connect.Response[emptyResponse], error) {
 		msg := req.Msg
 		e := endpoint.Entry{
@@ -57,7 +81,7 @@
 		r.AddIdentified(e)
 		return connect.NewResponse(&emptyResponse{}), nil
 	}
-	return connect.NewUnaryHandler(Path, handle, cbor.HandlerOptions()...)
+	return connect.NewUnaryHandler(path, handle, cbor.HandlerOptions()...)
 }
 
 // Announcer announces endpoints to other routers. Set the exported fields before the first call.
@@ -77,19 +101,25 @@
 	for _, m := range e.Models {
 		msg.Models = append(msg.Models, string(m))
 	}
-	peers := a.Peers(math.MaxInt)
-	a.Group.Go(func() { a.send(&msg, peers) })
+	a.Group.Go(func() { sendAll(a, path, msg.ID, &msg) })
+}
+
+// AnnounceDeparture announces to all other routers that an endpoint is leaving. It does not wait for the calls to end.
+func (a *Announcer) AnnounceDeparture(e jaywind.EndpointRef) {
+	msg := departure{ID: string(e.ID), Born: e.Incarnation, Address: string(e.Address)}
+	a.Group.Go(func() { sendAll(a, departurePath, msg.ID, &msg) })
 }
 
-func (a *Announcer) send(msg *announcement, peers []jaywind.Address) {
+// sendAll sends a message about an endpoint to all other routers.
+func sendAll[T any](a *Announcer, path, id string, msg *T) {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
 	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
-	for _, at := range peers {
+	for _, at := range a.Peers(math.MaxInt) {
 		p.Go(func() {
-			client := connect.NewClient[announcement, emptyResponse](a.HTTP, "http://"+string(at)+Path, cbor.ClientOptions()...)
+			client := connect.NewClient[T, emptyResponse](a.HTTP, "http://"+string(at)+path, cbor.ClientOptions()...)
 			if _, err := client.CallUnary(ctx, connect.NewRequest(msg)); err != nil {
-				a.Log.Debug("endpoint: announcement to a router failed", zap.String("endpoint", msg.ID), zap.String("at", string(at)), zap.Error(err))
+				a.Log.Debug("endpoint: announcement to a router failed", zap.String("endpoint", id), zap.String("at", string(at)), zap.Error(err))
 			}
 		})
 	}
--- a/internal/fleet/sighting/sighting_test.go
+++ b/internal/fleet/sighting/sighting_test.go
@@ -1,6 +1,7 @@
 package sighting_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -16,18 +17,22 @@
 )
 
 // fakeReceiver records the endpoints that are announced to it.
-type fakeReceiver struct{ received []endpoint.Entry }
+type fakeReceiver struct {
+	received []endpoint.Entry
+	departed []jaywind.EndpointRef
+}
 
-func (r *fakeReceiver) AddIdentified(e endpoint.Entry) { r.received = append(r.received, e) }
+func (r *fakeReceiver) AddIdentified(e endpoint.Entry)    { r.received = append(r.received, e) }
+func (r *fakeReceiver) MarkLeaving(e jaywind.EndpointRef) { r.departed = append(r.departed, e) }
 
-// TestAnnounce checks that all reachable routers receive an endpoint with all its fields, also when
+// TestAnnounce checks that all reachable routers receive an endpoint with all its fields, and its departure, also when
 // another router can't be reached.
 func TestAnnounce(t *testing.T) {
 	is := is.New(t)
 	receivers := []*fakeReceiver{{}, {}}
 	peers := []jaywind.Address{"127.0.0.1:1"}
 	for _, r := range receivers {
-		s := httptest.NewUnstartedServer(sighting.NewHandler(r))
+		s := httptest.NewUnstartedServer(newMux(r))
 		s.Config.Protocols = cbor.Protocols()
 		s.Start()
 		defer s.Close()
@@ -41,5 +46,18 @@
 	group.Wait()
 	for _, r := range receivers {
 		is.Equal(r.received, []endpoint.Entry{e})
+		is.Equal(len(r.departed), 0)
+	}
+	announcer.AnnounceDeparture(e.Ref())
+	group.Wait()
+	for _, r := range receivers {
+		is.Equal(len(r.received), 1)
+		is.Equal(r.departed, []jaywind.EndpointRef{e.Ref()})
 	}
 }
+
+func newMux(r *fakeReceiver) *http.ServeMux {
+	m := http.NewServeMux()
+	sighting.Handle(m, r)
+	return m
+}
--- a/internal/relay/router/identify.go
+++ b/internal/relay/router/identify.go
@@ -22,13 +22,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	id, err := r.Upstream.Identify(ctx, old.Address, c.service.HealthPath)
+	id, err := r.Upstream.Identify(ctx, old.Ref(), c.service.HealthPath)
 	if err != nil || !slices.Contains(id.Models, c.requirements.Model) {
 		r.Log.Info("endpoint: identification failed", c.fields(zap.String("at", string(old.Address)), zap.Error(err))...)
 		return
 	}
 	e := old.Entry
-	e.ID, e.Incarnation, e.Models, e.Leaving = id.ID, id.Incarnation, id.Models, false
+	e.ID, e.Incarnation, e.Models, e.Leaving = id.ID, id.Incarnation, id.Models, id.Leaving
 	if r.replaceEndpoint(e) && r.OnIdentified != nil {
 		r.OnIdentified(e)
 	}
--- a/internal/relay/router/identify_test.go
+++ b/internal/relay/router/identify_test.go
@@ -23,18 +23,18 @@
 }
 
 func (u *restartedUpstream) Open(ctx context.Context, s jaywind.UpstreamRequest, limit time.Duration) (jaywind.EventStream, jaywind.Reply, error) {
-	u.sent = append(u.sent, s.Endpoint)
-	if s.Endpoint != "new-"+jaywind.EndpointID(s.Address) {
+	u.sent = append(u.sent, s.Endpoint.ID)
+	if s.Endpoint.ID != "new-"+jaywind.EndpointID(s.Endpoint.Address) {
 		return nil, jaywind.Reply{}, jaywind.ErrEndpointReplaced
 	}
 	return u.fakeUpstream.Open(ctx, s, limit)
 }
 
-func (u *restartedUpstream) Identify(_ context.Context, at jaywind.Address, health string) (jaywind.Identity, error) {
+func (u *restartedUpstream) Identify(_ context.Context, at jaywind.EndpointRef, health string) (jaywind.Identity, error) {
 	if health != "/health" {
 		return jaywind.Identity{}, jaywind.ErrBusy
 	}
-	return jaywind.Identity{ID: "new-" + jaywind.EndpointID(at), Incarnation: 2, Models: u.models}, nil
+	return jaywind.Identity{ID: "new-" + jaywind.EndpointID(at.Address), Incarnation: 2, Models: u.models}, nil
 }
 
 // refusalRecorder records the reasons of the router's own responses.
--- a/internal/relay/router/leave_test.go
+++ b/internal/relay/router/leave_test.go
@@ -25,7 +25,7 @@
 	return &stuckStream{closed: make(chan struct{})}, jaywind.Reply{}, nil
 }
 
-func (u *stuckUpstream) CachedParts(context.Context, jaywind.Address) ([]jaywind.CachedPart, error) {
+func (u *stuckUpstream) CachedParts(context.Context, jaywind.EndpointRef) ([]jaywind.CachedPart, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.asked++
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -133,7 +133,7 @@
 	p := pool.New().WithMaxGoroutines(maxLookupCalls)
 	for _, e := range targets {
 		p.Go(func() {
-			parts, err := r.Upstream.CachedParts(ctx, e.Address)
+			parts, err := r.Upstream.CachedParts(ctx, e.Ref())
 			if err != nil {
 				r.Log.Debug("stream: cache lookup failed", zap.String("endpoint", string(e.ID)), zap.Error(err))
 				return
--- a/internal/relay/router/lookup_test.go
+++ b/internal/relay/router/lookup_test.go
@@ -20,21 +20,21 @@
 }
 
 func (u *cachingUpstream) Open(ctx context.Context, s jaywind.UpstreamRequest, limit time.Duration) (jaywind.EventStream, jaywind.Reply, error) {
-	u.sent = append(u.sent, s.Endpoint)
+	u.sent = append(u.sent, s.Endpoint.ID)
 	return u.fakeUpstream.Open(ctx, s, limit)
 }
 
-func (u *cachingUpstream) CachedParts(ctx context.Context, at jaywind.Address) ([]jaywind.CachedPart, error) {
-	if u.delays[at] < 0 {
+func (u *cachingUpstream) CachedParts(ctx context.Context, at jaywind.EndpointRef) ([]jaywind.CachedPart, error) {
+	if u.delays[at.Address] < 0 {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	select {
-	case <-time.After(u.delays[at]):
+	case <-time.After(u.delays[at.Address]):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	return []jaywind.CachedPart{{Part: "p", Tokens: u.tokens[at]}}, nil
+	return []jaywind.CachedPart{{Part: "p", Tokens: u.tokens[at.Address]}}, nil
 }
 
 // TestCallerReconnectsWithSlowEngines: callers reconnect after the loss of a router while engines are slow or gone. The test
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -65,10 +66,30 @@
 	case c.mayHaveRun:
 		r.writeRefusal(c, ReasonAnswerLost, 0)
 	default:
-		r.writeRefusal(c, ReasonBusy, plainRetryAfter)
+		r.refuseBusy(c, plainRetryAfter)
 	}
 }
 
+// refuseBusy ends a call that no endpoint takes. If all endpoints have asked for a pause, the caller may try again when the
+// first of these pauses ends, which may lie past its deadline; otherwise after a usual time.
+func (r *Router) refuseBusy(c *call, usual time.Duration) {
+	now := time.Now()
+	r.mu.Lock()
+	any := c.requirements
+	any.Version = "" // as in acquireEndpoint
+	pause := r.table.PauseLeft(c.service.Name, any, now)
+	r.mu.Unlock()
+	if pause == 0 {
+		r.writeRefusal(c, ReasonBusy, jitter(usual))
+		return
+	}
+	r.Log.Info("request: all endpoints have asked for a pause", c.fields(zap.Duration("pause", pause), zap.Bool("past_deadline", pause > c.timeLeft(now)))...)
+	r.writeRefusal(c, ReasonPaused, pause+rand.N(pause/4+returnSpread))
+}
+
+// returnSpread is the least time over which callers return after a pause.
+const returnSpread = 200 * time.Millisecond
+
 // mayRetry takes a retry from the budget if the call may run at one more endpoint.
 func (r *Router) mayRetry(ctx context.Context, c *call, cause error) bool {
 	return c.route.Repeatable() && c.attempts < c.route.MaxAttempts && r.takeRetry(ctx, c, cause)
@@ -107,12 +128,9 @@
 	c.response.Reply(reply)
 }
 
-// writeRefusal ends a call with the router's own response.
-func (r *Router) writeRefusal(c *call, reason Reason, pause time.Duration) {
-	refusal := Refusal{Reason: reason}
-	if pause > 0 {
-		refusal.RetryAfter = jitter(pause)
-	}
+// writeRefusal ends a call with the router's own response; a retryAfter of 0 tells the caller nothing.
+func (r *Router) writeRefusal(c *call, reason Reason, retryAfter time.Duration) {
+	refusal := Refusal{Reason: reason, RetryAfter: retryAfter}
 	r.stats.recordRefusal(refusal)
 	r.Log.Warn("request: failed", c.fields(zap.String("reason", string(reason)), zap.Bool("may_have_run", c.mayHaveRun),
 		zap.Duration("retry_after", refusal.RetryAfter))...)
@@ -128,6 +146,6 @@
 	case c.mayHaveRun:
 		r.writeRefusal(c, ReasonTimeout, 0)
 	default:
-		r.writeRefusal(c, ReasonNotSent, plainRetryAfter)
+		r.writeRefusal(c, ReasonNotSent, jitter(plainRetryAfter))
 	}
 }
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -40,6 +40,7 @@
 	ReasonNoRoute    Reason = "no such route"                  // not run
 	ReasonUnknownKey Reason = "unknown key"                    // not run
 	ReasonBusy       Reason = "no endpoint takes the call"     // not run
+	ReasonPaused     Reason = "all endpoints ask for a pause"  // not run
 	ReasonTimeout    Reason = "no answer within the time"      // may have run
 	ReasonNotSent    Reason = "not sent within the time"       // not run
 	ReasonAnswerLost Reason = "the endpoint's answer was lost" // may have run
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -33,6 +33,8 @@
 	// OnIdentified is called with an engine that this router has identified while the registry was unavailable. It must not
 	// block. May be nil.
 	OnIdentified func(e endpoint.Entry)
+	// OnLeaving is called with an endpoint that is leaving, if the other routers may not know it. It must not block. May be nil.
+	OnLeaving func(e jaywind.EndpointRef)
 	// BorrowRetry takes a retry for a service from another router's part of the budget. May be nil.
 	BorrowRetry         func(ctx context.Context, s jaywind.ServiceName) bool
 	RegistryUnavailable func() bool // reports whether the registry can't be read now; nil for never
@@ -48,6 +50,8 @@
 	routers  int // number of routers that share the budgets
 	lookups  map[jaywind.ServiceName]*cacheLookup
 	rollouts map[jaywind.ServiceName]*rolloutTracker
+
+	departures []departure // endpoints whose departure may have to be announced
 }
 
 func (r *Router) init() {
@@ -92,6 +96,9 @@
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if e.Leaving {
+		r.forgetDeparture(e.Ref())
+	}
 	if r.table.Set(e) {
 		r.Log.Info("endpoint: updated", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)),
 			zap.String("at", string(e.Address)), zap.String("domain", string(e.Domain)),
@@ -317,8 +324,11 @@
 }
 
 // recordFailure counts a failure of an endpoint. One that accepts no connection, or that another endpoint has replaced at its
-// address, is recorded as absent.
+// address, is recorded as absent. A call that was held back because of a pause is no failure.
 func (r *Router) recordFailure(ctx context.Context, c *call, e *endpoint.Endpoint, cause error) {
+	if errors.Is(cause, jaywind.ErrPushedBack) {
+		return
+	}
 	r.mu.Lock()
 	if errors.Is(cause, jaywind.ErrNotSent) || errors.Is(cause, jaywind.ErrEndpointReplaced) {
 		r.table.RecordAbsence(e, time.Now())
@@ -345,7 +355,7 @@
 // upstreamRequest returns the request that an attempt of a call sends to an endpoint.
 func (c *call) upstreamRequest(e *endpoint.Endpoint, now time.Time) jaywind.UpstreamRequest {
 	return jaywind.UpstreamRequest{
-		Request: c.request.ID, Endpoint: e.ID, Incarnation: e.Incarnation, Address: e.Address,
+		Request: c.request.ID, Endpoint: e.Ref(),
 		Method: c.request.Method, Host: c.request.Host, Target: c.request.Target, Header: c.request.Header, Body: c.request.Body,
 		Organisation: c.keyOwner.Organisation,
 		TimeLeft:     c.timeLeft(now),
--- a/internal/relay/router/router_test.go
+++ b/internal/relay/router/router_test.go
@@ -36,15 +36,15 @@
 	return &fakeStream{next: s.LastEventID + 1, last: int64(u.events)}, jaywind.Reply{}, nil
 }
 
-func (u *fakeUpstream) CachedParts(context.Context, jaywind.Address) ([]jaywind.CachedPart, error) {
+func (u *fakeUpstream) CachedParts(context.Context, jaywind.EndpointRef) ([]jaywind.CachedPart, error) {
 	return nil, nil
 }
 
-func (u *fakeUpstream) CopyMemory(context.Context, jaywind.Address, jaywind.RequestID, jaywind.Address) (jaywind.MemoryCopy, error) {
+func (u *fakeUpstream) CopyMemory(context.Context, jaywind.EndpointRef, jaywind.RequestID, jaywind.Address) (jaywind.MemoryCopy, error) {
 	return jaywind.MemoryCopy{}, jaywind.ErrBusy
 }
 
-func (u *fakeUpstream) Identify(context.Context, jaywind.Address, string) (jaywind.Identity, error) {
+func (u *fakeUpstream) Identify(context.Context, jaywind.EndpointRef, string) (jaywind.Identity, error) {
 	return jaywind.Identity{}, jaywind.ErrBusy
 }
 
--- a/internal/relay/router/standby.go
+++ b/internal/relay/router/standby.go
@@ -57,7 +57,7 @@
 	r.background.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 		defer cancel()
-		c, err := r.Upstream.CopyMemory(ctx, a.endpoint.Address, run, target.Address)
+		c, err := r.Upstream.CopyMemory(ctx, a.endpoint.Ref(), run, target.Address)
 		result <- copyResult{target: target, copy: c, err: err}
 	})
 }
@@ -68,7 +68,7 @@
 	defer r.mu.Unlock()
 	cs := &st.copyState
 	if st.standby != nil && !r.table.CopyLost(st.standby, now) {
-		if cs.expires && now.Sub(cs.lastDone) > st.service.Engine.CopyTTL-copyRenewMargin {
+		if cs.expires && now.Sub(cs.lastDone) > st.service.Engine.CopyTTL-copyRenewMargin && !a.endpoint.IsPaused(now) {
 			return st.standby
 		}
 		return nil
@@ -77,7 +77,7 @@
 		r.table.RemoveCopy(st.standby, st.requirements)
 		st.standby = nil
 	}
-	if now.Sub(cs.lastDone) < copyRetryDelay {
+	if now.Sub(cs.lastDone) < copyRetryDelay || a.endpoint.IsPaused(now) {
 		return nil
 	}
 	return r.table.ChooseStandby(st.service, a.endpoint, st.requirements, now)
--- a/internal/relay/router/stats.go
+++ b/internal/relay/router/stats.go
@@ -24,6 +24,7 @@
 	cacheFound, cacheMissed        metrics.Counter
 	copyMade, copyFailed           metrics.Counter
 	identified, borrowed           metrics.Counter
+	leaving, paused, withheld      metrics.Counter
 	firstEvent, movePause          metrics.Histogram // milliseconds
 	answerTime                     map[route.Kind]metrics.Histogram
 }
@@ -43,6 +44,9 @@
 	m.copyMade = metrics.GetOrRegisterCounter("copies.made", r)
 	m.copyFailed = metrics.GetOrRegisterCounter("copies.failed", r)
 	m.identified = metrics.GetOrRegisterCounter("endpoints.identified", r)
+	m.leaving = metrics.GetOrRegisterCounter("endpoints.leaving", r)
+	m.paused = metrics.GetOrRegisterCounter("endpoints.paused", r)
+	m.withheld = metrics.GetOrRegisterCounter("sends.withheld", r)
 	m.cacheFound = metrics.GetOrRegisterCounter("recalls.found", r)
 	m.cacheMissed = metrics.GetOrRegisterCounter("recalls.missed", r)
 	m.firstEvent = histogram("streams.first_ms", r)
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -75,7 +75,7 @@
 			r.cancelStream(st, ctx.Err())
 			return
 		}
-		step = st.plan.AfterFailure(loss, st.standby != nil && st.producing)
+		step = st.plan.AfterFailure(loss, r.hasCopy(st))
 		if loss != series.FailureNoCopy { // the endpoint is healthy; it only lacks the copy
 			c.requirements.Avoid = append(c.requirements.Avoid, at.ID)
 		}
@@ -101,19 +101,32 @@
 // nextEndpoint returns the endpoint of the next attempt and counts the attempt there.
 func (r *Router) nextEndpoint(st *streamCall, step series.Action) *endpoint.Endpoint {
 	if step == series.ActionUseCopy {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		at := st.standby
-		st.standby = nil
-		st.lastEndpoint = at.ID
-		r.table.RemoveCopy(at, st.requirements)
-		r.table.StartCall(at, st.requirements)
-		return at
+		return r.takeStandby(st)
 	}
 	r.releaseStandby(st)
 	return r.acquireEndpoint(st.call)
 }
 
+// takeStandby counts the next attempt at the standby, which has a copy, and returns it.
+func (r *Router) takeStandby(st *streamCall) *endpoint.Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := st.standby
+	st.standby = nil
+	st.lastEndpoint = at.ID
+	r.table.RemoveCopy(at, st.requirements)
+	r.table.StartCall(at, st.requirements)
+	return at
+}
+
+// hasCopy reports whether the stream can continue at its standby: the copy has something to copy from, and the standby
+// takes calls.
+func (r *Router) hasCopy(st *streamCall) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return st.standby != nil && st.producing && r.table.AcceptsCalls(st.standby, time.Now())
+}
+
 // releaseStandby ends the use of the standby, if there is one.
 func (r *Router) releaseStandby(st *streamCall) {
 	r.mu.Lock()
@@ -312,7 +325,7 @@
 	case st.mayHaveRun:
 		r.writeRefusal(st.call, ReasonAnswerLost, 0)
 	default:
-		r.writeRefusal(st.call, ReasonBusy, streamRetryAfter)
+		r.refuseBusy(st.call, streamRetryAfter)
 	}
 }
 
--- a/upstream.go
+++ b/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -16,12 +17,35 @@
 // ErrBadAnswer is wrapped by errors for an answer that can't be the endpoint's own complete answer to the call.
 var ErrBadAnswer = errors.New("bad answer")
 
+// ErrPushedBack is returned for a call that was not sent, as its endpoint has asked this router for a pause.
+var ErrPushedBack = fmt.Errorf("%w: the endpoint has asked for a pause", ErrNotSent)
+
+// EndpointRef names one incarnation of an endpoint.
+type EndpointRef struct {
+	ID          EndpointID
+	Incarnation int64 // start of the incarnation, in Unix milliseconds; 0 if unknown
+	Address     Address
+}
+
+// EndpointNotice is what an endpoint says of itself in the head of an answer, whatever the answer is.
+type EndpointNotice struct {
+	Endpoint EndpointRef
+	Leaving  bool          // it takes no new work
+	Pause    time.Duration // for which it wants no call from this router; 0 if it asks for none
+}
+
+// EndpointObserver is told what endpoints say of themselves, and decides whether a call may be sent to one.
+type EndpointObserver interface {
+	// ObserveEndpoint is called before the answer that carries the notice is used.
+	ObserveEndpoint(n EndpointNotice)
+	// CheckSend returns ErrPushedBack if no call of any kind may be sent to an endpoint now.
+	CheckSend(at EndpointRef) error
+}
+
 // UpstreamRequest is an attempt to run a caller's request at an endpoint.
 type UpstreamRequest struct {
 	Request      RequestID
-	Endpoint     EndpointID
-	Incarnation  int64 // start of the endpoint's incarnation, in Unix milliseconds; 0 if unknown
-	Address      Address
+	Endpoint     EndpointRef
 	Method       string
 	Host         string
 	Target       string      // path and query as sent by the caller
@@ -53,6 +77,7 @@
 	ID          EndpointID
 	Incarnation int64   // start of the incarnation, in Unix milliseconds; 0 if not reported
 	Models      []Model // models that an engine serves
+	Leaving     bool    // takes no new work
 }
 
 // Event is an event of a stream, with its raw bytes.
@@ -81,10 +106,10 @@
 	// answer, it probes the endpoint each time that limit has passed, and returns ErrIdleTimeout if a probe fails.
 	Open(ctx context.Context, s UpstreamRequest, limit time.Duration) (EventStream, Reply, error)
 	// CachedParts returns the parts of prompts that an endpoint keeps in memory.
-	CachedParts(ctx context.Context, at Address) ([]CachedPart, error)
-	// CopyMemory copies the memory of a run in progress at an address to another endpoint; the run continues.
-	CopyMemory(ctx context.Context, at Address, run RequestID, to Address) (MemoryCopy, error)
-	// Identify asks the engine at an address for its identity; health is the path of its service's health check. An
-	// engine that reports itself unhealthy is an error.
-	Identify(ctx context.Context, at Address, health string) (Identity, error)
+	CachedParts(ctx context.Context, at EndpointRef) ([]CachedPart, error)
+	// CopyMemory copies the memory of a run in progress at an endpoint to another endpoint; the run continues.
+	CopyMemory(ctx context.Context, at EndpointRef, run RequestID, to Address) (MemoryCopy, error)
+	// Identify asks the engine that now has an endpoint's address for its identity; health is the path of its service's
+	// health check. An engine that reports itself unhealthy is an error.
+	Identify(ctx context.Context, old EndpointRef, health string) (Identity, error)
 }
