--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -38,6 +38,22 @@
 	Phase  Phase           `json:"phase"`
 	Share  float64         `json:"share"` // of new work on the target in the canary phase
 	Reason string          `json:"reason"`
+	Step   int             `json:"step,omitempty"` // rises with each change of the state
+}
+
+// phaseOrder orders the phases; both ends are equal.
+var phaseOrder = map[Phase]int{PhaseCanary: 0, PhaseShift: 1, PhaseDone: 2, PhaseRolledBack: 2}
+
+// Supersedes reports whether a state may follow an older one of the same order. A roll-out never returns to an earlier phase
+// or step, and its end is final. States without steps, of routers that write none, follow each other within a phase.
+func (s State) Supersedes(old State) bool {
+	switch {
+	case s == old, old.Phase.Final():
+		return false
+	case phaseOrder[s.Phase] != phaseOrder[old.Phase]:
+		return phaseOrder[s.Phase] > phaseOrder[old.Phase]
+	}
+	return s.Step == 0 || s.Step >= old.Step
 }
 
 // Bounds limit the number of requests that a bad version may receive, to the sum of both fields.
@@ -154,6 +170,14 @@
 
 // Decide returns the state that should be in force now.
 func (r *Rollout) Decide(now time.Time) State {
+	next := r.decide(now)
+	if next != r.State {
+		next.Step = r.State.Step + 1
+	}
+	return next
+}
+
+func (r *Rollout) decide(now time.Time) State {
 	if r.State.Phase.Final() {
 		return r.State
 	}
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -112,6 +112,38 @@
 	}
 }
 
+// TestSupersedes: a store that has come back from an older copy shows an earlier state. The test fails if a roll-out returns to
+// it, or if a state of a router that writes no steps is not followed.
+func TestSupersedes(t *testing.T) {
+	state := func(p rollout.Phase, share float64, step int) rollout.State {
+		return rollout.State{Target: "v2", Phase: p, Share: share, Step: step}
+	}
+	canary, shift, done, back := rollout.PhaseCanary, rollout.PhaseShift, rollout.PhaseDone, rollout.PhaseRolledBack
+	tests := map[string]struct {
+		old, next rollout.State
+		want      bool
+	}{
+		"larger share":          {state(canary, 0.1, 1), state(canary, 0.2, 2), true},
+		"earlier share":         {state(canary, 0.1, 3), state(canary, 0.4, 2), false},
+		"same step, other lead": {state(canary, 0.1, 2), state(canary, 0.2, 2), true},
+		"without steps":         {state(canary, 0.1, 0), state(canary, 0.2, 0), true},
+		"lead without steps":    {state(canary, 0.1, 4), state(canary, 0.2, 0), true},
+		"same state":            {state(canary, 0.1, 1), state(canary, 0.1, 1), false},
+		"shift":                 {state(canary, 0.1, 1), state(shift, 0.1, 2), true},
+		"back from shift":       {state(shift, 0.1, 2), state(canary, 0.1, 1), false},
+		"back, without steps":   {state(shift, 0.1, 0), state(canary, 0.1, 0), false},
+		"done":                  {state(shift, 0.1, 2), state(done, 0.1, 3), true},
+		"end is taken back":     {state(done, 0.1, 3), state(shift, 0.1, 2), false},
+		"another end":           {state(done, 0.1, 3), state(back, 0.1, 9), false},
+		"end with fewer steps":  {state(canary, 0.1, 9), state(back, 0.1, 2), true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(c.next.Supersedes(c.old), c.want)
+		})
+	}
+}
+
 // TestNextAction checks that the operator is told of an end only once it is stored, and that a stored end is never overwritten.
 func TestNextAction(t *testing.T) {
 	state := func(target jaywind.Version, p rollout.Phase) rollout.State {
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -35,12 +35,22 @@
 	After      int64  `cbor:"2,keyasint,omitempty"`
 	Wait       int64  `cbor:"3,keyasint,omitempty"` // in milliseconds
 	AllowStale bool   `cbor:"4,keyasint,omitempty"`
+	Era        *int64 `cbor:"5,keyasint,omitempty"` // of After; a router that knows no eras sends none
 }
 
-// feedResponse holds the items as of a revision of the store.
+// after returns the position after which changes are requested.
+func (r *feedRequest) after() jaywind.StorePosition {
+	if r.Era == nil {
+		return jaywind.StorePosition{Era: follow.AnyEra, Revision: r.After}
+	}
+	return jaywind.StorePosition{Era: *r.Era, Revision: r.After}
+}
+
+// feedResponse holds the items as of a revision of the store. Era is that of all revisions in it.
 type feedResponse struct {
 	Items    []item `cbor:"1,keyasint"`
 	Revision int64  `cbor:"2,keyasint"`
+	Era      int64  `cbor:"3,keyasint,omitempty"`
 }
 
 type item struct {
@@ -58,7 +68,7 @@
 	}, append(cbor.HandlerOptions(), connect.WithCompressMinBytes(compressMinBytes), connect.WithCompression("gzip", newDecompressor, newCompressor))...)))
 	m.Handle(watchPath, connect.NewUnaryHandler(watchPath, func(ctx context.Context, req *connect.Request[feedRequest]) (*connect.Response[feedResponse], error) {
 		wait := min(time.Duration(req.Msg.Wait)*time.Millisecond, maxWait)
-		return respond(s.Watch(ctx, req.Msg.Prefix, req.Msg.After, wait))
+		return respond(s.Watch(ctx, req.Msg.Prefix, req.Msg.after(), wait))
 	}, cbor.HandlerOptions()...))
 	return prefix, m
 }
@@ -87,18 +97,18 @@
 	return w
 }
 
-func respond(items []follow.Item, revision int64, err error) (*connect.Response[feedResponse], error) {
+func respond(items []follow.Item, position jaywind.StorePosition, err error) (*connect.Response[feedResponse], error) {
 	switch {
-	case errors.Is(err, follow.ErrCompacted):
+	case errors.Is(err, follow.ErrCompacted), errors.Is(err, follow.ErrRestored):
 		return nil, connect.NewError(connect.CodeOutOfRange, err)
 	case errors.Is(err, follow.ErrStale):
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	t := feedResponse{Items: make([]item, len(items)), Revision: revision}
+	t := feedResponse{Items: make([]item, len(items)), Revision: position.Revision, Era: position.Era}
 	for i, f := range items {
-		t.Items[i] = item(f)
+		t.Items[i] = item{Key: f.Key, Value: f.Value, Revision: f.Position.Revision, Deleted: f.Deleted}
 	}
 	return connect.NewResponse(&t), nil
 }
@@ -135,31 +145,31 @@
 }
 
 // List returns all items under prefix. If exact is false, they may be stale.
-func (s *peerSource) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+func (s *peerSource) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, jaywind.StorePosition, error) {
 	return call(ctx, s.list, feedRequest{Prefix: prefix, AllowStale: !exact})
 }
 
-// Watch waits for changes after a revision and returns them.
-func (s *peerSource) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
-	return call(ctx, s.watch, feedRequest{Prefix: prefix, After: after, Wait: wait.Milliseconds()})
+// Watch waits for changes after a position and returns them.
+func (s *peerSource) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]follow.Item, jaywind.StorePosition, error) {
+	return call(ctx, s.watch, feedRequest{Prefix: prefix, After: after.Revision, Era: &after.Era, Wait: wait.Milliseconds()})
 }
 
-func call(ctx context.Context, c *connect.Client[feedRequest, feedResponse], req feedRequest) ([]follow.Item, int64, error) {
+func call(ctx context.Context, c *connect.Client[feedRequest, feedResponse], req feedRequest) ([]follow.Item, jaywind.StorePosition, error) {
 	response, err := c.CallUnary(ctx, connect.NewRequest(&req))
 	switch connect.CodeOf(err) {
 	case connect.CodeOutOfRange:
-		return nil, 0, follow.ErrCompacted
+		return nil, jaywind.StorePosition{}, follow.ErrCompacted
 	case connect.CodeFailedPrecondition:
-		return nil, 0, follow.ErrStale
+		return nil, jaywind.StorePosition{}, follow.ErrStale
 	case connect.CodeResourceExhausted:
-		return nil, 0, follow.ErrTooManyLists
+		return nil, jaywind.StorePosition{}, follow.ErrTooManyLists
 	}
 	if err != nil {
-		return nil, 0, fmt.Errorf("feed: %w", err)
+		return nil, jaywind.StorePosition{}, fmt.Errorf("feed: %w", err)
 	}
 	items := make([]follow.Item, len(response.Msg.Items))
 	for i, t := range response.Msg.Items {
-		items[i] = follow.Item(t)
+		items[i] = follow.Item{Key: t.Key, Value: t.Value, Position: jaywind.StorePosition{Era: response.Msg.Era, Revision: t.Revision}, Deleted: t.Deleted}
 	}
-	return items, response.Msg.Revision, nil
+	return items, jaywind.StorePosition{Era: response.Msg.Era, Revision: response.Msg.Revision}, nil
 }
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
@@ -28,7 +29,7 @@
 	release     chan struct{}
 }
 
-func (f *fakeSource) List(ctx context.Context, _ string, _ bool) ([]follow.Item, int64, error) {
+func (f *fakeSource) List(ctx context.Context, _ string, _ bool) ([]follow.Item, jaywind.StorePosition, error) {
 	if f.release != nil {
 		f.listStarted <- struct{}{}
 		select {
@@ -36,11 +37,11 @@
 		case <-ctx.Done():
 		}
 	}
-	return f.items, 7, f.err
+	return f.items, jaywind.StorePosition{Revision: 7}, f.err
 }
 
-func (f *fakeSource) Watch(context.Context, string, int64, time.Duration) ([]follow.Item, int64, error) {
-	return f.items, 7, f.err
+func (f *fakeSource) Watch(context.Context, string, jaywind.StorePosition, time.Duration) ([]follow.Item, jaywind.StorePosition, error) {
+	return f.items, jaywind.StorePosition{Revision: 7}, f.err
 }
 
 // newSource returns a source that reads from the handler of source over HTTP, and a counter of the
@@ -76,7 +77,7 @@
 			s, _ := newSource(t, &fakeSource{err: want})
 			_, _, err := s.List(context.Background(), "", true)
 			is.True(errors.Is(err, want))
-			_, _, err = s.Watch(context.Background(), "", 3, time.Millisecond)
+			_, _, err = s.Watch(context.Background(), "", jaywind.StorePosition{Revision: 3}, time.Millisecond)
 			is.True(errors.Is(err, want))
 		})
 	}
@@ -86,6 +87,58 @@
 	is.True(err != nil && !errors.Is(err, follow.ErrStale))
 }
 
+// eraSource records the position of each watch.
+type eraSource struct {
+	fakeSource
+	after jaywind.StorePosition
+}
+
+func (s *eraSource) Watch(_ context.Context, _ string, after jaywind.StorePosition, _ time.Duration) ([]follow.Item, jaywind.StorePosition, error) {
+	s.after = after
+	item := follow.Item{Key: "k", Value: []byte("v"), Position: jaywind.StorePosition{Era: 3, Revision: 8}}
+	return []follow.Item{item}, jaywind.StorePosition{Era: 3, Revision: 9}, nil
+}
+
+// TestEras checks that positions keep their era on the way between two routers, that a router without eras asks for changes
+// of any, and that it reads the responses of one that has them.
+func TestEras(t *testing.T) {
+	is := is.New(t)
+	source := &eraSource{}
+	_, h := NewHandler(source)
+	server := httptest.NewUnstartedServer(h)
+	server.Config.Protocols = cbor.Protocols()
+	server.Start()
+	defer server.Close()
+	c := &Client{HTTP: cbor.NewHTTPClient("")}
+	s := c.Source(jaywind.Address(strings.TrimPrefix(server.URL, "http://")))
+	for _, era := range []int64{0, 2} {
+		after := jaywind.StorePosition{Era: era, Revision: 7}
+		items, position, err := s.Watch(context.Background(), "", after, time.Millisecond)
+		is.NoErr(err)
+		is.Equal(source.after, after)
+		is.Equal(position, jaywind.StorePosition{Era: 3, Revision: 9})
+		is.Equal(items[0].Position, jaywind.StorePosition{Era: 3, Revision: 8})
+	}
+	type oldRequest struct {
+		Prefix string `cbor:"1,keyasint"`
+		After  int64  `cbor:"2,keyasint,omitempty"`
+		Wait   int64  `cbor:"3,keyasint,omitempty"`
+	}
+	type oldResponse struct {
+		Items []struct {
+			Key      string `cbor:"1,keyasint"`
+			Revision int64  `cbor:"3,keyasint"`
+		} `cbor:"1,keyasint"`
+		Revision int64 `cbor:"2,keyasint"`
+	}
+	old := connect.NewClient[oldRequest, oldResponse](c.HTTP, server.URL+watchPath, cbor.ClientOptions()...)
+	response, err := old.CallUnary(context.Background(), connect.NewRequest(&oldRequest{After: 7}))
+	is.NoErr(err)
+	is.Equal(source.after, jaywind.StorePosition{Era: follow.AnyEra, Revision: 7})
+	is.Equal(response.Msg.Revision, int64(9))
+	is.Equal(response.Msg.Items[0].Revision, int64(8))
+}
+
 // TestListsShareTheLink checks that a router refuses lists beyond maxConcurrentLists, and that
 // watches are not refused with them.
 func TestListsShareTheLink(t *testing.T) {
@@ -99,7 +152,7 @@
 	}
 	_, _, err := s.List(context.Background(), "", false)
 	is.True(errors.Is(err, follow.ErrTooManyLists))
-	_, _, err = s.Watch(context.Background(), "", 3, time.Millisecond)
+	_, _, err = s.Watch(context.Background(), "", jaywind.StorePosition{Revision: 3}, time.Millisecond)
 	is.NoErr(err)
 	close(source.release)
 	group.Wait()
@@ -116,13 +169,13 @@
 	whole := 0
 	for i := range 1000 {
 		value := fmt.Sprintf(`{"id":"i-%08x","address":"10.1.%d.%d:8100","zone":"a","service":"pool","born":%d,"slots":12,"memory":55000}`, i*7919, i/250, i%250, 1764800000000+i)
-		source.items = append(source.items, follow.Item{Key: fmt.Sprintf("endpoints/i-%08x", i*7919), Value: []byte(value), Revision: int64(i)})
+		source.items = append(source.items, follow.Item{Key: fmt.Sprintf("endpoints/i-%08x", i*7919), Value: []byte(value), Position: jaywind.StorePosition{Revision: int64(i)}})
 		whole += len(value)
 	}
 	s, sent := newSource(t, source)
-	items, revision, err := s.List(context.Background(), "", false)
+	items, position, err := s.List(context.Background(), "", false)
 	is.NoErr(err)
-	is.Equal(revision, int64(7))
+	is.Equal(position, jaywind.StorePosition{Revision: 7})
 	is.Equal(items, source.items)
 	is.True(int(sent.Load()) < whole/3)
 }
--- a/internal/provider/follow/cache.go
+++ b/internal/provider/follow/cache.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"jaywind"
 )
 
 // ErrStale is returned by a Cache whose router has had no recent answer from the store.
@@ -23,9 +25,9 @@
 type Cache struct {
 	mu              sync.Mutex
 	items           map[string]Item
-	events          []Item // the newest changes
-	compacted       int64  // changes up to this revision are not in events
-	revision        int64  // up to which items and events are complete
+	events          []Item                // the newest changes
+	compacted       jaywind.StorePosition // changes up to this one are not in events
+	position        jaywind.StorePosition // up to which items and events are complete; zero before the first list of an era
 	storeAnsweredAt time.Time
 	updated         chan struct{} // closed at the next change of state
 }
@@ -44,20 +46,32 @@
 	}
 	b.events = append(b.events, i)
 	if drop := len(b.events) - cacheEvents; drop > 0 {
-		b.compacted = max(b.compacted, b.events[drop-1].Revision)
+		if last := b.events[drop-1].Position; last.Compare(b.compacted) > 0 {
+			b.compacted = last
+		}
 		b.events = append([]Item(nil), b.events[drop:]...)
 	}
 }
 
-// confirm sets the revision up to which the cache is complete; fromStore tells whether the store itself answered, and not
+// restart drops the history of an era that has ended. There are no lists before the next confirm.
+func (b *Cache) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.events, b.position = nil, jaywind.StorePosition{}
+	b.wake()
+}
+
+// confirm sets the position up to which the cache is complete; fromStore tells whether the store itself answered, and not
 // another router.
-func (b *Cache) confirm(revision int64, fromStore bool) {
+func (b *Cache) confirm(position jaywind.StorePosition, fromStore bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.revision == 0 {
-		b.compacted, b.events = revision, nil
+	if b.position.IsZero() {
+		b.compacted, b.events = position, nil
+	}
+	if position.Compare(b.position) > 0 {
+		b.position = position
 	}
-	b.revision = max(b.revision, revision)
 	b.storeAnsweredAt = time.Time{}
 	if fromStore {
 		b.storeAnsweredAt = time.Now()
@@ -83,11 +97,11 @@
 
 // List returns the items under prefix, or ErrStale. A list that need not be exact is returned whatever its age, once there
 // is one.
-func (b *Cache) List(_ context.Context, prefix string, exact bool) ([]Item, int64, error) {
+func (b *Cache) List(_ context.Context, prefix string, exact bool) ([]Item, jaywind.StorePosition, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if exact && time.Since(b.storeAnsweredAt) > cacheFreshTime || b.revision == 0 {
-		return nil, 0, ErrStale
+	if exact && time.Since(b.storeAnsweredAt) > cacheFreshTime || b.position.IsZero() {
+		return nil, jaywind.StorePosition{}, ErrStale
 	}
 	var items []Item
 	for _, i := range b.items {
@@ -95,45 +109,53 @@
 			items = append(items, i)
 		}
 	}
-	return items, b.revision, nil
+	return items, b.position, nil
 }
 
-// Watch waits for changes after a revision. Its errors are ErrStale, ErrCompacted and that of ctx.
-func (b *Cache) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+// Watch waits for changes after a position. Its errors are ErrStale, ErrCompacted, ErrRestored and that of ctx.
+func (b *Cache) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]Item, jaywind.StorePosition, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		items, revision, changed, err := b.changesSince(prefix, after)
+		items, position, changed, err := b.changesSince(prefix, after)
 		if err != nil || len(items) > 0 {
-			return items, revision, err
+			return items, position, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, revision, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, jaywind.StorePosition{}, ctx.Err()
 		}
 	}
 }
 
-// changesSince returns the changes after a revision and a channel that is closed at the next change of state.
-func (b *Cache) changesSince(prefix string, after int64) (items []Item, revision int64, changed chan struct{}, err error) {
+// changesSince returns the changes after a position and a channel that is closed at the next change of state.
+func (b *Cache) changesSince(prefix string, after jaywind.StorePosition) (items []Item, position jaywind.StorePosition, changed chan struct{}, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if time.Since(b.storeAnsweredAt) > cacheFreshTime {
-		return nil, 0, nil, ErrStale
+	if after.Era == AnyEra {
+		after.Era = b.position.Era
 	}
-	if after < b.compacted {
-		return nil, 0, nil, ErrCompacted
+	switch {
+	case time.Since(b.storeAnsweredAt) > cacheFreshTime, b.position.IsZero(), after.Era > b.position.Era:
+		return nil, jaywind.StorePosition{}, nil, ErrStale
+	case after.Era < b.position.Era:
+		return nil, jaywind.StorePosition{}, nil, ErrRestored
+	case after.Compare(b.compacted) < 0:
+		return nil, jaywind.StorePosition{}, nil, ErrCompacted
 	}
 	for _, i := range b.events {
-		if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+		if i.Position.Compare(after) > 0 && strings.HasPrefix(i.Key, prefix) {
 			items = append(items, i)
 		}
 	}
 	if b.updated == nil {
 		b.updated = make(chan struct{})
 	}
-	return items, max(b.revision, after), b.updated, nil
+	if b.position.Compare(after) > 0 {
+		after = b.position
+	}
+	return items, after, b.updated, nil
 }
--- a/internal/provider/follow/first.go
+++ b/internal/provider/follow/first.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"jaywind"
 )
 
 const (
@@ -22,10 +24,10 @@
 // firstList reads a list for a router that has just started. In a large fleet other routers may pass theirs on; otherwise
 // the store is asked. If the store is slow or fails, seeds are asked as well. A seed's list may be old, as the seed may
 // have lost the store too, but it shows what the other routers use.
-func (p *PeerSource) firstList(ctx context.Context, prefix string) ([]Item, int64, error) {
+func (p *PeerSource) firstList(ctx context.Context, prefix string) ([]Item, jaywind.StorePosition, error) {
 	if p.FirstListPeers != nil {
-		if items, revision, found := p.listFromPeers(ctx, prefix); found {
-			return items, revision, nil
+		if l, found := p.listFromPeers(ctx, prefix); found {
+			return l.items, l.position, nil
 		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -34,43 +36,52 @@
 	defer group.Wait()
 	own := make(chan listResult, 1)
 	group.Go(func() {
-		items, revision, err := p.Store.List(ctx, prefix, false) // not from the readers, which may have stopped together with this router
-		own <- listResult{items: items, revision: revision, err: err}
+		items, position, err := p.Store.List(ctx, prefix, false) // not from the readers, which may have stopped together with this router
+		own <- listResult{items: items, position: position, err: err}
 	})
 	timer := time.NewTimer(seedDelay)
 	defer timer.Stop()
 	var l listResult
 	select {
 	case l = <-own:
-		if l.err == nil {
+		if p.isCurrent(&l) {
 			p.recordSource("", true)
-			return l.items, l.revision, nil
+			return l.items, l.position, nil
 		}
 		own <- l // returned below if no seed answers
 	case <-timer.C: // the list from the store continues in parallel: it is slow when many routers start at once
 	}
-	if seeded := p.fromSeeds(ctx, prefix); seeded.err == nil {
+	if seeded := p.fromSeeds(ctx, prefix); p.isCurrent(&seeded) {
 		cancel()
 		group.Wait()
 		p.recordSource(seeded.peer, false)
-		return seeded.items, seeded.revision, nil
+		return seeded.items, seeded.position, nil
 	}
 	l = <-own
 	p.lastFromStore = false
-	if l.err == nil {
+	if p.isCurrent(&l) {
 		p.recordSource("", true)
 	}
-	return l.items, l.revision, l.err
+	return l.items, l.position, l.err
+}
+
+// isCurrent reports whether there is a list and it is not from before the last restore of the store; its error is set if it
+// is.
+func (p *PeerSource) isCurrent(l *listResult) bool {
+	if l.err == nil {
+		l.err = p.recordEra(l.position)
+	}
+	return l.err == nil
 }
 
 // fromSeeds returns the list of the first seed that answers, or ErrStale.
 func (p *PeerSource) fromSeeds(ctx context.Context, prefix string) listResult {
 	for _, seed := range p.Seeds() {
 		limited, cancel := context.WithTimeout(ctx, seedTimeout)
-		items, revision, err := seed.Source.List(limited, prefix, false)
+		items, position, err := seed.Source.List(limited, prefix, false)
 		cancel()
 		if err == nil {
-			return listResult{seed.Name, items, revision, nil}
+			return listResult{seed.Name, items, position, nil}
 		}
 	}
 	return listResult{err: ErrStale}
@@ -79,7 +90,7 @@
 // listFromPeers reads a first list from the readers, or from other routers that have one by now. If all routers of a large
 // fleet listed from the store at once, none would have its list soon. The readers may have started at the same time and
 // still be listing, and each router sends only a few lists at a time, so rounds of asking are repeated until a timeout.
-func (p *PeerSource) listFromPeers(ctx context.Context, prefix string) (items []Item, revision int64, found bool) {
+func (p *PeerSource) listFromPeers(ctx context.Context, prefix string) (l listResult, found bool) {
 	if p.firstListStart.IsZero() {
 		p.firstListStart = time.Now()
 	}
@@ -87,15 +98,15 @@
 		peers, _ := p.Peers()
 		others := p.FirstListPeers()
 		if len(peers) == 0 || len(others) == 0 {
-			return nil, 0, false
+			return listResult{}, false
 		}
 		got, alive := hedgedList(ctx, prefix, slices.Concat(peers, others))
-		if got.err == nil {
+		if p.isCurrent(&got) {
 			p.recordSource(got.peer, false)
-			return got.items, got.revision, true
+			return got, true
 		}
 		if !alive && time.Since(p.firstListStart) >= peerStartTime {
-			return nil, 0, false
+			return listResult{}, false
 		}
 		timer := time.NewTimer(roundDelay + time.Duration(rand.Int64N(int64(roundDelay))))
 		select {
@@ -104,7 +115,7 @@
 			timer.Stop()
 		}
 	}
-	return nil, 0, false
+	return listResult{}, false
 }
 
 // hedgedList asks peers for a list that need not be exact, and returns the first one. The next peer is asked when the one
@@ -122,8 +133,8 @@
 		group.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, peerListTimeout)
 			defer cancel()
-			items, revision, err := peer.Source.List(limited, prefix, false)
-			answers <- listResult{peer.Name, items, revision, err}
+			items, position, err := peer.Source.List(limited, prefix, false)
+			answers <- listResult{peer.Name, items, position, err}
 		})
 	}
 	next := time.NewTicker(hedgeDelay)
@@ -154,6 +165,6 @@
 type listResult struct {
 	peer     string
 	items    []Item
-	revision int64
+	position jaywind.StorePosition
 	err      error
 }
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -8,6 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
+
+	"jaywind"
 )
 
 // ErrCompacted is returned by a Source whose history no longer contains the requested revision.
@@ -17,19 +19,20 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64 // of the change
+	Position jaywind.StorePosition // of the change
 	Deleted  bool
 }
 
 // Source reads from the store.
 type Source interface {
-	// List returns all items under prefix and a revision from which to watch. Without exact the items may be some seconds
-	// old; a watch from the revision then returns the changes since. List fails when no data arrives for a second or two,
+	// List returns all items under prefix and a position from which to watch. Without exact the items may be some seconds
+	// old; a watch from the position then returns the changes since. List fails when no data arrives for a second or two,
 	// but may take longer in total.
-	List(ctx context.Context, prefix string, exact bool) ([]Item, int64, error)
-	// Watch waits for changes after a revision and returns them with the revision up to which they are complete. It returns
-	// no items once wait has passed. Its errors include ErrCompacted.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	List(ctx context.Context, prefix string, exact bool) ([]Item, jaywind.StorePosition, error)
+	// Watch waits for changes after a position and returns them with the position up to which they are complete. If that is
+	// in a later era, the items are of no use. It returns no items once wait has passed. Its errors include ErrCompacted and
+	// ErrRestored.
+	Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]Item, jaywind.StorePosition, error)
 }
 
 const (
@@ -50,20 +53,26 @@
 	PeersPrefix string        // prefix of the items that name the peers of the Source; listed before the whole prefix unless empty
 	Wait        time.Duration // longest wait for a change; 0 means 2.4 s
 	Log         *zap.Logger
-	OnChange    func(Item)    // is called with each change; changes of one key come in the order of their revisions
+	OnChange    func(Item)    // is called with each change; changes of one key come in the order of their positions
+	OnRestore   func()        // is called when the store has come back from an older copy, before the changes that this shows; may be nil
 	OnResult    func(ok bool) // is called after each call of the Source, with whether it was answered; may be nil
 	Cache       *Cache        // serves the items to other routers; may be nil
 	FromStore   func() bool   // whether the last answer came from the store itself; nil means always
-
-	revisions        map[string]int64 // revision of each key's item
-	revision         int64            // changes up to this one were applied
-	exactNext        bool             // the next list has to be exact
-	unavailableSince time.Time        // zero while the store answers
+	// WritesAgain tells whether a key's writer writes it again when the store has come back from an older copy. What the copy
+	// says of it is then not reported for some seconds if it is older than what was reported before. May be nil.
+	WritesAgain func(key string) bool
+
+	stored           map[string]Item // the items in the store
+	withheld         map[string]withheldItem
+	deletions        map[string]deletion
+	position         jaywind.StorePosition // changes up to this one were applied
+	exactNext        bool                  // the next list has to be exact
+	unavailableSince time.Time             // zero while the store answers
 }
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.revisions = map[string]int64{}
+	f.stored, f.withheld, f.deletions = map[string]Item{}, map[string]withheldItem{}, map[string]deletion{}
 	if f.Wait == 0 {
 		f.Wait = defaultWait
 	}
@@ -75,7 +84,7 @@
 			pause.Reset()
 			err = f.watch(ctx)
 		}
-		if errors.Is(err, ErrCompacted) {
+		if needsList(err) {
 			continue
 		}
 		f.sleep(ctx, pause.NextBackOff())
@@ -113,39 +122,58 @@
 	f.listPeers(ctx)
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, revision, err := f.Source.List(call, f.Prefix, f.exactNext)
+	items, position, err := f.Source.List(call, f.Prefix, f.exactNext)
 	if ctx.Err() != nil {
 		return ctx.Err() // cancelled by the owner, which says nothing about the store
 	}
+	if err == nil && position.Era < f.position.Era {
+		err = ErrStale // from before the restore
+	}
 	f.recordResult(err)
 	if err != nil {
 		return err
 	}
 	f.exactNext = true // an old list would undo changes that were applied already
+	restored := position.Era > f.position.Era && !f.position.IsZero()
+	if restored {
+		f.recordRestore(position)
+	}
 	listed := make(map[string]bool, len(items))
 	for _, i := range items {
 		listed[i.Key] = true
-		f.apply(i)
+		if !restored || !f.withhold(i) {
+			f.apply(i)
+		}
 	}
-	for key, at := range f.revisions {
-		if !listed[key] && at <= revision {
-			f.apply(Item{Key: key, Revision: revision, Deleted: true})
+	for key, i := range f.stored {
+		if !listed[key] && i.Position.Compare(position) <= 0 {
+			f.apply(Item{Key: key, Position: position, Deleted: true})
 		}
 	}
-	f.revision = revision
+	f.position = position
 	f.publish()
 	return nil
 }
 
 // watch waits for changes once. It returns an error when the prefix has to be listed again.
 func (f *Follower) watch(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, f.Wait+answerMargin)
+	wait := f.Wait
+	if next := f.releaseWithheld(); next > 0 {
+		wait = min(wait, next)
+	}
+	call, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	items, revision, err := f.Source.Watch(call, f.Prefix, f.revision, f.Wait)
+	items, position, err := f.Source.Watch(call, f.Prefix, f.position, wait)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if err != nil && !errors.Is(err, ErrCompacted) && f.unavailableSince.IsZero() {
+	switch {
+	case err == nil && position.Era > f.position.Era:
+		err = ErrRestored
+	case err == nil && position.Era < f.position.Era:
+		err = ErrStale
+	}
+	if err != nil && !needsList(err) && f.unavailableSince.IsZero() {
 		// A single failed call needs no new list; the same watch is repeated.
 		f.recordResult(err)
 		f.sleep(ctx, time.Duration(rand.Int64N(int64(retryMin))))
@@ -158,7 +186,9 @@
 	for _, i := range items {
 		f.apply(i)
 	}
-	f.revision = max(f.revision, revision)
+	if position.Compare(f.position) > 0 {
+		f.position = position
+	}
 	f.publish()
 	switch {
 	case len(items) == 0:
@@ -170,30 +200,32 @@
 	return nil
 }
 
-// apply reports a change unless the same or a newer one of the key was applied. A deletion may have the revision of the
-// item that it deletes, because list gives it the revision of the whole list.
+// apply reports a change unless the same or a newer one of the key was applied. A deletion may have the position of the
+// item that it deletes, because list gives it the position of the whole list.
 func (f *Follower) apply(i Item) {
-	if at, known := f.revisions[i.Key]; known && i.Revision <= at && !i.Deleted || known && i.Revision < at {
+	old, known := f.stored[i.Key]
+	order := i.Position.Compare(old.Position)
+	switch {
+	case known && (order < 0 || order == 0 && !i.Deleted), !known && i.Deleted:
 		return
+	case i.Deleted:
+		delete(f.stored, i.Key)
+		f.recordDeletion(i)
+	default:
+		f.stored[i.Key] = i
+		delete(f.deletions, i.Key)
 	}
-	if i.Deleted {
-		if _, known := f.revisions[i.Key]; !known {
-			return
-		}
-		delete(f.revisions, i.Key)
-	} else {
-		f.revisions[i.Key] = i.Revision
-	}
+	delete(f.withheld, i.Key)
 	if f.Cache != nil {
 		f.Cache.apply(i)
 	}
 	f.OnChange(i)
 }
 
-// publish sets the revision up to which the cache is complete.
+// publish sets the position up to which the cache is complete.
 func (f *Follower) publish() {
 	if f.Cache != nil {
-		f.Cache.confirm(f.revision, f.fromStore())
+		f.Cache.confirm(f.position, f.fromStore())
 	}
 }
 
@@ -201,7 +233,7 @@
 
 // recordResult reports the outcome of a call, and logs when the store becomes unavailable and available again.
 func (f *Follower) recordResult(err error) {
-	ok := err == nil || errors.Is(err, ErrCompacted)
+	ok := err == nil || needsList(err)
 	if f.OnResult != nil {
 		f.OnResult(ok)
 	}
@@ -210,12 +242,12 @@
 	}
 	switch {
 	case errors.Is(err, ErrCompacted):
-		f.Log.Info("store: history compacted, listing again", zap.Int64("after", f.revision))
+		f.Log.Info("store: history compacted, listing again", zap.Int64("after", f.position.Revision))
 	case !ok && f.unavailableSince.IsZero():
 		f.unavailableSince = time.Now()
-		f.Log.Warn("store: unavailable", zap.Error(err), zap.Int64("revision", f.revision))
+		f.Log.Warn("store: unavailable", zap.Error(err), zap.Int64("revision", f.position.Revision))
 	case ok && !f.unavailableSince.IsZero():
-		f.Log.Info("store: available again", zap.Duration("away", time.Since(f.unavailableSince)), zap.Int64("revision", f.revision))
+		f.Log.Info("store: available again", zap.Duration("away", time.Since(f.unavailableSince)), zap.Int64("revision", f.position.Revision))
 		f.unavailableSince = time.Time{}
 	}
 }
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"jaywind"
 	"jaywind/internal/provider/follow"
 )
 
@@ -28,8 +29,10 @@
 	events      []follow.Item
 	revision    int64
 	compacted   int64
+	era         int64
 	unavailable bool
 	dropsEvents bool // watches return no events
+	hangs       bool // watches return nothing
 	calls       int
 }
 
@@ -37,7 +40,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	i := follow.Item{Key: key, Value: []byte(value), Revision: s.revision, Deleted: value == ""}
+	i := follow.Item{Key: key, Value: []byte(value), Position: s.position(), Deleted: value == ""}
 	if i.Deleted {
 		delete(s.items, key)
 	} else {
@@ -49,49 +52,58 @@
 	s.events = append(s.events, i)
 }
 
+// position returns the position of the last change; the caller holds mu.
+func (s *fakeStore) position() jaywind.StorePosition {
+	return jaywind.StorePosition{Era: s.era, Revision: s.revision}
+}
+
 func (s *fakeStore) update(change func(s *fakeStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change(s)
 }
 
-func (s *fakeStore) List(context.Context, string, bool) ([]follow.Item, int64, error) {
+func (s *fakeStore) List(context.Context, string, bool) ([]follow.Item, jaywind.StorePosition, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.unavailable {
-		return nil, 0, errUnavailable
+		return nil, jaywind.StorePosition{}, errUnavailable
 	}
 	var items []follow.Item
 	for _, i := range s.items {
 		items = append(items, i)
 	}
-	return items, s.revision, nil
+	return items, s.position(), nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, after jaywind.StorePosition, wait time.Duration) ([]follow.Item, jaywind.StorePosition, error) {
 	s.update(func(s *fakeStore) { s.calls++ })
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
 		var events []follow.Item
 		for _, i := range s.events {
-			if i.Revision > after && !s.dropsEvents {
+			if i.Position.Revision > after.Revision && !s.dropsEvents {
 				events = append(events, i)
 			}
 		}
-		unavailable, compacted, revision := s.unavailable, after < s.compacted, s.revision
+		unavailable, hangs, position := s.unavailable, s.hangs, s.position()
+		compacted := after.Revision < s.compacted || after.Revision > s.revision // as after a restore
 		s.mu.Unlock()
 		switch {
+		case hangs:
+			<-ctx.Done()
+			return nil, jaywind.StorePosition{}, errUnavailable
 		case unavailable:
-			return nil, 0, errUnavailable
+			return nil, jaywind.StorePosition{}, errUnavailable
 		case compacted:
-			return nil, 0, follow.ErrCompacted
+			return nil, jaywind.StorePosition{}, follow.ErrCompacted
 		case ctx.Err() != nil:
-			return nil, 0, ctx.Err()
+			return nil, jaywind.StorePosition{}, ctx.Err()
 		case len(events) > 0:
-			return events, revision, nil
+			return events, position, nil
 		case !time.Now().Before(end):
-			return nil, after, nil
+			return nil, jaywind.StorePosition{Era: position.Era, Revision: after.Revision}, nil
 		}
 	}
 }
@@ -224,14 +236,14 @@
 // copyFrom copies the state of another store.
 func (s *fakeStore) copyFrom(o *fakeStore) {
 	o.mu.Lock()
-	items, events, revision := o.items, o.events, o.revision
+	items, events, revision, era := o.items, o.events, o.revision, o.era
 	o.mu.Unlock()
 	s.update(func(s *fakeStore) {
 		s.items = map[string]follow.Item{}
 		for k, i := range items {
 			s.items[k] = i
 		}
-		s.events, s.revision = append([]follow.Item(nil), events...), revision
+		s.events, s.revision, s.era = append([]follow.Item(nil), events...), revision, era
 	})
 }
 
@@ -305,12 +317,12 @@
 	delay time.Duration
 }
 
-func (s *slowStore) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+func (s *slowStore) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, jaywind.StorePosition, error) {
 	select {
 	case <-time.After(s.delay):
 		return s.fakeStore.List(ctx, prefix, exact)
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, jaywind.StorePosition{}, ctx.Err()
 	}
 }
 
@@ -430,12 +442,12 @@
 	whole atomic.Int64
 }
 
-func (c *countingSource) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+func (c *countingSource) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, jaywind.StorePosition, error) {
 	if prefix == "" {
 		c.whole.Add(1)
 	}
-	items, revision, err := c.Source.List(ctx, prefix, exact)
-	return slices.DeleteFunc(items, func(i follow.Item) bool { return !strings.HasPrefix(i.Key, prefix) }), revision, err
+	items, position, err := c.Source.List(ctx, prefix, exact)
+	return slices.DeleteFunc(items, func(i follow.Item) bool { return !strings.HasPrefix(i.Key, prefix) }), position, err
 }
 
 // lateReader is a router that returns an error, or hangs, until it has started.
@@ -444,20 +456,20 @@
 	reader atomic.Pointer[fakeReader]
 }
 
-func (l *lateReader) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+func (l *lateReader) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, jaywind.StorePosition, error) {
 	if r := l.reader.Load(); r != nil {
 		return r.List(ctx, prefix, exact)
 	}
 	if l.err == nil {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, jaywind.StorePosition{}, ctx.Err()
 	}
-	return nil, 0, l.err
+	return nil, jaywind.StorePosition{}, l.err
 }
 
-func (l *lateReader) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
+func (l *lateReader) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]follow.Item, jaywind.StorePosition, error) {
 	if r := l.reader.Load(); r != nil {
 		return r.Watch(ctx, prefix, after, wait)
 	}
-	return nil, 0, errUnavailable
+	return nil, jaywind.StorePosition{}, errUnavailable
 }
--- a/internal/provider/follow/outage.go
+++ b/internal/provider/follow/outage.go
@@ -26,6 +26,13 @@
 	o.unavailable = !ok
 }
 
+// RecordRestore records that the store has come back from an older copy of itself, which lacks what was written since.
+func (o *OutageTracker) RecordRestore(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.availableSince = now
+}
+
 // Recovered tells whether the store has answered for at least ReregisterGrace, or has never failed to. Entries that are
 // deleted or still missing then are gone for good. Before that, a deleted entry may have expired because of the outage.
 func (o *OutageTracker) Recovered(now time.Time) bool {
--- a/internal/provider/follow/reader_test.go
+++ b/internal/provider/follow/reader_test.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"jaywind"
 	"jaywind/internal/provider/follow"
 )
 
@@ -28,16 +29,16 @@
 	return r
 }
 
-func (r *fakeReader) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, int64, error) {
+func (r *fakeReader) List(ctx context.Context, prefix string, exact bool) ([]follow.Item, jaywind.StorePosition, error) {
 	if err := r.failure(ctx); err != nil {
-		return nil, 0, err
+		return nil, jaywind.StorePosition{}, err
 	}
 	return r.cache.List(ctx, prefix, exact)
 }
 
-func (r *fakeReader) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]follow.Item, int64, error) {
+func (r *fakeReader) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]follow.Item, jaywind.StorePosition, error) {
 	if err := r.failure(ctx); err != nil {
-		return nil, 0, err
+		return nil, jaywind.StorePosition{}, err
 	}
 	return r.cache.Watch(ctx, prefix, after, wait)
 }
--- a/internal/provider/follow/source.go
+++ b/internal/provider/follow/source.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
+
+	"jaywind"
 )
 
 const (
@@ -36,34 +37,46 @@
 	storeFailedAt  time.Time            // when the store last failed, minus a random time
 	lastPeer       string               // peer that answered last; empty for the store
 	lastFromStore  bool                 // the store answered last
+	era            int64                // latest era of an answer
 }
 
 // FromStore tells whether the last answer came from the store.
 func (p *PeerSource) FromStore() bool { return p.lastFromStore }
 
 // List lists from the first source that answers. A list that need not be exact is the first one of a router.
-func (p *PeerSource) List(ctx context.Context, prefix string, exact bool) ([]Item, int64, error) {
+func (p *PeerSource) List(ctx context.Context, prefix string, exact bool) ([]Item, jaywind.StorePosition, error) {
 	if exact || p.Seeds == nil {
 		return p.list(ctx, prefix, exact)
 	}
 	return p.firstList(ctx, prefix)
 }
 
-func (p *PeerSource) list(ctx context.Context, prefix string, exact bool) (items []Item, revision int64, err error) {
+func (p *PeerSource) list(ctx context.Context, prefix string, exact bool) (items []Item, position jaywind.StorePosition, err error) {
 	err = p.tryEach(ctx, func(ctx context.Context, s Source, peer, _ bool) error {
 		if peer {
 			limited, cancel := context.WithTimeout(ctx, peerListTimeout)
 			defer cancel()
 			ctx = limited
 		}
-		items, revision, err = s.List(ctx, prefix, exact)
+		if items, position, err = s.List(ctx, prefix, exact); err == nil {
+			err = p.recordEra(position)
+		}
 		return err
 	})
-	return items, revision, err
+	return items, position, err
+}
+
+// recordEra records the era of an answer, or returns ErrStale if it is from before the last restore of the store.
+func (p *PeerSource) recordEra(position jaywind.StorePosition) error {
+	if position.Era < p.era {
+		return ErrStale
+	}
+	p.era = position.Era
+	return nil
 }
 
 // Watch watches the first source that answers. The wait is limited by how long an unreachable source may go unnoticed.
-func (p *PeerSource) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (items []Item, revision int64, err error) {
+func (p *PeerSource) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) (items []Item, position jaywind.StorePosition, err error) {
 	err = p.tryEach(ctx, func(ctx context.Context, s Source, peer, reader bool) error {
 		limit := wait
 		switch {
@@ -78,10 +91,12 @@
 			defer cancel()
 			ctx = limited
 		}
-		items, revision, err = s.Watch(ctx, prefix, after, limit)
+		if items, position, err = s.Watch(ctx, prefix, after, limit); err == nil {
+			err = p.recordEra(position)
+		}
 		return err
 	})
-	return items, revision, err
+	return items, position, err
 }
 
 // tryEach calls the peers and then the store until one answers.
@@ -92,7 +107,7 @@
 			continue
 		}
 		err := call(ctx, peer.Source, true, false)
-		if err == nil || errors.Is(err, ErrCompacted) {
+		if err == nil || needsList(err) {
 			p.recordSource(peer.Name, false)
 			return err
 		}
@@ -108,7 +123,7 @@
 		return ErrStale
 	}
 	err := call(ctx, p.Store, false, reader)
-	if err == nil || errors.Is(err, ErrCompacted) {
+	if err == nil || needsList(err) {
 		p.recordSource("", true)
 		return err
 	}
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -62,8 +62,17 @@
 	published bool // the key has the present value of Self, or a write of it is in progress
 }
 
-// Run maintains the lease and the key until ctx ends.
+// Run maintains the lease and the key until ctx ends. The time of the renewals is random, so that routers which start
+// together do not all take new leases at the same moment after a restore of the store.
 func (r *Roster) Run(ctx context.Context) error {
+	r.maintainLease(ctx)
+	first := time.NewTimer(rand.N(renewInterval))
+	defer first.Stop()
+	select {
+	case <-first.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	t := time.NewTicker(renewInterval)
 	defer t.Stop()
 	for {
@@ -157,7 +166,7 @@
 		return
 	case !i.Deleted:
 		r.members[vm] = m
-		r.Log.Info("roster: member updated", zap.String("vm", string(vm)), zap.Bool("leaving", m.Leaving), zap.Int64("revision", i.Revision))
+		r.Log.Info("roster: member updated", zap.String("vm", string(vm)), zap.Bool("leaving", m.Leaving), zap.Int64("revision", i.Position.Revision))
 	case !known:
 		return
 	case mayReturn:
@@ -165,7 +174,7 @@
 		r.members[vm] = old
 	default:
 		delete(r.members, vm)
-		r.Log.Info("roster: member removed", zap.String("vm", string(vm)), zap.Int64("revision", i.Revision))
+		r.Log.Info("roster: member removed", zap.String("vm", string(vm)), zap.Int64("revision", i.Position.Revision))
 	}
 	r.reportPartition()
 }
--- a/internal/provider/roster/roster_test.go
+++ b/internal/provider/roster/roster_test.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return follow.Item{Key: roster.Prefix + string(m.VM), Value: b, Revision: 1}
+	return follow.Item{Key: roster.Prefix + string(m.VM), Value: b, Position: jaywind.StorePosition{Revision: 1}}
 }
 
 // fleet returns the rosters of n routers that know each other.
@@ -96,17 +96,17 @@
 		"one member leaving":            {8, func(r *roster.Roster) { r.Update(item(t, leaving), false) }, 7},
 		"this router leaving":           {8, func(r *roster.Roster) { r.Leave() }, 7},
 		"one key deleted": {8, func(r *roster.Roster) {
-			r.Update(follow.Item{Key: roster.Prefix + "vm04", Deleted: true, Revision: 9}, false)
+			r.Update(follow.Item{Key: roster.Prefix + "vm04", Deleted: true, Position: jaywind.StorePosition{Revision: 9}}, false)
 		}, 7},
 		"one key expired during an outage": {8, func(r *roster.Roster) {
-			r.Update(follow.Item{Key: roster.Prefix + "vm04", Deleted: true, Revision: 9}, true)
+			r.Update(follow.Item{Key: roster.Prefix + "vm04", Deleted: true, Position: jaywind.StorePosition{Revision: 9}}, true)
 		}, 8},
 		"the expired key does not return": {8, func(r *roster.Roster) {
-			r.Update(follow.Item{Key: roster.Prefix + "vm04", Deleted: true, Revision: 9}, true)
+			r.Update(follow.Item{Key: roster.Prefix + "vm04", Deleted: true, Position: jaywind.StorePosition{Revision: 9}}, true)
 			r.Expire(time.Now().Add(time.Second))
 		}, 7},
 		"invalid entry": {8, func(r *roster.Roster) {
-			r.Update(follow.Item{Key: roster.Prefix + "vm04", Value: []byte("{"), Revision: 9}, false)
+			r.Update(follow.Item{Key: roster.Prefix + "vm04", Value: []byte("{"), Position: jaywind.StorePosition{Revision: 9}}, false)
 		}, 8},
 		"the only member leaving": {1, func(r *roster.Roster) { r.Leave() }, 1},
 	}
@@ -163,6 +163,100 @@
 	return nil
 }
 
+// TestFleetAfterRestore answers a restore of the store under fleets of the users' sizes: all leases end at the same moment, in a
+// fleet whose routers started together. The test fails if the calls that follow exceed the rate of the store, or if a key is
+// not back within the grace period.
+func TestFleetAfterRestore(t *testing.T) {
+	tests := map[string]struct{ routers, writesPerSecond int }{
+		"9 routers":   {9, 400},
+		"73 routers":  {73, 1200},
+		"195 routers": {195, 3200},
+		"300 routers": {300, 4900},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := &restoredStore{leases: map[jaywind.LeaseID]bool{}, keys: map[string]bool{}}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				defer func() { cancel(); group.Wait() }()
+				for i := range c.routers {
+					r := &roster.Roster{Self: roster.Member{VM: jaywind.VM(fmt.Sprint("vm", i))}, Store: k, Log: zap.NewNop()}
+					group.Go(func() {
+						time.Sleep(time.Duration(i) * time.Millisecond) // all start within 0.3 s
+						_ = r.Run(ctx)
+					})
+				}
+				time.Sleep(5*time.Second + 400*time.Millisecond)
+				k.restore()
+				time.Sleep(follow.ReregisterGrace)
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				is.Equal(len(k.keys), c.routers)
+				for _, n := range k.writes {
+					is.True(n <= c.writesPerSecond/10)
+				}
+			})
+		})
+	}
+}
+
+// restoredStore is a LeaseStore that loses everything at a restore. It counts the writes in each 100 ms after it.
+type restoredStore struct {
+	mu     sync.Mutex
+	since  time.Time
+	grants int
+	leases map[jaywind.LeaseID]bool
+	keys   map[string]bool
+	writes map[time.Duration]int
+}
+
+func (k *restoredStore) restore() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.since, k.writes = time.Now(), map[time.Duration]int{}
+	clear(k.leases)
+	clear(k.keys)
+}
+
+// write counts a write; the caller holds mu.
+func (k *restoredStore) write() {
+	if !k.since.IsZero() {
+		k.writes[time.Since(k.since)/(100*time.Millisecond)]++
+	}
+}
+
+func (k *restoredStore) Grant(context.Context, time.Duration) (jaywind.LeaseID, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.write()
+	k.grants++
+	id := jaywind.LeaseID(fmt.Sprint(k.grants))
+	k.leases[id] = true
+	return id, nil
+}
+
+func (k *restoredStore) Renew(_ context.Context, id jaywind.LeaseID) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.leases[id] {
+		return jaywind.ErrLeaseExpired
+	}
+	return nil
+}
+
+func (k *restoredStore) Put(_ context.Context, key string, _ []byte, id jaywind.LeaseID) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.write()
+	if !k.leases[id] {
+		return jaywind.ErrLeaseExpired
+	}
+	k.keys[key] = true
+	return nil
+}
+
 // TestMaintainLease fails if the key is not back within seconds after the lease expired or the store returned, or does
 // not show that the router is leaving.
 func TestMaintainLease(t *testing.T) {
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -38,13 +38,14 @@
 	r.Log.Info("rollout: started", zap.String("service", string(o.Service)), zap.String("target", string(o.Target)), zap.Duration("for", o.Duration))
 }
 
-// SetRolloutState puts the state of a roll-out in force.
+// SetRolloutState puts the state of a roll-out in force, unless a later one is. A store that has come back from an older copy
+// may show a state that is over.
 func (r *Router) SetRolloutState(s jaywind.ServiceName, state rollout.State) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tr := r.rollouts[s]
-	if tr == nil || tr.rollout.Order.Target != state.Target || tr.rollout.State == state {
+	if tr == nil || tr.rollout.Order.Target != state.Target || !state.Supersedes(tr.rollout.State) {
 		return
 	}
 	tr.rollout.State = state
