soak: restores of the store, replicas that leave, replicas that ask for pauses

The three faults are drawn beside the others (separately, so that kept seeds give the same faults as before); the operator and the replicas write again what a restore has lost. New checks: no request to a replica later than the drain time after its router has passed on its Server-Leaving; no more than two requests within a pause that a replica has asked for. Each check is shown to find its violation (TestGuarantees).

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -153,6 +153,7 @@
 		g := &standin.Registration{Replica: r, Store: *store}
 		log := &runLog{}
 		r.OnStart = func(run standin.Run) { log.write(run, g.DrainingSince(), "run") }
+		r.OnRefuse = func(run standin.Run) { log.write(run, g.DrainingSince(), "refuse") }
 		r.OnEnd = func(run standin.Run, left bool) {
 			event := "end"
 			if left {
--- a/internal/measure/soak/caller.go
+++ b/internal/measure/soak/caller.go
@@ -35,6 +35,8 @@
 	after        int       // events received by earlier attempts
 	status       int       // 0 without a response
 	fromEndpoint bool      // the response is an endpoint's own, not one that a router made
+	leaving      string    // id of the endpoint that says in the response that it is leaving; empty for none
+	headAt       time.Time // when the head of the response came
 	complete     bool      // it ended as a complete response does
 	responseBody string
 	received     int // complete events
@@ -171,7 +173,7 @@
 		return a
 	}
 	defer func() { _ = response.Body.Close() }()
-	a.status, a.fromEndpoint = response.StatusCode, standin.Sealed(response)
+	a.status, a.fromEndpoint, a.leaving, a.headAt = response.StatusCode, standin.Sealed(response), standin.Leaving(response), time.Now()
 	if a.isStream() && a.status == http.StatusOK {
 		a.readEvents(response.Body, leaveAt, cancel)
 	} else {
--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -191,6 +191,81 @@
 		}
 	}
 	r.checkRetryBudget()
+	r.checkDepartures()
+	r.checkPauses()
+}
+
+// checkDepartures checks that a router that has passed on a response in which an endpoint says that it is leaving sends it no
+// request of a later time; the caller holds mu.
+func (r *checker) checkDepartures() {
+	type key struct {
+		router  *router
+		replica string
+	}
+	told := map[key]time.Time{}
+	for _, a := range r.attempts {
+		k := key{a.router, a.leaving}
+		if at, found := told[k]; a.leaving != "" && (!found || a.headAt.Before(at)) {
+			told[k] = a.headAt
+		}
+	}
+	for id, a := range r.attempts {
+		for _, s := range r.events[id] {
+			at, found := told[key{a.router, s.Replica}]
+			if found && s.Kind == "run" && a.sentAt.Sub(at) > drainTime && !a.router.disturbed(at, a.sentAt, 0) {
+				r.violations = append(r.violations, Violation{"leaving", id, fmt.Sprintf("%s got the request %v after %s had passed on its departure", s.Replica, a.sentAt.Sub(at), a.router.name)})
+			}
+		}
+	}
+}
+
+// replicaDisturbed reports whether the replica with an id was disturbed within a time.
+func (r *checker) replicaDisturbed(id string, from, until time.Time) bool {
+	for _, e := range r.fleet.replicas {
+		if strings.HasPrefix(id, "i-"+e.name+"-") && e.disturbed(from, until, schedulingSlack) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	pauseSlack        = 500 * time.Millisecond // after the refusal that asks for a pause
+	maxArrivalsPaused = 2
+)
+
+// checkPauses checks that an endpoint which asks a router for a pause gets no requests from it meanwhile; the caller holds mu.
+func (r *checker) checkPauses() {
+	type key struct {
+		router  *router
+		replica string
+	}
+	refused, arrived := map[key][]time.Time{}, map[key][]time.Time{}
+	for id, a := range r.attempts {
+		for _, s := range r.events[id] {
+			k, at := key{a.router, s.Replica}, time.UnixMilli(s.UnixMilli)
+			switch s.Kind {
+			case "refuse":
+				refused[k] = append(refused[k], at)
+				arrived[k] = append(arrived[k], at)
+			case "run":
+				arrived[k] = append(arrived[k], at)
+			}
+		}
+	}
+	for k, all := range refused {
+		for _, at := range all {
+			from, until, n := at.Add(pauseSlack), at.Add(callPause), 0
+			for _, other := range arrived[k] {
+				if other.After(from) && other.Before(until) {
+					n++
+				}
+			}
+			if n > maxArrivalsPaused && !k.router.disturbed(at, until, 0) && !r.replicaDisturbed(k.replica, at, until) {
+				r.violations = append(r.violations, Violation{"pause", "", fmt.Sprintf("%s got %d requests of %s in its pause", k.replica, n, k.router.name)})
+			}
+		}
+	}
 }
 
 // checkExecution checks one execution of a request by a replica; the caller holds mu.
@@ -216,10 +291,8 @@
 	if a.leftAt.IsZero() || at.Sub(a.leftAt) <= cancelLimit+schedulingSlack || a.router.disturbed(a.leftAt, at, schedulingSlack) {
 		return
 	}
-	for _, e := range r.fleet.replicas {
-		if strings.HasPrefix(s.Replica, "i-"+e.name+"-") && e.disturbed(a.sentAt, at, schedulingSlack) {
-			return // the cancellation may not have reached the replica
-		}
+	if r.replicaDisturbed(s.Replica, a.sentAt, at) {
+		return // the cancellation may not have reached the replica
 	}
 	r.violations = append(r.violations, Violation{"gone", a.id, fmt.Sprintf("event %s at %s %v after the caller disconnected", s.Kind, s.Replica, at.Sub(a.leftAt))})
 }
--- a/internal/measure/soak/config.go
+++ b/internal/measure/soak/config.go
@@ -22,6 +22,7 @@
 	version       int
 	routesAddedAt []time.Time // when the store acknowledged each added route
 	keysRevokedAt []time.Time // when each extra key was revoked; zero for the valid one
+	last          standin.Config
 }
 
 // next returns the next version of the configuration; the caller holds mu.
@@ -42,6 +43,24 @@
 	return c
 }
 
+// write writes a configuration to the store; the caller holds mu.
+func (u *operatorConfig) write(f *fleet, c standin.Config) error {
+	err := f.operator().Configure(c)
+	if err == nil {
+		u.last = c
+	}
+	return err
+}
+
+// writeAgain writes the last configuration again, after the store may have lost it.
+func (u *operatorConfig) writeAgain(f *fleet) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for end := time.Now().Add(startTimeout); time.Now().Before(end) && f.operator().Configure(u.last) != nil; { // the store may be away
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func addedPrefix(i int) string       { return fmt.Sprintf("/new%d/", i) }
 func extraKeyName(i int) string      { return fmt.Sprintf("extra%d", i) }
 func extraOrganisation(i int) string { return fmt.Sprintf("org-extra%d", i) }
@@ -51,7 +70,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.keysRevokedAt = []time.Time{{}}
-	return u.next()
+	u.last = u.next()
+	return u.last
 }
 
 // addRoute writes a configuration with one more route.
@@ -59,7 +79,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.routesAddedAt = append(u.routesAddedAt, time.Time{})
-	if f.operator().Configure(u.next()) != nil {
+	if u.write(f, u.next()) != nil {
 		u.routesAddedAt = u.routesAddedAt[:len(u.routesAddedAt)-1] // the store is unavailable: the route is added by a later fault
 		return
 	}
@@ -71,7 +91,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.keysRevokedAt = append(u.keysRevokedAt, time.Time{})
-	if f.operator().Configure(u.next()) != nil {
+	if u.write(f, u.next()) != nil {
 		u.keysRevokedAt = u.keysRevokedAt[:len(u.keysRevokedAt)-1]
 		return
 	}
--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,10 @@
 	active      sync.WaitGroup // faults that have not been removed yet
 	rolloutLock sync.Mutex     // held by the roll-out in progress
 	rollouts    int            // number of roll-outs so far
+	storeLock   sync.Mutex     // held while the store has a copy to come back from
+
+	orderLock sync.Mutex
+	order     string // version of the roll-out that the operator has ordered last
 }
 
 // run injects faults until the plan or ctx ends, and returns once all faults are removed.
@@ -108,6 +113,12 @@
 	case ExpireLeases:
 		defer f.disturbStore(nil)()
 		n.logRefused("lapse", f.operator().ExpireLeases())
+	case RestoreStore:
+		n.restoreStore(ctx, s)
+	case LeaveReplica:
+		n.leaveReplica(ctx, s, e)
+	case PauseCalls:
+		n.pauseCalls(ctx, s, e)
 	case RollOut:
 		n.rollOut(ctx, s.Variant == "bad")
 	case Configure:
@@ -226,6 +237,52 @@
 	"cut": {TruncateAfter: streamEvents / 3}, "mute": {StallAfter: streamEvents / 3}, "jump": {SkipEvent: streamEvents / 3}, "foreign": {WrongAttemptID: true}, "encoded": {ContentEncoding: true},
 }
 
+// callPause is the time for which replicas ask to be left alone.
+const callPause = 1200 * time.Millisecond
+
+// restoreStore brings the store back from an older copy. Its other writers write again what it lacks: the operator here, the
+// replicas at their next heartbeat.
+func (n *injector) restoreStore(ctx context.Context, s Fault) {
+	n.storeLock.Lock()
+	defer n.storeLock.Unlock()
+	o := n.fleet.operator()
+	n.logRefused("copy", o.Copy())
+	waitFault(ctx, s)
+	defer n.fleet.disturbStore(nil)()
+	n.logRefused("restore", o.Restore())
+	time.Sleep(s.Duration / 4)
+	n.config.writeAgain(n.fleet)
+	n.writeRolloutAgain()
+}
+
+// leaveReplica lets a replica leave that says so in its answers only, and starts it again under a new id.
+func (n *injector) leaveReplica(ctx context.Context, s Fault, e *replica) {
+	if !e.claim() {
+		return
+	}
+	defer e.release()
+	n.setFaults(e, standin.Faults{LeavingHeader: "1"})
+	waitFault(ctx, Fault{Duration: drainTime + 3*time.Second}) // for its running streams to end
+	defer e.disturb()()
+	e.signal(syscall.SIGKILL)
+	e.waitExit(maxFaultTime)
+	waitFault(ctx, s)
+	e.setArguments(n.fleet, true)
+	n.restart(&e.process)
+}
+
+// pauseCalls lets a replica turn all requests away and ask for pauses. It does not count as disturbed, so that the check of
+// the pauses can tell when its refusals may not have arrived.
+func (n *injector) pauseCalls(ctx context.Context, s Fault, e *replica) {
+	if !e.claim() {
+		return
+	}
+	defer e.release()
+	n.setFaults(e, standin.Faults{Overloaded: true, RetryAfter: strconv.FormatFloat(callPause.Seconds(), 'f', 1, 64)})
+	waitFault(ctx, s)
+	n.setFaults(e, standin.Faults{})
+}
+
 func (n *injector) faultReplica(ctx context.Context, s Fault, e *replica) {
 	if !e.claim() {
 		return
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -47,6 +47,10 @@
 	ExpireLeases     FaultKind = "all leases lapse"
 	Revoke           FaultKind = "revoke a key"
 	RollOut          FaultKind = "roll out a version"
+
+	RestoreStore FaultKind = "restore store"  // from a copy that is Fault.Duration old
+	LeaveReplica FaultKind = "replica leaves" // and says so in its answers only
+	PauseCalls   FaultKind = "replica asks for pauses"
 )
 
 // weights are the relative frequencies of the kinds.
@@ -58,6 +62,10 @@
 	ExpireLeases: 1, RollOut: 4,
 }
 
+// laterWeights are those of the kinds that were added after plans had been kept. They are drawn separately, so that a seed
+// still gives the same faults of the other kinds.
+var laterWeights = map[FaultKind]int{RestoreStore: 2, LeaveReplica: 2, PauseCalls: 3}
+
 // variants lists the variants of a kind, if any. Those of a cut name the blocked direction:
 // forth is towards the replica or the store, back is away from it.
 var variants = map[FaultKind][]string{
@@ -89,14 +97,22 @@
 const (
 	warmUp       = 1500 * time.Millisecond // traffic before the first fault
 	meanInterval = 450 * time.Millisecond  // between two faults; faults overlap, as most last longer than this
+	meanLater    = 1600 * time.Millisecond // the same for laterWeights
 	maxFaultTime = 3 * time.Second         // duration of a fault
 	minFaultTime = 200 * time.Millisecond
 )
 
 // NewPlan returns the plan that a seed generates.
 func NewPlan(seed uint64, size Size, during time.Duration) Plan {
-	random := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // the same seed must give the same plan
 	p := Plan{Seed: seed, Size: size, Duration: during}
+	p.draw(rand.New(rand.NewPCG(seed, 0)), weights, meanInterval)   //nolint:gosec // the same seed must give the same plan
+	p.draw(rand.New(rand.NewPCG(seed, 1)), laterWeights, meanLater) //nolint:gosec // as above
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
+	return p
+}
+
+// draw adds faults of the kinds in weights at random times.
+func (p *Plan) draw(random *rand.Rand, weights map[FaultKind]int, interval time.Duration) {
 	kinds := make([]FaultKind, 0, len(weights))
 	total := 0
 	for k, w := range weights {
@@ -104,7 +120,7 @@
 		total += w
 	}
 	slices.Sort(kinds)
-	for at := warmUp; at < during; at += time.Duration(random.ExpFloat64() * float64(meanInterval)) {
+	for at := warmUp; at < p.Duration; at += time.Duration(random.ExpFloat64() * float64(interval)) {
 		s := Fault{Start: at.Round(time.Millisecond), Duration: minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))).Round(time.Millisecond)}
 		n := random.IntN(total)
 		for _, k := range kinds {
@@ -119,6 +135,4 @@
 		}
 		p.Faults = append(p.Faults, s)
 	}
-	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
-	return p
 }
--- a/internal/measure/soak/rollout.go
+++ b/internal/measure/soak/rollout.go
@@ -47,6 +47,9 @@
 		n.checker.logf("store refused the roll-out of version %s: %v", version, err)
 		return
 	}
+	n.orderLock.Lock()
+	n.order = version
+	n.orderLock.Unlock()
 	state := n.awaitRollout(ctx, version)
 	n.checker.logf("roll-out of version %s, failing %v: state %q after %v", version, bad, state, time.Since(requestedAt).Round(time.Millisecond))
 	if bad {
@@ -66,6 +69,15 @@
 	time.Sleep(drainTime + time.Second)
 }
 
+// writeRolloutAgain writes the last order again, after the store may have lost it.
+func (n *injector) writeRolloutAgain() {
+	n.orderLock.Lock()
+	defer n.orderLock.Unlock()
+	if n.order != "" {
+		n.logRefused("the order again", n.fleet.operator().RollOut("desk", n.order, rolloutTimeout))
+	}
+}
+
 // awaitRollout waits for the end of a roll-out and returns its state, or its last known state on timeout.
 func (n *injector) awaitRollout(ctx context.Context, version string) string {
 	state := ""
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 			is.Equal(s.Variant != "", len(variants[s.Kind]) > 0)
 		}
 	}
-	is.Equal(len(drawn), len(weights))
+	is.Equal(len(drawn), len(weights)+len(laterWeights))
 }
 
 // newScene returns a checker for a fleet with one router, and an attempt to it that succeeded.
@@ -108,6 +109,20 @@
 			s.Organisation = extraOrganisation(0)
 			c.addEvent(s)
 		}, "revoked"},
+		"endpoint that is leaving": {func(c *checker, a *attempt) {
+			c.attempts["q0"] = &attempt{id: "q0", status: 200, router: a.router, leaving: "i", headAt: a.sentAt.Add(-drainTime - 1)}
+			c.addEvent(run(a, 0))
+		}, "leaving"},
+		"endpoint that has just said that it is leaving": {func(c *checker, a *attempt) {
+			c.attempts["q0"] = &attempt{id: "q0", status: 200, router: a.router, leaving: "i", headAt: a.sentAt.Add(-drainTime)}
+			c.addEvent(run(a, 0))
+		}, ""},
+		"endpoint that another router knows to be leaving": {func(c *checker, a *attempt) {
+			c.attempts["q0"] = &attempt{id: "q0", status: 200, router: &router{}, leaving: "i", headAt: a.sentAt.Add(-drainTime - 1)}
+			c.addEvent(run(a, 0))
+		}, ""},
+		"requests in a pause":           {func(c *checker, a *attempt) { pausedRuns(c, a, maxArrivalsPaused+1) }, "pause"},
+		"requests that were on the way": {func(c *checker, a *attempt) { pausedRuns(c, a, maxArrivalsPaused) }, ""},
 		"starts after the caller disconnected": {func(c *checker, a *attempt) {
 			stream(a)
 			a.leftAt, a.received, a.complete = a.sentAt, 1, false
@@ -131,6 +146,17 @@
 	}
 }
 
+// pausedRuns lets an endpoint ask for a pause and run some requests of the same router in it.
+func pausedRuns(c *checker, a *attempt, runs int) {
+	c.attempts["q0"] = &attempt{id: "q0", status: 200, router: a.router}
+	c.addEvent(standin.RunEvent{UnixMilli: a.sentAt.UnixMilli(), Kind: "refuse", AttemptID: "q0", Replica: "i"})
+	for i := range runs {
+		id := fmt.Sprint("p", i)
+		c.attempts[id] = &attempt{id: id, status: 200, router: a.router, target: "/get/x"}
+		c.addEvent(standin.RunEvent{UnixMilli: a.sentAt.Add(callPause - 50*time.Millisecond).UnixMilli(), Kind: "run", AttemptID: id, Replica: "i", Target: "/get/x"})
+	}
+}
+
 // TestBudget checks that retries are counted over the whole fleet.
 func TestBudget(t *testing.T) {
 	for retries, violations := range map[int]int{budgetReserve: 0, budgetReserve + 2: 1} {
