router: a state of a roll-out that is read before its order is followed

The store lists its keys by name, so a router that starts after a roll-out reads the state (jaywind/rollout/) before the order (op/rollout/). The state was dropped, the order began the roll-out anew: the router kept the new version to its first share for good, and refused 96 in 100 requests once all endpoints had that version.

Change: the last state read of each service is kept, and followed when its order comes.

TestStateBeforeOrder failed first (state first: not served).

--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -30,20 +30,28 @@
 	if tr := r.rollouts[o.Service]; tr != nil && tr.rollout.Order.Target == o.Target {
 		return
 	}
-	r.rollouts[o.Service] = &rolloutTracker{
+	tr := &rolloutTracker{
 		rollout:   rollout.New(o, b),
 		totals:    rollout.Totals{Outcomes: map[table.OutcomeKey]table.OutcomeCounts{}},
 		baselines: map[jaywind.Route]*table.Quantile{},
 	}
+	r.rollouts[o.Service] = tr
 	r.Log.Info("rollout: started", zap.String("service", string(o.Service)), zap.String("target", string(o.Target)), zap.Duration("for", o.Duration))
+	r.followState(o.Service, r.rolloutStates[o.Service])
 }
 
 // SetRolloutState puts the state of a roll-out in force, unless a later one is. A store that has come back from an older copy
-// may show a state that is over.
+// may show a state that is over. A state may come before its order, which StartRollout adds.
 func (r *Router) SetRolloutState(s jaywind.ServiceName, state rollout.State) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.rolloutStates[s] = state
+	r.followState(s, state)
+}
+
+// followState puts a state in force if its order is known and no later state is; the caller holds mu.
+func (r *Router) followState(s jaywind.ServiceName, state rollout.State) {
 	tr := r.rollouts[s]
 	if tr == nil || tr.rollout.Order.Target != state.Target || !state.Supersedes(tr.rollout.State) {
 		return
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -14,6 +14,7 @@
 	"jaywind"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/retry"
+	"jaywind/internal/core/rollout"
 	"jaywind/internal/core/route"
 )
 
@@ -51,6 +52,8 @@
 	lookups  map[jaywind.ServiceName]*cacheLookup
 	rollouts map[jaywind.ServiceName]*rolloutTracker
 
+	rolloutStates map[jaywind.ServiceName]rollout.State // as last read, whether or not their orders are known
+
 	departures []departure // endpoints whose departure may have to be announced
 }
 
@@ -66,6 +69,7 @@
 		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
 		r.lookups = map[jaywind.ServiceName]*cacheLookup{}
 		r.rollouts = map[jaywind.ServiceName]*rolloutTracker{}
+		r.rolloutStates = map[jaywind.ServiceName]rollout.State{}
 		r.routers = 1
 	})
 }
