roster, feed: leases of large fleets last longer, and readers notice silent VMs

Change: in fleets of 16 VMs and more a lease lasts 8 s and is renewed each 2.8 s (0.9 s after a failed call). VMs call the reader that they follow at least each second anyhow, so a reader knows within 2.2 s who has fallen silent and says so in each answer; the directory leaves those out. A reader that stood still or hears of few reports nobody. The next router leads roll-outs when the leader does not answer four calls in a row. A VM that finds its key of before a restart renews that lease instead of writing a new one. Smaller fleets have no readers and keep the short lease. A stop and a restore of the store are published at once, not with the next renewal.

Weighed and not taken: one lease for a failure domain, kept by one VM for the others: it saves some 7 calls a second more at 195 VMs, but its keeper's loss would take the whole domain out of the list.

--- /dev/null
+++ b/internal/provider/roster/presence_test.go
@@ -0,0 +1,223 @@
+package roster_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/internal/provider/roster"
+)
+
+// TestPresence: VMs that follow a reader stop calling it. The test fails if one that stopped is not noticed within about the
+// time of the short lease, or if one is taken for silent although the reader itself stood still.
+func TestPresence(t *testing.T) {
+	start := time.Unix(1000, 0)
+
+	tests := map[string]struct {
+		calls  func(call func(vm int, at time.Duration))
+		at     time.Duration
+		silent []jaywind.VM
+	}{
+		"all call": {func(call func(int, time.Duration)) { callAll(call, 0, 10*time.Second, 8) }, 10 * time.Second, nil},
+		"one stops": {func(call func(int, time.Duration)) {
+			callAll(call, 0, 2*time.Second, 8)
+			callAll(call, 2*time.Second, 5*time.Second, 7)
+		}, 5 * time.Second, []jaywind.VM{"vm7"}},
+		"one is late": {func(call func(int, time.Duration)) {
+			callAll(call, 0, 2*time.Second, 8)
+			callAll(call, 2*time.Second, 3500*time.Millisecond, 7)
+		}, 3500 * time.Millisecond, nil},
+		"one has ended long ago": {func(call func(int, time.Duration)) {
+			callAll(call, 0, 2*time.Second, 8)
+			callAll(call, 2*time.Second, 20*time.Second, 7)
+		}, 20 * time.Second, nil},
+		"the reader stood still": {func(call func(int, time.Duration)) {
+			callAll(call, 0, 2*time.Second, 8)
+			call(0, 6*time.Second)
+			call(1, 6100*time.Millisecond)
+		}, 6100 * time.Millisecond, nil},
+		"the reader is cut off": {func(call func(int, time.Duration)) { callAll(call, 0, 2*time.Second, 8) }, 6 * time.Second, nil},
+		"most have stopped": {func(call func(int, time.Duration)) {
+			callAll(call, 0, 2*time.Second, 12)
+			callAll(call, 2*time.Second, 6*time.Second, 5)
+		}, 6 * time.Second, nil},
+		"none has called": {func(func(int, time.Duration)) {}, time.Second, nil},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var p roster.Presence
+			c.calls(func(vm int, at time.Duration) { p.Record(jaywind.VM(fmt.Sprint("vm", vm)), start.Add(at)) })
+			is.New(t).Equal(p.Silent(start.Add(c.at)), c.silent)
+		})
+	}
+}
+
+const callInterval = 800 * time.Millisecond // between two calls of a VM
+
+// callAll makes VMs 0 to vms-1 call regularly, from a time to another.
+func callAll(call func(vm int, at time.Duration), from, until time.Duration, vms int) {
+	for at := from; at <= until; at += callInterval {
+		for vm := range vms {
+			call(vm, at)
+		}
+	}
+}
+
+// TestSilentVMs: callers are not sent to VMs that a reader has reported as silent, while the report holds.
+func TestSilentVMs(t *testing.T) {
+	tests := map[string]struct {
+		silent []jaywind.VM
+		after  time.Duration
+		want   int // addresses in the answer of the directory
+	}{
+		"none":            {nil, 0, 20},
+		"two":             {[]jaywind.VM{"vm03", "vm04"}, 0, 18},
+		"an old report":   {[]jaywind.VM{"vm03", "vm04"}, 2 * time.Second, 20},
+		"this VM":         {[]jaywind.VM{"vm00"}, 0, 20},
+		"a VM not listed": {[]jaywind.VM{"vm99"}, 0, 20},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := fleet(t, 20)[0]
+				r.ReportSilent(c.silent)
+				time.Sleep(c.after)
+				is.New(t).Equal(len(r.EntryAddresses("unknown")), c.want)
+			})
+		})
+	}
+}
+
+// TestLeaderThatDoesNotAnswer: while the leader does not answer, the next router leads.
+func TestLeaderThatDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := fleet(t, 20)[1]
+		is.Equal(r.RolloutLeader().VM, jaywind.VM("vm00"))
+		r.Suspect("vm00")
+		is.Equal(r.RolloutLeader().VM, jaywind.VM("vm01"))
+		time.Sleep(4 * time.Second)
+		is.Equal(r.RolloutLeader().VM, jaywind.VM("vm00"))
+	})
+}
+
+// countingStore is a LeaseStore that counts its calls.
+type countingStore struct {
+	fakeStore
+	grants, renewals, writes int
+	ttl                      time.Duration // of the last lease
+}
+
+func (s *countingStore) Grant(ctx context.Context, ttl time.Duration) (jaywind.LeaseID, error) {
+	s.grants++
+	s.ttl = ttl
+	return s.fakeStore.Grant(ctx, ttl)
+}
+
+func (s *countingStore) Renew(ctx context.Context, id jaywind.LeaseID) error {
+	s.renewals++
+	return s.fakeStore.Renew(ctx, id)
+}
+
+func (s *countingStore) Put(ctx context.Context, key string, value []byte, id jaywind.LeaseID) error {
+	s.writes++
+	return s.fakeStore.Put(ctx, key, value, id)
+}
+
+// TestRestartOfAFleet answers a fleet that restarts at once: each VM finds its key of before. The test fails if a VM whose
+// key is still there writes to the store, or if one whose key has ended or changed does not.
+func TestRestartOfAFleet(t *testing.T) {
+	tests := map[string]struct {
+		before         func(m *roster.Member) // changes of the key's value; nil for no key
+		expired        bool
+		grants, writes int
+	}{
+		"first start":        {nil, false, 1, 1},
+		"key is there":       {func(*roster.Member) {}, false, 0, 0},
+		"it was leaving":     {func(m *roster.Member) { m.Leaving = true }, false, 0, 1},
+		"lease has ended":    {func(*roster.Member) {}, true, 1, 1},
+		"without a lease":    {func(m *roster.Member) { m.Lease = "" }, false, 1, 1},
+		"at another address": {func(m *roster.Member) { m.EntryAddress = "10.9.9.9:1" }, false, 0, 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := &countingStore{fakeStore: fakeStore{keys: map[string]string{}, expired: c.expired}}
+				r := &roster.Roster{Self: member(1), Store: k, Log: zap.NewNop()}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				group.Go(func() { _ = r.Run(ctx) })
+				time.Sleep(50 * time.Millisecond)
+				for i := range 20 {
+					m := member(i)
+					if i == 1 && c.before == nil {
+						continue
+					}
+					if i == 1 {
+						m.Lease = "7"
+						c.before(&m)
+					}
+					r.Update(item(t, m), false)
+				}
+				time.Sleep(6 * time.Second)
+				cancel()
+				group.Wait()
+				is.Equal([]int{k.grants, k.writes}, []int{c.grants, c.writes})
+				is.True(k.renewals <= 4) // one in 2.8 s, and one for the lease that was found
+			})
+		})
+	}
+}
+
+// TestStoreAwayAtTheStart: the store does not answer a VM that starts. The test fails if its key is not there soon after it does.
+func TestStoreAwayAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &fakeStore{keys: map[string]string{}, unavailable: true}
+		r := &roster.Roster{Self: member(1), Store: k, Log: zap.NewNop()}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		defer func() { cancel(); group.Wait() }()
+		group.Go(func() { _ = r.Run(ctx) })
+		time.Sleep(4 * time.Second)
+		k.mu.Lock()
+		k.unavailable = false
+		k.mu.Unlock()
+		time.Sleep(time.Second)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		is.New(t).Equal(len(k.keys), 1)
+	})
+}
+
+// TestLeaseTimes: a VM of a small fleet, in which no reader notices silent VMs, has a short lease soon after the start.
+func TestLeaseTimes(t *testing.T) {
+	for routers, want := range map[int]time.Duration{1: 2500 * time.Millisecond, 9: 2500 * time.Millisecond, 20: 8 * time.Second} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				k := &countingStore{fakeStore: fakeStore{keys: map[string]string{}}}
+				r := fleet(t, routers)[0]
+				r.Store = k
+				ctx, cancel := context.WithCancel(context.Background())
+				var group conc.WaitGroup
+				group.Go(func() { _ = r.Run(ctx) })
+				time.Sleep(10 * time.Second)
+				cancel()
+				group.Wait()
+				is.Equal(k.ttl, want)
+				var m roster.Member
+				is.NoErr(json.Unmarshal([]byte(k.keys[roster.Prefix+"vm00"][:len(k.keys[roster.Prefix+"vm00"])-2]), &m))
+				is.Equal(m.Lease, jaywind.LeaseID(fmt.Sprint(k.grants)))
+			})
+		})
+	}
+}
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -21,10 +21,21 @@
 // Prefix is the prefix of the routers' keys in the store.
 const Prefix = "jaywind/vm/"
 
+// leaseTiming is how long a lease lasts, which is the longest time that a VM stays listed after a power loss unless others
+// notice it, and when the lease is renewed: it survives one lost renewal.
+type leaseTiming struct{ ttl, renewal time.Duration }
+
+var (
+	shortLease = leaseTiming{ttl: 2500 * time.Millisecond, renewal: 900 * time.Millisecond}
+	longLease  = leaseTiming{ttl: 8 * time.Second, renewal: 2800 * time.Millisecond} // in a fleet whose readers notice silent VMs
+)
+
 const (
-	leaseTTL      = 2500 * time.Millisecond // longest time that a VM stays listed after a power loss
-	renewInterval = 900 * time.Millisecond  // the lease survives one lost renewal; a third one would come after its end
-	callTimeout   = 600 * time.Millisecond
+	callTimeout     = 600 * time.Millisecond
+	retryInterval   = 900 * time.Millisecond // after a call that failed
+	adoptionTime    = 250 * time.Millisecond // at the start, for this VM's key of before a restart to be found
+	fleetSizeTime   = 5 * time.Second        // at the start, for the other VMs to register
+	reregisterDelay = 600 * time.Millisecond // over which VMs take new leases after a restore of the store
 )
 
 // Member is one router that accepts callers.
@@ -34,7 +45,8 @@
 	EntryAddress jaywind.Address `json:"entry"` // for requests of callers
 	FleetAddress jaywind.Address `json:"fleet"` // for requests of other routers
 	Leaving      bool            `json:"leaving"`
-	LinkMbps     float64         `json:"link"` // Mbit/s
+	LinkMbps     float64         `json:"link"`            // Mbit/s
+	Lease        jaywind.LeaseID `json:"lease,omitempty"` // of the key
 
 	missingSince time.Time // when its key disappeared; zero while the key exists
 }
@@ -58,56 +70,128 @@
 
 	mu        sync.Mutex
 	members   map[jaywind.VM]Member
-	lease     jaywind.LeaseID
-	published bool // the key has the present value of Self, or a write of it is in progress
+	published bool                     // the key has the present value of Self, or a write of it is in progress
+	found     Member                   // this router's key as it was at the start; zero if there is none
+	silent    map[jaywind.VM]time.Time // VMs that a reader has not heard of for a while, and since when this router knows
+	suspects  map[jaywind.VM]time.Time // VMs that did not answer this router, and until when they do not lead
+	wake      chan time.Duration       // asks Run for an earlier call, after a delay
+
+	lease  jaywind.LeaseID // this and the next two are used by Run only
+	timing leaseTiming     // of lease
+	since  time.Time       // start of Run
 }
 
 // Run maintains the lease and the key until ctx ends. The time of the renewals is random, so that routers which start
-// together do not all take new leases at the same moment after a restore of the store.
+// together do not all call the store at the same moments.
 func (r *Roster) Run(ctx context.Context) error {
-	r.maintainLease(ctx)
-	first := time.NewTimer(rand.N(renewInterval))
-	defer first.Stop()
-	select {
-	case <-first.C:
-	case <-ctx.Done():
-		return ctx.Err()
+	r.since, r.timing = time.Now(), longLease
+	r.adopt(ctx)
+	ok := r.maintainLease(ctx)
+	next := rand.N(r.timing.renewal)
+	for {
+		if !ok {
+			next = min(next, retryInterval)
+		}
+		if err := r.sleep(ctx, next); err != nil {
+			return err
+		}
+		ok = r.maintainLease(ctx)
+		next = r.timing.renewal
 	}
-	t := time.NewTicker(renewInterval)
-	defer t.Stop()
+}
+
+// sleep waits for a time, or for a shorter one if an earlier call is asked for.
+func (r *Roster) sleep(ctx context.Context, d time.Duration) error {
+	end := time.Now().Add(d)
 	for {
-		r.maintainLease(ctx)
+		t := time.NewTimer(time.Until(end))
 		select {
 		case <-t.C:
+			return nil
+		case sooner := <-r.wakeups():
+			t.Stop()
+			if at := time.Now().Add(sooner); at.Before(end) {
+				end = at
+			}
 		case <-ctx.Done():
+			t.Stop()
 			return ctx.Err()
 		}
 	}
 }
 
-// maintainLease creates or renews the lease and writes the key if its value is out of date.
-func (r *Roster) maintainLease(ctx context.Context) {
+func (r *Roster) wakeups() chan time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.wake == nil {
+		r.wake = make(chan time.Duration, 1)
+	}
+	return r.wake
+}
+
+// callSoon makes Run call the store after a delay.
+func (r *Roster) callSoon(delay time.Duration) {
+	select {
+	case r.wakeups() <- delay:
+	default: // another one is under way
+	}
+}
+
+// adopt takes over the lease of this VM's key of before a restart, if the key is found soon. This saves the store two writes
+// for each VM when a whole fleet restarts.
+func (r *Roster) adopt(ctx context.Context) {
+	if r.sleep(ctx, adoptionTime) != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.found.Lease == "" {
+		return
+	}
+	r.lease, r.timing = r.found.Lease, longLease
+	self := r.Self
+	self.Lease = r.lease
+	r.published = self == r.found
+	r.Log.Info("roster: lease of before the restart taken over", zap.String("lease", string(r.lease)), zap.Bool("published", r.published))
+}
+
+// maintainLease creates or renews the lease and writes the key if its value is out of date. It returns false if a call failed.
+func (r *Roster) maintainLease(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if r.lease != "" {
+	wanted := r.wantedTiming()
+	if r.lease != "" && r.timing.ttl <= wanted.ttl {
 		err := r.Store.Renew(ctx, r.lease)
-		if errors.Is(err, jaywind.ErrLeaseExpired) {
+		switch {
+		case errors.Is(err, jaywind.ErrLeaseExpired):
 			r.Log.Warn("roster: lease expired", zap.String("lease", string(r.lease)))
 			r.lease = ""
-		} else if err != nil {
+		case err != nil:
 			r.Log.Debug("roster: lease renewal failed", zap.Error(err))
+			return false
 		}
 	}
-	if r.lease == "" {
-		id, err := r.Store.Grant(ctx, leaseTTL)
+	if r.lease == "" || r.timing.ttl > wanted.ttl {
+		id, err := r.Store.Grant(ctx, wanted.ttl)
 		if err != nil {
 			r.Log.Debug("roster: lease grant failed", zap.Error(err))
-			return
+			return false
 		}
-		r.lease = id
+		r.lease, r.timing = id, wanted
 		r.setPublished(false)
 	}
-	r.publish(ctx)
+	return r.publish(ctx)
+}
+
+// wantedTiming returns the timing for a new lease. A small fleet has no readers that would notice a silent VM.
+func (r *Roster) wantedTiming() leaseTiming {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.found.VM != "" || time.Since(r.since) > fleetSizeTime
+	if known && len(r.active()) < minReaderFleet {
+		return shortLease
+	}
+	return longLease
 }
 
 func (r *Roster) setPublished(b bool) {
@@ -116,15 +200,16 @@
 	r.published = b
 }
 
-// publish writes the key unless it has the present value of Self.
-func (r *Roster) publish(ctx context.Context) {
+// publish writes the key unless it has the present value of Self. It returns false if that failed.
+func (r *Roster) publish(ctx context.Context) bool {
 	r.mu.Lock()
 	done, self := r.published, r.Self
 	r.published = true
 	r.mu.Unlock()
 	if done {
-		return
+		return true
 	}
+	self.Lease = r.lease
 	value, err := json.Marshal(self)
 	if err == nil {
 		err = r.Store.Put(ctx, Prefix+string(self.VM), value, r.lease)
@@ -136,16 +221,21 @@
 			r.lease = ""
 		}
 	}
+	return err == nil
 }
 
-// Leave marks this router as leaving; the next lease renewal publishes it, so that no new callers are sent here.
+// Leave marks this router as leaving and publishes it, so that no new callers are sent here.
 func (r *Roster) Leave() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.Self.Leaving = true
 	r.published = false
+	r.mu.Unlock()
+	r.callSoon(0)
 }
 
+// Reregister takes a new lease soon, after the store has come back from an older copy of itself.
+func (r *Roster) Reregister() { r.callSoon(rand.N(reregisterDelay)) }
+
 // Update applies a change of a key under Prefix. With mayReturn, a deleted key may have expired because the store was
 // unavailable; its member stays until Expire or until it registers again.
 func (r *Roster) Update(i follow.Item, mayReturn bool) {
@@ -155,6 +245,9 @@
 	if !i.Deleted {
 		err = json.Unmarshal(i.Value, &m)
 	}
+	if vm == r.Self.VM && i.Deleted {
+		r.Reregister() // the lease has ended, or the store has lost the key
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members == nil {
@@ -166,6 +259,9 @@
 		return
 	case !i.Deleted:
 		r.members[vm] = m
+		if vm == r.Self.VM && r.found.VM == "" {
+			r.found = m
+		}
 		r.Log.Info("roster: member updated", zap.String("vm", string(vm)), zap.Bool("leaving", m.Leaving), zap.Int64("revision", i.Position.Revision))
 	case !known:
 		return
@@ -217,15 +313,27 @@
 func (r *Roster) RolloutLeader() Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	leader := r.Self
+	leader, now := r.Self, time.Now()
 	for _, m := range r.members {
-		if !m.Leaving && m.missingSince.IsZero() && (m.VM < leader.VM || leader.Leaving) {
+		if !m.Leaving && m.missingSince.IsZero() && !now.Before(r.suspects[m.VM]) && (m.VM < leader.VM || leader.Leaving) {
 			leader = m
 		}
 	}
 	return leader
 }
 
+const suspicionTime = 3 * time.Second // for which a router that did not answer is not taken as the leader
+
+// Suspect records that a router did not answer this one, so that the next one leads for a while.
+func (r *Roster) Suspect(vm jaywind.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects == nil {
+		r.suspects = map[jaywind.VM]time.Time{}
+	}
+	r.suspects[vm] = time.Now().Add(suspicionTime)
+}
+
 const (
 	minReaders     = 3  // least number of readers, so that one is left when two are lost at once
 	minReaderFleet = 16 // in a smaller fleet every router watches the store: this costs less than the delay after the loss of a reader
@@ -314,12 +422,13 @@
 	defer r.mu.Unlock()
 	var active, all []Member
 	known := false
+	silent := r.silentMembers()
 	for vm, m := range r.members {
 		if vm == r.Self.VM {
 			known, m = true, r.Self
 		}
 		all = append(all, m)
-		if !m.Leaving {
+		if !m.Leaving && !silent[vm] {
 			active = append(active, m)
 		}
 	}
