--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -39,6 +39,7 @@
 	defaultWait    = 2400 * time.Millisecond // plus answerMargin less than 3 s, within which a dead connection has to be noticed
 	answerMargin   = 500 * time.Millisecond  // for the answer to arrive after the wait
 	batchDelay     = 300 * time.Millisecond  // after a change from the store, so that further changes arrive in one answer
+	readerDelay    = 700 * time.Millisecond  // the same for a reader; in the large fleets that have readers, changes are frequent
 	peerBatchDelay = 50 * time.Millisecond   // the same after a change from another router
 	listTimeout    = 20 * time.Second        // for a list at any speed; the Source ends one that stalls
 	peersTimeout   = 1500 * time.Millisecond // for the list of the items that name the peers
@@ -58,6 +59,7 @@
 	OnResult    func(ok bool) // is called after each call of the Source, with whether it was answered; may be nil
 	Cache       *Cache        // serves the items to other routers; may be nil
 	FromStore   func() bool   // whether the last answer came from the store itself; nil means always
+	ForOthers   func() bool   // whether this router reads the store for others as well; nil means never
 	// WritesAgain tells whether a key's writer writes it again when the store has come back from an older copy. What the copy
 	// says of it is then not reported for some seconds if it is older than what was reported before. May be nil.
 	WritesAgain func(key string) bool
@@ -192,6 +194,8 @@
 	f.publish()
 	switch {
 	case len(items) == 0:
+	case f.ForOthers != nil && f.ForOthers():
+		f.sleep(ctx, readerDelay)
 	case f.fromStore():
 		f.sleep(ctx, batchDelay)
 	default:
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -473,3 +473,39 @@
 	}
 	return nil, jaywind.StorePosition{}, errUnavailable
 }
+
+// TestFrequentChanges answers a large fleet whose endpoints change all the time: each change would wake the watches of all
+// readers. The test fails if a reader calls the store more than 1.5 times a second, or has a change later than 1 s.
+func TestFrequentChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		truth := &fakeStore{}
+		path := &follow.PeerSource{Store: truth, Peers: func() ([]follow.Peer, bool) { return nil, true }}
+		var mu sync.Mutex
+		written, latest := map[string]time.Time{}, time.Duration(0)
+		f := &follow.Follower{Source: path, Log: zap.NewNop(), FromStore: path.FromStore, ForOthers: path.IsReader, OnChange: func(i follow.Item) {
+			mu.Lock()
+			defer mu.Unlock()
+			latest = max(latest, time.Since(written[i.Key]))
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		group.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(time.Second)
+		before := 0
+		truth.update(func(s *fakeStore) { before = s.calls })
+		const during = 20 * time.Second
+		for n := range int(during / (50 * time.Millisecond)) {
+			key := fmt.Sprintf("endpoints/e%d", n)
+			mu.Lock()
+			written[key] = time.Now()
+			mu.Unlock()
+			truth.put(key, "1")
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		group.Wait()
+		truth.update(func(s *fakeStore) { is.True(float64(s.calls-before) <= 1.5*during.Seconds()) })
+		is.True(latest <= time.Second)
+	})
+}
--- a/internal/provider/follow/reader_test.go
+++ b/internal/provider/follow/reader_test.go
@@ -24,7 +24,7 @@
 	r := &fakeReader{source: &fakeStore{}}
 	r.source.copyFrom(truth)
 	path := &follow.PeerSource{Store: r.source, Peers: func() ([]follow.Peer, bool) { return nil, true }}
-	f := &follow.Follower{Source: path, Log: zap.NewNop(), OnChange: func(follow.Item) {}, Cache: &r.cache, FromStore: path.FromStore}
+	f := &follow.Follower{Source: path, Log: zap.NewNop(), OnChange: func(follow.Item) {}, Cache: &r.cache, FromStore: path.FromStore, ForOthers: path.IsReader}
 	group.Go(func() { _ = f.Run(ctx) })
 	return r
 }
--- a/internal/provider/follow/restore_test.go
+++ b/internal/provider/follow/restore_test.go
@@ -168,7 +168,7 @@
 	}
 	for n, r := range w.routers {
 		path := &follow.PeerSource{Store: direct{w, n}, Peers: func() ([]follow.Peer, bool) { return w.peers(n), n < worldReaders }}
-		f := &follow.Follower{Source: path, Log: zap.NewNop(), OnChange: r.change, Cache: &r.cache, FromStore: path.FromStore, WritesAgain: isRewritten}
+		f := &follow.Follower{Source: path, Log: zap.NewNop(), OnChange: r.change, Cache: &r.cache, FromStore: path.FromStore, ForOthers: path.IsReader, WritesAgain: isRewritten}
 		group.Go(func() { _ = f.Run(ctx) })
 	}
 	return w
--- a/internal/provider/follow/source.go
+++ b/internal/provider/follow/source.go
@@ -38,8 +38,12 @@
 	lastPeer       string               // peer that answered last; empty for the store
 	lastFromStore  bool                 // the store answered last
 	era            int64                // latest era of an answer
+	reader         bool                 // this router was a reader when it called last
 }
 
+// IsReader tells whether this router was a reader when it called last.
+func (p *PeerSource) IsReader() bool { return p.reader }
+
 // FromStore tells whether the last answer came from the store.
 func (p *PeerSource) FromStore() bool { return p.lastFromStore }
 
@@ -102,6 +106,7 @@
 // tryEach calls the peers and then the store until one answers.
 func (p *PeerSource) tryEach(ctx context.Context, call func(ctx context.Context, s Source, peer, reader bool) error) error {
 	peers, reader := p.Peers()
+	p.reader = reader
 	for _, peer := range peers {
 		if time.Since(p.failedAt[peer.Name]) < peerRetryDelay {
 			continue
