--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -223,6 +223,18 @@
 	if f.Cache != nil {
 		f.Cache.apply(i)
 	}
+	f.report(i)
+}
+
+// report calls OnChange. A panic in it, which one unexpected item may cause, ends neither the process nor the following of all
+// other items.
+func (f *Follower) report(i Item) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.Log.Error("store: panic while an item was applied", zap.String("key", i.Key), zap.Int64("revision", i.Position.Revision),
+				zap.Any("cause", cause), zap.Stack("stack"))
+		}
+	}()
 	f.OnChange(i)
 }
 
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -509,3 +509,31 @@
 		is.True(latest <= time.Second)
 	})
 }
+
+// TestPanicAtOneItem: one item makes the code that applies it panic. The test fails if the other items, also later ones, are
+// not reported.
+func TestPanicAtOneItem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		truth, v := &fakeStore{}, &recorder{keys: map[string]string{}}
+		for _, key := range []string{"a", "bad", "c"} {
+			truth.put(key, "1")
+		}
+		f := follow.Follower{Source: truth, Log: zap.NewNop(), OnChange: func(i follow.Item) {
+			if i.Key == "bad" {
+				panic("index out of range")
+			}
+			v.change(i)
+		}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		defer func() { cancel(); group.Wait() }()
+		group.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(time.Second)
+		is.Equal(v.String(), "map[a:1 c:1]")
+		truth.put("bad", "2")
+		truth.put("d", "2")
+		time.Sleep(time.Second)
+		is.Equal(v.String(), "map[a:1 c:1 d:2]")
+	})
+}
--- a/internal/provider/follow/restore.go
+++ b/internal/provider/follow/restore.go
@@ -115,7 +115,7 @@
 			f.withheld[key] = w
 		case left <= 0:
 			delete(f.withheld, key)
-			f.OnChange(w.item)
+			f.report(w.item)
 			continue
 		}
 		if next == 0 || left < next {
--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -121,7 +121,7 @@
 	targets := r.table.AcceptingWork(st.service, now)
 	l := &cacheLookup{startedAt: now, done: make(chan struct{}), best: map[jaywind.PromptPart]cacheHolder{}, updated: make(chan struct{}), asked: len(targets)}
 	r.lookups[st.service.Name] = l
-	r.background.Go(func() { r.queryCaches(context.WithoutCancel(ctx), l, targets) })
+	r.runInBackground(func() { r.queryCaches(context.WithoutCancel(ctx), l, targets) })
 	return l
 }
 
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -160,6 +160,18 @@
 	return r.set != nil && r.table.Count() > 0
 }
 
+// runInBackground runs a call to endpoints that no request waits for. A panic in it ends that call only.
+func (r *Router) runInBackground(call func()) {
+	r.background.Go(func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				r.Log.Error("router: panic in a call to endpoints", zap.Any("cause", cause), zap.Stack("stack"))
+			}
+		}()
+		call()
+	})
+}
+
 // Wait returns when all background calls to endpoints have ended; Serve must not be called any more.
 func (r *Router) Wait() { r.background.Wait() }
 
--- a/internal/relay/router/standby.go
+++ b/internal/relay/router/standby.go
@@ -54,7 +54,7 @@
 	cs.inProgress = true
 	cs.result = make(chan copyResult, 1)
 	run, result := st.request.ID, cs.result
-	r.background.Go(func() {
+	r.runInBackground(func() {
 		ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 		defer cancel()
 		c, err := r.Upstream.CopyMemory(ctx, a.endpoint.Ref(), run, target.Address)
