roster: a VM that finds its key after a restart registers at once

Cause: a VM that restarts waited 0.25 s for its key of before, also after it had found it; one whose key says that it is leaving is not listed meanwhile. Change: the wait ends 20 ms after the key is found, when the rest of the list is there, too. TestRestartOfAFleet holds as before.

--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -34,6 +34,7 @@
 	callTimeout     = 600 * time.Millisecond
 	retryInterval   = 900 * time.Millisecond // after a call that failed
 	adoptionTime    = 250 * time.Millisecond // at the start, for this VM's key of before a restart to be found
+	restOfList      = 20 * time.Millisecond  // after this VM's key, for the keys of the others in the same list
 	fleetSizeTime   = 5 * time.Second        // at the start, for the other VMs to register
 	reregisterDelay = 600 * time.Millisecond // over which VMs take new leases after a restore of the store
 )
@@ -140,7 +141,7 @@
 // adopt takes over the lease of this VM's key of before a restart, if the key is found soon. This saves the store two writes
 // for each VM when a whole fleet restarts.
 func (r *Roster) adopt(ctx context.Context) {
-	if r.sleep(ctx, adoptionTime) != nil {
+	if r.sleep(ctx, adoptionTime) != nil { // Update ends it sooner when it finds the key
 		return
 	}
 	r.mu.Lock()
@@ -239,15 +240,22 @@
 // Update applies a change of a key under Prefix. With mayReturn, a deleted key may have expired because the store was
 // unavailable; its member stays until Expire or until it registers again.
 func (r *Roster) Update(i follow.Item, mayReturn bool) {
+	switch found := r.update(i, mayReturn); {
+	case found:
+		r.callSoon(restOfList) // adopt waits for it
+	case i.Deleted && i.Key == Prefix+string(r.Self.VM):
+		r.Reregister() // the lease has ended, or the store has lost the key
+	}
+}
+
+// update is Update. It reports whether the change shows this VM's key of before a restart.
+func (r *Roster) update(i follow.Item, mayReturn bool) (found bool) {
 	vm := jaywind.VM(strings.TrimPrefix(i.Key, Prefix))
 	var m Member
 	err := error(nil)
 	if !i.Deleted {
 		err = json.Unmarshal(i.Value, &m)
 	}
-	if vm == r.Self.VM && i.Deleted {
-		r.Reregister() // the lease has ended, or the store has lost the key
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members == nil {
@@ -256,15 +264,15 @@
 	switch old, known := r.members[vm]; {
 	case err != nil || !i.Deleted && m.VM != vm:
 		r.Log.Warn("roster: invalid entry", zap.String("key", i.Key), zap.Error(err))
-		return
+		return false
 	case !i.Deleted:
 		r.members[vm] = m
 		if vm == r.Self.VM && r.found.VM == "" {
-			r.found = m
+			r.found, found = m, true
 		}
 		r.Log.Info("roster: member updated", zap.String("vm", string(vm)), zap.Bool("leaving", m.Leaving), zap.Int64("revision", i.Position.Revision))
 	case !known:
-		return
+		return false
 	case mayReturn:
 		old.missingSince = time.Now()
 		r.members[vm] = old
@@ -273,6 +281,7 @@
 		r.Log.Info("roster: member removed", zap.String("vm", string(vm)), zap.Int64("revision", i.Position.Revision))
 	}
 	r.reportPartition()
+	return found
 }
 
 // Expire removes the members whose keys disappeared before a time.
