--- a/internal/provider/follow/restore_test.go
+++ b/internal/provider/follow/restore_test.go
@@ -572,13 +572,17 @@
 		before := 0
 		w.truth.update(func(s *fakeStore) { before = s.calls })
 		time.Sleep(2 * time.Second)
+		w.mu.Lock()
 		for _, r := range w.routers {
 			is.Equal(fmt.Sprint(r.values), "map[c/1:1 c/3:1]")
 		}
+		w.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		w.truth.update(func(s *fakeStore) {
 			is.True(s.calls-before <= worldReaders*10) // a list, and a watch each second
 		})
+		w.mu.Lock()
 		is.Equal(len(w.errs), 0)
+		w.mu.Unlock()
 	})
 }
