roster: a VM's first key is not taken for that of before a restart

Cause: found while reading the diff. At the first start of a fleet a VM sees its own new key come back, took it for the key of before a restart, renewed its lease once more and, if it knew fewer than 16 VMs at that moment, changed to the short lease for good. Change: the key is looked for only until the VM has registered. TestFirstStartOfAFleet failed first. Also a variable's name.

--- a/internal/provider/roster/presence_test.go
+++ b/internal/provider/roster/presence_test.go
@@ -198,6 +198,32 @@
 	})
 }
 
+// TestFirstStartOfAFleet: a VM sees its own new key before those of the others. The test fails if it takes that for the key of
+// before a restart, and the fleet for a small one.
+func TestFirstStartOfAFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := &countingStore{fakeStore: fakeStore{keys: map[string]string{}}}
+		r := &roster.Roster{Self: member(1), Store: k, Log: zap.NewNop()}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		group.Go(func() { _ = r.Run(ctx) })
+		time.Sleep(400 * time.Millisecond)
+		m := member(1)
+		m.Lease = "1"
+		r.Update(item(t, m), false)
+		time.Sleep(3500 * time.Millisecond) // at least one renewal
+		for i := range 20 {
+			r.Update(item(t, member(i)), false)
+		}
+		time.Sleep(4 * time.Second)
+		cancel()
+		group.Wait()
+		is.Equal([]int{k.grants, k.writes}, []int{1, 1})
+		is.Equal(k.ttl, 8*time.Second)
+	})
+}
+
 // TestLeaseTimes: a VM of a small fleet, in which no reader notices silent VMs, has a short lease soon after the start.
 func TestLeaseTimes(t *testing.T) {
 	for routers, want := range map[int]time.Duration{1: 2500 * time.Millisecond, 9: 2500 * time.Millisecond, 20: 8 * time.Second} {
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -72,7 +72,8 @@
 	mu        sync.Mutex
 	members   map[jaywind.VM]Member
 	published bool                     // the key has the present value of Self, or a write of it is in progress
-	found     Member                   // this router's key as it was at the start; zero if there is none
+	found     Member                   // this router's key of before a restart; zero if there is none
+	searched  bool                     // found is not set any more, as the key is this router's own from now on
 	silent    map[jaywind.VM]time.Time // VMs that a reader has not heard of for a while, and since when this router knows
 	suspects  map[jaywind.VM]time.Time // VMs that did not answer this router, and until when they do not lead
 	wake      chan time.Duration       // asks Run for an earlier call, after a delay
@@ -146,6 +147,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.searched = true
 	if r.found.Lease == "" {
 		return
 	}
@@ -267,7 +269,7 @@
 		return false
 	case !i.Deleted:
 		r.members[vm] = m
-		if vm == r.Self.VM && r.found.VM == "" {
+		if vm == r.Self.VM && r.found.VM == "" && !r.searched {
 			r.found, found = m, true
 		}
 		r.Log.Info("roster: member updated", zap.String("vm", string(vm)), zap.Bool("leaving", m.Leaving), zap.Int64("revision", i.Position.Revision))
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -75,9 +75,9 @@
 func (r *Router) refuseBusy(c *call, usual time.Duration) {
 	now := time.Now()
 	r.mu.Lock()
-	any := c.requirements
-	any.Version = "" // as in acquireEndpoint
-	pause := r.table.PauseLeft(c.service.Name, any, now)
+	unrestricted := c.requirements
+	unrestricted.Version = "" // as in acquireEndpoint
+	pause := r.table.PauseLeft(c.service.Name, unrestricted, now)
 	r.mu.Unlock()
 	if pause == 0 {
 		r.writeRefusal(c, ReasonBusy, jitter(usual))
