--- a/internal/provider/roster/presence.go
+++ b/internal/provider/roster/presence.go
@@ -10,7 +10,7 @@
 
 const (
 	silenceTime   = 2200 * time.Millisecond // without a call, after which a reader reports a VM as silent; they call at least each second
-	forgetTime    = 12 * time.Second        // without a call, after which a VM that may follow another reader is forgotten; its lease has ended
+	forgetTime    = 8 * time.Second         // without a call, after which a VM that may follow another reader is forgotten; its lease has ended
 	readerPause   = time.Second             // without any call, which shows that the reader itself stood still
 	minPresent    = 4                       // VMs that must be heard of for the others to count as silent
 	silenceMemory = 1500 * time.Millisecond // for which a report of a reader holds; there is one with each of its answers
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -27,7 +27,7 @@
 
 var (
 	shortLease = leaseTiming{ttl: 2500 * time.Millisecond, renewal: 900 * time.Millisecond}
-	longLease  = leaseTiming{ttl: 8 * time.Second, renewal: 2800 * time.Millisecond} // in a fleet whose readers notice silent VMs
+	longLease  = leaseTiming{ttl: 4 * time.Second, renewal: 1400 * time.Millisecond} // in a fleet whose readers notice silent VMs
 )
 
 const (
