--- a/internal/provider/roster/presence_test.go
+++ b/internal/provider/roster/presence_test.go
@@ -41,10 +41,13 @@
 		}, 20 * time.Second, nil},
 		"the reader stood still": {func(call func(int, time.Duration)) {
 			callAll(call, 0, 2*time.Second, 8)
-			call(0, 6*time.Second)
-			call(1, 6100*time.Millisecond)
+			callAll(call, 6*time.Second, 6100*time.Millisecond, 5) // the other three have not called again yet
 		}, 6100 * time.Millisecond, nil},
 		"the reader is cut off": {func(call func(int, time.Duration)) { callAll(call, 0, 2*time.Second, 8) }, 6 * time.Second, nil},
+		"nobody calls any more": {func(call func(int, time.Duration)) {
+			callAll(call, 0, 2*time.Second, 8)
+			callAll(call, 2*time.Second, 4*time.Second, 7)
+		}, 5500 * time.Millisecond, nil},
 		"most have stopped": {func(call func(int, time.Duration)) {
 			callAll(call, 0, 2*time.Second, 12)
 			callAll(call, 2*time.Second, 6*time.Second, 5)
@@ -246,6 +249,63 @@
 	}
 }
 
+// TestCallsOutOfTurn: a VM does not wait for its next renewal when it has found its key, when the store has come back from an
+// older copy, or when its last call failed. The test fails if a call comes later than it may.
+func TestCallsOutOfTurn(t *testing.T) {
+	tests := map[string]struct {
+		event  func(k *countingStore, r *roster.Roster)
+		within time.Duration // until the next call
+	}{
+		"its key is found": {func(_ *countingStore, r *roster.Roster) {
+			m := member(1)
+			m.Lease, m.Leaving = "7", true
+			r.Update(item(t, m), false)
+		}, 30 * time.Millisecond},
+		"store restored": {func(_ *countingStore, r *roster.Roster) { time.Sleep(3 * time.Second); r.Reregister() }, 600 * time.Millisecond},
+		"last call failed": {func(k *countingStore, _ *roster.Roster) {
+			time.Sleep(3 * time.Second)
+			k.setUnavailable(2 * time.Second)
+		}, 900 * time.Millisecond},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			for range 20 { // as the times of renewals are random
+				synctest.Test(t, func(t *testing.T) {
+					k := &countingStore{fakeStore: fakeStore{keys: map[string]string{}}}
+					r := fleet(t, 20)[1]
+					if name == "its key is found" {
+						r = &roster.Roster{Self: member(1), Log: zap.NewNop()}
+					}
+					r.Store = k
+					ctx, cancel := context.WithCancel(context.Background())
+					var group conc.WaitGroup
+					group.Go(func() { _ = r.Run(ctx) })
+					time.Sleep(50 * time.Millisecond)
+					c.event(k, r)
+					before := k.renewals + k.grants
+					time.Sleep(c.within)
+					synctest.Wait()
+					after := k.renewals + k.grants
+					cancel()
+					group.Wait()
+					is.New(t).True(after > before)
+				})
+			}
+		})
+	}
+}
+
+// setUnavailable makes the store unavailable for a while.
+func (s *countingStore) setUnavailable(d time.Duration) {
+	s.mu.Lock()
+	s.unavailable = true
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	s.unavailable = false
+	s.mu.Unlock()
+}
+
 // TestLeaseTimes: a VM of a small fleet, in which no reader notices silent VMs, has a short lease soon after the start.
 func TestLeaseTimes(t *testing.T) {
 	for routers, want := range map[int]time.Duration{1: 2500 * time.Millisecond, 9: 2500 * time.Millisecond, 20: 4 * time.Second} {
