--- a/internal/provider/roster/presence_test.go
+++ b/internal/provider/roster/presence_test.go
@@ -120,18 +120,24 @@
 }
 
 func (s *countingStore) Grant(ctx context.Context, ttl time.Duration) (jaywind.LeaseID, error) {
+	s.mu.Lock()
 	s.grants++
 	s.ttl, s.longest = ttl, max(s.longest, ttl)
+	s.mu.Unlock()
 	return s.fakeStore.Grant(ctx, ttl)
 }
 
 func (s *countingStore) Renew(ctx context.Context, id jaywind.LeaseID) error {
+	s.mu.Lock()
 	s.renewals++
+	s.mu.Unlock()
 	return s.fakeStore.Renew(ctx, id)
 }
 
 func (s *countingStore) Put(ctx context.Context, key string, value []byte, id jaywind.LeaseID) error {
+	s.mu.Lock()
 	s.writes++
+	s.mu.Unlock()
 	return s.fakeStore.Put(ctx, key, value, id)
 }
 
@@ -282,10 +288,10 @@
 					group.Go(func() { _ = r.Run(ctx) })
 					time.Sleep(50 * time.Millisecond)
 					c.event(k, r)
-					before := k.renewals + k.grants
+					before := k.calls()
 					time.Sleep(c.within)
 					synctest.Wait()
-					after := k.renewals + k.grants
+					after := k.calls()
 					cancel()
 					group.Wait()
 					is.New(t).True(after > before)
@@ -295,6 +301,13 @@
 	}
 }
 
+// calls returns the number of grants and renewals.
+func (s *countingStore) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.grants + s.renewals
+}
+
 // setUnavailable makes the store unavailable for a while.
 func (s *countingStore) setUnavailable(d time.Duration) {
 	s.mu.Lock()
