--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -45,6 +45,17 @@
 	misses int // attempts since the last run that did not run
 }
 
+// GiveUpCause returns which limit makes a stream give up after a failure.
+func (p *ResumePlan) GiveUpCause(f Failure) string {
+	switch {
+	case f == FailureNotRun || f == FailureNotSent || f == FailureNoCopy:
+		return "successive attempts did not run"
+	case !p.Retryable:
+		return "may not run again"
+	}
+	return "attempts are used up"
+}
+
 // maxMisses is the most successive attempts of a stream that may end without a run.
 const maxMisses = 4
 
--- a/internal/relay/router/stats.go
+++ b/internal/relay/router/stats.go
@@ -73,9 +73,19 @@
 
 // recordRefusal counts the router's own responses by their reason.
 func (m *callStats) recordRefusal(f Refusal) {
-	name := strings.NewReplacer(" ", "_", "'", "").Replace(string(f.Reason))
-	metrics.GetOrRegisterCounter("requests.refused."+name, m.registry).Inc(1)
+	metrics.GetOrRegisterCounter("requests.refused."+metricName(string(f.Reason)), m.registry).Inc(1)
 	if f.RetryAfter > 0 {
 		histogram("requests.retry_after_ms", m.registry).Update(f.RetryAfter.Milliseconds())
 	}
 }
+
+// recordBroken counts a stream that ends incomplete, by its cause.
+func (m *callStats) recordBroken(cause string) {
+	m.broken.Inc(1)
+	metrics.GetOrRegisterCounter("streams.broken."+metricName(cause), m.registry).Inc(1)
+}
+
+// metricName makes part of a metric's name from a text.
+func metricName(text string) string {
+	return strings.NewReplacer(" ", "_", "'", "").Replace(text)
+}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -60,7 +60,7 @@
 			at = r.nextEndpoint(st, step)
 		}
 		if at == nil {
-			r.failStream(st)
+			r.failStream(st, "no endpoint takes the call")
 			return
 		}
 		loss, err := r.runAttempt(ctx, st, attempt{endpoint: at, fromCopy: step == series.ActionUseCopy, startedAt: time.Now()})
@@ -82,8 +82,12 @@
 		last, _ := st.cursor.LastID()
 		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Stringer("loss", loss), zap.Stringer("next", step),
 			zap.Int64("event", last), zap.Int64("silent_ms", st.silentMs()))...)
-		if step == series.ActionGiveUp || !r.takeRetry(ctx, c, err) {
-			r.failStream(st)
+		if step == series.ActionGiveUp {
+			r.failStream(st, st.plan.GiveUpCause(loss))
+			return
+		}
+		if !r.takeRetry(ctx, c, err) {
+			r.failStream(st, "retry budget is spent")
 			return
 		}
 		at = nil
@@ -313,13 +317,13 @@
 		zap.Int64("first_ms", st.timeToFirst.Milliseconds()), zap.Int64("longest_ms", st.longestGap.Milliseconds()))...)
 }
 
-// failStream ends a stream that can't continue.
-func (r *Router) failStream(st *streamCall) {
+// failStream ends a stream that can't continue. The cause is logged and counted if the caller has part of the answer.
+func (r *Router) failStream(st *streamCall, cause string) {
 	r.releaseStandby(st)
 	switch {
 	case st.headSent:
-		r.stats.broken.Inc(1)
-		r.Log.Warn("stream: given up", st.fields(zap.Int("events", st.gaps), zap.Duration("timeout", st.route.Timeout),
+		r.stats.recordBroken(cause)
+		r.Log.Warn("stream: given up", st.fields(zap.String("cause", cause), zap.Int64("silent_ms", st.silentMs()), zap.Int("events", st.gaps), zap.Duration("timeout", st.route.Timeout),
 			zap.Duration("within", st.request.Timeout))...)
 		st.response.AbortStream()
 	case st.mayHaveRun:
@@ -333,7 +337,7 @@
 func (r *Router) cancelStream(st *streamCall, cause error) {
 	r.releaseStandby(st)
 	if st.headSent && !errors.Is(cause, context.Canceled) {
-		r.failStream(st)
+		r.failStream(st, "deadline")
 		return
 	}
 	r.endCancelled(st.call, cause)
