router, link: a stream is not ended because its engine is silent

Cause: a stream left its engine after 350 to 450 ms of silence without a look at whether it could go on elsewhere. If it may not run again, if its attempts or the retry budget were used up, or if no endpoint took calls five times within milliseconds, its connection was closed with seconds of its time left. The class: a limit on attempts decides when an answer ends, instead of the caller's time.

Change: a silent engine is left only if another attempt is allowed, an endpoint accepts work and a retry was taken from the budget, or if the registry does not list the engine any more. Otherwise the read waits on, beneath the readers of chunks and lines, which can't be used again after a time-out. A stream that has begun backs off when endpoints take no calls, and waits for an endpoint or a retry, until its deadline. Before the first event nothing changes: what can't be served is refused at once.

--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -109,8 +109,26 @@
 	return timeoutError(err)
 }
 
+// stallReader reads from a connection. It waits on beneath the readers of chunks and lines, which can't continue after a timeout.
+type stallReader struct{ conn *Conn }
+
+// Read reads from the connection, and waits for as long as its OnStall allows.
+func (r stallReader) Read(b []byte) (int, error) {
+	c := r.conn
+	for {
+		n, err := c.conn.Read(b)
+		if n > 0 || !isTimeout(err) || c.OnStall == nil || !c.OnStall() {
+			return n, err
+		}
+		if err := c.SetReadTimeout(c.readTimeout); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // SetReadTimeout sets how long the next read from the connection may take.
 func (c *Conn) SetReadTimeout(limit time.Duration) error {
+	c.readTimeout = limit
 	return c.conn.SetReadDeadline(time.Now().Add(limit))
 }
 
@@ -124,12 +142,13 @@
 
 // timeoutError converts a timeout of the connection to jaywind.ErrIdleTimeout.
 func timeoutError(err error) error {
-	if err == nil {
-		return nil
-	}
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if isTimeout(err) {
 		return jaywind.ErrIdleTimeout
 	}
 	return err
 }
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
--- a/internal/backend/link/link_test.go
+++ b/internal/backend/link/link_test.go
@@ -177,3 +177,65 @@
 		})
 	}
 }
+
+// TestStallInsideChunk fails if an answer whose peer stalls in the middle of a chunk or of a line can't be read on.
+func TestStallInsideChunk(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := map[string]struct {
+		first, rest string
+		waits       int // stalls after which the reader waits on
+		want        error
+	}{
+		"inside a chunk":  {head + "1a\r\nid: 1\nda", "ta: a\n\nid: 2\ndata\n\r\n1\r\n\n\r\n0\r\n\r\n", 50, nil},
+		"inside a size":   {head + "1", "a\r\nid: 1\ndata: a\n\nid: 2\ndata\n\r\n1\r\n\n\r\n0\r\n\r\n", 50, nil},
+		"does not wait":   {head + "1a\r\nid: 1\nda", "", 0, jaywind.ErrIdleTimeout},
+		"waits for a bit": {head + "1a\r\nid: 1\nda", "", 2, jaywind.ErrIdleTimeout},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			var group conc.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, c.first)
+				if c.rest == "" {
+					_, _ = io.Copy(io.Discard, conn) // until the other side closes
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				_, _ = io.WriteString(conn, c.rest)
+			})
+			conn, err := (&link.Pool{}).Dial(context.Background(), jaywind.Address(l.Addr().String()))
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			answer, err := conn.ReadResponse("GET", time.Now().Add(5*time.Second))
+			is.NoErr(err)
+			stalls := 0
+			conn.OnStall = func() bool { stalls++; return stalls <= c.waits }
+			s := link.NewEventReader(conn, answer.Body, jaywind.Reply{})
+			var ids []int64
+			for {
+				var e jaywind.Event
+				if e, err = s.Next(20 * time.Millisecond); err != nil {
+					break
+				}
+				ids = append(ids, e.ID)
+			}
+			if c.want != nil {
+				is.True(errors.Is(err, c.want))
+				is.Equal(stalls, c.waits+1)
+				return
+			}
+			is.True(errors.Is(err, io.EOF))
+			is.Equal(ids, []int64{1, 2})
+		})
+	}
+}
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -32,6 +32,10 @@
 
 // Conn is a connection to an endpoint.
 type Conn struct {
+	// OnStall is called when nothing has come within the read timeout; the read waits for as long again if it returns true. May
+	// be nil, for never.
+	OnStall func() bool
+
 	conn      net.Conn
 	reader    *bufio.Reader
 	address   jaywind.Address
@@ -39,6 +43,8 @@
 	expiresAt time.Time // when the peer may close it; zero if it did not say
 	sent      bool      // bytes of the current request may have been sent
 	closed    atomic.Bool
+
+	readTimeout time.Duration // of the reads to come, if OnStall is set
 }
 
 // Get returns an idle connection, or a new one if there is none. The error wraps jaywind.ErrNotSent.
@@ -65,7 +71,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
-	return &Conn{conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), address: at}, nil
+	c := &Conn{conn: conn, address: at}
+	c.reader = bufio.NewReaderSize(stallReader{c}, bufferSize)
+	return c, nil
 }
 
 func (p *Pool) popIdle(at jaywind.Address) *Conn {
--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -40,11 +40,31 @@
 type ResumePlan struct {
 	Retryable   bool // the call may run more than once
 	MaxAttempts int  // the most endpoints at which it may run
+	Begun       bool // the caller has part of the answer, which would be cut
 
 	runs   int
 	misses int // attempts since the last run that did not run
 }
 
+// MayRunAgain reports whether the stream may run at one more endpoint after a number of runs.
+func (p *ResumePlan) MayRunAgain(runs int) bool { return p.Retryable && runs < p.MaxAttempts }
+
+// Runs returns the number of runs so far.
+func (p *ResumePlan) Runs() int { return p.runs }
+
+// Backoff returns how long a stream that has begun waits before its next attempt.
+func (p *ResumePlan) Backoff() time.Duration {
+	if p.misses <= maxMisses {
+		return 0
+	}
+	return min(maxBackoff, minBackoff<<min(p.misses-maxMisses-1, 10))
+}
+
+const (
+	minBackoff = 100 * time.Millisecond // after maxMisses; doubles with each further attempt that did not run
+	maxBackoff = 800 * time.Millisecond
+)
+
 // GiveUpCause returns which limit makes a stream give up after a failure.
 func (p *ResumePlan) GiveUpCause(f Failure) string {
 	switch {
@@ -56,7 +76,7 @@
 	return "attempts are used up"
 }
 
-// maxMisses is the most successive attempts of a stream that may end without a run.
+// maxMisses is the most successive attempts without a run, after which a stream gives up or, once it has begun, backs off.
 const maxMisses = 4
 
 // RunStarted counts a run at an endpoint.
@@ -71,12 +91,12 @@
 	switch f {
 	case FailureNotRun, FailureNotSent, FailureNoCopy:
 		p.misses++
-		if p.misses > maxMisses {
+		if p.misses > maxMisses && !p.Begun {
 			return ActionGiveUp
 		}
 		return ActionRestart
 	}
-	if !p.Retryable || p.runs >= p.MaxAttempts {
+	if !p.MayRunAgain(p.runs) {
 		return ActionGiveUp
 	}
 	if copied {
--- a/internal/core/series/series_test.go
+++ b/internal/core/series/series_test.go
@@ -72,6 +72,8 @@
 		"may run once, not run":          {series.ResumePlan{MaxAttempts: 5}, 0, 0, series.FailureNotRun, false, series.ActionRestart},
 		"may run once, not sent":         {series.ResumePlan{MaxAttempts: 5}, 0, 0, series.FailureNotSent, false, series.ActionRestart},
 		"no endpoint takes it":           {series.ResumePlan{Retryable: true, MaxAttempts: 5}, 0, 4, series.FailureNotRun, false, series.ActionGiveUp},
+		"begun, no endpoint takes it":    {series.ResumePlan{Retryable: true, MaxAttempts: 5, Begun: true}, 1, 9, series.FailureNotRun, false, series.ActionRestart},
+		"begun, all attempts used":       {series.ResumePlan{Retryable: true, MaxAttempts: 2, Begun: true}, 2, 0, series.FailureBroken, true, series.ActionGiveUp},
 		"misses of before a run are old": {series.ResumePlan{Retryable: true, MaxAttempts: 5}, 1, 0, series.FailureNotRun, false, series.ActionRestart},
 	}
 	for name, c := range tests {
@@ -98,3 +100,21 @@
 		is.True(limit >= 300*time.Millisecond) // an engine prefills other prompts between two events
 	}
 }
+
+// TestBackoff fails if a stream that no endpoint takes is retried without a pause for as long as it waits.
+func TestBackoff(t *testing.T) {
+	is := is.New(t)
+	p := series.ResumePlan{Retryable: true, MaxAttempts: 5, Begun: true}
+	p.RunStarted()
+	waited, before := time.Duration(0), time.Duration(0)
+	attempts := 0
+	for ; waited < 20*time.Second; attempts++ {
+		is.Equal(p.AfterFailure(series.FailureNotRun, false), series.ActionRestart)
+		is.True(p.Backoff() >= before) // never shorter than the pause before
+		before = p.Backoff()
+		waited += before
+	}
+	is.True(attempts < 40)
+	p.RunStarted()
+	is.Equal(p.Backoff(), time.Duration(0)) // the next failure is answered at once
+}
--- /dev/null
+++ b/internal/relay/router/stall.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/series"
+)
+
+// Causes for which a stream is given up or waits.
+const (
+	causeNoEndpoint = "no endpoint takes the call"
+	causeNoRetry    = "retry budget is spent"
+)
+
+const waitInterval = 200 * time.Millisecond // between two looks for an endpoint or a retry
+
+// waitsForStalled reports whether a stream waits on for an endpoint that is silent, at which it is in its last run of the given
+// number. A sound endpoint may fall silent, so the stream leaves it only if it is gone, or if the stream can go on elsewhere.
+func (r *Router) waitsForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint, runs int) bool {
+	r.mu.Lock()
+	listed := r.rowOf(e.Ref()) != nil
+	elsewhere := st.plan.MayRunAgain(runs) && r.canLeave(st, e)
+	r.mu.Unlock()
+	if ctx.Err() != nil || !listed {
+		return false
+	}
+	if elsewhere && r.takeRetry(ctx, st.call, nil) {
+		st.retryTaken = true
+		return false
+	}
+	r.recordResult(e, false) // for new work
+	r.logWait(st, "endpoint is silent")
+	return true
+}
+
+// canLeave reports whether a stream can go on at its standby or at another endpoint that accepts work; the caller holds mu.
+func (r *Router) canLeave(st *streamCall, e *endpoint.Endpoint) bool {
+	now := time.Now()
+	if st.standby != nil && st.producing && r.table.AcceptsWork(st.standby, now) {
+		return true
+	}
+	requirements := st.requirements
+	requirements.Avoid = append(requirements.Avoid[:len(requirements.Avoid):len(requirements.Avoid)], e.ID)
+	other := r.table.Choose(st.service, requirements, now)
+	return other != nil && other != e && r.table.AcceptsWork(other, now)
+}
+
+// awaitEndpoint returns the endpoint of the next attempt and counts the attempt there. A stream that has begun waits for one. It
+// returns nil if there is none or if ctx ends.
+func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) *endpoint.Endpoint {
+	if st.plan.Begun && !pause(ctx, st.plan.Backoff()) {
+		return nil
+	}
+	for {
+		at := r.nextEndpoint(st, step)
+		if at != nil || !st.plan.Begun {
+			return at
+		}
+		r.logWait(st, causeNoEndpoint)
+		if !pause(ctx, jitter(waitInterval)) {
+			return nil
+		}
+	}
+}
+
+// awaitRetry takes a retry for the next attempt of a stream. A stream that has begun waits for one until ctx ends.
+func (r *Router) awaitRetry(ctx context.Context, st *streamCall, cause error) bool {
+	if st.retryTaken {
+		st.retryTaken = false
+		return true
+	}
+	for !r.takeRetry(ctx, st.call, cause) {
+		if !st.plan.Begun {
+			return false
+		}
+		r.logWait(st, causeNoRetry)
+		if !pause(ctx, jitter(waitInterval)) {
+			return false
+		}
+	}
+	return true
+}
+
+// logWait logs and counts the first wait of a stream.
+func (r *Router) logWait(st *streamCall, cause string) {
+	if st.waits {
+		return
+	}
+	st.waits = true
+	r.stats.streamWaits.Inc(1)
+	r.Log.Info("stream: waiting", st.fields(zap.String("cause", cause), zap.Int64("silent_ms", st.silentMs()))...)
+}
+
+// pause waits for d, or returns false if ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/relay/router/stats.go
+++ b/internal/relay/router/stats.go
@@ -21,6 +21,7 @@
 	version, endpoints, members    metrics.Gauge
 	notRun, overBudget, callerGone metrics.Counter
 	broken, copyUsed, copyMissing  metrics.Counter
+	streamWaits                    metrics.Counter
 	cacheFound, cacheMissed        metrics.Counter
 	copyMade, copyFailed           metrics.Counter
 	identified, borrowed           metrics.Counter
@@ -39,6 +40,7 @@
 	m.borrowed = metrics.GetOrRegisterCounter("repeats.borrowed", r)
 	m.callerGone = metrics.GetOrRegisterCounter("requests.caller_gone", r)
 	m.broken = metrics.GetOrRegisterCounter("streams.broken", r)
+	m.streamWaits = metrics.GetOrRegisterCounter("streams.waited", r)
 	m.copyUsed = metrics.GetOrRegisterCounter("copies.used", r)
 	m.copyMissing = metrics.GetOrRegisterCounter("copies.missing", r)
 	m.copyMade = metrics.GetOrRegisterCounter("copies.made", r)
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -35,6 +35,8 @@
 	copy        jaywind.MemoryCopy // the copy at the standby
 	producing   bool               // the current attempt has produced an event, so it has memory to copy
 	copyState   copyState
+	retryTaken  bool // a retry was taken for the next attempt when the stream left a silent endpoint
+	waits       bool // the wait for an endpoint or a retry was logged
 }
 
 // attempt is one run of a stream at an endpoint.
@@ -57,10 +59,14 @@
 	at := r.findCached(ctx, st)
 	for {
 		if at == nil {
-			at = r.nextEndpoint(st, step)
+			at = r.awaitEndpoint(ctx, st, step)
+		}
+		if at == nil && ctx.Err() != nil {
+			r.cancelStream(st, ctx.Err())
+			return
 		}
 		if at == nil {
-			r.failStream(st, "no endpoint takes the call")
+			r.failStream(st, causeNoEndpoint)
 			return
 		}
 		loss, err := r.runAttempt(ctx, st, attempt{endpoint: at, fromCopy: step == series.ActionUseCopy, startedAt: time.Now()})
@@ -86,8 +92,12 @@
 			r.failStream(st, st.plan.GiveUpCause(loss))
 			return
 		}
-		if !r.takeRetry(ctx, c, err) {
-			r.failStream(st, "retry budget is spent")
+		if !r.awaitRetry(ctx, st, err) {
+			if ctx.Err() != nil {
+				r.cancelStream(st, ctx.Err())
+				return
+			}
+			r.failStream(st, causeNoRetry)
 			return
 		}
 		at = nil
@@ -171,6 +181,14 @@
 	s := st.upstreamRequest(a.endpoint, time.Now())
 	s.LastEventID, s.Resumed = st.cursor.LastID()
 	s.Urgent = st.headSent || st.request.Resumed
+	opened := false
+	s.OnStall = func() bool {
+		runs := st.plan.Runs()
+		if !opened {
+			runs++ // the run in progress is not counted yet
+		}
+		return r.waitsForStalled(ctx, st, a.endpoint, runs)
+	}
 	if a.fromCopy {
 		s.Copy = st.copy
 	}
@@ -197,6 +215,7 @@
 	st.mayHaveRun = true
 	st.attempts++
 	st.plan.RunStarted()
+	opened = true
 	a.events = events
 	copying, cancel := context.WithCancel(ctx)
 	defer cancel() // stops a copy that is still being made
@@ -268,7 +287,7 @@
 			r.recordOutcome(st.call, a.endpoint, false, time.Since(a.startedAt))
 		}
 		if !st.headSent {
-			st.headSent = true
+			st.headSent, st.plan.Begun = true, true
 			st.timeToFirst = time.Since(st.request.Arrived)
 			r.stats.firstEvent.Update(st.timeToFirst.Milliseconds())
 			st.response.BeginStream(a.events.Head())
--- a/upstream.go
+++ b/upstream.go
@@ -58,6 +58,10 @@
 	Standby      Address    // endpoint that keeps a copy of the run's memory; empty for none
 	Copy         MemoryCopy // copy of the run's memory to continue from
 	Urgent       bool       // has priority over new work at the endpoint
+
+	// OnStall is called each time that the endpoint of a stream may have stalled, which is when ErrIdleTimeout would be
+	// returned. The stream waits on if it returns true. May be nil, for never.
+	OnStall func() bool
 }
 
 // MemoryCopy identifies a copy of a run's memory; the zero value stands for none.
@@ -103,7 +107,8 @@
 	// Do sends a request and returns its complete answer.
 	Do(ctx context.Context, s UpstreamRequest) (Reply, error)
 	// Open sends a request for a stream; an answer that is not a stream is returned as a Reply. While there is no
-	// answer, it probes the endpoint each time that limit has passed, and returns ErrIdleTimeout if a probe fails.
+	// answer, it probes the endpoint each time that limit has passed, and returns ErrIdleTimeout if a probe shows that no
+	// answer will come, or if one fails and OnStall does not wait on.
 	Open(ctx context.Context, s UpstreamRequest, limit time.Duration) (EventStream, Reply, error)
 	// CachedParts returns the parts of prompts that an endpoint keeps in memory.
 	CachedParts(ctx context.Context, at EndpointRef) ([]CachedPart, error)
