router: the log of a stream has the shared parts of its prompt

"stream: lost" and "stream: whole" now have the parts that other requests may share. No decision changes.

--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -25,10 +25,11 @@
 	Timeout      time.Duration // how long the caller waits; 0 if unknown
 	LastEventID  int64         // id of the last event that the caller received; valid only with Resumed
 	Resumed      bool
-	Model        jaywind.Model      // of a generation; empty for other requests
-	PromptTokens int                // length of the prompt in tokens
-	LastPart     jaywind.PromptPart // last part of the prompt, which only this request has; empty if unknown
-	MaxTokens    int                // largest number of output tokens
+	Model        jaywind.Model        // of a generation; empty for other requests
+	PromptTokens int                  // length of the prompt in tokens
+	LastPart     jaywind.PromptPart   // last part of the prompt, which only this request has; empty if unknown
+	SharedParts  []jaywind.PromptPart // parts before the last one, which other requests may have too
+	MaxTokens    int                  // largest number of output tokens
 }
 
 // Reason says why a request ends without a response of an endpoint. Names of metrics are made from its text.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -87,7 +87,7 @@
 		}
 		last, _ := st.cursor.LastID()
 		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Stringer("loss", loss), zap.Stringer("next", step),
-			zap.Int64("event", last), zap.Int64("silent_ms", st.silentMs()))...)
+			zap.Int64("event", last), zap.Int64("silent_ms", st.silentMs()), zap.Any("parts", st.request.SharedParts))...)
 		if step == series.ActionGiveUp {
 			r.failStream(st, st.plan.GiveUpCause(loss))
 			return
@@ -333,7 +333,7 @@
 		r.stats.copyUsed.Inc(1)
 	}
 	r.Log.Info("stream: whole", st.fields(zap.Int("events", st.gaps), zap.Bool("from_copy", a.fromCopy), zap.Bool("resumed", st.request.Resumed),
-		zap.Int64("first_ms", st.timeToFirst.Milliseconds()), zap.Int64("longest_ms", st.longestGap.Milliseconds()))...)
+		zap.Any("parts", st.request.SharedParts), zap.Int64("first_ms", st.timeToFirst.Milliseconds()), zap.Int64("longest_ms", st.longestGap.Milliseconds()))...)
 }
 
 // failStream ends a stream that can't continue. The cause is logged and counted if the caller has part of the answer.
