suspect: requests with a part that crashes engines are kept back

Cause: each such stream was sent on to up to five engines, and what one router had seen was known to no other and to none of its own next requests. The class: a retry treats a failure that the request causes like one that the engine causes.

Change: a run is lost at its beginning if its engine closes the connection before 0.3 s of events. Routers send such losses with the shared parts of the prompt to two collectors for each service. A part is a candidate once three engines have ended under at least two prompts with it, or eight under one; an engine that ended under a more likely part is not held against the others, and parts that always come together are one group. The collector asks all routers whether a run has survived under it. If none has, the group is quarantined for 10 minutes at all routers, and in the store for those that start later: its requests are refused at once, and a stream that was lost under it is not sent on. A run that survives after all lifts the quarantine.

TestDomainsThatCrash: 200 seeds of failure domains that crash ten times, no part is quarantined.

--- /dev/null
+++ b/internal/core/suspect/quarantine.go
@@ -0,0 +1,122 @@
+package suspect
+
+import (
+	"time"
+
+	"jaywind"
+)
+
+const (
+	// QuarantineTime is how long a group is quarantined.
+	QuarantineTime   = 10 * time.Minute
+	maxQuarantined   = 256             // groups; a group beyond them is not quarantined
+	survivorTime     = 2 * time.Minute // for which a sound part is remembered at least
+	maxSurvivorParts = 8192            // parts that are remembered in each half of the time
+)
+
+// Quarantine holds the groups whose requests are kept back. The zero value is empty.
+type Quarantine struct {
+	groups map[string]quarantined
+}
+
+// quarantined is a group and the end of its quarantine.
+type quarantined struct {
+	group  Group
+	until  time.Time
+	lifted bool // its requests may run; it is not quarantined again before until
+}
+
+// Add quarantines a group, and reports whether it was not quarantined before.
+func (q *Quarantine) Add(g Group, now time.Time) bool {
+	q.expire(now)
+	_, known := q.groups[g.Key()]
+	if known || len(q.groups) >= maxQuarantined || len(g.Parts) == 0 {
+		return false
+	}
+	if q.groups == nil {
+		q.groups = map[string]quarantined{}
+	}
+	q.groups[g.Key()] = quarantined{group: g, until: now.Add(QuarantineTime)}
+	return true
+}
+
+// Lift ends the quarantine of a group, and reports whether it was in force. The group is not quarantined again for a while, as news of
+// its quarantine may come late.
+func (q *Quarantine) Lift(g Group, now time.Time) bool {
+	e, known := q.groups[g.Key()]
+	if known && e.lifted {
+		return false
+	}
+	if q.groups == nil {
+		q.groups = map[string]quarantined{}
+	}
+	q.groups[g.Key()] = quarantined{group: g, until: now.Add(survivorTime), lifted: true}
+	return known
+}
+
+// Matching returns the groups in force that a prompt has.
+func (q *Quarantine) Matching(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) []Group {
+	var found []Group
+	for _, e := range q.groups {
+		if !e.lifted && now.Before(e.until) && e.group.In(s, shared) {
+			found = append(found, e.group)
+		}
+	}
+	return found
+}
+
+// Holds reports whether a prompt is kept back, and for how long.
+func (q *Quarantine) Holds(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) (left time.Duration, held bool) {
+	for _, e := range q.groups {
+		if !e.lifted && now.Before(e.until) && e.group.In(s, shared) {
+			left, held = max(left, e.until.Sub(now)), true
+		}
+	}
+	return left, held
+}
+
+// Count returns the number of groups in force.
+func (q *Quarantine) Count() int {
+	n := 0
+	for _, e := range q.groups {
+		if !e.lifted {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *Quarantine) expire(now time.Time) {
+	for k, e := range q.groups {
+		if !now.Before(e.until) {
+			delete(q.groups, k)
+		}
+	}
+}
+
+// Survivors remembers the parts under which runs have survived their beginning. The zero value is empty.
+type Survivors struct {
+	recent, older map[partKey]bool
+	rotatedAt     time.Time
+}
+
+// Add records that a run under these shared parts has survived its beginning.
+func (s *Survivors) Add(service jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) {
+	if s.recent == nil || now.Sub(s.rotatedAt) > survivorTime || len(s.recent) >= maxSurvivorParts {
+		s.recent, s.older, s.rotatedAt = map[partKey]bool{}, s.recent, now
+	}
+	for _, p := range shared[:min(len(shared), maxPartsPer)] {
+		s.recent[partKey{service, p}] = true
+	}
+}
+
+// Among returns those of the parts that are remembered.
+func (s *Survivors) Among(service jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart {
+	var found []jaywind.PromptPart
+	for _, p := range parts {
+		if k := (partKey{service, p}); s.recent[k] || s.older[k] {
+			found = append(found, p)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/core/suspect/suspect_test.go
@@ -0,0 +1,174 @@
+package suspect_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/suspect"
+)
+
+var start = time.Unix(1000, 0)
+
+// lossAt returns the loss of a prompt at an engine.
+func lossAt(engine, prompt string, shared ...jaywind.PromptPart) suspect.Loss {
+	return suspect.Loss{Service: "pool", Engine: jaywind.EndpointRef{ID: jaywind.EndpointID(engine)}, Prompt: jaywind.PromptPart(prompt), Shared: shared}
+}
+
+func group(parts ...jaywind.PromptPart) suspect.Group {
+	return suspect.Group{Service: "pool", Parts: parts}
+}
+
+func TestCandidates(t *testing.T) {
+	tests := map[string]struct {
+		losses []suspect.Loss
+		sound  []jaywind.PromptPart
+		want   []suspect.Group
+	}{
+		"none": {},
+		"one part at three engines": {
+			losses: []suspect.Loss{lossAt("e1", "a", "x"), lossAt("e2", "b", "x"), lossAt("e3", "b", "x")},
+			want:   []suspect.Group{group("x")},
+		},
+		"too few engines":  {losses: []suspect.Loss{lossAt("e1", "a", "x"), lossAt("e2", "b", "x"), lossAt("e2", "c", "x")}},
+		"one prompt, lost": {losses: []suspect.Loss{lossAt("e1", "a", "x"), lossAt("e2", "a", "x"), lossAt("e3", "a", "x"), lossAt("e4", "a", "x"), lossAt("e5", "a", "x")}},
+		"one prompt, lost at many engines": {
+			losses: []suspect.Loss{lossAt("e1", "a", "x"), lossAt("e2", "a", "x"), lossAt("e3", "a", "x"), lossAt("e4", "a", "x"),
+				lossAt("e5", "a", "x"), lossAt("e6", "a", "x"), lossAt("e7", "a", "x"), lossAt("e8", "a", "x")},
+			want: []suspect.Group{group("x")},
+		},
+		"always together": {
+			losses: []suspect.Loss{lossAt("e1", "a", "x", "y"), lossAt("e2", "b", "x", "y"), lossAt("e3", "b", "x", "y")},
+			want:   []suspect.Group{group("x", "y")},
+		},
+		"together, one is sound": {
+			losses: []suspect.Loss{lossAt("e1", "a", "x", "y"), lossAt("e2", "b", "x", "y"), lossAt("e3", "b", "x", "y")},
+			sound:  []jaywind.PromptPart{"x"},
+			want:   []suspect.Group{group("y")},
+		},
+		"all sound": {
+			losses: []suspect.Loss{lossAt("e1", "a", "x"), lossAt("e2", "b", "x"), lossAt("e3", "b", "x")},
+			sound:  []jaywind.PromptPart{"x"},
+		},
+		"prompts on the same engines": {
+			losses: []suspect.Loss{
+				lossAt("e1", "a", "x"), lossAt("e2", "b", "x"), lossAt("e3", "c", "x"), lossAt("e4", "d", "x"),
+				lossAt("e1", "k", "v"), lossAt("e2", "l", "v"), lossAt("e3", "m", "v"), // lost with the runs under x
+			},
+			want: []suspect.Group{group("x")},
+		},
+		"two causes": {
+			losses: []suspect.Loss{
+				lossAt("e1", "a", "x"), lossAt("e2", "b", "x"), lossAt("e3", "c", "x"), lossAt("e4", "d", "x"),
+				lossAt("e5", "k", "v"), lossAt("e6", "l", "v"), lossAt("e7", "m", "v"),
+			},
+			want: []suspect.Group{group("x"), group("v")},
+		},
+		"parts that change": {
+			losses: []suspect.Loss{lossAt("e1", "a", "x", "u"), lossAt("e2", "b", "x", "v"), lossAt("e3", "c", "x", "w")},
+			want:   []suspect.Group{group("x")},
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f suspect.Finder
+			for i, l := range c.losses {
+				f.Add(l, start.Add(time.Duration(i)*time.Second))
+			}
+			f.Clear("pool", c.sound)
+			is.Equal(f.Candidates(start.Add(time.Minute)), c.want)
+			is.Equal(f.Candidates(start.Add(time.Hour)), nil) // losses are forgotten
+		})
+	}
+}
+
+// TestOtherServicesPart fails if a part is held against prompts of another service.
+func TestOtherServicesPart(t *testing.T) {
+	is := is.New(t)
+	var f suspect.Finder
+	for i, e := range []string{"e1", "e2", "e3"} {
+		l := lossAt(e, fmt.Sprint(i), "x")
+		l.Service = jaywind.ServiceName(fmt.Sprintf("pool%d", i%2))
+		f.Add(l, start)
+	}
+	is.Equal(f.Candidates(start), nil)
+	var q suspect.Quarantine
+	is.True(q.Add(group("x"), start))
+	_, held := q.Holds("other", []jaywind.PromptPart{"x"}, start)
+	is.True(!held)
+}
+
+// TestDomainsThatCrash fails if prompts are suspected because whole failure domains crash again and again, each with the runs that are
+// at their beginning.
+func TestDomainsThatCrash(t *testing.T) {
+	const engines, streams, crashes = 36, 60, 10
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var f suspect.Finder
+		var s suspect.Survivors
+		for crash := range crashes {
+			now := start.Add(time.Duration(crash) * 6 * time.Second)
+			for i := range streams {
+				shared := []jaywind.PromptPart{"all", jaywind.PromptPart(fmt.Sprint("t", random.IntN(5000)))}
+				engine := random.IntN(engines)
+				if engine%4 != crash%4 || random.IntN(2) == 0 { // another domain, or lost later
+					s.Add("pool", shared, now)
+					continue
+				}
+				f.Add(lossAt(fmt.Sprintf("e%d-%d", engine, crash), fmt.Sprintf("%d-%d", crash, i), shared...), now)
+			}
+			for _, g := range f.Candidates(now) {
+				if sound := s.Among("pool", g.Parts); len(sound) == 0 {
+					t.Fatalf("seed %d: %v is suspected", seed, g)
+				}
+			}
+		}
+	}
+}
+
+func TestQuarantine(t *testing.T) {
+	is := is.New(t)
+	var q suspect.Quarantine
+	held := func(at time.Duration, shared ...jaywind.PromptPart) bool {
+		_, held := q.Holds("pool", shared, start.Add(at))
+		return held
+	}
+	is.True(!held(0, "x", "y"))
+	is.True(q.Add(group("x", "y"), start))
+	is.True(!q.Add(group("x", "y"), start)) // no news
+	is.True(held(time.Second, "y", "z", "x"))
+	is.True(!held(time.Second, "x", "z")) // only a part of the group
+	is.True(!held(suspect.QuarantineTime, "x", "y"))
+	is.True(q.Add(group("v"), start))
+	is.Equal(q.Matching("pool", []jaywind.PromptPart{"v"}, start), []suspect.Group{group("v")})
+	is.True(q.Lift(group("v"), start.Add(time.Second)))
+	is.True(!q.Lift(group("v"), start.Add(time.Second)))
+	is.True(!held(time.Second, "v"))
+	is.True(!q.Add(group("v"), start.Add(2*time.Second))) // late news of a quarantine that was lifted
+	is.Equal(q.Count(), 1)
+	is.True(q.Add(group("v"), start.Add(time.Hour)))
+	is.True(!q.Lift(group("w"), start)) // was not in force
+	is.True(!q.Add(group("w"), start))
+}
+
+// TestQuarantineIsBounded fails if prompts that are made up can fill the memory.
+func TestQuarantineIsBounded(t *testing.T) {
+	is := is.New(t)
+	var q suspect.Quarantine
+	var f suspect.Finder
+	var s suspect.Survivors
+	for i := range 20000 {
+		p := jaywind.PromptPart(fmt.Sprint(i))
+		q.Add(group(p), start)
+		f.Add(lossAt("e", string(p), slices.Repeat([]jaywind.PromptPart{p}, 40)...), start)
+		s.Add("pool", []jaywind.PromptPart{p}, start)
+	}
+	is.True(q.Count() <= 256)
+	is.Equal(len(s.Among("pool", []jaywind.PromptPart{"0", "19999"})), 1) // the oldest is forgotten
+}
--- /dev/null
+++ b/internal/fleet/suspect/detector.go
@@ -0,0 +1,240 @@
+package suspect
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"jaywind"
+	"jaywind/internal/core/suspect"
+	"jaywind/internal/fleet/cbor"
+)
+
+const (
+	collectorCount     = 2                      // routers that collect the losses of a service
+	batchTime          = 20 * time.Millisecond  // within which losses are sent together
+	callTimeout        = 300 * time.Millisecond // for one call to a router
+	maxConcurrentCalls = 16
+	maxPending         = 256 // losses that wait to be sent; further ones are dropped, as many more are on their way
+)
+
+// Router is the part of a router that a Detector uses.
+type Router interface {
+	// AddQuarantine keeps back the requests of a group, and reports whether that is news.
+	AddQuarantine(g suspect.Group) bool
+	// LiftQuarantine lets the requests of a group run again, and reports whether that is news.
+	LiftQuarantine(g suspect.Group) bool
+	// SoundParts returns those of the parts under which runs have survived their beginning.
+	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart
+}
+
+// Detector exchanges losses and quarantines with the other routers. Set the exported fields before the first call.
+type Detector struct {
+	HTTP   *http.Client
+	Router Router
+	// Collectors returns the addresses of the other routers among a number of collectors for a key, and whether this router is one.
+	Collectors func(key string, count int) (others []jaywind.Address, self bool)
+	Peers      func(most int) []jaywind.Address // returns up to most other routers
+	// Persist stores a quarantine, or its end, for routers that start later.
+	Persist func(ctx context.Context, g suspect.Group, lifted bool)
+	Log     *zap.Logger
+
+	start   sync.Once
+	wake    chan struct{}
+	mu      sync.Mutex
+	pending []suspect.Loss  // of this router, to be sent to their collectors
+	lifted  []suspect.Group // by this router, to be announced
+	finder  suspect.Finder  // of the services that this router collects for
+	changed bool            // finder has losses that were not looked at
+	known   map[string]bool // groups that this router has announced
+}
+
+func (d *Detector) init() {
+	d.start.Do(func() {
+		d.wake = make(chan struct{}, 1)
+		d.known = map[string]bool{}
+		if d.Log == nil {
+			d.Log = zap.NewNop()
+		}
+	})
+}
+
+// Report sends a loss of this router to its collectors. It does not block.
+func (d *Detector) Report(l suspect.Loss) {
+	d.init()
+	d.mu.Lock()
+	if len(d.pending) < maxPending {
+		d.pending = append(d.pending, l)
+	}
+	d.mu.Unlock()
+	d.signal()
+}
+
+// ReportLifted announces the end of a quarantine to all routers. It does not block.
+func (d *Detector) ReportLifted(g suspect.Group) {
+	d.init()
+	d.mu.Lock()
+	d.lifted = append(d.lifted, g)
+	d.mu.Unlock()
+	d.signal()
+}
+
+func (d *Detector) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run exchanges losses and quarantines until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	d.init()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(batchTime):
+		}
+		d.mu.Lock()
+		losses, lifted := d.pending, d.lifted
+		d.pending, d.lifted = nil, nil
+		d.mu.Unlock()
+		for _, g := range lifted {
+			d.publish(ctx, g, true)
+		}
+		d.distribute(ctx, losses)
+		d.evaluate(ctx)
+	}
+}
+
+// distribute hands losses to the collectors of their services.
+func (d *Detector) distribute(ctx context.Context, losses []suspect.Loss) {
+	reports := map[jaywind.Address]*lossReport{}
+	for _, l := range losses {
+		others, self := d.Collectors(string(l.Service), collectorCount)
+		if self {
+			d.collect(l)
+		}
+		for _, at := range others {
+			if reports[at] == nil {
+				reports[at] = &lossReport{}
+			}
+			reports[at].Losses = append(reports[at].Losses, encodeLoss(l))
+		}
+	}
+	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
+	for at, r := range reports {
+		p.Go(func() { _, _ = send[lossReport, emptyResponse](ctx, d, at, lossPath, r) })
+	}
+	p.Wait()
+}
+
+// collect adds a loss to those that this router has collected.
+func (d *Detector) collect(l suspect.Loss) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.finder.Add(l, time.Now())
+	d.changed = true
+}
+
+// evaluate quarantines the candidates under which no router knows of a run that has survived.
+func (d *Detector) evaluate(ctx context.Context) {
+	for ctx.Err() == nil {
+		g, found := d.nextCandidate()
+		if !found {
+			return
+		}
+		sound := d.soundParts(ctx, g)
+		d.mu.Lock()
+		if len(sound) > 0 {
+			d.finder.Clear(g.Service, sound)
+			d.mu.Unlock()
+			continue
+		}
+		d.known[g.Key()] = true
+		d.mu.Unlock()
+		if d.Router.AddQuarantine(g) {
+			d.publish(ctx, g, false)
+		}
+	}
+}
+
+// nextCandidate returns a candidate that is not quarantined yet, if losses were collected since the last look.
+func (d *Detector) nextCandidate() (suspect.Group, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.changed {
+		return suspect.Group{}, false
+	}
+	for _, g := range d.finder.Candidates(time.Now()) {
+		if !d.known[g.Key()] {
+			return g, true
+		}
+	}
+	d.changed = false
+	return suspect.Group{}, false
+}
+
+// soundParts returns those of a group's parts under which runs have survived at this router or, if none has, at any other.
+func (d *Detector) soundParts(ctx context.Context, g suspect.Group) []jaywind.PromptPart {
+	if sound := d.Router.SoundParts(g.Service, g.Parts); len(sound) > 0 {
+		return sound
+	}
+	question := encodeGroup(g, false)
+	p := pool.NewWithResults[[]string]().WithMaxGoroutines(maxConcurrentCalls)
+	for _, at := range d.Peers(math.MaxInt) {
+		p.Go(func() []string {
+			answer, err := send[group, soundParts](ctx, d, at, soundPath, &question)
+			if err != nil {
+				return nil
+			}
+			return answer.Parts
+		})
+	}
+	var sound []jaywind.PromptPart
+	for _, found := range p.Wait() {
+		sound = append(sound, parts(found)...)
+	}
+	return sound
+}
+
+// publish announces a quarantine, or its end, to all routers and stores it.
+func (d *Detector) publish(ctx context.Context, g suspect.Group, lifted bool) {
+	if lifted {
+		d.mu.Lock()
+		delete(d.known, g.Key())
+		d.finder.Clear(g.Service, g.Parts)
+		d.mu.Unlock()
+	}
+	msg := encodeGroup(g, lifted)
+	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
+	for _, at := range d.Peers(math.MaxInt) {
+		p.Go(func() { _, _ = send[group, emptyResponse](ctx, d, at, quarantinePath, &msg) })
+	}
+	p.Wait()
+	d.Persist(ctx, g, lifted)
+}
+
+// send calls another router.
+func send[Q, A any](ctx context.Context, d *Detector, at jaywind.Address, path string, msg *Q) (*A, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := connect.NewClient[Q, A](d.HTTP, "http://"+string(at)+path, cbor.ClientOptions()...)
+	answer, err := client.CallUnary(ctx, connect.NewRequest(msg))
+	if err != nil {
+		d.Log.Info("quarantine: router not reached", zap.String("at", string(at)), zap.String("path", path), zap.Error(err))
+		return nil, err
+	}
+	return answer.Msg, nil
+}
--- /dev/null
+++ b/internal/fleet/suspect/detector_test.go
@@ -0,0 +1,223 @@
+package suspect_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"jaywind"
+	"jaywind/internal/core/suspect"
+	"jaywind/internal/fleet/cbor"
+	fleet "jaywind/internal/fleet/suspect"
+)
+
+// fakeRouter records quarantines.
+type fakeRouter struct {
+	mu    sync.Mutex
+	held  map[string]bool
+	sound []jaywind.PromptPart
+}
+
+func (r *fakeRouter) AddQuarantine(g suspect.Group) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.held[g.Key()]
+	r.held[g.Key()] = true
+	return !was
+}
+
+func (r *fakeRouter) LiftQuarantine(g suspect.Group) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.held[g.Key()]
+	delete(r.held, g.Key())
+	return was
+}
+
+func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []jaywind.PromptPart
+	for _, p := range parts {
+		for _, s := range r.sound {
+			if p == s {
+				found = append(found, p)
+			}
+		}
+	}
+	return found
+}
+
+func (r *fakeRouter) holds(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held[key]
+}
+
+// testFleet is a number of detectors that call each other.
+type testFleet struct {
+	detectors []*fleet.Detector
+	routers   []*fakeRouter
+	mu        sync.Mutex
+	stored    []string // groups, and "lifted" behind their ends
+}
+
+func (f *testFleet) storedGroups() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return strings.Join(f.stored, ",")
+}
+
+// newTestFleet starts detectors; the first two of those that are up are the collectors. Those named in down can't be reached.
+func newTestFleet(t *testing.T, size int, down ...int) *testFleet {
+	t.Helper()
+	f := &testFleet{}
+	var addresses []jaywind.Address
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	for i := range size {
+		r := &fakeRouter{held: map[string]bool{}}
+		d := &fleet.Detector{HTTP: cbor.NewHTTPClient(""), Router: r}
+		m := http.NewServeMux()
+		d.Handle(m)
+		s := httptest.NewUnstartedServer(m)
+		s.Config.Protocols = cbor.Protocols()
+		s.Start()
+		t.Cleanup(s.Close)
+		for _, n := range down {
+			if n == i {
+				s.Close()
+			}
+		}
+		addresses = append(addresses, jaywind.Address(strings.TrimPrefix(s.URL, "http://")))
+		d.Collectors = func(string, int) (others []jaywind.Address, self bool) {
+			for n, at := range addresses[:2] {
+				if n == i {
+					self = true
+					continue
+				}
+				others = append(others, at)
+			}
+			return others, self
+		}
+		d.Peers = func(int) []jaywind.Address {
+			var others []jaywind.Address
+			for n, at := range addresses {
+				if n != i {
+					others = append(others, at)
+				}
+			}
+			return others
+		}
+		d.Persist = func(_ context.Context, g suspect.Group, lifted bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			text := g.Key()
+			if lifted {
+				text += " lifted"
+			}
+			f.stored = append(f.stored, text)
+		}
+		f.detectors, f.routers = append(f.detectors, d), append(f.routers, r)
+	}
+	for _, d := range f.detectors {
+		group.Go(func() { d.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return f
+}
+
+func loss(engine int, shared ...jaywind.PromptPart) suspect.Loss {
+	return suspect.Loss{Service: "pool", Engine: jaywind.EndpointRef{ID: jaywind.EndpointID(fmt.Sprint("e", engine)), Address: "10.0.0.1:1", Incarnation: 7},
+		Prompt: jaywind.PromptPart(fmt.Sprint("p", engine)), Shared: shared}
+}
+
+// TestLossesOfSeveralRouters fails if losses that are spread over routers, of which none could decide alone, do not lead to a quarantine
+// at all routers that are up.
+func TestLossesOfSeveralRouters(t *testing.T) {
+	tests := map[string]struct {
+		down  []int
+		sound int // index of a router at which a run survived, or -1
+		want  bool
+	}{
+		"all up":                       {sound: -1, want: true},
+		"a collector is down":          {down: []int{0}, sound: -1, want: true},
+		"a router is down":             {down: []int{4}, sound: -1, want: true},
+		"survived at a collector":      {sound: 1},
+		"survived at another router":   {sound: 3},
+		"survived at one that is down": {down: []int{4}, sound: 4, want: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet(t, 5, c.down...)
+			if c.sound >= 0 {
+				f.routers[c.sound].sound = []jaywind.PromptPart{"x"}
+			}
+			for i := range 3 {
+				f.detectors[i+1].Report(loss(i, "x"))
+			}
+			held := func() int {
+				n := 0
+				for _, r := range f.routers {
+					if r.holds("pool/x") {
+						n++
+					}
+				}
+				return n
+			}
+			want := 0
+			if c.want {
+				want = 5 - len(c.down)
+			}
+			for end := time.Now().Add(5 * time.Second); c.want && held() < want && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			}
+			if !c.want {
+				time.Sleep(300 * time.Millisecond)
+			}
+			is.Equal(held(), want)
+			if c.want {
+				for end := time.Now().Add(5 * time.Second); f.storedGroups() == "" && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				}
+				is.True(strings.HasPrefix(f.storedGroups(), "pool/x"))
+			}
+		})
+	}
+}
+
+// TestLift fails if a run that survives at one router does not end the quarantine at all, or if the next losses can't bring it back.
+func TestLift(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3)
+	g := suspect.Group{Service: "pool", Parts: []jaywind.PromptPart{"x"}}
+	for _, r := range f.routers {
+		r.AddQuarantine(g)
+	}
+	f.routers[2].LiftQuarantine(g)
+	f.detectors[2].ReportLifted(g)
+	eventually := func(want bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if f.routers[0].holds("pool/x") == want && f.routers[1].holds("pool/x") == want {
+				return
+			}
+		}
+		t.Fatal("timed out")
+	}
+	eventually(false)
+	for end := time.Now().Add(5 * time.Second); f.storedGroups() == "" && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	is.Equal(f.storedGroups(), "pool/x lifted")
+	for i := range 3 {
+		f.detectors[i].Report(loss(i, "x"))
+	}
+	eventually(true)
+}
--- /dev/null
+++ b/internal/fleet/suspect/handler.go
@@ -0,0 +1,51 @@
+package suspect
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"jaywind/internal/core/suspect"
+	"jaywind/internal/fleet/cbor"
+)
+
+// Handle adds the handlers of calls from other routers to a mux.
+func (d *Detector) Handle(m *http.ServeMux) {
+	d.init()
+	m.Handle(lossPath, connect.NewUnaryHandler(lossPath, d.handleLosses, cbor.HandlerOptions()...))
+	m.Handle(soundPath, connect.NewUnaryHandler(soundPath, d.handleSound, cbor.HandlerOptions()...))
+	m.Handle(quarantinePath, connect.NewUnaryHandler(quarantinePath, d.handleQuarantine, cbor.HandlerOptions()...))
+}
+
+func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[emptyResponse], error) {
+	for _, l := range req.Msg.Losses {
+		d.collect(l.decode())
+	}
+	d.signal()
+	return connect.NewResponse(&emptyResponse{}), nil
+}
+
+func (d *Detector) handleSound(_ context.Context, req *connect.Request[group]) (*connect.Response[soundParts], error) {
+	g := req.Msg.decode()
+	return connect.NewResponse(&soundParts{Parts: texts(d.Router.SoundParts(g.Service, g.Parts))}), nil
+}
+
+func (d *Detector) handleQuarantine(_ context.Context, req *connect.Request[group]) (*connect.Response[emptyResponse], error) {
+	d.Learn(req.Msg.decode(), req.Msg.Lifted)
+	return connect.NewResponse(&emptyResponse{}), nil
+}
+
+// Learn adopts a quarantine, or its end, that another router has decided on.
+func (d *Detector) Learn(g suspect.Group, lifted bool) {
+	d.init()
+	if !lifted {
+		d.Router.AddQuarantine(g)
+		return
+	}
+	d.Router.LiftQuarantine(g)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.known, g.Key())
+	d.finder.Clear(g.Service, g.Parts)
+}
--- /dev/null
+++ b/internal/fleet/suspect/message.go
@@ -0,0 +1,77 @@
+package suspect
+
+import (
+	"jaywind"
+	"jaywind/internal/core/suspect"
+)
+
+const (
+	lossPath       = "/fleet/suspect/loss"
+	soundPath      = "/fleet/suspect/sound"
+	quarantinePath = "/fleet/suspect/quarantine"
+)
+
+// lossReport is what a router sends to a collector.
+type lossReport struct {
+	Losses []loss `cbor:"1,keyasint"`
+}
+
+// loss is a suspect.Loss on the wire.
+type loss struct {
+	Service string   `cbor:"1,keyasint"`
+	ID      string   `cbor:"2,keyasint"`
+	Born    int64    `cbor:"3,keyasint"` // jaywind.EndpointRef.Incarnation, in Unix milliseconds
+	Address string   `cbor:"4,keyasint"`
+	Prompt  string   `cbor:"5,keyasint"`
+	Shared  []string `cbor:"6,keyasint"`
+}
+
+// group is a suspect.Group on the wire.
+type group struct {
+	Service string   `cbor:"1,keyasint"`
+	Parts   []string `cbor:"2,keyasint"`
+	Lifted  bool     `cbor:"3,keyasint"` // the quarantine ends
+}
+
+// soundParts are the parts of a group under which runs have survived.
+type soundParts struct {
+	Parts []string `cbor:"1,keyasint"`
+}
+
+type emptyResponse struct{}
+
+func encodeLoss(l suspect.Loss) loss {
+	return loss{Service: string(l.Service), ID: string(l.Engine.ID), Born: l.Engine.Incarnation, Address: string(l.Engine.Address),
+		Prompt: string(l.Prompt), Shared: texts(l.Shared)}
+}
+
+func (l loss) decode() suspect.Loss {
+	return suspect.Loss{
+		Service: jaywind.ServiceName(l.Service), Prompt: jaywind.PromptPart(l.Prompt), Shared: parts(l.Shared),
+		Engine: jaywind.EndpointRef{ID: jaywind.EndpointID(l.ID), Incarnation: l.Born, Address: jaywind.Address(l.Address)},
+	}
+}
+
+func encodeGroup(g suspect.Group, lifted bool) group {
+	return group{Service: string(g.Service), Parts: texts(g.Parts), Lifted: lifted}
+}
+
+func (g group) decode() suspect.Group {
+	return suspect.Group{Service: jaywind.ServiceName(g.Service), Parts: parts(g.Parts)}
+}
+
+func texts(parts []jaywind.PromptPart) []string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = string(p)
+	}
+	return out
+}
+
+func parts(texts []string) []jaywind.PromptPart {
+	out := make([]jaywind.PromptPart, len(texts))
+	for i, s := range texts {
+		out[i] = jaywind.PromptPart(s)
+	}
+	return out
+}
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"jaywind"
+	"jaywind/internal/fleet/rendezvous"
 	"jaywind/internal/provider/follow"
 )
 
@@ -395,6 +396,25 @@
 	return all[:min(limit, len(all))]
 }
 
+// Collectors returns the fleet addresses of the routers, other than this one, that collect what concerns a key, and whether this
+// one is among those. All routers with the same view of the members choose the same.
+func (r *Roster) Collectors(key string, count int) (others []jaywind.Address, self bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var members []jaywind.Member
+	for _, m := range r.active() {
+		members = append(members, jaywind.Member{VM: m.VM, Domain: m.Domain, Fleet: m.FleetAddress})
+	}
+	for _, m := range rendezvous.Pick(key, members, count, "") {
+		if m.VM == r.Self.VM {
+			self = true
+			continue
+		}
+		others = append(others, m.Fleet)
+	}
+	return others, self
+}
+
 // active returns the routers that are not leaving and whose keys exist, including this one unless it is leaving; the
 // caller holds mu.
 func (r *Roster) active() []Member {
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -37,14 +37,15 @@
 
 // The reasons, and whether the request may have run at an endpoint.
 const (
-	ReasonNoConfig   Reason = "no configuration yet"           // not run
-	ReasonNoRoute    Reason = "no such route"                  // not run
-	ReasonUnknownKey Reason = "unknown key"                    // not run
-	ReasonBusy       Reason = "no endpoint takes the call"     // not run
-	ReasonPaused     Reason = "all endpoints ask for a pause"  // not run
-	ReasonTimeout    Reason = "no answer within the time"      // may have run
-	ReasonNotSent    Reason = "not sent within the time"       // not run
-	ReasonAnswerLost Reason = "the endpoint's answer was lost" // may have run
+	ReasonNoConfig    Reason = "no configuration yet"               // not run
+	ReasonNoRoute     Reason = "no such route"                      // not run
+	ReasonUnknownKey  Reason = "unknown key"                        // not run
+	ReasonBusy        Reason = "no endpoint takes the call"         // not run
+	ReasonPaused      Reason = "all endpoints ask for a pause"      // not run
+	ReasonQuarantined Reason = "part of the prompt crashes engines" // not run
+	ReasonTimeout     Reason = "no answer within the time"          // may have run
+	ReasonNotSent     Reason = "not sent within the time"           // not run
+	ReasonAnswerLost  Reason = "the endpoint's answer was lost"     // may have run
 )
 
 // Refusal is a final response that the router makes itself.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -16,6 +16,7 @@
 	"jaywind/internal/core/retry"
 	"jaywind/internal/core/rollout"
 	"jaywind/internal/core/route"
+	"jaywind/internal/core/suspect"
 )
 
 const (
@@ -36,6 +37,10 @@
 	OnIdentified func(e endpoint.Entry)
 	// OnLeaving is called with an endpoint that is leaving, if the other routers may not know it. It must not block. May be nil.
 	OnLeaving func(e jaywind.EndpointRef)
+	// OnLoss is called with each run that is lost at its beginning because its engine ended. It must not block. May be nil.
+	OnLoss func(l suspect.Loss)
+	// OnLifted is called with a group whose quarantine this router has lifted. It must not block. May be nil.
+	OnLifted func(g suspect.Group)
 	// BorrowRetry takes a retry for a service from another router's part of the budget. May be nil.
 	BorrowRetry         func(ctx context.Context, s jaywind.ServiceName) bool
 	RegistryUnavailable func() bool // reports whether the registry can't be read now; nil for never
@@ -54,6 +59,8 @@
 
 	rolloutStates map[jaywind.ServiceName]rollout.State // as last read, whether or not their orders are known
 
+	quarantine suspect.Quarantine
+	survivors  suspect.Survivors
 	departures []departure // endpoints whose departure may have to be announced
 }
 
--- a/internal/relay/router/stats.go
+++ b/internal/relay/router/stats.go
@@ -21,7 +21,8 @@
 	version, endpoints, members    metrics.Gauge
 	notRun, overBudget, callerGone metrics.Counter
 	broken, copyUsed, copyMissing  metrics.Counter
-	streamWaits                    metrics.Counter
+	streamWaits, beginLosses       metrics.Counter
+	quarantined                    metrics.Gauge
 	cacheFound, cacheMissed        metrics.Counter
 	copyMade, copyFailed           metrics.Counter
 	identified, borrowed           metrics.Counter
@@ -40,6 +41,8 @@
 	m.borrowed = metrics.GetOrRegisterCounter("repeats.borrowed", r)
 	m.callerGone = metrics.GetOrRegisterCounter("requests.caller_gone", r)
 	m.broken = metrics.GetOrRegisterCounter("streams.broken", r)
+	m.beginLosses = metrics.GetOrRegisterCounter("streams.lost_at_beginning", r)
+	m.quarantined = metrics.GetOrRegisterGauge("quarantine.groups", r)
 	m.streamWaits = metrics.GetOrRegisterCounter("streams.waited", r)
 	m.copyUsed = metrics.GetOrRegisterCounter("copies.used", r)
 	m.copyMissing = metrics.GetOrRegisterCounter("copies.missing", r)
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -35,8 +35,10 @@
 	copy        jaywind.MemoryCopy // the copy at the standby
 	producing   bool               // the current attempt has produced an event, so it has memory to copy
 	copyState   copyState
-	retryTaken  bool // a retry was taken for the next attempt when the stream left a silent endpoint
-	waits       bool // the wait for an endpoint or a retry was logged
+	begunAt     time.Time // of the first event of the current run; zero before
+	survived    bool      // the current run has survived its beginning
+	retryTaken  bool      // a retry was taken for the next attempt when the stream left a silent endpoint
+	waits       bool      // the wait for an endpoint or a retry was logged
 }
 
 // attempt is one run of a stream at an endpoint.
@@ -55,6 +57,9 @@
 	if c.request.Resumed {
 		st.cursor = series.CursorAfter(c.request.LastEventID)
 	}
+	if r.isQuarantined(st) {
+		return
+	}
 	step := series.ActionRestart
 	at := r.findCached(ctx, st)
 	for {
@@ -81,6 +86,7 @@
 			r.cancelStream(st, ctx.Err())
 			return
 		}
+		r.recordLoss(ctx, st, at, loss, err)
 		step = st.plan.AfterFailure(loss, r.hasCopy(st))
 		if loss != series.FailureNoCopy { // the endpoint is healthy; it only lacks the copy
 			c.requirements.Avoid = append(c.requirements.Avoid, at.ID)
@@ -88,6 +94,9 @@
 		last, _ := st.cursor.LastID()
 		r.Log.Warn("stream: lost", c.fields(zap.Error(err), zap.Stringer("loss", loss), zap.Stringer("next", step),
 			zap.Int64("event", last), zap.Int64("silent_ms", st.silentMs()), zap.Any("parts", st.request.SharedParts))...)
+		if r.isQuarantined(st) {
+			return
+		}
 		if step == series.ActionGiveUp {
 			r.failStream(st, st.plan.GiveUpCause(loss))
 			return
@@ -181,6 +190,7 @@
 	s := st.upstreamRequest(a.endpoint, time.Now())
 	s.LastEventID, s.Resumed = st.cursor.LastID()
 	s.Urgent = st.headSent || st.request.Resumed
+	st.begunAt, st.survived = time.Time{}, false
 	opened := false
 	s.OnStall = func() bool {
 		runs := st.plan.Runs()
@@ -304,6 +314,12 @@
 // observeEvent updates the statistics of the time between events.
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
+	if st.begunAt.IsZero() {
+		st.begunAt = now
+	}
+	if now.Sub(st.begunAt) >= beginTime {
+		r.recordSurvival(st)
+	}
 	if st.lastEventAt.IsZero() {
 		st.lastEventAt = now
 		return
@@ -324,6 +340,7 @@
 // completeStream ends a stream that is complete.
 func (r *Router) completeStream(st *streamCall, a attempt) {
 	r.releaseStandby(st)
+	r.recordSurvival(st)
 	r.recordResult(a.endpoint, true)
 	if !st.headSent {
 		st.response.BeginStream(a.events.Head())
