router: a stream waits for a silent engine whose registry entry was removed

Such a stream now leaves if it can go on elsewhere, as for listed engines, and otherwise waits for 2.5 s of silence since the entry is gone. TestStalledEngineWithoutEntry failed before; TestStalledEngineThatEnds, which bounds the wait for an engine that has ended, passes unchanged.

--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -19,24 +19,42 @@
 const waitInterval = 200 * time.Millisecond // between two looks for an endpoint or a retry
 
 // waitsForStalled reports whether a stream waits on for an endpoint that is silent, at which it is in its last run of the given
-// number. A sound endpoint may fall silent, so the stream leaves it only if it is gone, or if the stream can go on elsewhere.
+// number. A sound endpoint may fall silent, so the stream leaves it only if it has ended, or if the stream can go on elsewhere.
 func (r *Router) waitsForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint, runs int) bool {
 	r.mu.Lock()
 	listed := r.rowOf(e.Ref()) != nil
 	elsewhere := st.plan.MayRunAgain(runs) && r.canLeave(st, e)
 	r.mu.Unlock()
-	if ctx.Err() != nil || !listed {
+	if ctx.Err() != nil {
 		return false
 	}
 	if elsewhere && r.takeRetry(ctx, st.call, nil) {
 		st.retryTaken = true
 		return false
 	}
+	if st.hasEnded(listed, time.Now()) {
+		return false
+	}
 	r.recordResult(e, false) // for new work
 	r.logWait(st, "endpoint is silent")
 	return true
 }
 
+// unlistedTime is for how long a silent endpoint that the registry does not list may still go on.
+const unlistedTime = 2500 * time.Millisecond
+
+// hasEnded reports whether the silent endpoint of a stream has ended, to judge by the time since the registry does not list it.
+func (st *streamCall) hasEnded(listed bool, now time.Time) bool {
+	if listed {
+		st.unlistedAt = time.Time{}
+		return false
+	}
+	if st.unlistedAt.IsZero() {
+		st.unlistedAt = now
+	}
+	return now.Sub(st.unlistedAt) > unlistedTime
+}
+
 // canLeave reports whether a stream can go on at its standby or at another endpoint that accepts work; the caller holds mu.
 func (r *Router) canLeave(st *streamCall, e *endpoint.Endpoint) bool {
 	now := time.Now()
