router: a stream does not go on at a standby that left while it waited

Since streams wait for a retry, seconds may pass between the choice of a standby and its use. A standby that began to leave meanwhile, or that the registry removed, was still sent the stream (DRAIN), as a reader of the change found.

The standby is checked again when the attempt starts; without it the stream starts anew elsewhere. TestStandbyLeavesDuringWait failed in both cases before.

--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -67,20 +67,20 @@
 	return other != nil && other != e && r.table.AcceptsWork(other, now)
 }
 
-// awaitEndpoint returns the endpoint of the next attempt and counts the attempt there. A stream that has begun waits for one. It
-// returns nil if there is none or if ctx ends.
-func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) *endpoint.Endpoint {
+// awaitEndpoint returns the endpoint of the next attempt, as nextEndpoint does. A stream that has begun waits for one. It returns nil
+// if there is none or if ctx ends.
+func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool) {
 	if st.plan.Begun && !pause(ctx, st.plan.Backoff()) {
-		return nil
+		return nil, false
 	}
 	for {
-		at := r.nextEndpoint(st, step)
+		at, fromCopy = r.nextEndpoint(st, step)
 		if at != nil || !st.plan.Begun {
-			return at
+			return at, fromCopy
 		}
 		r.logWait(st, causeNoEndpoint)
 		if !pause(ctx, jitter(waitInterval)) {
-			return nil
+			return nil, false
 		}
 	}
 }
--- /dev/null
+++ b/internal/relay/router/stall_test.go
@@ -0,0 +1,97 @@
+package router_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jaywind"
+	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/retry"
+	"jaywind/internal/core/route"
+	"jaywind/internal/relay/router"
+)
+
+// scriptedUpstream is an Upstream whose streams are made by a function.
+type scriptedUpstream struct {
+	fakeUpstream
+	open func(s jaywind.UpstreamRequest) (jaywind.EventStream, error)
+	mu   sync.Mutex
+	sent []jaywind.UpstreamRequest
+}
+
+func (u *scriptedUpstream) Open(_ context.Context, s jaywind.UpstreamRequest, _ time.Duration) (jaywind.EventStream, jaywind.Reply, error) {
+	u.mu.Lock()
+	u.sent = append(u.sent, s)
+	u.mu.Unlock()
+	e, err := u.open(s)
+	return e, jaywind.Reply{}, err
+}
+
+// brokenStream sends events up to an id, and then breaks.
+type brokenStream struct{ next, last int64 }
+
+func (e *brokenStream) Head() jaywind.Reply { return jaywind.Reply{Status: http.StatusOK} }
+func (e *brokenStream) Close() error        { return nil }
+func (e *brokenStream) Next(time.Duration) (jaywind.Event, error) {
+	if e.next > e.last {
+		return jaywind.Event{}, io.ErrUnexpectedEOF
+	}
+	e.next++
+	return jaywind.Event{ID: e.next - 1, Raw: []byte("x")}, nil
+}
+
+// TestStandbyLeavesDuringWait: a stream waits for a retry. The test fails if it then goes on at its standby although that has begun to
+// leave or is gone.
+func TestStandbyLeavesDuringWait(t *testing.T) {
+	tests := map[string]func(r *router.Router, standby endpoint.Entry){
+		"leaves": func(r *router.Router, standby endpoint.Entry) {
+			standby.Leaving = true
+			r.UpdateEndpoint(standby)
+		},
+		"is removed": func(r *router.Router, standby endpoint.Entry) { r.RemoveEndpoint(standby.ID, false) },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := &scriptedUpstream{}
+			u.open = func(s jaywind.UpstreamRequest) (jaywind.EventStream, error) {
+				if len(u.sent) == 1 {
+					return &brokenStream{next: 1, last: 3}, nil
+				}
+				return &fakeStream{next: s.LastEventID + 1, last: 6}, nil
+			}
+			r := &router.Router{Self: "vm1", Upstream: u, RetryBudget: retry.Budget{Window: 10 * time.Second}}
+			r.SetConfig(route.NewSet(1,
+				[]route.Route{{Name: "s", Host: "a", Prefix: "/", Kind: route.KindStream, Resume: true, MaxAttempts: 5, EventTimeout: time.Second,
+					Backends: []route.Backend{{Service: "pool", Weight: 1}}}},
+				[]route.Service{{Name: "pool", Engine: &route.Engine{Slots: 16, MemoryTokens: 55000, CopiesMemory: true}}}, nil, route.Limits{}))
+			entries := map[jaywind.Address]endpoint.Entry{}
+			for i, id := range []jaywind.EndpointID{"e1", "e2", "e3"} {
+				e := endpoint.Entry{ID: id, Service: "pool", Address: jaywind.Address(id), Domain: jaywind.Domain(rune('a' + i)), Slots: 16}
+				entries[e.Address] = e
+				r.UpdateEndpoint(e)
+			}
+			lent := false
+			r.BorrowRetry = func(context.Context, jaywind.ServiceName) bool {
+				if !lent { // the first time, the standby leaves while the stream waits
+					lent = true
+					change(r, entries[u.sent[0].Standby])
+					return false
+				}
+				return true
+			}
+			who := &caller{reads: 6}
+			r.Serve(context.Background(), &router.Request{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Timeout: 5 * time.Second}, who)
+			is.Equal(who.events, 6)
+			is.Equal(len(u.sent), 2)
+			is.True(u.sent[1].Endpoint.Address != u.sent[0].Standby)
+			is.Equal(u.sent[1].Copy.Name, "")
+		})
+	}
+}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -61,11 +61,11 @@
 	if r.isQuarantined(st) {
 		return
 	}
-	step := series.ActionRestart
+	step, fromCopy := series.ActionRestart, false
 	at := r.findCached(ctx, st)
 	for {
 		if at == nil {
-			at = r.awaitEndpoint(ctx, st, step)
+			at, fromCopy = r.awaitEndpoint(ctx, st, step)
 		}
 		if at == nil && ctx.Err() != nil {
 			r.cancelStream(st, ctx.Err())
@@ -75,7 +75,7 @@
 			r.failStream(st, causeNoEndpoint)
 			return
 		}
-		loss, err := r.runAttempt(ctx, st, attempt{endpoint: at, fromCopy: step == series.ActionUseCopy, startedAt: time.Now()})
+		loss, err := r.runAttempt(ctx, st, attempt{endpoint: at, fromCopy: fromCopy, startedAt: time.Now()})
 		if err == nil {
 			return
 		}
@@ -122,13 +122,14 @@
 	return time.Since(st.lastEventAt).Milliseconds()
 }
 
-// nextEndpoint returns the endpoint of the next attempt and counts the attempt there.
-func (r *Router) nextEndpoint(st *streamCall, step series.Action) *endpoint.Endpoint {
-	if step == series.ActionUseCopy {
-		return r.takeStandby(st)
+// nextEndpoint returns the endpoint of the next attempt and whether it has a copy, and counts the attempt there. The standby may
+// have been lost since the step was decided.
+func (r *Router) nextEndpoint(st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool) {
+	if step == series.ActionUseCopy && r.hasCopy(st) {
+		return r.takeStandby(st), true
 	}
 	r.releaseStandby(st)
-	return r.acquireEndpoint(st.call)
+	return r.acquireEndpoint(st.call), false
 }
 
 // takeStandby counts the next attempt at the standby, which has a copy, and returns it.
@@ -148,7 +149,7 @@
 func (r *Router) hasCopy(st *streamCall) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return st.standby != nil && st.producing && r.table.AcceptsCalls(st.standby, time.Now())
+	return st.standby != nil && st.producing && r.rowOf(st.standby.Ref()) == st.standby && r.table.AcceptsCalls(st.standby, time.Now())
 }
 
 // releaseStandby ends the use of the standby, if there is one.
