router: a stream leaves a silent engine only for one with room

A reader of the fix for stalled engines found that the look for another endpoint also took endpoints without a free slot or memory by the router's own count, and endpoints that had failed the stream. Leaving for these ends a run that would go on, and herds streams onto full engines. The look also lacked the other versions to which the next attempt may go.

TestLeavesOnlyForRoom failed before for an engine without room.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -37,6 +37,15 @@
 // domain; low load and a short ring distance. Among closed endpoints the one that opens first is
 // best. One that has asked for a pause is never chosen.
 func (t *Table) Choose(s *route.Service, n Requirements, now time.Time) *Endpoint {
+	return t.choose(s, n, now, 4)
+}
+
+// ChooseWithRoom returns the best endpoint of a service for a call that has room for it and has not failed, or nil.
+func (t *Table) ChooseWithRoom(s *route.Service, n Requirements, now time.Time) *Endpoint {
+	return t.choose(s, n, now, 1)
+}
+
+func (t *Table) choose(s *route.Service, n Requirements, now time.Time, worst int) *Endpoint {
 	return t.best(s, n, now, func(e *Endpoint, distance float64) (rank int, weight float64) {
 		weight = e.load(s, n) + distanceWeight*distance
 		switch {
@@ -51,7 +60,7 @@
 			return 1, weight
 		}
 		return 0, weight
-	}, 4)
+	}, worst)
 }
 
 // ChooseStandby returns the endpoint that should hold a copy of the memory of a run at another
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -325,13 +325,7 @@
 func (r *Router) acquireEndpoint(c *call) *endpoint.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.table.Choose(c.service, c.requirements, time.Now())
-	if e == nil && c.requirements.Version != "" {
-		// Without an endpoint of the required version, use another version unless it is excluded.
-		other := c.requirements
-		other.Version = ""
-		e = r.table.Choose(c.service, other, time.Now())
-	}
+	e := anyVersion(r.table.Choose, c.service, c.requirements)
 	if e != nil {
 		r.table.StartCall(e, c.requirements)
 		c.countStart(e)
@@ -340,6 +334,16 @@
 	return e
 }
 
+// anyVersion chooses an endpoint of the required version, or of another one that is not excluded if there is none.
+func anyVersion(choose func(*route.Service, endpoint.Requirements, time.Time) *endpoint.Endpoint, s *route.Service, n endpoint.Requirements) *endpoint.Endpoint {
+	e := choose(s, n, time.Now())
+	if e == nil && n.Version != "" {
+		n.Version = ""
+		e = choose(s, n, time.Now())
+	}
+	return e
+}
+
 func (r *Router) releaseEndpoint(c *call, e *endpoint.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,16 +56,14 @@
 	return now.Sub(st.unlistedAt) > unlistedTime
 }
 
-// canLeave reports whether a stream can go on at its standby or at another endpoint that accepts work; the caller holds mu.
+// canLeave reports whether a stream can go on at its standby or at another endpoint that has room; the caller holds mu.
 func (r *Router) canLeave(st *streamCall, e *endpoint.Endpoint) bool {
-	now := time.Now()
-	if st.standby != nil && st.producing && r.table.AcceptsWork(st.standby, now) {
+	if st.standby != nil && st.producing && r.table.AcceptsWork(st.standby, time.Now()) {
 		return true
 	}
-	requirements := st.requirements
-	requirements.Avoid = append(requirements.Avoid[:len(requirements.Avoid):len(requirements.Avoid)], e.ID)
-	other := r.table.Choose(st.service, requirements, now)
-	return other != nil && other != e && r.table.AcceptsWork(other, now)
+	n := st.requirements
+	n.Avoid = append(slices.Clone(n.Avoid), e.ID)
+	return anyVersion(r.table.ChooseWithRoom, st.service, n) != nil
 }
 
 // awaitEndpoint returns the endpoint of the next attempt, as nextEndpoint does. A stream that has begun waits for one. It returns nil
--- a/internal/relay/router/stall_test.go
+++ b/internal/relay/router/stall_test.go
@@ -95,3 +95,58 @@
 		})
 	}
 }
+
+// stallingStream sends events up to an id. It is silent before one of them, and goes on if its reader waits.
+type stallingStream struct {
+	fakeStream
+	stallAt int64
+	stalls  int // calls of onStall in one silence
+	onStall func() bool
+	waited  *bool
+}
+
+func (e *stallingStream) Next(limit time.Duration) (jaywind.Event, error) {
+	if e.next == e.stallAt {
+		for range e.stalls {
+			if !e.onStall() {
+				return jaywind.Event{}, jaywind.ErrIdleTimeout
+			}
+		}
+		*e.waited = true
+	}
+	return e.fakeStream.Next(limit)
+}
+
+// TestLeavesOnlyForRoom fails if a stream leaves a silent engine for one that has no room by the router's own count, or that has
+// failed the stream before.
+func TestLeavesOnlyForRoom(t *testing.T) {
+	tests := map[string]struct {
+		slots int // of the other engine
+		waits bool
+	}{
+		"room":    {16, false},
+		"no room": {0, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			waited := false
+			u := &scriptedUpstream{}
+			u.open = func(s jaywind.UpstreamRequest) (jaywind.EventStream, error) {
+				if s.Endpoint.ID == "e2" {
+					return &fakeStream{next: s.LastEventID + 1, last: 6}, nil
+				}
+				return &stallingStream{fakeStream: fakeStream{next: 1, last: 6}, stallAt: 4, stalls: 3, onStall: s.OnStall, waited: &waited}, nil
+			}
+			r := newRouter(u)
+			r.UpdateEndpoint(endpoint.Entry{ID: "e2", Service: "pool", Address: "e2", Domain: "b", Slots: c.slots})
+			r.UpdateEndpoint(endpoint.Entry{ID: "e1", Service: "pool", Address: "e1", Domain: "a", Slots: 64})
+			who := &caller{reads: 6}
+			r.Serve(context.Background(), &router.Request{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Timeout: 5 * time.Second}, who)
+			is.Equal(who.events, 6)
+			if u.sent[0].Endpoint.ID == "e1" {
+				is.Equal(waited, c.waits)
+			}
+		})
+	}
+}
