router: an engine that was silent gets new work as soon as it goes on

Each look of each stream that waited for a silent engine counted as one more failure of it, and only a complete stream cleared them.

A silence now counts as one failure for each stream, and the first event after it as a sign that the engine works. TestEngineGoesOnAfterSilence failed before.

--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -36,7 +36,10 @@
 	if st.hasEnded(listed, time.Now()) {
 		return false
 	}
-	r.recordResult(e, false) // for new work
+	if !st.stalled {
+		st.stalled = true
+		r.recordResult(e, false) // for new work
+	}
 	r.logWait(st, "endpoint is silent")
 	return true
 }
--- a/internal/relay/router/stall_test.go
+++ b/internal/relay/router/stall_test.go
@@ -150,3 +150,40 @@
 		})
 	}
 }
+
+// hookedCaller calls a function at its nth event.
+type hookedCaller struct {
+	caller
+	at   int
+	hook func()
+}
+
+func (c *hookedCaller) WriteEvent(raw []byte) error {
+	err := c.caller.WriteEvent(raw)
+	if c.events == c.at {
+		c.hook()
+	}
+	return err
+}
+
+// TestEngineGoesOnAfterSilence fails if an engine that was silent gets no new work although it has gone on.
+func TestEngineGoesOnAfterSilence(t *testing.T) {
+	is := is.New(t)
+	waited := false
+	u := &scriptedUpstream{}
+	u.open = func(s jaywind.UpstreamRequest) (jaywind.EventStream, error) {
+		if s.Request != "q1" {
+			return &fakeStream{next: 1, last: 6}, nil
+		}
+		return &stallingStream{fakeStream: fakeStream{next: 1, last: 6}, stallAt: 4, stalls: 3, onStall: s.OnStall, waited: &waited}, nil
+	}
+	r := newRouter(u)
+	r.UpdateEndpoint(endpoint.Entry{ID: "e2", Service: "pool", Address: "e2", Domain: "b", Slots: 0}) // without room
+	serve := func(id jaywind.RequestID, who router.ResponseWriter) {
+		r.Serve(context.Background(), &router.Request{ID: id, Host: "a", Path: "/x", Arrived: time.Now(), Timeout: 5 * time.Second}, who)
+	}
+	serve("q1", &hookedCaller{caller: caller{reads: 6}, at: 5, hook: func() { serve("q2", &caller{reads: 6}) }})
+	is.True(waited)
+	is.Equal(len(u.sent), 2)
+	is.Equal(u.sent[1].Endpoint.ID, jaywind.EndpointID("e1"))
+}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -35,6 +35,7 @@
 	copy        jaywind.MemoryCopy // the copy at the standby
 	producing   bool               // the current attempt has produced an event, so it has memory to copy
 	copyState   copyState
+	stalled     bool      // the endpoint is silent, and the stream waits for it
 	unlistedAt  time.Time // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
 	begunAt     time.Time // of the first event of the current run; zero before
 	survived    bool      // the current run has survived its beginning
@@ -192,7 +193,7 @@
 	s := st.upstreamRequest(a.endpoint, time.Now())
 	s.LastEventID, s.Resumed = st.cursor.LastID()
 	s.Urgent = st.headSent || st.request.Resumed
-	st.begunAt, st.survived, st.unlistedAt = time.Time{}, false, time.Time{}
+	st.begunAt, st.survived, st.stalled, st.unlistedAt = time.Time{}, false, false, time.Time{}
 	opened := false
 	s.OnStall = func() bool {
 		runs := st.plan.Runs()
@@ -317,6 +318,10 @@
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
 	st.unlistedAt = time.Time{}
+	if st.stalled {
+		st.stalled = false
+		r.recordResult(a.endpoint, true)
+	}
 	if st.begunAt.IsZero() {
 		st.begunAt = now
 	}
