series, router: a stream that waits spares the retry budget

A stream that has begun and that engines refuse took a retry for each refusal until its deadline, 15 in 8 s in a reader's test, from the budget that other streams need to move. Each look for a retry also wrote a log line and counted as a request over the budget.

It now pauses from the second refusal on, up to 2 s, with jitter, and only its first look for a retry is logged and counted. TestWaitSparesRetryBudget failed before.

--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -42,8 +42,9 @@
 	MaxAttempts int  // the most endpoints at which it may run
 	Begun       bool // the caller has part of the answer, which would be cut
 
-	runs   int
-	misses int // attempts since the last run that did not run
+	runs     int
+	misses   int // attempts since the last run that did not run
+	refusals int // of these, attempts that an endpoint refused
 }
 
 // MayRunAgain reports whether the stream may run at one more endpoint after a number of runs.
@@ -52,17 +53,20 @@
 // Runs returns the number of runs so far.
 func (p *ResumePlan) Runs() int { return p.runs }
 
-// Backoff returns how long a stream that has begun waits before its next attempt.
+// Backoff returns how long a stream that has begun waits before its next attempt. Refusals count sooner, as each takes a retry
+// from the budget.
 func (p *ResumePlan) Backoff() time.Duration {
-	if p.misses <= maxMisses {
+	n := max(p.misses-maxMisses, p.refusals-maxRefusals)
+	if n <= 0 {
 		return 0
 	}
-	return min(maxBackoff, minBackoff<<min(p.misses-maxMisses-1, 10))
+	return min(maxBackoff, minBackoff<<min(n-1, 10))
 }
 
 const (
-	minBackoff = 100 * time.Millisecond // after maxMisses; doubles with each further attempt that did not run
-	maxBackoff = 800 * time.Millisecond
+	maxRefusals = 1                      // successive ones without a pause
+	minBackoff  = 100 * time.Millisecond // doubles with each further attempt that did not run
+	maxBackoff  = 2 * time.Second
 )
 
 // GiveUpCause returns which limit makes a stream give up after a failure.
@@ -82,7 +86,7 @@
 // RunStarted counts a run at an endpoint.
 func (p *ResumePlan) RunStarted() {
 	p.runs++
-	p.misses = 0
+	p.misses, p.refusals = 0, 0
 }
 
 // AfterFailure returns how the stream goes on after a failed attempt; copied tells whether another
@@ -91,6 +95,9 @@
 	switch f {
 	case FailureNotRun, FailureNotSent, FailureNoCopy:
 		p.misses++
+		if f == FailureNotRun {
+			p.refusals++
+		}
 		if p.misses > maxMisses && !p.Begun {
 			return ActionGiveUp
 		}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -293,6 +293,16 @@
 // takeRetry takes a retry of a call from this router's part of the budget, or else from another router's. If the last
 // attempt, which ended with cause, sent nothing to its endpoint, the next one does not count as a retry.
 func (r *Router) takeRetry(ctx context.Context, c *call, cause error) bool {
+	ok := r.tryRetry(ctx, c, cause)
+	if !ok {
+		r.stats.overBudget.Inc(1)
+		r.Log.Info("request: retry budget is spent", c.fields()...)
+	}
+	return ok
+}
+
+// tryRetry is takeRetry for a call that looks for a retry again and again. It does not log or count that there is none.
+func (r *Router) tryRetry(ctx context.Context, c *call, cause error) bool {
 	if errors.Is(cause, jaywind.ErrNotSent) {
 		return true
 	}
@@ -303,10 +313,6 @@
 		r.stats.borrowed.Inc(1)
 		ok = true
 	}
-	if !ok {
-		r.stats.overBudget.Inc(1)
-		r.Log.Info("request: retry budget is spent", c.fields()...)
-	}
 	return ok
 }
 
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -29,7 +29,11 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if elsewhere && r.takeRetry(ctx, st.call, nil) {
+	take := r.takeRetry
+	if st.stalled { // it has looked for a retry before
+		take = r.tryRetry
+	}
+	if elsewhere && take(ctx, st.call, nil) {
 		st.retryTaken = true
 		return false
 	}
@@ -72,7 +76,7 @@
 // awaitEndpoint returns the endpoint of the next attempt, as nextEndpoint does. A stream that has begun waits for one. It returns nil
 // if there is none or if ctx ends.
 func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool) {
-	if st.plan.Begun && !pause(ctx, st.plan.Backoff()) {
+	if backoff := st.plan.Backoff(); st.plan.Begun && backoff > 0 && !pause(ctx, jitter(backoff)) {
 		return nil, false
 	}
 	for {
@@ -93,16 +97,19 @@
 		st.retryTaken = false
 		return true
 	}
-	for !r.takeRetry(ctx, st.call, cause) {
-		if !st.plan.Begun {
-			return false
-		}
+	if r.takeRetry(ctx, st.call, cause) {
+		return true
+	}
+	for st.plan.Begun {
 		r.logWait(st, causeNoRetry)
 		if !pause(ctx, jitter(waitInterval)) {
 			return false
 		}
+		if r.tryRetry(ctx, st.call, cause) {
+			return true
+		}
 	}
-	return true
+	return false
 }
 
 // logWait logs and counts the first wait of a stream.
--- a/internal/relay/router/stall_test.go
+++ b/internal/relay/router/stall_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"jaywind"
 	"jaywind/internal/core/endpoint"
@@ -187,3 +188,32 @@
 	is.Equal(len(u.sent), 2)
 	is.Equal(u.sent[1].Endpoint.ID, jaywind.EndpointID("e1"))
 }
+
+// TestWaitSparesRetryBudget fails if a stream that waits spends retries at the rate of a stream that is sent on, or counts each look for
+// a retry as a request over the budget.
+func TestWaitSparesRetryBudget(t *testing.T) {
+	is := is.New(t)
+	u := &scriptedUpstream{}
+	u.open = func(jaywind.UpstreamRequest) (jaywind.EventStream, error) {
+		if len(u.sent) == 1 {
+			return &brokenStream{next: 1, last: 3}, nil
+		}
+		return nil, jaywind.ErrBusy
+	}
+	r := newRouter(u)
+	who := &caller{reads: 6}
+	r.Serve(context.Background(), &router.Request{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Timeout: 8 * time.Second}, who)
+	is.True(who.broken)         // at its deadline
+	is.True(len(u.sent) <= 6+8) // some at once, and then about one a second
+
+	waited := false
+	u = &scriptedUpstream{}
+	u.open = func(s jaywind.UpstreamRequest) (jaywind.EventStream, error) {
+		return &stallingStream{fakeStream: fakeStream{next: 1, last: 6}, stallAt: 4, stalls: 14, onStall: s.OnStall, waited: &waited}, nil
+	}
+	r = newRouter(u)
+	r.RetryBudget = retry.Budget{Window: 10 * time.Second}
+	r.Serve(context.Background(), &router.Request{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Timeout: 8 * time.Second}, &caller{reads: 6})
+	is.True(waited)
+	is.Equal(metrics.GetOrRegisterCounter("repeats.over_budget", r.Metrics).Count(), int64(1))
+}
