--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -106,7 +106,7 @@
 
 // Put returns a connection to the pool after a complete response.
 func (p *Pool) Put(c *Conn) {
-	c.idleSince = time.Now()
+	c.idleSince, c.OnStall = time.Now(), nil
 	if c.closed.Load() || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
