router: an answer to a caller that seems to have left does not look complete

A caller that closes only its sending side counts as one that has left, since the two can't be told apart. A reader of the trace of requests without an answer found it.

Such an answer is now cut visibly. TestHalfClosedCaller failed before for streams and safe calls.

--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -143,6 +143,7 @@
 	case errors.Is(cause, context.Canceled):
 		r.stats.callerGone.Inc(1)
 		r.Log.Info("request: caller disconnected", c.fields()...)
+		c.response.AbortStream() // a caller that has only closed its sending side still reads
 	case c.mayHaveRun:
 		r.writeRefusal(c, ReasonTimeout, 0)
 	default:
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -64,7 +64,7 @@
 	BeginStream(head jaywind.Reply)
 	// WriteEvent writes one event, or returns an error when the caller has disconnected.
 	WriteEvent(raw []byte) error
-	// AbortStream ends an incomplete stream in a way that the caller can detect.
+	// AbortStream ends an incomplete stream, or a request without a response, in a way that the caller can detect.
 	AbortStream()
 }
 
