link: a stream without length or chunks that ends before its first event has broken

An answer may come with neither a length nor chunks and end with its connection. An engine that ends right after the head of such an answer made an empty stream, which was passed on as a whole one. A reader found it.

Such a stream now counts as broken. One that ends between two events can't be told from a whole one.

--- a/internal/backend/link/events.go
+++ b/internal/backend/link/events.go
@@ -16,8 +16,11 @@
 type EventReader struct {
 	Conn *Conn
 	Body io.Reader
-	head jaywind.Reply
+	// Unframed says that the body has neither a length nor chunks and ends with its connection. Without an event it has broken.
+	Unframed bool
 
+	head  jaywind.Reply
+	begun bool // an event was read
 	lines *bufio.Reader
 	event []byte
 }
@@ -42,6 +45,9 @@
 	id, found := int64(0), false
 	for start := 0; ; start = len(s.event) {
 		if err := s.readLine(); err != nil {
+			if errors.Is(err, io.EOF) && s.Unframed && !s.begun {
+				err = io.ErrUnexpectedEOF
+			}
 			return jaywind.Event{}, err
 		}
 		line := bytes.TrimRight(s.event[start:], "\r\n")
@@ -53,6 +59,7 @@
 			return jaywind.Event{}, fmt.Errorf("%w: event has no id", jaywind.ErrBadAnswer)
 		}
 		if len(line) == 0 {
+			s.begun = true
 			return jaywind.Event{ID: id, Raw: s.event}, nil
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
