link: a connection that the kernel has given up is no silence

An ETIMEDOUT counted as a read time-out, after which a stream that waits for its engine read on and could take what follows for the end. A reader found it. TestLostConnectionIsNoSilence failed before.

--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -148,7 +149,5 @@
 	return err
 }
 
-func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
-}
+// isTimeout reports whether an error is that of a read deadline. A connection that the kernel has given up is no timeout.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
