router: an engine's entry is copied under the lock while it is identified

Found by reading: the entry was copied without the lock, while an update of the registry may write its state, version and models. No run has shown it, and there is no test of its own for it.

--- a/internal/relay/router/identify.go
+++ b/internal/relay/router/identify.go
@@ -27,7 +27,9 @@
 		r.Log.Info("endpoint: identification failed", c.fields(zap.String("at", string(old.Address)), zap.Error(err))...)
 		return
 	}
-	e := old.Entry
+	r.mu.Lock()
+	e := old.Entry // the registry may change it meanwhile
+	r.mu.Unlock()
 	e.ID, e.Incarnation, e.Models, e.Leaving = id.ID, id.Incarnation, id.Models, id.Leaving
 	if r.replaceEndpoint(e) && r.OnIdentified != nil {
 		r.OnIdentified(e)
