router: a stream follows the end of a roll-out when it loses its engine

A stream is bound to a version, or to all but one, when it arrives. If the roll-out ended while it ran, a stream bound to the old version had no engine to go on at and, since streams wait, waited until its deadline; one bound to a version that was taken back was sent to that version again, or to a copy there.

Each attempt now follows the end of the roll-out, and a copy at a version that may not run the stream is not used.

--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -137,6 +137,20 @@
 	}
 }
 
+// followRolloutEnd binds a call to the version that remains once a roll-out of its service has ended; the caller holds mu.
+func (r *Router) followRolloutEnd(c *call) {
+	tr := r.rollouts[c.service.Name]
+	if tr == nil {
+		return
+	}
+	switch tr.rollout.State.Phase {
+	case rollout.PhaseDone:
+		c.requirements.Version, c.requirements.ExcludeVersion = tr.rollout.Order.Target, ""
+	case rollout.PhaseRolledBack:
+		c.requirements.Version, c.requirements.ExcludeVersion = "", tr.rollout.Order.Target
+	}
+}
+
 // lateFactor times the old version's 0.95 quantile is the response time from which a response counts as late.
 const lateFactor = 1.5
 
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -331,6 +331,7 @@
 func (r *Router) acquireEndpoint(c *call) *endpoint.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.followRolloutEnd(c)
 	e := anyVersion(r.table.Choose, c.service, c.requirements)
 	if e != nil {
 		r.table.StartCall(e, c.requirements)
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -146,10 +146,14 @@
 }
 
 // hasCopy reports whether the stream can continue at its standby: the copy has something to copy from, and the standby
-// takes calls.
+// takes calls and does not run a version that may not run the stream.
 func (r *Router) hasCopy(st *streamCall) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.followRolloutEnd(st.call)
+	if st.standby != nil && st.requirements.ExcludeVersion != "" && st.standby.Version == st.requirements.ExcludeVersion {
+		return false
+	}
 	return st.standby != nil && st.producing && r.rowOf(st.standby.Ref()) == st.standby && r.table.AcceptsCalls(st.standby, time.Now())
 }
 
