suspect: quarantines that were missed are learned, and those that ended can come back

Found on a second reading. A router that the announcement of a quarantine did not reach, while the store could not be written, went on sending such requests for good, since a collector announces a group once; and a group whose 10 minutes were over was never quarantined again.

The answer to a report of losses has the quarantined groups that their prompts had, and what a collector has announced ends with the quarantine. TestMissedAnnouncement and TestQuarantineAgain failed before.

--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -48,17 +48,23 @@
 	start   sync.Once
 	wake    chan struct{}
 	mu      sync.Mutex
-	pending []suspect.Loss  // of this router, to be sent to their collectors
-	lifted  []suspect.Group // by this router, to be announced
-	finder  suspect.Finder  // of the services that this router collects for
-	changed bool            // finder has losses that were not looked at
-	known   map[string]bool // groups that this router has announced
+	pending []suspect.Loss        // of this router, to be sent to their collectors
+	lifted  []suspect.Group       // by this router, to be announced
+	finder  suspect.Finder        // of the services that this router collects for
+	changed bool                  // finder has losses that were not looked at
+	known   map[string]knownGroup // by their keys, that this router has quarantined as a collector
+}
+
+// knownGroup is a quarantined group and the end of its quarantine.
+type knownGroup struct {
+	group suspect.Group
+	until time.Time
 }
 
 func (d *Detector) init() {
 	d.start.Do(func() {
 		d.wake = make(chan struct{}, 1)
-		d.known = map[string]bool{}
+		d.known = map[string]knownGroup{}
 		if d.Log == nil {
 			d.Log = zap.NewNop()
 		}
@@ -135,7 +141,15 @@
 	}
 	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
 	for at, r := range reports {
-		p.Go(func() { _, _ = send[lossReport, emptyResponse](ctx, d, at, lossPath, r) })
+		p.Go(func() {
+			answer, err := send[lossReport, lossAnswer](ctx, d, at, lossPath, r)
+			if err != nil {
+				return // logged; the other collector has it
+			}
+			for _, g := range answer.Quarantined {
+				d.Learn(g.decode(), false)
+			}
+		})
 	}
 	p.Wait()
 }
@@ -162,7 +176,7 @@
 			d.mu.Unlock()
 			continue
 		}
-		d.known[g.Key()] = true
+		d.known[g.Key()] = knownGroup{g, time.Now().Add(suspect.QuarantineTime)}
 		d.mu.Unlock()
 		if d.Router.AddQuarantine(g) {
 			d.publish(ctx, g, false)
@@ -178,7 +192,7 @@
 		return suspect.Group{}, false
 	}
 	for _, g := range d.finder.Candidates(time.Now()) {
-		if !d.known[g.Key()] {
+		if !time.Now().Before(d.known[g.Key()].until) {
 			return g, true
 		}
 	}
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -56,10 +57,11 @@
 	return found
 }
 
-func (r *fakeRouter) holds(key string) bool {
+// holds reports whether the group of the tests is quarantined.
+func (r *fakeRouter) holds() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.held[key]
+	return r.held["pool/x"]
 }
 
 // testFleet is a number of detectors that call each other.
@@ -168,7 +170,7 @@
 			held := func() int {
 				n := 0
 				for _, r := range f.routers {
-					if r.holds("pool/x") {
+					if r.holds() {
 						n++
 					}
 				}
@@ -206,7 +208,7 @@
 	eventually := func(want bool) {
 		t.Helper()
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-			if f.routers[0].holds("pool/x") == want && f.routers[1].holds("pool/x") == want {
+			if f.routers[0].holds() == want && f.routers[1].holds() == want {
 				return
 			}
 		}
@@ -221,3 +223,49 @@
 	}
 	eventually(true)
 }
+
+// TestMissedAnnouncement fails if a router that the announcement of a quarantine did not reach does not learn of it when it reports a loss.
+func TestMissedAnnouncement(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 4)
+	for i := range 3 {
+		f.detectors[i].Report(loss(i, "x"))
+	}
+	for end := time.Now().Add(5 * time.Second); !f.routers[3].holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	is.True(f.routers[3].holds())
+	f.routers[3].mu.Lock()
+	clear(f.routers[3].held) // as if the announcement had not come
+	f.routers[3].mu.Unlock()
+	f.detectors[3].Report(loss(9, "x", "y"))
+	for end := time.Now().Add(2 * time.Second); !f.routers[3].holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	is.True(f.routers[3].holds())
+}
+
+// TestQuarantineAgain fails if a part whose quarantine has ended can't be quarantined again.
+func TestQuarantineAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &fakeRouter{held: map[string]bool{}}
+		d := &fleet.Detector{Router: r,
+			Collectors: func(string, int) ([]jaywind.Address, bool) { return nil, true },
+			Peers:      func(int) []jaywind.Address { return nil },
+			Persist:    func(context.Context, suspect.Group, bool) {},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		group.Go(func() { d.Run(ctx) })
+		for range 2 {
+			for i := range 3 {
+				d.Report(loss(i, "x"))
+			}
+			time.Sleep(time.Second)
+			is.True(r.holds())
+			time.Sleep(suspect.QuarantineTime)
+			clear(r.held) // as the router does
+		}
+		cancel()
+		group.Wait()
+	})
+}
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -18,12 +19,30 @@
 	m.Handle(quarantinePath, connect.NewUnaryHandler(quarantinePath, d.handleQuarantine, cbor.HandlerOptions()...))
 }
 
-func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[emptyResponse], error) {
+func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[lossAnswer], error) {
+	answer := &lossAnswer{}
 	for _, l := range req.Msg.Losses {
-		d.collect(l.decode())
+		l := l.decode()
+		d.collect(l)
+		for _, g := range d.quarantined(l) {
+			answer.Quarantined = append(answer.Quarantined, encodeGroup(g, false))
+		}
 	}
 	d.signal()
-	return connect.NewResponse(&emptyResponse{}), nil
+	return connect.NewResponse(answer), nil
+}
+
+// quarantined returns the groups that this router has quarantined and that the prompt of a loss had.
+func (d *Detector) quarantined(l suspect.Loss) []suspect.Group {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []suspect.Group
+	for _, k := range d.known {
+		if k.group.In(l.Service, l.Shared) && time.Now().Before(k.until) {
+			found = append(found, k.group)
+		}
+	}
+	return found
 }
 
 func (d *Detector) handleSound(_ context.Context, req *connect.Request[group]) (*connect.Response[soundParts], error) {
--- a/internal/fleet/suspect/message.go
+++ b/internal/fleet/suspect/message.go
@@ -16,6 +16,11 @@
 	Losses []loss `cbor:"1,keyasint"`
 }
 
+// lossAnswer tells the sender of a report which quarantined groups its prompts had, as it may have missed their announcement.
+type lossAnswer struct {
+	Quarantined []group `cbor:"1,keyasint"`
+}
+
 // loss is a suspect.Loss on the wire.
 type loss struct {
 	Service string   `cbor:"1,keyasint"`
