--- a/internal/core/suspect/finder.go
+++ b/internal/core/suspect/finder.go
@@ -42,7 +42,7 @@
 	minPrompts  = 2               // that had a candidate; a single prompt may have been unlucky at several engines
 	minAlone    = 8               // engines that ended under a candidate which a single prompt had
 	lossMemory  = 2 * time.Minute // for which a loss counts
-	maxLosses   = 1024            // of which the oldest are forgotten
+	maxLosses   = 512             // of which the oldest are forgotten
 	maxPartsPer = 32              // shared parts of a prompt that are considered
 )
 
