claim: the answer to a hedged call counts for the endpoint that sent it

What callers saw: when a hedged call to a plain service was answered by the endpoint that it was sent to first, the circuit breaker of the second endpoint was closed by that answer although it had sent nothing, so later calls went there as well. The first endpoint kept the failure that its silence had counted, although it had answered.

Cause: closeTry and the outcome went by the endpoint of the newest attempt, whichever attempt was answered.

Change: a call lists its open attempts with their endpoints. An answer counts for the endpoint that sent it. An attempt counts as open at its endpoint until it is answered or fails, or until the call ends; before, a hedged attempt no longer counted while its endpoint still had it.

--- a/internal/core/claim/answer.go
+++ b/internal/core/claim/answer.go
@@ -63,18 +63,20 @@
 
 // respondAndForget gives the final answer, unless it was given, and removes the call.
 func respondAndForget(s *table.State, c *table.ServiceCall, r table.Respond) {
+	respond(s, c, r)
+	for n := range c.Open {
+		closeTry(s, c, n)
+	}
+	delete(s.Calls, c.Request.ID)
+}
+
+// respond gives the final answer, unless it was given, and keeps the call, as an endpoint may still be running it.
+func respond(s *table.State, c *table.ServiceCall, r table.Respond) {
 	if !c.Responded {
 		r.Request = c.Request.ID
 		s.Emit(r)
 	}
 	c.Responded = true
-	delete(s.Calls, c.Request.ID)
-}
-
-// respondInFlight gives the final answer and keeps the call, as an endpoint may still be running it.
-func respondInFlight(s *table.State, c *table.ServiceCall, r table.Respond) {
-	respondAndForget(s, c, r)
-	s.Calls[c.Request.ID] = c
 }
 
 func notRun(s *table.State, reason string) table.Respond {
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -36,7 +36,7 @@
 }
 
 func arrive(s *table.State, a table.CallRequest) {
-	c := &table.ServiceCall{Request: a, Arrived: s.Now, Tried: map[jaywind.EndpointID]bool{}}
+	c := &table.ServiceCall{Request: a, Arrived: s.Now, Tried: map[jaywind.EndpointID]bool{}, Open: map[int]jaywind.EndpointID{}}
 	s.Calls[a.ID] = c
 	if refuseUnrunnable(s, c) {
 		return
--- a/internal/core/claim/send.go
+++ b/internal/core/claim/send.go
@@ -29,6 +29,7 @@
 	c.Tried[e.ID] = true
 	c.Sent = s.Now
 	c.Try++
+	c.Open[c.Try] = e.ID
 	s.Endpoints[e.ID].Inflight++
 	x := c.Request.HTTP
 	x.SendBefore = c.Request.Deadline
@@ -87,10 +88,15 @@
 // receiveReply handles the reply or failure of a try.
 func receiveReply(s *table.State, e table.ServiceReplied) {
 	c := s.Calls[e.Request]
-	if c == nil || c.Phase != table.CallSending || !isDecisive(c, e) {
+	if c == nil || c.Phase != table.CallSending {
 		return
 	}
-	closeTry(s, c, e.Err == nil)
+	from := c.Open[e.Try]
+	closeTry(s, c, e.Try)
+	if !isDecisive(c, e) {
+		return
+	}
+	recordOutcome(s, from, e.Err == nil)
 	if c.Try == e.Try {
 		observeLatency(s, c)
 	}
@@ -107,13 +113,20 @@
 	}
 }
 
-// closeTry ends the current try and updates the circuit breaker of its endpoint.
-func closeTry(s *table.State, c *table.ServiceCall, healthy bool) {
-	e := s.Endpoints[c.Endpoint]
+// closeTry ends a try, which has been answered or isn't waited for any longer.
+func closeTry(s *table.State, c *table.ServiceCall, try int) {
+	if e := s.Endpoints[c.Open[try]]; e != nil {
+		e.Inflight--
+	}
+	delete(c.Open, try)
+}
+
+// recordOutcome updates the circuit breaker of the endpoint of a try.
+func recordOutcome(s *table.State, id jaywind.EndpointID, healthy bool) {
+	e := s.Endpoints[id]
 	if e == nil {
 		return
 	}
-	e.Inflight--
 	if healthy {
 		e.Failures = 0
 		e.BlockedUntil = time.Time{}
@@ -172,10 +185,10 @@
 	late := !s.Now.Before(c.Request.Deadline)
 	switch {
 	case c.Mode == table.ModeIdempotent && (late || s.Now.Sub(c.Sent) >= y.hedgeDelay(s.Endpoints[c.Endpoint])):
-		closeTry(s, c, false)
+		recordOutcome(s, c.Endpoint, false)
 		observeLatency(s, c)
 		retry(s, c)
 	case late && !c.Responded:
-		respondInFlight(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
+		respond(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
 	}
 }
--- a/internal/core/table/claim.go
+++ b/internal/core/table/claim.go
@@ -48,9 +48,10 @@
 	Try       int                // number of the current attempt
 	Sent      time.Time          // when the current attempt was sent
 	Tried     map[jaywind.EndpointID]bool
-	Responded bool      // the caller has received its final answer
-	GiveUpAt  time.Time // when claiming or waiting is given up
-	NextPoll  time.Time // next poll of the claim; zero while a commit has no answer yet
+	Open      map[int]jaywind.EndpointID // endpoints of the attempts without an answer, by number
+	Responded bool                       // the caller has received its final answer
+	GiveUpAt  time.Time                  // when claiming or waiting is given up
+	NextPoll  time.Time                  // next poll of the claim; zero while a commit has no answer yet
 	Polls     int
 }
 
