claim: a call waits for its silent endpoints until its deadline

What callers saw: a lookup whose endpoints were silent for 1.2 s and then answered was failed with "no endpoint of the service has answered" after 400 ms with one endpoint and 800 ms with two (full ticks of 200 ms), with 9 s of its 10 s left. The answers came and were dropped.

Cause: after the hedge delay the call was closed if no untried endpoint, no try or no retry was left, without a look at the attempts that were still open. A limit on attempts decided when a call ended, instead of the caller's time.

Change: silence still counts as a failure of the endpoint, once, and the call is still sent elsewhere if there is an endpoint, a try and a retry. Otherwise it waits for its open attempts until its deadline and looks for another endpoint or a retry each 200 ms. It fails at once when no attempt is open any longer. A call that was never sent is refused at once, and a call that isn't idempotent is sent as before.

TestSilentEndpointsAreWaitedFor failed in nine of eleven rows before (failed after 300 to 900 ms); the rows for calls whose endpoints refuse, or that can't be sent, passed before and pass now. The calls of the first paragraph are answered after 1.203 s, with one send and two. TestLookups, "all are silent": half of the calls fail within 3 s, their deadline, before 1.01 s; 556 sends of 500 calls both times. The other rows are unchanged. go test -bench Lookup -run xxx ./internal/core/claim: p50 10 ms, p95 and p99 14 ms with factors 1, 2 and 4, as before. The price: while all endpoints of a service are silent, its lookups stay open up to their deadline, as its other calls do.

--- a/internal/core/claim/limits.go
+++ b/internal/core/claim/limits.go
@@ -16,6 +16,7 @@
 	defaultHedgeFactor  = 2.0                    // multiple of the 0.99 quantile of the endpoint's response times
 	recordGrace         = 30 * time.Second       // after the deadline, for an answer that is only recorded
 	retryAfter          = time.Second            // mean retry delay of a refused call
+	retryInterval       = 200 * time.Millisecond // between looks for another endpoint while silent ones are waited for
 	maxTries            = 3                      // sends of one idempotent call, the first included
 	retriesPerCall      = 0.1                    // retries that each first send adds to a budget
 	retryReserve        = 10.0                   // retries that a full budget allows
--- a/internal/core/claim/retry.go
+++ b/internal/core/claim/retry.go
@@ -7,18 +7,26 @@
 	"jaywind/internal/core/table"
 )
 
-// retry sends an idempotent call to another endpoint if the retry budgets allow it.
+// retry sends an idempotent call to another endpoint if the retry budgets allow it. Otherwise it waits for the attempts that are
+// open, since a silent endpoint may still answer in time.
 func retry(s *table.State, c *table.ServiceCall) {
-	e, found := choose(s, c)
-	if !found || c.Try >= maxTries || !s.Now.Before(c.Request.Deadline) {
-		respondAndForget(s, c, failed("no endpoint of the service has answered"))
-		return
+	c.Retrying = true
+	late := !s.Now.Before(c.Request.Deadline)
+	reason := "no endpoint of the service has answered"
+	if c.Try < maxTries && !late {
+		if e, found := choose(s, c); found {
+			if spendRetry(s, c.Request.Organisation, c.Endpoint) {
+				send(s, c, e)
+				return
+			}
+			reason = "the retry budget is spent"
+		}
 	}
-	if !spendRetry(s, c.Request.Organisation, c.Endpoint) {
-		respondAndForget(s, c, failed("the retry budget is spent"))
+	if len(c.Open) == 0 || late {
+		respondAndForget(s, c, failed(reason))
 		return
 	}
-	send(s, c, e)
+	c.NextRetry = s.Now.Add(retryInterval)
 }
 
 // hedgeDelay returns the time after which an unanswered idempotent call is also sent to another endpoint.
--- a/internal/core/claim/send.go
+++ b/internal/core/claim/send.go
@@ -25,6 +25,7 @@
 
 func send(s *table.State, c *table.ServiceCall, e rule.Endpoint) {
 	c.Phase = table.CallSending
+	c.Retrying = false
 	c.Endpoint = e.ID
 	c.Tried[e.ID] = true
 	c.Sent = s.Now
@@ -80,9 +81,9 @@
 }
 
 // isDecisive reports whether a reply is acted on: any reply to the current try, and for an idempotent
-// call also a successful reply to an earlier try.
+// call also a successful reply to an earlier try, or the failure of the last one that is open.
 func isDecisive(c *table.ServiceCall, e table.ServiceReplied) bool {
-	return c.Try == e.Try || c.Mode == table.ModeIdempotent && e.Err == nil
+	return c.Try == e.Try || c.Mode == table.ModeIdempotent && (e.Err == nil || len(c.Open) == 0)
 }
 
 // receiveReply handles the reply or failure of a try.
@@ -96,8 +97,10 @@
 	if !isDecisive(c, e) {
 		return
 	}
-	recordOutcome(s, from, e.Err == nil)
-	if c.Try == e.Try {
+	if e.Err == nil || !c.Retrying {
+		recordOutcome(s, from, e.Err == nil)
+	}
+	if c.Try == e.Try && !c.Retrying {
 		observeLatency(s, c)
 	}
 	switch {
@@ -180,15 +183,19 @@
 	sendNext(s, c)
 }
 
-// checkSent handles a try without a reply: it hedges an idempotent call, and answers any other call at its deadline.
+// checkSent handles a try without a reply: it hedges an idempotent call, and answers any call at its deadline.
 func (y Claim) checkSent(s *table.State, c *table.ServiceCall) {
 	late := !s.Now.Before(c.Request.Deadline)
 	switch {
+	case c.Mode == table.ModeIdempotent && c.Retrying:
+		if late || !s.Now.Before(c.NextRetry) {
+			retry(s, c)
+		}
 	case c.Mode == table.ModeIdempotent && (late || s.Now.Sub(c.Sent) >= y.hedgeDelay(s.Endpoints[c.Endpoint])):
 		recordOutcome(s, c.Endpoint, false)
 		observeLatency(s, c)
 		retry(s, c)
-	case late && !c.Responded:
+	case c.Mode != table.ModeIdempotent && late && !c.Responded:
 		respond(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
 	}
 }
--- a/internal/core/table/claim.go
+++ b/internal/core/table/claim.go
@@ -49,6 +49,8 @@
 	Sent      time.Time          // when the current attempt was sent
 	Tried     map[jaywind.EndpointID]bool
 	Open      map[int]jaywind.EndpointID // endpoints of the attempts without an answer, by number
+	Retrying  bool                       // the current attempt has failed or is silent, and counts as failed
+	NextRetry time.Time                  // when another endpoint is looked for again while the call waits for its open attempts
 	Responded bool                       // the caller has received its final answer
 	GiveUpAt  time.Time                  // when claiming or waiting is given up
 	NextPoll  time.Time                  // next poll of the claim; zero while a commit has no answer yet
