claim: the sends of a lookup end with its caller

What was seen: after the caller of a GET had gone, its sends went on until the call's deadline (30 s by default), and the endpoint counted them as open for good, so it was chosen after the others from then on. The router kept an entry for the call in its list of sends.

Cause: the call was deleted without closing its attempts, and without the answer at which the router ends its sends.

Change: the call is ended like any other.

TestAttemptsEndWithTheirCaller (1 open attempt, want 0) and TestSendEndsWithItsCaller (the send went on for more than 2 s) failed before and pass. go test -race ./internal/core/... ./internal/backend/... ./embed/... ./cmd/... passes.

--- a/embed/services_test.go
+++ b/embed/services_test.go
@@ -16,6 +16,7 @@
 	"jaywind/embed"
 	backend "jaywind/internal/backend/service"
 	"jaywind/internal/core/rule"
+	"jaywind/internal/core/table"
 	"jaywind/internal/edge/caller"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/ledger"
@@ -189,3 +190,42 @@
 		})
 	}
 }
+
+// silentService never answers.
+type silentService struct{ sent, ended chan struct{} }
+
+func (v silentService) Do(ctx context.Context, _ jaywind.Address, _ jaywind.ServiceRequest) (jaywind.Reply, error) {
+	v.sent <- struct{}{}
+	<-ctx.Done()
+	v.ended <- struct{}{}
+	return jaywind.Reply{}, ctx.Err()
+}
+
+// TestSendEndsWithItsCaller fails if the send of a lookup goes on until the deadline although its caller has gone.
+func TestSendEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	v := silentService{sent: make(chan struct{}, 9), ended: make(chan struct{}, 9)}
+	r := &embed.Router{Self: "vm1", Service: v}
+	set, findings := rule.Parse("test", "endpoint s1 kind=service service=read url=http://127.0.0.1:1 domain=a # test\n")
+	is.Equal(len(findings), 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() { _ = r.Run(ctx) })
+	r.SetRules(1, set)
+	caller, leave := context.WithCancel(ctx)
+	defer leave()
+	group.Go(func() {
+		_, _ = r.Call(caller, table.CallRequest{
+			ID: "r", Service: "read", HTTP: jaywind.ServiceRequest{Method: http.MethodGet, Path: "/read"}, Deadline: r.CallDeadline(0),
+		})
+	})
+	<-v.sent
+	leave()
+	select {
+	case <-v.ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the send goes on")
+	}
+}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -142,12 +142,15 @@
 	if c == nil {
 		return
 	}
-	c.Responded = true
-	if c.Phase == table.CallClaiming {
-		refuseUnsent(s, c, "the caller went away")
+	if c.Mode == table.ModeIdempotent {
+		respondAndForget(s, c, failed("the caller went away")) // ends the sends
 		return
 	}
-	if c.Phase == table.CallWaiting || c.Mode == table.ModeIdempotent {
+	c.Responded = true
+	switch c.Phase {
+	case table.CallClaiming:
+		refuseUnsent(s, c, "the caller went away")
+	case table.CallWaiting:
 		delete(s.Calls, id)
 	}
 }
--- a/internal/core/claim/silence_test.go
+++ b/internal/core/claim/silence_test.go
@@ -106,3 +106,16 @@
 		})
 	}
 }
+
+// TestAttemptsEndWithTheirCaller fails if an attempt stays open at its endpoint after the caller of the call has gone.
+func TestAttemptsEndWithTheirCaller(t *testing.T) {
+	is := is.New(t)
+	l := newLookups(2)
+	l.answer = func(*lookups, jaywind.EndpointID) (time.Duration, error) { return -1, nil }
+	l.replies = []action{{at: time.Second, run: func() { l.step(false, table.ServiceCallerGone{Request: "0"}) }}}
+	l.run(1, time.Millisecond, sameOrganisation)
+	is.Equal(l.sends, 2)
+	is.Equal(len(l.state.Calls), 0)
+	is.Equal(l.state.Endpoints["s0"].Inflight, 0)
+	is.Equal(l.state.Endpoints["s1"].Inflight, 0)
+}
