--- a/internal/core/claim/send.go
+++ b/internal/core/claim/send.go
@@ -25,10 +25,12 @@
 
 func send(s *table.State, c *table.ServiceCall, e rule.Endpoint) {
 	c.Phase = table.CallSending
+	c.Retrying = false
 	c.Endpoint = e.ID
 	c.Tried[e.ID] = true
 	c.Sent = s.Now
 	c.Try++
+	c.Open[c.Try] = e.ID
 	s.Endpoints[e.ID].Inflight++
 	x := c.Request.HTTP
 	x.SendBefore = c.Request.Deadline
@@ -79,19 +81,26 @@
 }
 
 // isDecisive reports whether a reply is acted on: any reply to the current try, and for an idempotent
-// call also a successful reply to an earlier try.
+// call also a successful reply to an earlier try, or the failure of the last one that is open.
 func isDecisive(c *table.ServiceCall, e table.ServiceReplied) bool {
-	return c.Try == e.Try || c.Mode == table.ModeIdempotent && e.Err == nil
+	return c.Try == e.Try || c.Mode == table.ModeIdempotent && (e.Err == nil || len(c.Open) == 0)
 }
 
 // receiveReply handles the reply or failure of a try.
 func receiveReply(s *table.State, e table.ServiceReplied) {
 	c := s.Calls[e.Request]
-	if c == nil || c.Phase != table.CallSending || !isDecisive(c, e) {
+	if c == nil || c.Phase != table.CallSending {
 		return
 	}
-	closeTry(s, c, e.Err == nil)
-	if c.Try == e.Try {
+	from := c.Open[e.Try]
+	closeTry(s, c, e.Try)
+	if !isDecisive(c, e) {
+		return
+	}
+	if e.Err == nil || !c.Retrying {
+		recordOutcome(s, from, e.Err == nil)
+	}
+	if c.Try == e.Try && !c.Retrying {
 		observeLatency(s, c)
 	}
 	switch {
@@ -107,13 +116,20 @@
 	}
 }
 
-// closeTry ends the current try and updates the circuit breaker of its endpoint.
-func closeTry(s *table.State, c *table.ServiceCall, healthy bool) {
-	e := s.Endpoints[c.Endpoint]
+// closeTry ends a try, which has been answered or isn't waited for any longer.
+func closeTry(s *table.State, c *table.ServiceCall, try int) {
+	if e := s.Endpoints[c.Open[try]]; e != nil {
+		e.Inflight--
+	}
+	delete(c.Open, try)
+}
+
+// recordOutcome updates the circuit breaker of the endpoint of a try.
+func recordOutcome(s *table.State, id jaywind.EndpointID, healthy bool) {
+	e := s.Endpoints[id]
 	if e == nil {
 		return
 	}
-	e.Inflight--
 	if healthy {
 		e.Failures = 0
 		e.BlockedUntil = time.Time{}
@@ -167,15 +183,19 @@
 	sendNext(s, c)
 }
 
-// checkSent handles a try without a reply: it hedges an idempotent call, and answers any other call at its deadline.
+// checkSent handles a try without a reply: it hedges an idempotent call, and answers any call at its deadline.
 func (y Claim) checkSent(s *table.State, c *table.ServiceCall) {
 	late := !s.Now.Before(c.Request.Deadline)
 	switch {
+	case c.Mode == table.ModeIdempotent && c.Retrying:
+		if late || !s.Now.Before(c.NextRetry) {
+			retry(s, c)
+		}
 	case c.Mode == table.ModeIdempotent && (late || s.Now.Sub(c.Sent) >= y.hedgeDelay(s.Endpoints[c.Endpoint])):
-		closeTry(s, c, false)
+		recordOutcome(s, c.Endpoint, false)
 		observeLatency(s, c)
 		retry(s, c)
-	case late && !c.Responded:
-		respondInFlight(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
+	case c.Mode != table.ModeIdempotent && late && !c.Responded:
+		respond(s, c, unknown("the call was sent and is not answered in time; asking again with the key returns what is recorded"))
 	}
 }
