link: a response head has a limit

A replica that sends a status line, headers or interim responses without end was read until the call's deadline, and all of it was kept or parsed: http.ReadResponse has no limit of its own, and the loop over interim responses had none either. A call of 1.5 s takes such a replica's whole bandwidth, and memory to match.

The head with all interim responses before it may now have 32 KiB and 512 lines; then the answer is bad (jaywind.ErrBadAnswer) and the connection is closed. Lines count besides bytes since a header of four bytes takes some hundred when parsed.

--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -54,11 +54,14 @@
 }
 
 // ReadResponse reads the head of the response, after any interim ones. The response's body reads from the connection.
-// ReadResponse returns jaywind.ErrIdleTimeout once deadline has passed.
+// ReadResponse returns jaywind.ErrIdleTimeout once deadline has passed, and an error that wraps jaywind.ErrBadAnswer for a head
+// that is too long.
 func (c *Conn) ReadResponse(method string, deadline time.Time) (*http.Response, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
+	c.source.beginHead()
+	defer c.source.endHead()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -33,7 +33,8 @@
 // Conn is a connection to an endpoint.
 type Conn struct {
 	conn      net.Conn
-	reader    *bufio.Reader
+	source    *source
+	reader    *bufio.Reader // of source
 	address   jaywind.Address
 	idleSince time.Time // when it was put into the pool
 	expiresAt time.Time // when the peer may close it; zero if it did not say
@@ -65,7 +66,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
-	return &Conn{conn: conn, reader: bufio.NewReaderSize(conn, bufferSize), address: at}, nil
+	s := &source{conn: conn}
+	return &Conn{conn: conn, source: s, reader: bufio.NewReaderSize(s, bufferSize), address: at}, nil
 }
 
 func (p *Pool) popIdle(at jaywind.Address) *Conn {
