link: an event of many lines, and blank lines, have a limit

The limit of 256 KiB for an event was only looked at when a line was longer than the read buffer. A replica that sent short lines without an empty one was kept in memory until the stream's silence limit; blank lines between events, which form no event, kept the processor busy for as long. The deadline itself is set once for each event, so neither lasted longer than that.

The limit now holds after each line and counts the blank lines before the event.

TestEndlessEvents failed before in five cases of six: 157 to 307 MB allocated within 500 ms for lines of an event, and the timeout for blank lines (go test -v -run TestEndlessEvents ./internal/backend/link); now at most 1.2 MB, in under 10 ms. TestLargeEvent checks that an event of 160 KB with 10,000 lines is read whole. go test -race ./internal/backend/... ./internal/relay/... ./platform/... passes.

--- a/internal/backend/link/endless_test.go
+++ b/internal/backend/link/endless_test.go
@@ -106,3 +106,46 @@
 		is.NoErr(err)
 	}
 }
+
+// TestEndlessEvents guards against an event, or blank lines between events, that go on until the caller closes.
+func TestEndlessEvents(t *testing.T) {
+	tests := map[string]struct{ start, part string }{
+		"line":        {"id: 1\ndata: ", "x"},
+		"data lines":  {"id: 1\n", "data: a\n"},
+		"comments":    {"", ": c\n"},
+		"blank lines": {"", "\n"},
+		"line ends":   {"", "\r\n"},
+		"ids":         {"", "id: 1\n"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := (&link.Pool{}).Dial(context.Background(), startFlood(t, "HTTP/1.1 200 OK\r\n\r\n"+c.start, c.part))
+			is.NoErr(err)
+			is.NoErr(l.Send([]byte(request)))
+			response, err := l.ReadResponse("GET", time.Now().Add(5*time.Second))
+			is.NoErr(err)
+			s := link.NewEventReader(l, response.Body, jaywind.Reply{})
+			defer func() { _ = s.Close() }()
+			n := allocated(func() { _, err = s.Next(floodTimeout) })
+			t.Logf("%d KB allocated: %v", n>>10, err)
+			is.True(errors.Is(err, jaywind.ErrBadAnswer)) // and not the timeout
+			is.True(n < maxFlooded)
+		})
+	}
+}
+
+// TestLargeEvent checks that an event of almost the largest size is read whole, also if it has many lines.
+func TestLargeEvent(t *testing.T) {
+	is := is.New(t)
+	event := "id: 1\n" + strings.Repeat("data: some text\n", 10_000) + "\n"
+	l, err := (&link.Pool{}).Dial(context.Background(), startPeer(t, false, ""))
+	is.NoErr(err)
+	s := link.NewEventReader(l, strings.NewReader(strings.Repeat("\n", 100)+event+event), jaywind.Reply{})
+	defer func() { _ = s.Close() }()
+	for range 2 {
+		e, err := s.Next(time.Second)
+		is.NoErr(err)
+		is.Equal(len(e.Raw), len(event))
+	}
+}
--- a/internal/backend/link/events.go
+++ b/internal/backend/link/events.go
@@ -33,19 +33,24 @@
 // Close closes the connection.
 func (s *EventReader) Close() error { return s.Conn.Close() }
 
-// Next returns the next event once it is complete, that is, once its blank line was read.
+// Next returns the next event once it is complete, that is, once its blank line was read. The error wraps
+// jaywind.ErrBadAnswer if the event, with the blank lines before it, is too long or has no id.
 func (s *EventReader) Next(limit time.Duration) (jaywind.Event, error) {
 	if err := s.Conn.SetReadTimeout(limit); err != nil {
 		return jaywind.Event{}, err
 	}
 	s.event = s.event[:0]
 	id, found := int64(0), false
-	for start := 0; ; start = len(s.event) {
+	for start, blank := 0, 0; ; start = len(s.event) {
 		if err := s.readLine(); err != nil {
 			return jaywind.Event{}, err
 		}
+		if len(s.event)+blank > maxEventBytes {
+			return jaywind.Event{}, errLongEvent
+		}
 		line := bytes.TrimRight(s.event[start:], "\r\n")
 		if len(line) == 0 && start == 0 {
+			blank += len(s.event)
 			s.event = s.event[:0] // blank lines between events
 			continue
 		}
@@ -67,6 +72,8 @@
 	}
 }
 
+var errLongEvent = fmt.Errorf("%w: event is longer than %d bytes", jaywind.ErrBadAnswer, maxEventBytes)
+
 // readLine appends the next line to the event, also if it is longer than the read buffer.
 func (s *EventReader) readLine() error {
 	for {
@@ -76,7 +83,7 @@
 		case err == nil:
 			return nil
 		case len(s.event) > maxEventBytes:
-			return fmt.Errorf("%w: event is longer than %d bytes", jaywind.ErrBadAnswer, maxEventBytes)
+			return errLongEvent
 		case errors.Is(err, io.EOF) && len(s.event) > 0:
 			return io.ErrUnexpectedEOF
 		case !errors.Is(err, bufio.ErrBufferFull):
