router: repeated events give a stream no more time

A replica that repeated events which the caller had already, without end, held the stream until its route's timeout: each of them was skipped, and the next one had the whole silence limit again. The caller heard nothing meanwhile.

The silence limit now runs from the last new event, and more than 1 MiB of repeated events in a row is a bad answer; the stream then goes on elsewhere if it may. A gap counts for the endpoint as before.

--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -15,11 +15,17 @@
 	"jaywind/internal/core/series"
 )
 
-const streamRetryAfter = 700 * time.Millisecond // until a refused caller may try again
+const (
+	streamRetryAfter = 700 * time.Millisecond // until a refused caller may try again
+	maxRepeatedBytes = 1 << 20                // of events that the caller has already, in a row
+)
 
 // errCallerGone is returned when an event can't be written to the caller. The server may cancel the request only later.
 var errCallerGone = errors.New("caller disconnected")
 
+// errEventGap is returned if an event is missing before the next one.
+var errEventGap = fmt.Errorf("%w: events are missing", jaywind.ErrBadAnswer)
+
 // streamCall is the state of one stream.
 type streamCall struct {
 	*call
@@ -238,7 +244,7 @@
 // cancelled, the connection may be closed before a context that derives from it, such as copying, is cancelled.
 func (r *Router) forwardEvents(ctx, copying context.Context, st *streamCall, a attempt, limit time.Duration, onFirst func()) (series.Failure, error) {
 	for {
-		e, err := a.events.Next(limit)
+		e, err := nextEvent(st, a.events, limit)
 		switch {
 		case errors.Is(err, io.EOF):
 			r.completeStream(st, a)
@@ -248,16 +254,12 @@
 		case errors.Is(err, jaywind.ErrIdleTimeout):
 			r.recordResult(a.endpoint, false)
 			return series.FailureSilent, err
+		case errors.Is(err, errEventGap):
+			return series.FailureBroken, err
 		case err != nil:
 			r.recordResult(a.endpoint, false)
 			return series.FailureBroken, err
 		}
-		switch st.cursor.Check(e.ID) {
-		case series.Duplicate:
-			continue
-		case series.Gap:
-			return series.FailureBroken, jaywind.ErrBadAnswer
-		}
 		if !st.producing {
 			onFirst()
 			st.producing = true
@@ -278,6 +280,30 @@
 	}
 }
 
+// nextEvent returns the next event that the caller does not have yet. Repeated ones before it give it no more time.
+func nextEvent(st *streamCall, events jaywind.EventStream, limit time.Duration) (jaywind.Event, error) {
+	until := time.Now().Add(limit)
+	for repeated := 0; repeated <= maxRepeatedBytes; {
+		left := time.Until(until)
+		if left <= 0 {
+			return jaywind.Event{}, jaywind.ErrIdleTimeout
+		}
+		e, err := events.Next(left)
+		if err != nil {
+			return jaywind.Event{}, err
+		}
+		switch st.cursor.Check(e.ID) {
+		case series.Duplicate:
+			repeated += len(e.Raw)
+		case series.Gap:
+			return jaywind.Event{}, errEventGap
+		default:
+			return e, nil
+		}
+	}
+	return jaywind.Event{}, fmt.Errorf("%w: more than %d bytes of repeated events", jaywind.ErrBadAnswer, maxRepeatedBytes)
+}
+
 // observeEvent updates the statistics of the time between events.
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
