link: long bodies and events share a budget of memory

Each answer that was read could take 8 MiB, each event 256 KiB. As many endpoints as flooded at once multiplied that: 50 of them took the heap to hundreds of MB, and a VM has 112. A body whose Content-Length was over the limit was read up to the limit all the same.

Up to 32 KiB of a body or an event need nothing. What is longer reserves, before it is read further, the rest that it may take from 16 MiB for all connections of a pool (golang.org/x/sync/semaphore), and waits for that within its call's time. Since each reserves once and at once, none waits while it holds a part; a waiting connection is not read, so its replica is held back by TCP. A body of stated length reserves just that, and one over the limit is refused unread. Bodies without a length are copied to one slice only once they are whole.

ReadBody got a context and the limit as parameters, so its calls in TestReuse and TestFailures changed; what they check did not.

--- a/internal/backend/link/events.go
+++ b/internal/backend/link/events.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"jaywind"
@@ -18,8 +20,10 @@
 	Body io.Reader
 	head jaywind.Reply
 
-	lines *bufio.Reader
-	event []byte
+	lines    *bufio.Reader
+	event    []byte
+	until    time.Time    // when the current call of Next must end
+	reserved atomic.Int64 // bytes that the current event holds of the budget
 }
 
 // NewEventReader returns a reader of the events in a response body.
@@ -30,8 +34,11 @@
 // Head returns the status and header of the response.
 func (s *EventReader) Head() jaywind.Reply { return s.head }
 
-// Close closes the connection.
-func (s *EventReader) Close() error { return s.Conn.Close() }
+// Close closes the connection. It must be called after the last call of Next; it may be called before it too.
+func (s *EventReader) Close() error {
+	s.release()
+	return s.Conn.Close()
+}
 
 // Next returns the next event once it is complete, that is, once its blank line was read. The error wraps
 // jaywind.ErrBadAnswer if the event, with the blank lines before it, is too long or has no id.
@@ -39,6 +46,11 @@
 	if err := s.Conn.SetReadTimeout(limit); err != nil {
 		return jaywind.Event{}, err
 	}
+	s.until = time.Now().Add(limit)
+	if cap(s.event) > unreservedBytes {
+		s.event = nil
+	}
+	s.release()
 	s.event = s.event[:0]
 	id, found := int64(0), false
 	for start, blank := 0, 0; ; start = len(s.event) {
@@ -72,12 +84,35 @@
 	}
 }
 
+// reserve waits for the memory of a long event.
+func (s *EventReader) reserve() error {
+	ctx, cancel := context.WithDeadline(context.Background(), s.until)
+	defer cancel()
+	if err := s.Conn.budget.reserve(ctx, maxEventBytes); err != nil {
+		return err
+	}
+	s.reserved.Store(maxEventBytes)
+	return nil
+}
+
+// release returns the memory of the last event.
+func (s *EventReader) release() {
+	if n := s.reserved.Swap(0); n > 0 {
+		s.Conn.budget.release(n)
+	}
+}
+
 var errLongEvent = fmt.Errorf("%w: event is longer than %d bytes", jaywind.ErrBadAnswer, maxEventBytes)
 
 // readLine appends the next line to the event, also if it is longer than the read buffer.
 func (s *EventReader) readLine() error {
 	for {
 		part, err := s.lines.ReadSlice('\n')
+		if len(s.event)+len(part) > unreservedBytes && s.reserved.Load() == 0 {
+			if err := s.reserve(); err != nil {
+				return err
+			}
+		}
 		s.event = append(s.event, part...)
 		switch {
 		case err == nil:
--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +18,6 @@
 
 const (
 	sendTimeout   = 2 * time.Second // for a write to a peer that does not read
-	maxBodyBytes  = 8 << 20         // of a response that is not a stream
 	maxEventBytes = 256 << 10
 )
 
@@ -73,15 +74,12 @@
 	}
 }
 
-// ReadBody reads the body of a response and reports whether the connection may be reused.
-func (c *Conn) ReadBody(response *http.Response) (body []byte, reusable bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err != nil {
+// ReadBody reads the body of a response, of maxBytes at most, and reports whether the connection may be reused. If many long
+// bodies are being read, it waits until ctx ends.
+func (c *Conn) ReadBody(ctx context.Context, response *http.Response, maxBytes int64) (body []byte, reusable bool, err error) {
+	if body, err = c.readBody(ctx, response, maxBytes); err != nil {
 		return nil, false, timeoutError(err)
 	}
-	if len(body) > maxBodyBytes {
-		return nil, false, fmt.Errorf("%w: body is longer than %d bytes", jaywind.ErrBadAnswer, maxBodyBytes)
-	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	if !framed || response.Close {
 		return body, false, nil
@@ -90,6 +88,70 @@
 	return body, true, nil
 }
 
+func (c *Conn) readBody(ctx context.Context, response *http.Response, maxBytes int64) ([]byte, error) {
+	errLong := fmt.Errorf("%w: body is longer than %d bytes", jaywind.ErrBadAnswer, maxBytes)
+	if response.Body == http.NoBody {
+		return nil, nil // Content-Length, if any, is that of another answer
+	}
+	if response.ContentLength > maxBytes {
+		return nil, errLong
+	}
+	size := maxBytes + 1 // the most that is read
+	if response.ContentLength >= 0 {
+		size = response.ContentLength
+	}
+	first, err := io.ReadAll(io.LimitReader(response.Body, unreservedBytes))
+	rest := size - int64(len(first))
+	switch {
+	case err != nil:
+		return nil, err
+	case int64(len(first)) > maxBytes:
+		return nil, errLong
+	case len(first) < unreservedBytes || rest <= 0:
+		return first, nil
+	}
+	if err := c.budget.reserve(ctx, rest); err != nil {
+		return nil, err
+	}
+	defer c.budget.release(rest)
+	if response.ContentLength >= 0 {
+		body := make([]byte, size)
+		_, err := io.ReadFull(response.Body, body[copy(body, first):])
+		return body, err
+	}
+	parts, err := readParts(response.Body, rest)
+	if errors.Is(err, errNoEnd) {
+		return nil, errLong
+	}
+	return bytes.Join(append([][]byte{first}, parts...), nil), err
+}
+
+var errNoEnd = errors.New("no end before the limit")
+
+// readParts reads to the end, in parts that grow, or returns errNoEnd after limit bytes. A body without a length is only
+// copied to one slice once it is complete, as most of those that are so long never are.
+func readParts(r io.Reader, limit int64) (parts [][]byte, err error) {
+	for size := int64(unreservedBytes); limit > 0; size *= 2 {
+		part := make([]byte, min(size, limit))
+		n := 0
+		for n < len(part) && err == nil {
+			var m int
+			m, err = r.Read(part[n:])
+			n += m
+		}
+		parts = append(parts, part[:n])
+		limit -= int64(n)
+		switch {
+		case err == nil || limit == 0:
+		case errors.Is(err, io.EOF):
+			return parts, nil
+		default:
+			return nil, err
+		}
+	}
+	return nil, errNoEnd
+}
+
 // recordKeepAlive sets the expiry of an idle connection from the peer's Keep-Alive header.
 //
 // It is 100 ms earlier than the header says, so that a request sent before it reaches the peer in time.
--- a/internal/backend/link/link_test.go
+++ b/internal/backend/link/link_test.go
@@ -16,7 +16,10 @@
 	"jaywind/internal/backend/link"
 )
 
-const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+const (
+	request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	maxBody = 8 << 20
+)
 
 // startPeer listens for connections and sends one of answers for each request on a connection, in their order. If closes
 // is set, it closes a connection after the last.
@@ -83,7 +86,7 @@
 			is.NoErr(l.Send([]byte(request)))
 			answer, err := l.ReadResponse("GET", time.Now().Add(5*time.Second))
 			is.NoErr(err)
-			body, reusable, err := l.ReadBody(answer)
+			body, reusable, err := l.ReadBody(context.Background(), answer, maxBody)
 			is.NoErr(err)
 			is.Equal(string(body), c.body)
 			if reusable {
@@ -125,7 +128,7 @@
 			is.NoErr(l.Send([]byte(request)))
 			answer, err := l.ReadResponse("GET", time.Now().Add(100*time.Millisecond))
 			if err == nil {
-				_, _, err = l.ReadBody(answer)
+				_, _, err = l.ReadBody(context.Background(), answer, maxBody)
 			}
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF // before the first byte of an answer
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -26,6 +26,7 @@
 	mu    sync.Mutex
 	conns map[jaywind.Address][]*Conn
 
+	budget budget // of its connections
 	dialed atomic.Int64
 	reused atomic.Int64
 }
@@ -35,6 +36,7 @@
 	conn      net.Conn
 	source    *source
 	reader    *bufio.Reader // of source
+	budget    *budget
 	address   jaywind.Address
 	idleSince time.Time // when it was put into the pool
 	expiresAt time.Time // when the peer may close it; zero if it did not say
@@ -67,7 +69,7 @@
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
 	s := &source{conn: conn}
-	return &Conn{conn: conn, source: s, reader: bufio.NewReaderSize(s, bufferSize), address: at}, nil
+	return &Conn{conn: conn, source: s, reader: bufio.NewReaderSize(s, bufferSize), budget: &p.budget, address: at}, nil
 }
 
 func (p *Pool) popIdle(at jaywind.Address) *Conn {
