cbor: responses of other routers have a limit

connect refuses a message over 4 MiB, but then reads what follows to its end, to use the connection again. A peer that never ended, in a message or an error, held the call until its deadline and kept the processor busy. Heads had the 10 MiB of net/http.

The client now fails a body after 4 MiB + 64 KiB, and a head, with interim responses, after 64 KiB.

--- a/internal/fleet/cbor/secret.go
+++ b/internal/fleet/cbor/secret.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 )
@@ -13,6 +15,8 @@
 	pingTimeout  = time.Second
 	idleTimeout  = 5 * time.Second
 	writeTimeout = 2 * time.Second
+	maxHeadBytes = 64 << 10 // of a response
+	maxBodyBytes = maxMessageBytes + 64<<10
 )
 
 // RequireSecret refuses requests that do not carry the shared secret with status 401.
@@ -33,8 +37,9 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		Protocols:       protocols,
-		IdleConnTimeout: idleTimeout,
+		Protocols:              protocols,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingIdleTime,
 			PingTimeout:      pingTimeout,
@@ -61,5 +66,28 @@
 func (s *secretTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	signed := r.Clone(r.Context())
 	signed.Header.Set("Authorization", authScheme+s.secret)
-	return s.next.RoundTrip(signed)
+	response, err := s.next.RoundTrip(signed)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &limitedBody{ReadCloser: response.Body, left: maxBodyBytes}
+	return response, nil
+}
+
+var errLongBody = errors.New("response body is too long")
+
+// limitedBody fails after a number of bytes. Otherwise connect would read what follows a message that is too long to its end.
+type limitedBody struct {
+	io.ReadCloser
+	left int
+}
+
+// Read reads up to the limit.
+func (l *limitedBody) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errLongBody
+	}
+	n, err := l.ReadCloser.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
