engine, service, operator, router: heads of responses have a limit

The clients that use net/http took its limit for a head with its interim responses, 10 MiB, for each call.

They now end at 64 KiB.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -20,6 +20,7 @@
 	dialTimeout   = time.Second
 	maxReplyBytes = 1 << 20 // of a reply that is not a stream
 	maxEventBytes = 1 << 16
+	maxHeadBytes  = 64 << 10 // of a response
 )
 
 // Client implements jaywind.Engine over HTTP.
@@ -33,6 +34,8 @@
 var unpooled = &http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives: true,
+
+	MaxResponseHeaderBytes: maxHeadBytes,
 }
 
 // Open starts or resumes a stream.
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -16,6 +16,7 @@
 const (
 	dialTimeout        = time.Second
 	maxReplyBytes      = 4 << 20
+	maxHeadBytes       = 64 << 10 // of a reply
 	idleTimeout        = 30 * time.Second
 	maxIdlePerEndpoint = 16
 )
@@ -35,6 +36,8 @@
 	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	IdleConnTimeout:     idleTimeout,
 	MaxIdleConnsPerHost: maxIdlePerEndpoint,
+
+	MaxResponseHeaderBytes: maxHeadBytes,
 }
 
 // Do sends the request. An error wraps jaywind.ErrNotSent if no byte of it was sent.
@@ -56,7 +59,7 @@
 	if g.clock == nil {
 		g.clock = jaywind.SystemClock{}
 	}
-	transport := &http.Transport{DialContext: g.dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: g.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	defer transport.CloseIdleConnections()
 	reply, err := readReply(transport.RoundTrip(request))
 	if err != nil {
--- a/internal/client/operator/client.go
+++ b/internal/client/operator/client.go
@@ -17,6 +17,7 @@
 	callTimeout   = 3 * time.Second
 	dialTimeout   = time.Second
 	maxReplyBytes = 16 << 20
+	maxHeadBytes  = 64 << 10
 )
 
 // ErrUnexpectedStatus wraps a reply with a status other than 200.
@@ -25,6 +26,8 @@
 var transport = &http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives: true,
+
+	MaxResponseHeaderBytes: maxHeadBytes,
 }
 
 // Client sends requests to the operator port of one router.
--- a/internal/client/router/exchange.go
+++ b/internal/client/router/exchange.go
@@ -22,11 +22,14 @@
 	dialTimeout   = time.Second
 	maxEventBytes = 1 << 16
 	maxReplyBytes = 1 << 20 // of a reply that is not a stream
+	maxHeadBytes  = 64 << 10
 )
 
 var unpooled = &http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives: true,
+
+	MaxResponseHeaderBytes: maxHeadBytes,
 }
 
 // generation is the state of one request across its connections.
