soak: replicas that send bytes without end

A kind of fault of its own, drawn separately (one each 4 s), so that a seed gives the same other faults as before. TestNewPlan counts the new kind; its check is the same.

--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -82,7 +82,7 @@
 		n.pause(ctx, s, &e.process)
 	case DrainReplica:
 		n.drainReplica(ctx, s, e)
-	case FaultReplica:
+	case FaultReplica, FloodReplica:
 		n.faultReplica(ctx, s, e)
 	case CutReplica:
 		defer e.disturb()()
@@ -231,10 +231,13 @@
 	n.restart(&e.process)
 }
 
-// replicaFaults maps the variants of FaultReplica to the faults of the replica.
+// replicaFaults maps the variants of FaultReplica and FloodReplica to the faults of the replica.
 var replicaFaults = map[string]standin.Faults{
 	"shed": {Overloaded: true}, "error": {InternalError: true}, "lose": {ResetAfterRun: true}, "hang": {NeverReply: true}, "extra": {ExtraReply: true},
 	"cut": {TruncateAfter: streamEvents / 3}, "mute": {StallAfter: streamEvents / 3}, "jump": {SkipEvent: streamEvents / 3}, "foreign": {WrongAttemptID: true}, "encoded": {ContentEncoding: true},
+
+	"head": {Endless: "head"}, "interim": {Endless: "interim"}, "body": {Endless: "body"}, "chunks": {Endless: "chunks"}, "after": {Endless: "after"},
+	"blank": {Endless: "blank", EndlessAt: streamEvents / 3}, "line": {Endless: "line", EndlessAt: streamEvents / 3}, "repeat": {Endless: "repeat", EndlessAt: streamEvents / 3},
 }
 
 // callPause is the time for which replicas ask to be left alone.
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -51,6 +51,8 @@
 	RestoreStore FaultKind = "restore store"  // from a copy that is Fault.Duration old
 	LeaveReplica FaultKind = "replica leaves" // and says so in its answers only
 	PauseCalls   FaultKind = "replica asks for pauses"
+
+	FloodReplica FaultKind = "replica floods" // sends bytes without end
 )
 
 // weights are the relative frequencies of the kinds.
@@ -66,11 +68,15 @@
 // still gives the same faults of the other kinds.
 var laterWeights = map[FaultKind]int{RestoreStore: 2, LeaveReplica: 2, PauseCalls: 3}
 
+// floodWeights are the same, drawn separately from laterWeights.
+var floodWeights = map[FaultKind]int{FloodReplica: 1}
+
 // variants lists the variants of a kind, if any. Those of a cut name the blocked direction:
 // forth is towards the replica or the store, back is away from it.
 var variants = map[FaultKind][]string{
 	KillReplica:  {"new id", "same id"},
 	FaultReplica: {"shed", "error", "lose", "hang", "extra", "cut", "mute", "jump", "foreign", "encoded"},
+	FloodReplica: {"head", "interim", "body", "chunks", "after", "blank", "line", "repeat"},
 	CutReplica:   {"forth", "back"},
 	CutStore:     {"forth", "back"},
 	StoreOutage:  {"busy", "silent", "mute", "slow", "lost"},
@@ -98,6 +104,7 @@
 	warmUp       = 1500 * time.Millisecond // traffic before the first fault
 	meanInterval = 450 * time.Millisecond  // between two faults; faults overlap, as most last longer than this
 	meanLater    = 1600 * time.Millisecond // the same for laterWeights
+	meanFlood    = 4 * time.Second         // the same for floodWeights
 	maxFaultTime = 3 * time.Second         // duration of a fault
 	minFaultTime = 200 * time.Millisecond
 )
@@ -107,6 +114,7 @@
 	p := Plan{Seed: seed, Size: size, Duration: during}
 	p.draw(rand.New(rand.NewPCG(seed, 0)), weights, meanInterval)   //nolint:gosec // the same seed must give the same plan
 	p.draw(rand.New(rand.NewPCG(seed, 1)), laterWeights, meanLater) //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 2)), floodWeights, meanFlood) //nolint:gosec // as above
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return p
 }
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -23,7 +23,7 @@
 			is.Equal(s.Variant != "", len(variants[s.Kind]) > 0)
 		}
 	}
-	is.Equal(len(drawn), len(weights)+len(laterWeights))
+	is.Equal(len(drawn), len(weights)+len(laterWeights)+len(floodWeights))
 }
 
 // newScene returns a checker for a fleet with one router, and an attempt to it that succeeded.
