engine: comments and empty events give a frame no end

The reader of an engine's stream skips what forms no frame. An engine that sent comments with blank lines, without end, kept it reading, at full speed, until whoever waited gave up.

At most 256 KiB are now read for one frame with all that is skipped before it; heartbeats between frames add up to any length (TestHeartbeats).

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -20,7 +20,8 @@
 	dialTimeout   = time.Second
 	maxReplyBytes = 1 << 20 // of a reply that is not a stream
 	maxEventBytes = 1 << 16
-	maxHeadBytes  = 64 << 10 // of a response
+	maxHeadBytes  = 64 << 10  // of a response
+	maxFrameBytes = 256 << 10 // of an event, with all that is skipped before it
 )
 
 // Client implements jaywind.Engine over HTTP.
--- a/internal/backend/engine/endless_test.go
+++ b/internal/backend/engine/endless_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
@@ -44,6 +47,8 @@
 		"event":             {open, head + "data: ", "x"},
 		"lines of an event": {open, head, "data: x\n"},
 		"comments":          {open, head, ": x\n"},
+		"blank lines":       {open, head, "\n"},
+		"empty events":      {open, head, ": x\n\n"},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -92,3 +97,23 @@
 	})
 	return jaywind.Address("http://" + l.Addr().String())
 }
+
+// TestHeartbeats checks that comments between frames may add up to any length.
+func TestHeartbeats(t *testing.T) {
+	is := is.New(t)
+	const frames = 40
+	frame := strings.Repeat(": still here\n\n", 2000) + "data: {\"position\":1,\"choices\":[{}]}\n\n"
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat(frame, frames))
+	}))
+	defer s.Close()
+	stream, err := (&Client{}).Open(context.Background(), jaywind.Address(s.URL), call)
+	is.NoErr(err)
+	defer func() { _ = stream.Close() }()
+	for range frames {
+		_, err := stream.Next()
+		is.NoErr(err)
+	}
+	_, err = stream.Next()
+	is.True(errors.Is(err, io.EOF))
+}
--- a/internal/backend/engine/stream.go
+++ b/internal/backend/engine/stream.go
@@ -15,13 +15,30 @@
 
 // stream reads the frames of one attempt from its server-sent events.
 type stream struct {
-	body io.ReadCloser
+	body *frameBody
 	call jaywind.Call
 	next func() (sse.Event, error, bool)
 	stop func()
 }
 
-func newStream(body io.ReadCloser, call jaywind.Call) *stream {
+// frameBody limits what is read for one frame, as comments and empty events don't form one.
+type frameBody struct {
+	io.ReadCloser
+	left int
+}
+
+// Read reads up to the limit.
+func (b *frameBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, fmt.Errorf("%w: %d bytes without a frame", jaywind.ErrBadFrame, maxFrameBytes)
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+func newStream(response io.ReadCloser, call jaywind.Call) *stream {
+	body := &frameBody{ReadCloser: response}
 	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 	next, stop := iter.Pull2(events)
 	return &stream{body: body, call: call, next: next, stop: stop}
@@ -29,6 +46,7 @@
 
 // Next returns the next frame.
 func (s *stream) Next() (jaywind.Frame, error) {
+	s.body.left = maxFrameBytes
 	e, err, more := s.next()
 	if err != nil {
 		return jaywind.Frame{}, streamError(err)
