--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -26,6 +26,7 @@
 	mu    sync.Mutex
 	conns map[jaywind.Address][]*Conn
 
+	budget budget // of its connections
 	dialed atomic.Int64
 	reused atomic.Int64
 }
@@ -37,7 +38,9 @@
 	OnStall func() bool
 
 	conn      net.Conn
-	reader    *bufio.Reader
+	source    *source
+	reader    *bufio.Reader // of source
+	budget    *budget
 	address   jaywind.Address
 	idleSince time.Time // when it was put into the pool
 	expiresAt time.Time // when the peer may close it; zero if it did not say
@@ -71,8 +74,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
-	c := &Conn{conn: conn, address: at}
-	c.reader = bufio.NewReaderSize(stallReader{c}, bufferSize)
+	c := &Conn{conn: conn, budget: &p.budget, address: at}
+	c.source = &source{conn: stallReader{c}}
+	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	return c, nil
 }
 
