router, rollout: late answers are judged by one limit for the fleet, also while they are awaited

Cause: a VM counted an answer as late only after it had seen 20 answers of the old version on the same route since the order. Each VM had seen 3 to 9 requests after 60 in 100 of the time, so no answer was ever judged, and the test of late answers was never run. Besides: a stream whose first event didn't come counted as nothing, since only an answer was observed; the first event after a continuation from a copy counted as a new, quick answer; any answer, however late, counted towards the 8 that a version needs; and a roll-out with the full share was completed whatever the score was.

Each VM now counts the old version's durations in buckets, also before an order, and reports them to the lead, which adds them up and hands the same limits (1.25 times the 0.95 quantile, as for moves) to all VMs with its reply. Both versions are held to them. An attempt that has waited for longer than its limit is late at once. The duration of the 31 events after the first one is compared the same way. Continuations from copies are not timed. Answers are also tested over all routes together. What can't be judged yet vouches for nothing. The full share starts and the roll-out is completed only with a low score of the durations; with the full share, a version that is not trusted is rolled back before it has used up its bound; and calls that go on after a roll-back leave the version.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -67,8 +67,19 @@
 	Outcomes map[table.OutcomeKey]table.OutcomeCounts
 	Starts   int // requests sent to the new version
 	Requests int // requests for the service
+	Unjudged int // successes of the new version of which it is not known whether they were late
+	// Baselines are the old version's durations. Unlike the other fields they are no running totals, and they may have begun
+	// before the order.
+	Baselines map[table.RouteMeasure]table.Durations
 }
 
+// LateLimits are the durations above which a response of either version is late.
+type LateLimits map[table.RouteMeasure]time.Duration
+
+// AllRoutes stands for all routes of the service together. Durations are also tested over all of them, as the traffic of
+// each may be too thin.
+const AllRoutes = jaywind.Route("")
+
 const (
 	initialShare          = 0.04                   // while the rate of requests is unknown
 	maxCanaryShare        = 0.5                    // of new work in the canary phase, however thin the traffic
@@ -77,12 +88,15 @@
 	minCanaryTime         = 0.5                    // of the order's time, before which the full share doesn't start
 	endTime               = 0.92                   // of the order's time, at which the roll-out ends
 	minGoodAnswers        = 8                      // successful answers required of the new version
-	maxTrustedScore       = 0.5                    // of the evaluator's threshold; a version with this score or more gets no full share
+	maxTrustedScore       = 0.5                    // of the evaluator's threshold; a version with this score or more is not completed
+	maxLateScore          = 0.3                    // likewise, if durations have the worst score; a single failure already scores as much
+	maxLateShiftScore     = 0.2                    // of durations, for the full share to start; a canary may also last to the end
 	minWidespreadFailures = 5                      // failures of the new version, from which they can count as widespread
 	minFailingEndpoints   = 2                      // endpoints that must have failures, or all if there are fewer
 	widespreadRate        = 0.1                    // failure rate of the new version above which failures count as widespread, if the old version has none
 	widespreadRateFactor  = 3                      // multiple of the old version's failure rate that is added to widespreadRate
 	evaluationInterval    = 500 * time.Millisecond // of the evaluator
+	lateFactor            = 1.25                   // times the old version's 0.95 quantile is the duration above which a response is late
 )
 
 // Rollout is the state of one order at one router.
@@ -98,10 +112,13 @@
 	worstPair   table.RouteMeasure
 	newOutcomes table.OutcomeCounts // successes and failures over all routes
 	oldOutcomes table.OutcomeCounts
+	newLate     int // late responses of the new version over all routes
 	newStarts   int // requests sent to the new version
 	requests    int
 
 	newEndpoints int // of the new version
+
+	lateLimits LateLimits
 }
 
 // New returns the roll-out of a new order.
@@ -141,6 +158,10 @@
 		}
 		r.evaluator.AddOutcomes(c, delta)
 		if c.Measure != table.MeasureFailure {
+			r.evaluator.AddOutcomes(table.OutcomeKey{RouteMeasure: table.RouteMeasure{Route: AllRoutes, Measure: c.Measure}, New: c.New}, delta)
+			if c.Measure == table.MeasureFirstToken && c.New {
+				r.newLate += int(delta.Bad)
+			}
 			continue
 		}
 		total := &r.oldOutcomes
@@ -158,6 +179,33 @@
 	}
 }
 
+// LateLimits returns the limits that hold at all routers, as of the last decision. A route on which the old version has
+// answered too little has none, and that of AllRoutes holds there.
+func (r *Rollout) LateLimits() LateLimits { return r.lateLimits }
+
+func (r *Rollout) updateLateLimits() {
+	baselines := map[table.RouteMeasure]*table.Durations{}
+	add := func(pair table.RouteMeasure, d table.Durations) {
+		if baselines[pair] == nil {
+			baselines[pair] = &table.Durations{}
+		}
+		baselines[pair].Add(d)
+	}
+	for _, t := range r.reported {
+		for pair, d := range t.Baselines {
+			add(pair, d)
+			add(table.RouteMeasure{Route: AllRoutes, Measure: pair.Measure}, d)
+		}
+	}
+	limits := LateLimits{}
+	for pair, d := range baselines {
+		if high, ok := d.High(); ok {
+			limits[pair] = time.Duration(lateFactor * float64(high))
+		}
+	}
+	r.lateLimits = limits
+}
+
 // failsWidely reports whether failures of the new version at several endpoints are frequent enough to need no statistical
 // test. The evaluator is slow in this case, as it counts all failures of one endpoint in a window as one.
 func (r *Rollout) failsWidely() bool {
@@ -183,6 +231,7 @@
 	}
 	if now.Sub(r.evaluatedAt) >= evaluationInterval {
 		r.worstScore, r.worstPair = r.evaluator.CloseWindow()
+		r.updateLateLimits()
 		r.evaluatedAt = now
 	}
 	next := r.State
@@ -191,12 +240,14 @@
 	case r.failsWidely():
 		next.Phase, next.Reason = PhaseRolledBack, "failures on several endpoints"
 	case r.worstScore >= 1:
-		next.Phase, next.Reason = PhaseRolledBack, r.worstPair.Measure.String()+" on route "+string(r.worstPair.Route)
-	case elapsed >= endTime && (r.trusted() || r.State.Phase == PhaseShift):
+		next.Phase, next.Reason = PhaseRolledBack, describe(r.worstPair)
+	case r.State.Phase == PhaseShift && !r.trusted() && float64(r.newStarts) > maxBoundUse*r.bound(elapsed):
+		next.Phase, next.Reason = PhaseRolledBack, "not trusted within the bound on its requests"
+	case elapsed >= endTime && r.trusted():
 		next.Phase, next.Reason = PhaseDone, "no worse than the old version"
 	case elapsed >= endTime:
 		next.Phase, next.Reason = PhaseRolledBack, "too few answers to vouch for the version"
-	case r.State.Phase == PhaseCanary && elapsed >= minCanaryTime && r.trusted() && r.fullShareFits(elapsed):
+	case r.State.Phase == PhaseCanary && elapsed >= minCanaryTime && r.trusted() && r.worstScore < r.maxScore(maxLateShiftScore) && r.fullShareFits(elapsed):
 		next.Phase = PhaseShift
 	case r.State.Phase == PhaseCanary:
 		next.Share = r.canaryShare(elapsed)
@@ -204,17 +255,41 @@
 	return next
 }
 
-// trusted reports whether the new version has answered enough requests and looks no worse than the old one.
+// describe names what a version was found bad by.
+func describe(p table.RouteMeasure) string {
+	if p.Route == AllRoutes {
+		return p.Measure.String() + " over all routes"
+	}
+	return p.Measure.String() + " on route " + string(p.Route)
+}
+
+// trusted reports whether the new version has answered enough requests in time and looks no worse than the old one.
 func (r *Rollout) trusted() bool {
-	return r.newOutcomes.Good >= minGoodAnswers && r.worstScore < maxTrustedScore
+	inTime := int(r.newOutcomes.Good) - r.newLate
+	for _, t := range r.reported {
+		inTime -= t.Unjudged
+	}
+	return inTime >= minGoodAnswers && r.worstScore < r.maxScore(maxLateScore)
+}
+
+// maxScore returns the worst score up to which a version is trusted, given that for durations.
+func (r *Rollout) maxScore(late float64) float64 {
+	if r.worstPair.Measure == table.MeasureFailure {
+		return maxTrustedScore
+	}
+	return late
 }
 
 // fullShareFits reports whether the new version can receive all work until the end and stay within the bound. It must, as
 // the version may still prove bad under the full load.
 func (r *Rollout) fullShareFits(elapsed float64) bool {
 	expected := float64(r.requests) / elapsed
-	bound := r.bounds.Share*expected + float64(r.bounds.ExtraRequests)
-	return float64(r.newStarts)+expected*(endTime-elapsed) <= maxBoundUse*bound
+	return float64(r.newStarts)+expected*(endTime-elapsed) <= maxBoundUse*r.bound(elapsed)
+}
+
+// bound returns the number of requests that a bad version may receive, if the rate of requests stays as it was so far.
+func (r *Rollout) bound(elapsed float64) float64 {
+	return r.bounds.Share*float64(r.requests)/elapsed + float64(r.bounds.ExtraRequests)
 }
 
 // canaryShare returns the share that uses up the canary budget by the end. The share changes only if the difference is
@@ -224,7 +299,7 @@
 		return r.State.Share
 	}
 	expected := float64(r.requests) / elapsed
-	budget := canaryBoundUse * (r.bounds.Share*expected + float64(r.bounds.ExtraRequests))
+	budget := canaryBoundUse * r.bound(elapsed)
 	share := min(maxCanaryShare, max(0, budget-float64(r.newStarts))/(expected*max(endTime-elapsed, evaluationInterval.Seconds()/r.Order.Duration.Seconds())))
 	if share > 1.3*r.State.Share || share < 0.7*r.State.Share {
 		return share
--- a/internal/fleet/evidence/totals.go
+++ b/internal/fleet/evidence/totals.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -12,9 +13,25 @@
 
 // wireTotals is a rollout.Totals on the wire: the cumulative counts of a router for one rollout.
 type wireTotals struct {
-	Rows     []wireOutcomes `cbor:"1,keyasint"`
-	Starts   int            `cbor:"2,keyasint"`
-	Requests int            `cbor:"3,keyasint"`
+	Rows      []wireOutcomes `cbor:"1,keyasint"`
+	Starts    int            `cbor:"2,keyasint"`
+	Requests  int            `cbor:"3,keyasint"`
+	Unjudged  int            `cbor:"4,keyasint,omitempty"`
+	Baselines []wireBaseline `cbor:"5,keyasint,omitempty"`
+}
+
+// wireBaseline holds the durations of one table.RouteMeasure.
+type wireBaseline struct {
+	Route   string         `cbor:"1,keyasint"`
+	Measure int            `cbor:"2,keyasint"`
+	Counts  map[int]uint64 `cbor:"3,keyasint"` // by bucket
+}
+
+// wireLimit is one of rollout.LateLimits.
+type wireLimit struct {
+	Route   string        `cbor:"1,keyasint"`
+	Measure int           `cbor:"2,keyasint"`
+	Limit   time.Duration `cbor:"3,keyasint"` // nanoseconds
 }
 
 // wireOutcomes holds the counts of one table.OutcomeKey.
@@ -29,7 +46,10 @@
 
 // EncodeTotals encodes totals as the value of a note.
 func EncodeTotals(t rollout.Totals) ([]byte, error) {
-	w := wireTotals{Starts: t.Starts, Requests: t.Requests}
+	w := wireTotals{Starts: t.Starts, Requests: t.Requests, Unjudged: t.Unjudged}
+	for pair, d := range t.Baselines {
+		w.Baselines = append(w.Baselines, wireBaseline{Route: string(pair.Route), Measure: int(pair.Measure), Counts: d.Counts})
+	}
 	for c, n := range t.Outcomes {
 		row := wireOutcomes{Route: string(c.Route), Measure: int(c.Measure), New: c.New, Good: n.Good, Bad: n.Bad}
 		for source, k := range n.BadBySource {
@@ -49,7 +69,11 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return rollout.Totals{}, fmt.Errorf("totals: %w", err)
 	}
-	t := rollout.Totals{Starts: w.Starts, Requests: w.Requests, Outcomes: map[table.OutcomeKey]table.OutcomeCounts{}}
+	t := rollout.Totals{Starts: w.Starts, Requests: w.Requests, Unjudged: w.Unjudged,
+		Outcomes: map[table.OutcomeKey]table.OutcomeCounts{}, Baselines: map[table.RouteMeasure]table.Durations{}}
+	for _, b := range w.Baselines {
+		t.Baselines[table.RouteMeasure{Route: jaywind.Route(b.Route), Measure: table.Measure(b.Measure)}] = table.Durations{Counts: b.Counts}
+	}
 	for _, row := range w.Rows {
 		n := table.OutcomeCounts{Good: row.Good, Bad: row.Bad}
 		for source, k := range row.By {
@@ -63,3 +87,28 @@
 	}
 	return t, nil
 }
+
+// EncodeLimits encodes limits as the value of a note.
+func EncodeLimits(limits rollout.LateLimits) ([]byte, error) {
+	var w []wireLimit
+	for pair, d := range limits {
+		w = append(w, wireLimit{Route: string(pair.Route), Measure: int(pair.Measure), Limit: d})
+	}
+	return cbor.Marshal(w)
+}
+
+// DecodeLimits decodes the value of a note that EncodeLimits returned; an empty value holds no limits.
+func DecodeLimits(b []byte) (rollout.LateLimits, error) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	var w []wireLimit
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return nil, fmt.Errorf("limits: %w", err)
+	}
+	limits := rollout.LateLimits{}
+	for _, l := range w {
+		limits[table.RouteMeasure{Route: jaywind.Route(l.Route), Measure: table.Measure(l.Measure)}] = l.Limit
+	}
+	return limits, nil
+}
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -111,7 +111,7 @@
 	c.attempts++
 	if ctx.Err() == nil {
 		r.recordResult(e, err == nil)
-		r.recordOutcome(c, e, err != nil || reply.Status >= http.StatusInternalServerError, time.Since(now))
+		r.recordOutcome(c, e, err != nil || reply.Status >= http.StatusInternalServerError, true)
 	}
 	return reply, err
 }
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -80,6 +80,7 @@
 	mayHaveRun   bool // at an endpoint
 	lastEndpoint jaywind.EndpointID
 	tracker      *rolloutTracker // roll-out that counts the outcomes of this call; nil for none
+	observation  *observation    // of the current attempt; nil for none
 }
 
 // fields returns the fields of each log line about a call.
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -17,11 +17,29 @@
 
 // rolloutTracker is the state of a roll-out of a service at this router.
 type rolloutTracker struct {
-	rollout   *rollout.Rollout
-	totals    rollout.Totals
-	baselines map[jaywind.Route]*table.Quantile // 0.95 quantiles of the old version's response times
+	rollout    *rollout.Rollout
+	totals     rollout.Totals
+	lateLimits rollout.LateLimits
+	open       map[*observation]struct{} // not ended, and not known to be late
+	unjudged   []observation             // ended before they had a limit
 }
 
+// observation is a duration of an attempt: of its first response or event, or of the events after the first one.
+type observation struct {
+	key       table.OutcomeKey
+	source    table.Source
+	startedAt time.Time
+	events    int           // since startedAt
+	took      time.Duration // once it has ended
+	whole     bool          // otherwise took is only a lower bound
+}
+
+// gapEvents is the number of events after the first one whose duration is compared.
+const gapEvents = 31
+
+// maxUnjudged is the number of ended observations that a router keeps for a roll-out until it knows the limits.
+const maxUnjudged = 256
+
 // StartRollout starts a roll-out, or does nothing if it has started already.
 func (r *Router) StartRollout(o rollout.Order, b rollout.Bounds) {
 	r.init()
@@ -31,9 +49,9 @@
 		return
 	}
 	tr := &rolloutTracker{
-		rollout:   rollout.New(o, b),
-		totals:    rollout.Totals{Outcomes: map[table.OutcomeKey]table.OutcomeCounts{}},
-		baselines: map[jaywind.Route]*table.Quantile{},
+		rollout: rollout.New(o, b),
+		totals:  rollout.Totals{Outcomes: map[table.OutcomeKey]table.OutcomeCounts{}},
+		open:    map[*observation]struct{}{},
 	}
 	r.rollouts[o.Service] = tr
 	r.Log.Info("rollout: started", zap.String("service", string(o.Service)), zap.String("target", string(o.Target)), zap.Duration("for", o.Duration))
@@ -67,7 +85,8 @@
 		zap.Int("starts", tr.totals.Starts), zap.Int("requests", tr.totals.Requests))
 }
 
-// RolloutTotals returns what this router has counted for each roll-out in progress.
+// RolloutTotals returns what this router has counted for each roll-out in progress. Attempts that go on for longer
+// than their limit are counted as late.
 func (r *Router) RolloutTotals() map[jaywind.ServiceName]rollout.Totals {
 	r.init()
 	r.mu.Lock()
@@ -77,20 +96,49 @@
 		if tr.rollout.State.Phase.Final() {
 			continue
 		}
+		tr.countLatePending(time.Now())
 		t := tr.totals
 		t.Outcomes = maps.Clone(t.Outcomes)
+		t.Baselines = map[table.RouteMeasure]table.Durations{}
+		for pair, d := range r.baselines[s] {
+			t.Baselines[pair] = table.Durations{Counts: maps.Clone(d.Counts)}
+		}
 		out[s] = t
 	}
 	return out
 }
 
-// ReportRollout records the totals of a router, which may be this one.
-func (r *Router) ReportRollout(vm jaywind.VM, s jaywind.ServiceName, t rollout.Totals) {
+// ReportRollout records the totals of a router, which may be this one. It returns the limits that this router has computed
+// as the leader, for the other one to follow.
+func (r *Router) ReportRollout(vm jaywind.VM, s jaywind.ServiceName, t rollout.Totals) rollout.LateLimits {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if tr := r.rollouts[s]; tr != nil {
-		tr.rollout.Report(vm, t)
+	tr := r.rollouts[s]
+	if tr == nil {
+		return nil
+	}
+	tr.rollout.Report(vm, t)
+	return tr.rollout.LateLimits()
+}
+
+// SetLateLimits sets the limits of a roll-out, as computed by the leader.
+func (r *Router) SetLateLimits(s jaywind.ServiceName, limits rollout.LateLimits) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tr := r.rollouts[s]
+	if tr == nil || len(limits) == 0 {
+		return
+	}
+	tr.lateLimits = limits
+	ended := tr.unjudged
+	tr.unjudged = nil
+	for _, o := range ended {
+		if o.countsAsAnswer() {
+			tr.totals.Unjudged--
+		}
+		tr.judge(o)
 	}
 }
 
@@ -137,39 +185,146 @@
 	}
 }
 
-// lateFactor times the old version's 0.95 quantile is the response time from which a response counts as late.
-const lateFactor = 1.5
+// observe starts to observe an attempt of a call at an endpoint; the caller holds mu.
+func (r *Router) observe(c *call, e *endpoint.Endpoint, m table.Measure) {
+	o := &observation{startedAt: time.Now()}
+	o.key = table.OutcomeKey{RouteMeasure: table.RouteMeasure{Route: c.route.Name, Measure: m}}
+	if tr := c.tracker; tr != nil {
+		o.key.New = e.Version == tr.rollout.Order.Target
+		o.source = outcomeSource(e, o.key.New)
+		tr.open[o] = struct{}{}
+	}
+	c.observation = o
+}
+
+// countEvent counts an event after the first one of the current attempt.
+func (r *Router) countEvent(c *call) {
+	if c.observation == nil {
+		return
+	}
+	if c.observation.events++; c.observation.events == gapEvents {
+		r.mu.Lock()
+		r.endObservation(c, true)
+		r.mu.Unlock()
+	}
+}
+
+// endObservation ends the observation of the current attempt, if there is one; the caller holds mu.
+func (r *Router) endObservation(c *call, whole bool) {
+	o, tr := c.observation, c.tracker
+	c.observation = nil
+	if o == nil {
+		return
+	}
+	o.took, o.whole = time.Since(o.startedAt), whole
+	if whole && !o.key.New {
+		r.observeBaseline(c.service.Name, o.key.RouteMeasure, o.took)
+	}
+	if tr == nil {
+		return
+	}
+	if _, open := tr.open[o]; open { // otherwise it was counted as late
+		delete(tr.open, o)
+		tr.judge(*o)
+	}
+}
 
-// recordOutcome counts the outcome of an attempt for a roll-out. took is the time to the response or to the first event, or 0
-// without either.
-func (r *Router) recordOutcome(c *call, e *endpoint.Endpoint, failed bool, took time.Duration) {
+// observeBaseline adds a duration of the version in use; the caller holds mu.
+func (r *Router) observeBaseline(s jaywind.ServiceName, pair table.RouteMeasure, took time.Duration) {
+	if r.baselines[s] == nil {
+		r.baselines[s] = map[table.RouteMeasure]*table.Durations{}
+	}
+	d := r.baselines[s][pair]
+	if d == nil {
+		d = &table.Durations{}
+		r.baselines[s][pair] = d
+	}
+	d.Observe(took)
+}
+
+// limitOf returns the duration above which an observation is late.
+func (tr *rolloutTracker) limitOf(o *observation) (time.Duration, bool) {
+	if limit, ok := tr.lateLimits[o.key.RouteMeasure]; ok {
+		return limit, true
+	}
+	limit, ok := tr.lateLimits[table.RouteMeasure{Route: rollout.AllRoutes, Measure: o.key.Measure}]
+	return limit, ok
+}
+
+// countsAsAnswer reports whether an observation belongs to a success of the new version.
+func (o *observation) countsAsAnswer() bool {
+	return o.whole && o.key.New && o.key.Measure == table.MeasureFirstToken
+}
+
+// judge counts an observation that has ended, or keeps it until there is a limit.
+func (tr *rolloutTracker) judge(o observation) {
+	limit, ok := tr.limitOf(&o)
+	switch {
+	case !ok:
+		if o.countsAsAnswer() {
+			tr.totals.Unjudged++
+		}
+		if len(tr.unjudged) < maxUnjudged {
+			tr.unjudged = append(tr.unjudged, o)
+		}
+	case o.took > limit:
+		tr.addOutcome(o.key, true, o.source)
+	case o.whole:
+		tr.addOutcome(o.key, false, o.source)
+	}
+}
+
+// countLatePending counts the observations that have not ended and are late already.
+func (tr *rolloutTracker) countLatePending(now time.Time) {
+	for o := range tr.open {
+		if limit, ok := tr.limitOf(o); ok && now.Sub(o.startedAt) > limit {
+			tr.addOutcome(o.key, true, o.source)
+			delete(tr.open, o)
+		}
+	}
+}
+
+// leaveRolledBack keeps further attempts of a call from a version that was rolled back since the call began; the caller holds
+// mu.
+func (c *call) leaveRolledBack() {
+	if c.tracker != nil && c.tracker.rollout.State.Phase == rollout.PhaseRolledBack {
+		c.requirements.Version, c.requirements.ExcludeVersion = "", c.tracker.rollout.Order.Target
+	}
+}
+
+// recordOutcome counts the outcome of an attempt for a roll-out. A failure, or a response that is not comparable to others,
+// has no response time.
+func (r *Router) recordOutcome(c *call, e *endpoint.Endpoint, failed, timed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endObservation(c, timed && !failed)
 	tr := c.tracker
 	if tr == nil {
 		return
 	}
 	isNew := e.Version == tr.rollout.Order.Target
-	source := table.Source(e.Domain)
-	if isNew {
-		source = table.Source(e.ID)
-	}
-	tr.addOutcome(table.OutcomeKey{RouteMeasure: table.RouteMeasure{Route: c.route.Name, Measure: table.MeasureFailure}, New: isNew}, failed, source)
-	if failed || took == 0 {
-		return
-	}
-	q := tr.baselines[c.route.Name]
-	if q == nil {
-		q = &table.Quantile{}
-		tr.baselines[c.route.Name] = q
-	}
-	if q.Ready() {
-		late := float64(took) > lateFactor*float64(q.Value)
-		tr.addOutcome(table.OutcomeKey{RouteMeasure: table.RouteMeasure{Route: c.route.Name, Measure: table.MeasureFirstToken}, New: isNew}, late, source)
+	key := table.OutcomeKey{RouteMeasure: table.RouteMeasure{Route: c.route.Name, Measure: table.MeasureFailure}, New: isNew}
+	tr.addOutcome(key, failed, outcomeSource(e, isNew))
+}
+
+// recordFirstEvent counts the success of an attempt, and observes its further events. An attempt that continues from a copy
+// is not comparable to others.
+func (r *Router) recordFirstEvent(c *call, e *endpoint.Endpoint) {
+	observed := c.observation != nil
+	r.recordOutcome(c, e, false, true)
+	if observed {
+		r.mu.Lock()
+		r.observe(c, e, table.MeasureTokenGap)
+		r.mu.Unlock()
 	}
-	if !isNew {
-		q.Observe(took)
+}
+
+// outcomeSource returns what a bad outcome at an endpoint is attributed to.
+func outcomeSource(e *endpoint.Endpoint, isNew bool) table.Source {
+	if isNew {
+		return table.Source(e.ID)
 	}
+	return table.Source(e.Domain)
 }
 
 // addOutcome counts one outcome.
--- a/internal/relay/router/rollout_test.go
+++ b/internal/relay/router/rollout_test.go
@@ -2,14 +2,23 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"jaywind"
 	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/retry"
 	"jaywind/internal/core/rollout"
+	"jaywind/internal/core/route"
 	"jaywind/internal/relay/router"
 )
 
@@ -47,3 +56,193 @@
 		})
 	}
 }
+
+// versionedUpstream is an Upstream of engines of two versions; an engine's id begins with its version.
+type versionedUpstream struct {
+	fakeUpstream
+	slowShare float64 // share of the answers of v2 that are slow
+	factor    float64 // times the usual duration that a slow answer takes
+	random    *rand.Rand
+	newStarts int // of streams at v2
+}
+
+const (
+	usualFirstEvent  = 1200 * time.Millisecond // median
+	usualEventGap    = 40 * time.Millisecond
+	eventsOfStream   = 100
+	firstEventLimit  = 5500 * time.Millisecond // until an engine that sends no event is given up
+	rolloutLength    = 15 * time.Second
+	newEnginesDelay  = 2 * time.Second // from the order to the first engine of the new version
+	enginesOfVersion = 12
+)
+
+func (u *versionedUpstream) Open(_ context.Context, s jaywind.UpstreamRequest, _ time.Duration) (jaywind.EventStream, jaywind.Reply, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	x := 1.0
+	if s.Endpoint.ID[:2] == "v2" {
+		u.newStarts++
+		if u.random.Float64() < u.slowShare {
+			x = u.factor
+		}
+	}
+	first := x * float64(usualFirstEvent) * math.Exp(0.3*u.random.NormFloat64())
+	return &timedStream{
+		fakeStream: fakeStream{next: s.LastEventID + 1, last: eventsOfStream}, first: time.Duration(first),
+		gap: time.Duration(x * float64(usualEventGap)), closed: make(chan struct{}),
+	}, jaywind.Reply{}, nil
+}
+
+// timedStream is a stream whose events take time.
+type timedStream struct {
+	fakeStream
+	first, gap time.Duration
+	closed     chan struct{}
+	once       sync.Once
+}
+
+func (e *timedStream) Close() error {
+	e.once.Do(func() { close(e.closed) })
+	return nil
+}
+
+func (e *timedStream) Next(limit time.Duration) (jaywind.Event, error) {
+	wait, limit := e.gap, max(limit, time.Second)
+	if e.first > 0 {
+		wait, limit, e.first = e.first, firstEventLimit, 0
+	}
+	t := time.NewTimer(min(wait, limit))
+	defer t.Stop()
+	select {
+	case <-e.closed:
+		return jaywind.Event{}, io.ErrUnexpectedEOF
+	case <-t.C:
+	}
+	if wait > limit {
+		return jaywind.Event{}, jaywind.ErrIdleTimeout
+	}
+	return e.fakeStream.Next(limit)
+}
+
+// rolloutCase is a roll-out to v2 in a fleet.
+type rolloutCase struct {
+	routers   int
+	perSecond float64 // requests of the fleet
+	routes    int
+	slowShare float64
+	factor    float64
+}
+
+// play plays a roll-out and returns the leader's last state, the number of requests that were sent to v2 and that of all.
+func (c rolloutCase) play(t *testing.T, seed uint64) (state rollout.State, newStarts, requests int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		u := &versionedUpstream{slowShare: c.slowShare, factor: c.factor, random: rand.New(rand.NewPCG(seed, 2))}
+		var routers []*router.Router
+		for range c.routers {
+			routers = append(routers, c.newRouter(u))
+		}
+		addEngines := func(v jaywind.Version) {
+			for _, r := range routers {
+				for i := range enginesOfVersion {
+					id := jaywind.EndpointID(fmt.Sprintf("%s-%d", v, i))
+					r.UpdateEndpoint(endpoint.Entry{ID: id, Service: "pool", Address: jaywind.Address(id), Domain: jaywind.Domain(rune('a' + i%3)), Slots: 16, Version: v})
+				}
+			}
+		}
+		addEngines("v1")
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls conc.WaitGroup
+		defer calls.Wait()
+		defer cancel()
+		const tick = 10 * time.Millisecond
+		serve := func() {
+			if random.Float64() >= c.perSecond*tick.Seconds() {
+				return
+			}
+			requests++
+			r, path := routers[random.IntN(c.routers)], fmt.Sprintf("/%d/", random.IntN(c.routes))
+			calls.Go(func() {
+				r.Serve(ctx, &router.Request{ID: "q", Host: "a", Path: path, Arrived: time.Now(), Timeout: 25 * time.Second}, &caller{reads: eventsOfStream})
+			})
+		}
+		for range int(4 * time.Second / tick) {
+			serve()
+			time.Sleep(tick)
+		}
+		requests = 0
+		order := rollout.Order{Service: "pool", Target: "v2", Duration: rolloutLength, ReceivedAt: time.Now()}
+		for _, r := range routers {
+			r.StartRollout(order, rollout.Bounds{Share: 0.1, ExtraRequests: 50})
+		}
+		for i := range int(rolloutLength / tick) {
+			if i == int(newEnginesDelay/tick) {
+				addEngines("v2")
+			}
+			serve()
+			time.Sleep(tick)
+			if i%40 != 0 {
+				continue
+			}
+			lead := routers[0]
+			for n, r := range routers {
+				r.SetLateLimits("pool", lead.ReportRollout(jaywind.VM(fmt.Sprint(n)), "pool", r.RolloutTotals()["pool"]))
+			}
+			if state.Phase.Final() {
+				continue
+			}
+			state = lead.DecideRollouts(time.Now())["pool"]
+			for _, r := range routers {
+				r.SetRolloutState("pool", state)
+			}
+		}
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		newStarts = u.newStarts
+	})
+	return state, newStarts, requests
+}
+
+func (c rolloutCase) newRouter(u jaywind.Upstream) *router.Router {
+	r := &router.Router{Upstream: u, RetryBudget: retry.Budget{Ratio: 1, Reserve: 100, Window: 10 * time.Second}}
+	var routes []route.Route
+	for i := range c.routes {
+		routes = append(routes, route.Route{Name: jaywind.Route(fmt.Sprint(i)), Host: "a", Prefix: fmt.Sprintf("/%d/", i), Kind: route.KindStream, Resume: true,
+			MaxAttempts: 5, EventTimeout: time.Second, Backends: []route.Backend{{Service: "pool", Weight: 1}}})
+	}
+	r.SetConfig(route.NewSet(1, routes, []route.Service{{Name: "pool", Engine: &route.Engine{Slots: 16, MemoryTokens: 55000}}}, nil, route.Limits{}))
+	return r
+}
+
+// TestSlowVersion: with thin traffic each router sees too few answers to tell how long they usually take. The test fails if a
+// version that answers several times slower is kept, or a good one is rolled back.
+func TestSlowVersion(t *testing.T) {
+	tests := map[string]struct {
+		rolloutCase
+		want rollout.Phase
+	}{
+		"good":                 {rolloutCase{routers: 9, perSecond: 8, routes: 2}, rollout.PhaseDone},
+		"good, many routes":    {rolloutCase{routers: 9, perSecond: 8, routes: 12}, rollout.PhaseDone},
+		"good, more traffic":   {rolloutCase{routers: 9, perSecond: 40, routes: 2}, rollout.PhaseDone},
+		"slow":                 {rolloutCase{routers: 9, perSecond: 8, routes: 2, slowShare: 1, factor: 6}, rollout.PhaseRolledBack},
+		"slow, many routes":    {rolloutCase{routers: 9, perSecond: 8, routes: 12, slowShare: 1, factor: 6}, rollout.PhaseRolledBack},
+		"slow, more traffic":   {rolloutCase{routers: 9, perSecond: 40, routes: 2, slowShare: 1, factor: 6}, rollout.PhaseRolledBack},
+		"half of them slow":    {rolloutCase{routers: 9, perSecond: 8, routes: 2, slowShare: 0.5, factor: 8}, rollout.PhaseRolledBack},
+		"slower than any wait": {rolloutCase{routers: 9, perSecond: 8, routes: 2, slowShare: 1, factor: 100}, rollout.PhaseRolledBack},
+		"three times slower":   {rolloutCase{routers: 9, perSecond: 8, routes: 2, slowShare: 1, factor: 3}, rollout.PhaseRolledBack},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				state, newStarts, requests := c.play(t, seed)
+				if state.Phase != c.want {
+					t.Fatalf("seed %d: %+v with %d of %d requests at the new version, want %s", seed, state, newStarts, requests, c.want)
+				}
+				if c.want == rollout.PhaseRolledBack && float64(newStarts) > 0.1*float64(requests)+50 {
+					t.Fatalf("seed %d: %d of %d requests at the new version", seed, newStarts, requests)
+				}
+			}
+		})
+	}
+}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -16,6 +16,7 @@
 	"jaywind/internal/core/retry"
 	"jaywind/internal/core/rollout"
 	"jaywind/internal/core/route"
+	"jaywind/internal/core/table"
 )
 
 const (
@@ -44,13 +45,14 @@
 	stats      callStats
 	background conc.WaitGroup // copies of memory and cache lookups in progress
 
-	mu       sync.Mutex
-	set      *route.Set
-	table    endpoint.Table
-	budgets  map[jaywind.ServiceName]*retry.Budget
-	routers  int // number of routers that share the budgets
-	lookups  map[jaywind.ServiceName]*cacheLookup
-	rollouts map[jaywind.ServiceName]*rolloutTracker
+	mu        sync.Mutex
+	set       *route.Set
+	table     endpoint.Table
+	budgets   map[jaywind.ServiceName]*retry.Budget
+	routers   int // number of routers that share the budgets
+	lookups   map[jaywind.ServiceName]*cacheLookup
+	rollouts  map[jaywind.ServiceName]*rolloutTracker
+	baselines map[jaywind.ServiceName]map[table.RouteMeasure]*table.Durations // without those of new versions in a roll-out
 
 	rolloutStates map[jaywind.ServiceName]rollout.State // as last read, whether or not their orders are known
 
@@ -69,6 +71,7 @@
 		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
 		r.lookups = map[jaywind.ServiceName]*cacheLookup{}
 		r.rollouts = map[jaywind.ServiceName]*rolloutTracker{}
+		r.baselines = map[jaywind.ServiceName]map[table.RouteMeasure]*table.Durations{}
 		r.rolloutStates = map[jaywind.ServiceName]rollout.State{}
 		r.routers = 1
 	})
@@ -318,6 +321,7 @@
 func (r *Router) acquireEndpoint(c *call) *endpoint.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	c.leaveRolledBack()
 	e := r.table.Choose(c.service, c.requirements, time.Now())
 	if e == nil && c.requirements.Version != "" {
 		// Without an endpoint of the required version, use another version unless it is excluded.
@@ -328,6 +332,7 @@
 	if e != nil {
 		r.table.StartCall(e, c.requirements)
 		c.countStart(e)
+		r.observe(c, e, table.MeasureFirstToken)
 		c.lastEndpoint = e.ID
 	}
 	return e
@@ -337,6 +342,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.FinishCall(e, c.requirements)
+	r.endObservation(c, false)
 }
 
 // recordFailure counts a failure of an endpoint. One that accepts no connection, or that another endpoint has replaced at its
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -226,7 +226,7 @@
 // handleReply handles a response that is no stream: it is forwarded unless the stream can continue elsewhere.
 func (r *Router) handleReply(st *streamCall, a attempt, reply jaywind.Reply) (series.Failure, error) {
 	st.plan.RunStarted()
-	r.recordOutcome(st.call, a.endpoint, reply.Status >= http.StatusInternalServerError, 0)
+	r.recordOutcome(st.call, a.endpoint, reply.Status >= http.StatusInternalServerError, false)
 	if st.headSent || reply.Status >= http.StatusInternalServerError && st.attempts < st.route.MaxAttempts && st.route.Repeatable() {
 		return series.FailureBroken, errors.New(http.StatusText(reply.Status))
 	}
@@ -261,7 +261,9 @@
 		if !st.producing {
 			onFirst()
 			st.producing = true
-			r.recordOutcome(st.call, a.endpoint, false, time.Since(a.startedAt))
+			r.recordFirstEvent(st.call, a.endpoint)
+		} else {
+			r.countEvent(st.call)
 		}
 		if !st.headSent {
 			st.headSent = true
