router: all requests that reach a new version count towards its bound

Requests for the service before the first engine of the new version was up were not counted either, so the rate that the budget is planned with was too low.

TestRequestsOfRollout failed before in three of four rows (1 != 2, 0 != 1, 0 != 1).

--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -105,6 +105,7 @@
 	}
 	r.stats.cacheFound.Inc(1)
 	r.table.StartCall(e, st.requirements)
+	st.countStart(e)
 	st.lastEndpoint = e.ID
 	return e
 }
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -167,11 +167,14 @@
 	if tr == nil {
 		return
 	}
-	target := tr.rollout.Order.Target
+	state, target := tr.rollout.State, tr.rollout.Order.Target
+	if !state.Phase.Final() {
+		tr.totals.Requests++
+		c.tracker = tr
+	}
 	if !slices.ContainsFunc(r.table.EntriesOf(c.service.Name), func(e endpoint.Entry) bool { return e.Version == target && !e.Leaving }) {
 		return
 	}
-	state := tr.rollout.State
 	switch {
 	case state.Phase == rollout.PhaseShift || state.Phase == rollout.PhaseDone,
 		state.Phase == rollout.PhaseCanary && rand.Float64() < state.Share:
@@ -179,10 +182,6 @@
 	default:
 		c.requirements.ExcludeVersion = target
 	}
-	if !state.Phase.Final() {
-		tr.totals.Requests++
-		c.tracker = tr
-	}
 }
 
 // observe starts to observe an attempt of a call at an endpoint; the caller holds mu.
--- a/internal/relay/router/rollout_test.go
+++ b/internal/relay/router/rollout_test.go
@@ -246,3 +246,71 @@
 		})
 	}
 }
+
+// shortUpstream is an Upstream whose first stream breaks after its first event, and whose engine e1 has part p cached.
+type shortUpstream struct {
+	fakeUpstream
+	breaks bool
+}
+
+func (u *shortUpstream) Open(ctx context.Context, s jaywind.UpstreamRequest, limit time.Duration) (jaywind.EventStream, jaywind.Reply, error) {
+	events, reply, err := u.fakeUpstream.Open(ctx, s, limit)
+	if u.breaks {
+		u.breaks = false
+		return &shortStream{EventStream: events}, reply, err
+	}
+	return events, reply, err
+}
+
+func (u *shortUpstream) CachedParts(_ context.Context, at jaywind.EndpointRef) ([]jaywind.CachedPart, error) {
+	if at.ID != "e1" {
+		return nil, jaywind.ErrBusy
+	}
+	return []jaywind.CachedPart{{Part: "p", Tokens: 100}}, nil
+}
+
+// shortStream is a stream that breaks after its first event.
+type shortStream struct {
+	jaywind.EventStream
+	events int
+}
+
+func (e *shortStream) Next(limit time.Duration) (jaywind.Event, error) {
+	if e.events++; e.events > 1 {
+		return jaywind.Event{}, io.ErrUnexpectedEOF
+	}
+	return e.EventStream.Next(limit)
+}
+
+// TestRequestsOfRollout fails if a request that reaches the new version, or one for its service, is missing from the counts
+// that keep a bad version within its bound.
+func TestRequestsOfRollout(t *testing.T) {
+	tests := map[string]struct {
+		version          jaywind.Version // of the engines
+		breaks           bool
+		request          router.Request
+		starts, requests int
+	}{
+		"at once":                      {"v2", false, router.Request{}, 1, 1},
+		"goes on from a copy":          {"v2", true, router.Request{}, 2, 1},
+		"resumed at the cached prompt": {"v2", false, router.Request{Resumed: true, LastEventID: 1, LastPart: "p", PromptTokens: 100}, 1, 1},
+		"no engine of the new version": {"v1", false, router.Request{}, 0, 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRouter(&shortUpstream{fakeUpstream: fakeUpstream{events: 3}, breaks: c.breaks})
+			for i, id := range []jaywind.EndpointID{"e1", "e2"} {
+				r.UpdateEndpoint(endpoint.Entry{ID: id, Service: "pool", Address: jaywind.Address(id), Domain: jaywind.Domain(rune('a' + i)), Slots: 16, Version: c.version})
+			}
+			r.StartRollout(rollout.Order{Service: "pool", Target: "v2", Duration: time.Minute, ReceivedAt: time.Now()}, rollout.Bounds{})
+			r.SetRolloutState("pool", rollout.State{Target: "v2", Phase: rollout.PhaseShift})
+			q := c.request
+			q.ID, q.Host, q.Path, q.Arrived, q.Timeout = "q", "a", "/x", time.Now(), time.Second
+			r.Serve(context.Background(), &q, &caller{reads: 3})
+			totals := r.RolloutTotals()["pool"]
+			is.Equal(totals.Starts, c.starts)
+			is.Equal(totals.Requests, c.requests)
+		})
+	}
+}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -116,6 +116,7 @@
 	st.lastEndpoint = at.ID
 	r.table.RemoveCopy(at, st.requirements)
 	r.table.StartCall(at, st.requirements)
+	st.countStart(at)
 	return at
 }
 
