suspect: a part is not quarantined for the losses of its victims

Three engines crashed under one part; a report with victims only reached a collector 50 ms before the one with that part, and the part that all prompts have was quarantined alone. All streams were refused, so that none could survive and lift it, for 10 minutes.

Three changes. A candidate is judged only 150 ms after the last loss at its engines, when the reports of one crash are in; two parts that were lost together are one group then. A part is quarantined only if a run without it has survived since its first loss, since otherwise the losses may have any cause. And one second after, each collector that quarantined a group lets one request of it through; if that survives, the quarantine is lifted. A stream that is lost at its beginning waits 250 ms for the verdict instead of 100.

--- a/internal/core/suspect/finder.go
+++ b/internal/core/suspect/finder.go
@@ -17,6 +17,10 @@
 	Shared  []jaywind.PromptPart // the parts before it
 }
 
+// settleTime is how long no loss came at the engines of a candidate. Routers report the losses of one crash one after the other, and
+// the first reports may lack the cause.
+const settleTime = 150 * time.Millisecond
+
 // Group is one or more parts of prompts for a service, any of which may be the cause of a crash.
 type Group struct {
 	Service jaywind.ServiceName
@@ -97,11 +101,17 @@
 	prompts map[jaywind.PromptPart]bool
 }
 
+// Candidate is a group that may have crashed engines.
+type Candidate struct {
+	Group
+	FirstLoss time.Time // of those that are held against it
+}
+
 // Candidates returns the groups that may have crashed engines, the most likely first. An engine that ended under a more likely group
-// is not held against the others, as its other runs were lost with it.
-func (f *Finder) Candidates(now time.Time) []Group {
+// is not held against the others, as its other runs were lost with it. It also returns after which time to look again, because losses
+// may still come; 0 if there is no need to.
+func (f *Finder) Candidates(now time.Time) (found []Candidate, again time.Duration) {
 	f.expire(now)
-	var found []Group
 	explained := map[jaywind.EndpointRef]bool{}
 	for {
 		records := f.records(explained)
@@ -115,7 +125,7 @@
 			}
 		}
 		if most == 0 {
-			return found
+			return found, again
 		}
 		g := Group{Service: best.service}
 		for k, r := range records {
@@ -124,13 +134,32 @@
 			}
 		}
 		slices.Sort(g.Parts)
-		found = append(found, g)
+		first, last := f.span(records[best].engines)
+		if left := settleTime - now.Sub(last); left > 0 {
+			again = max(again, left)
+		} else {
+			found = append(found, Candidate{g, first})
+		}
 		for e := range records[best].engines {
 			explained[e] = true
 		}
 	}
 }
 
+// span returns the times of the first and the last loss at engines.
+func (f *Finder) span(engines map[jaywind.EndpointRef]bool) (first, last time.Time) {
+	for _, l := range f.losses {
+		if !engines[l.Engine] {
+			continue
+		}
+		if first.IsZero() {
+			first = l.at
+		}
+		last = l.at
+	}
+	return first, last
+}
+
 // records returns what is held against each part, without the engines whose end is explained.
 func (f *Finder) records(explained map[jaywind.EndpointRef]bool) map[partKey]record {
 	records := map[partKey]record{}
--- a/internal/core/suspect/quarantine.go
+++ b/internal/core/suspect/quarantine.go
@@ -23,7 +23,8 @@
 type quarantined struct {
 	group  Group
 	until  time.Time
-	lifted bool // its requests may run; it is not quarantined again before until
+	lifted bool      // its requests may run; it is not quarantined again before until
+	probe  time.Time // from which one request may run, to lift the quarantine if it survives; zero for none
 }
 
 // Add quarantines a group, and reports whether it was not quarantined before.
@@ -54,6 +55,29 @@
 	return known
 }
 
+// AllowProbe lets one request of a group run from a time on, although the group is quarantined.
+func (q *Quarantine) AllowProbe(g Group, at time.Time) {
+	if e, known := q.groups[g.Key()]; known && !e.lifted {
+		e.probe = at
+		q.groups[g.Key()] = e
+	}
+}
+
+// TakeProbe reports whether a prompt that is kept back may run as a probe, and takes the probe.
+func (q *Quarantine) TakeProbe(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) bool {
+	held := q.Matching(s, shared, now)
+	if len(held) != 1 { // a loss would not tell which group was the cause
+		return false
+	}
+	e := q.groups[held[0].Key()]
+	if e.probe.IsZero() || now.Before(e.probe) {
+		return false
+	}
+	e.probe = time.Time{}
+	q.groups[held[0].Key()] = e
+	return true
+}
+
 // Matching returns the groups in force that a prompt has.
 func (q *Quarantine) Matching(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) []Group {
 	var found []Group
@@ -98,6 +122,7 @@
 type Survivors struct {
 	recent, older map[partKey]bool
 	rotatedAt     time.Time
+	last          map[jaywind.ServiceName]time.Time // of any run
 }
 
 // Add records that a run under these shared parts has survived its beginning.
@@ -105,11 +130,21 @@
 	if s.recent == nil || now.Sub(s.rotatedAt) > survivorTime || len(s.recent) >= maxSurvivorParts {
 		s.recent, s.older, s.rotatedAt = map[partKey]bool{}, s.recent, now
 	}
+	if s.last == nil {
+		s.last = map[jaywind.ServiceName]time.Time{}
+	}
+	s.last[service] = now
 	for _, p := range shared[:min(len(shared), maxPartsPer)] {
 		s.recent[partKey{service, p}] = true
 	}
 }
 
+// AnySince reports whether any run of a service has survived its beginning since a time.
+func (s *Survivors) AnySince(service jaywind.ServiceName, at time.Time) bool {
+	last, known := s.last[service]
+	return known && !last.Before(at)
+}
+
 // Among returns those of the parts that are remembered.
 func (s *Survivors) Among(service jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart {
 	var found []jaywind.PromptPart
--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -21,7 +21,9 @@
 	batchTime          = 20 * time.Millisecond  // within which losses are sent together
 	callTimeout        = 300 * time.Millisecond // for one call to a router
 	maxConcurrentCalls = 16
-	maxPending         = 256 // losses that wait to be sent; further ones are dropped, as many more are on their way
+	probeDelay         = time.Second            // from a quarantine to the request that may lift it; longer than the crash lasts
+	undecidedDelay     = 500 * time.Millisecond // before a candidate is looked at again while no run survives
+	maxPending         = 256                    // losses that wait to be sent; further ones are dropped, as many more are on their way
 )
 
 // Router is the part of a router that a Detector uses.
@@ -30,8 +32,11 @@
 	AddQuarantine(g suspect.Group) bool
 	// LiftQuarantine lets the requests of a group run again, and reports whether that is news.
 	LiftQuarantine(g suspect.Group) bool
-	// SoundParts returns those of the parts under which runs have survived their beginning.
-	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart
+	// AllowProbe lets one request of a quarantined group run after a delay.
+	AllowProbe(g suspect.Group, delay time.Duration)
+	// SoundParts returns those of the parts under which runs have survived their beginning, and whether any run of the service has
+	// within the given time.
+	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, any bool)
 }
 
 // Detector exchanges losses and quarantines with the other routers. Set the exported fields before the first call.
@@ -101,11 +106,13 @@
 // Run exchanges losses and quarantines until ctx ends.
 func (d *Detector) Run(ctx context.Context) {
 	d.init()
+	var again <-chan time.Time // nil for never
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.wake:
+		case <-again:
 		}
 		select {
 		case <-ctx.Done():
@@ -120,7 +127,10 @@
 			d.publish(ctx, g, true)
 		}
 		d.distribute(ctx, losses)
-		d.evaluate(ctx)
+		again = nil
+		if wait := d.evaluate(ctx); wait > 0 {
+			again = time.After(wait)
+		}
 	}
 }
 
@@ -162,65 +172,77 @@
 	d.changed = true
 }
 
-// evaluate quarantines the candidates under which no router knows of a run that has survived.
-func (d *Detector) evaluate(ctx context.Context) {
+// evaluate quarantines the candidates under which no router knows of a run that has survived, while others have. If no run survives at
+// all, the losses may have any cause. It returns after which time to look again, or 0.
+func (d *Detector) evaluate(ctx context.Context) (again time.Duration) {
 	for ctx.Err() == nil {
-		g, found := d.nextCandidate()
+		c, found, wait := d.nextCandidate()
 		if !found {
-			return
+			return wait
 		}
-		sound := d.soundParts(ctx, g)
+		sound, any := d.soundParts(ctx, c)
 		d.mu.Lock()
 		if len(sound) > 0 {
-			d.finder.Clear(g.Service, sound)
+			d.finder.Clear(c.Service, sound)
 			d.mu.Unlock()
 			continue
 		}
-		d.known[g.Key()] = knownGroup{g, time.Now().Add(suspect.QuarantineTime)}
+		if !any {
+			d.mu.Unlock()
+			return undecidedDelay
+		}
+		d.known[c.Key()] = knownGroup{c.Group, time.Now().Add(suspect.QuarantineTime)}
 		d.mu.Unlock()
-		if d.Router.AddQuarantine(g) {
-			d.publish(ctx, g, false)
+		if d.Router.AddQuarantine(c.Group) {
+			d.Router.AllowProbe(c.Group, probeDelay)
+			d.publish(ctx, c.Group, false)
 		}
 	}
+	return 0
 }
 
-// nextCandidate returns a candidate that is not quarantined yet, if losses were collected since the last look.
-func (d *Detector) nextCandidate() (suspect.Group, bool) {
+// nextCandidate returns a candidate that is not quarantined yet, or after which time to look for one again, 0 for only after further
+// losses.
+func (d *Detector) nextCandidate() (c suspect.Candidate, found bool, again time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.changed {
-		return suspect.Group{}, false
+		return suspect.Candidate{}, false, 0
 	}
-	for _, g := range d.finder.Candidates(time.Now()) {
-		if !time.Now().Before(d.known[g.Key()].until) {
-			return g, true
+	now := time.Now()
+	candidates, again := d.finder.Candidates(now)
+	for _, c := range candidates {
+		if !now.Before(d.known[c.Key()].until) {
+			return c, true, 0
 		}
 	}
-	d.changed = false
-	return suspect.Group{}, false
+	d.changed = again > 0
+	return suspect.Candidate{}, false, again
 }
 
-// soundParts returns those of a group's parts under which runs have survived at this router or, if none has, at any other.
-func (d *Detector) soundParts(ctx context.Context, g suspect.Group) []jaywind.PromptPart {
-	if sound := d.Router.SoundParts(g.Service, g.Parts); len(sound) > 0 {
-		return sound
+// soundParts returns those of a candidate's parts under which runs have survived, at this router or, if none has, at any other, and
+// whether any run of the service has since the first loss.
+func (d *Detector) soundParts(ctx context.Context, c suspect.Candidate) (sound []jaywind.PromptPart, any bool) {
+	within := time.Since(c.FirstLoss)
+	if sound, any = d.Router.SoundParts(c.Service, c.Parts, within); len(sound) > 0 {
+		return sound, any
 	}
-	question := encodeGroup(g, false)
-	p := pool.NewWithResults[[]string]().WithMaxGoroutines(maxConcurrentCalls)
+	question := soundQuestion{Group: encodeGroup(c.Group, false), Within: within}
+	p := pool.NewWithResults[soundParts]().WithMaxGoroutines(maxConcurrentCalls)
 	for _, at := range d.Peers(math.MaxInt) {
-		p.Go(func() []string {
-			answer, err := send[group, soundParts](ctx, d, at, soundPath, &question)
+		p.Go(func() soundParts {
+			answer, err := send[soundQuestion, soundParts](ctx, d, at, soundPath, &question)
 			if err != nil {
-				return nil
+				return soundParts{}
 			}
-			return answer.Parts
+			return *answer
 		})
 	}
-	var sound []jaywind.PromptPart
-	for _, found := range p.Wait() {
-		sound = append(sound, parts(found)...)
+	for _, answer := range p.Wait() {
+		sound = append(sound, parts(answer.Parts)...)
+		any = any || answer.Any
 	}
-	return sound
+	return sound, any
 }
 
 // publish announces a quarantine, or its end, to all routers and stores it.
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -45,9 +45,10 @@
 	return found
 }
 
-func (d *Detector) handleSound(_ context.Context, req *connect.Request[group]) (*connect.Response[soundParts], error) {
-	g := req.Msg.decode()
-	return connect.NewResponse(&soundParts{Parts: texts(d.Router.SoundParts(g.Service, g.Parts))}), nil
+func (d *Detector) handleSound(_ context.Context, req *connect.Request[soundQuestion]) (*connect.Response[soundParts], error) {
+	g := req.Msg.Group.decode()
+	sound, any := d.Router.SoundParts(g.Service, g.Parts, req.Msg.Within)
+	return connect.NewResponse(&soundParts{Parts: texts(sound), Any: any}), nil
 }
 
 func (d *Detector) handleQuarantine(_ context.Context, req *connect.Request[group]) (*connect.Response[emptyResponse], error) {
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -20,7 +20,7 @@
 const beginTime = 300 * time.Millisecond
 
 // quarantineDelay is usually enough for a loss to be collected and a quarantine to be announced.
-const quarantineDelay = 100 * time.Millisecond
+const quarantineDelay = 250 * time.Millisecond
 
 // causeQuarantined is why a stream that has run is given up because of its prompt.
 const causeQuarantined = "part of the prompt crashes engines"
@@ -54,12 +54,21 @@
 	return true
 }
 
-// SoundParts returns those of a service's parts under which runs of this router have survived their beginning.
-func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart {
+// AllowProbe lets one request of a quarantined group run after a delay. If it survives, the quarantine is lifted.
+func (r *Router) AllowProbe(g suspect.Group, delay time.Duration) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.survivors.Among(s, parts)
+	r.quarantine.AllowProbe(g, time.Now().Add(delay))
+}
+
+// SoundParts returns those of a service's parts under which runs of this router have survived their beginning, and whether any run of
+// the service has within the given time.
+func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, any bool) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.survivors.Among(s, parts), r.survivors.AnySince(s, time.Now().Add(-within))
 }
 
 // isQuarantined reports whether a stream's prompt is kept back. It ends the stream if so.
@@ -68,7 +77,12 @@
 		return false
 	}
 	r.mu.Lock()
-	left, held := r.quarantine.Holds(st.service.Name, st.request.SharedParts, time.Now())
+	now := time.Now()
+	left, held := r.quarantine.Holds(st.service.Name, st.request.SharedParts, now)
+	if held && !st.mayHaveRun && r.quarantine.TakeProbe(st.service.Name, st.request.SharedParts, now) {
+		held = false
+		r.Log.Info("quarantine: a request is let through", st.fields(zap.Any("parts", st.request.SharedParts))...)
+	}
 	r.mu.Unlock()
 	switch {
 	case !held:
