soak: engines that fall silent and go on

One or more engines fall silent for 0.8 to 1.6 s, stopped by a signal or after an event of their streams, also beside a new configuration. The new guarantee "cut": no stream is ended before its caller's deadline if none of the engines that ran it was disturbed otherwise. It holds also without a silence.

--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -177,6 +177,9 @@
 		if a.truncated() && a.router.exitedNear(a.endedAt) && !a.mayLoseResponse() {
 			r.violations = append(r.violations, Violation{"answer", id, fmt.Sprintf("response truncated by %s during its graceful shutdown", a.router.name)})
 		}
+		if a.isStream() && a.truncated() && !a.mayLoseResponse() && r.cutAtSoundEngine(a) {
+			r.violations = append(r.violations, Violation{"cut", id, fmt.Sprintf("stream ended by %s after %v, its engines are sound", a.router.name, a.endedAt.Sub(a.sentAt).Round(time.Millisecond))})
+		}
 		notRun := a.status == http.StatusServiceUnavailable && !a.fromEndpoint
 		if a.isUnsafe() && runs > 1 {
 			r.violations = append(r.violations, Violation{"once", id, fmt.Sprintf("unsafe call ran %d times", runs)})
@@ -195,6 +198,19 @@
 	r.checkPauses()
 }
 
+// cutAtSoundEngine reports whether a stream was ended before its caller's deadline although the engines that ran it were at most
+// silent for a while; the caller holds mu.
+func (r *checker) cutAtSoundEngine(a *attempt) bool {
+	ran := false
+	for _, s := range r.events[a.id] {
+		ran = ran || s.Kind == "run"
+		if e := r.replicaOf(s.Replica); e == nil || e.unsound(a.sentAt, a.endedAt, schedulingSlack) {
+			return false
+		}
+	}
+	return ran && a.endedAt.Sub(a.sentAt) < streamTimeout-transitTime
+}
+
 // checkDepartures checks that a router that has passed on a response in which an endpoint says that it is leaving sends it no
 // request of a later time; the caller holds mu.
 func (r *checker) checkDepartures() {
@@ -219,14 +235,19 @@
 	}
 }
 
+// replicaOf returns the replica that has or had an id, or nil.
+func (r *checker) replicaOf(id string) *replica {
+	i := slices.IndexFunc(r.fleet.replicas, func(e *replica) bool { return strings.HasPrefix(id, "i-"+e.name+"-") })
+	if i < 0 {
+		return nil
+	}
+	return r.fleet.replicas[i]
+}
+
 // replicaDisturbed reports whether the replica with an id was disturbed within a time.
 func (r *checker) replicaDisturbed(id string, from, until time.Time) bool {
-	for _, e := range r.fleet.replicas {
-		if strings.HasPrefix(id, "i-"+e.name+"-") && e.disturbed(from, until, schedulingSlack) {
-			return true
-		}
-	}
-	return false
+	e := r.replicaOf(id)
+	return e != nil && e.disturbed(from, until, schedulingSlack)
 }
 
 const (
--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -98,6 +98,8 @@
 	})
 }
 
+func (f *fleet) engines() []*replica { return f.replicas[:f.size.Engines] }
+
 func (f *fleet) binary(name string) string { return filepath.Join(f.binDir, name) }
 
 // openLog creates the log file of a process. If that fails its output is discarded.
--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -119,6 +120,8 @@
 		n.leaveReplica(ctx, s, e)
 	case PauseCalls:
 		n.pauseCalls(ctx, s, e)
+	case StallEngines:
+		n.stallEngines(ctx, s)
 	case RollOut:
 		n.rollOut(ctx, s.Variant == "bad")
 	case Configure:
@@ -199,6 +202,50 @@
 	p.signal(syscall.SIGCONT)
 }
 
+// Bounds of the time for which an engine falls silent.
+const (
+	minSilence = 800 * time.Millisecond
+	maxSilence = 1600 * time.Millisecond
+)
+
+// stallEngines lets one or more engines fall silent and go on.
+func (n *injector) stallEngines(ctx context.Context, s Fault) {
+	engines, count := n.fleet.engines(), 1
+	if strings.Contains(s.Variant, "many") {
+		count = min(len(engines), 2+s.Target/len(engines)%len(engines))
+	}
+	if strings.Contains(s.Variant, "configuration") {
+		n.config.addRoute(n.fleet)
+	}
+	for i := range count {
+		n.active.Add(1)
+		n.fleet.group.Go(func() {
+			defer n.active.Done()
+			n.stallEngine(ctx, s, engines[(s.Target+i)%len(engines)])
+		})
+	}
+}
+
+// stallEngine stops an engine and lets it go on, or lets its streams be silent after an event.
+func (n *injector) stallEngine(ctx context.Context, s Fault, e *replica) {
+	if !e.claim() {
+		return
+	}
+	defer e.release()
+	defer e.silence()()
+	silence := Fault{Duration: minSilence + s.Duration%(maxSilence-minSilence)}
+	if strings.HasPrefix(s.Variant, "stop") {
+		e.signal(syscall.SIGSTOP)
+		waitFault(ctx, silence)
+		e.signal(syscall.SIGCONT)
+		return
+	}
+	n.setFaults(e, standin.Faults{StallAfter: streamEvents / 3, StallMs: int(silence.Duration.Milliseconds())})
+	waitFault(ctx, s)
+	n.setFaults(e, standin.Faults{})
+	waitFault(ctx, silence) // for the streams that are silent
+}
+
 func (n *injector) killReplica(ctx context.Context, s Fault, e *replica) {
 	if !e.claim() {
 		return
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -51,6 +51,8 @@
 	RestoreStore FaultKind = "restore store"  // from a copy that is Fault.Duration old
 	LeaveReplica FaultKind = "replica leaves" // and says so in its answers only
 	PauseCalls   FaultKind = "replica asks for pauses"
+
+	StallEngines FaultKind = "engines fall silent" // and go on
 )
 
 // weights are the relative frequencies of the kinds.
@@ -62,9 +64,12 @@
 	ExpireLeases: 1, RollOut: 4,
 }
 
-// laterWeights are those of the kinds that were added after plans had been kept. They are drawn separately, so that a seed
-// still gives the same faults of the other kinds.
-var laterWeights = map[FaultKind]int{RestoreStore: 2, LeaveReplica: 2, PauseCalls: 3}
+// laterWeights and troubleWeights are those of the kinds that were added after plans had been kept. Each is drawn separately, so
+// that a seed still gives the same faults of the other kinds.
+var (
+	laterWeights   = map[FaultKind]int{RestoreStore: 2, LeaveReplica: 2, PauseCalls: 3}
+	troubleWeights = map[FaultKind]int{StallEngines: 2}
+)
 
 // variants lists the variants of a kind, if any. Those of a cut name the blocked direction:
 // forth is towards the replica or the store, back is away from it.
@@ -75,6 +80,7 @@
 	CutStore:     {"forth", "back"},
 	StoreOutage:  {"busy", "silent", "mute", "slow", "lost"},
 	RollOut:      {"good", "bad"},
+	StallEngines: {"stop one", "stop many", "stop many, new configuration", "hold one", "hold many", "hold many, new configuration"},
 }
 
 // Fault is one fault to inject.
@@ -98,6 +104,7 @@
 	warmUp       = 1500 * time.Millisecond // traffic before the first fault
 	meanInterval = 450 * time.Millisecond  // between two faults; faults overlap, as most last longer than this
 	meanLater    = 1600 * time.Millisecond // the same for laterWeights
+	meanTrouble  = 2500 * time.Millisecond // the same for troubleWeights
 	maxFaultTime = 3 * time.Second         // duration of a fault
 	minFaultTime = 200 * time.Millisecond
 )
@@ -105,8 +112,9 @@
 // NewPlan returns the plan that a seed generates.
 func NewPlan(seed uint64, size Size, during time.Duration) Plan {
 	p := Plan{Seed: seed, Size: size, Duration: during}
-	p.draw(rand.New(rand.NewPCG(seed, 0)), weights, meanInterval)   //nolint:gosec // the same seed must give the same plan
-	p.draw(rand.New(rand.NewPCG(seed, 1)), laterWeights, meanLater) //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 0)), weights, meanInterval)       //nolint:gosec // the same seed must give the same plan
+	p.draw(rand.New(rand.NewPCG(seed, 1)), laterWeights, meanLater)     //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 2)), troubleWeights, meanTrouble) //nolint:gosec // as above
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return p
 }
--- a/internal/measure/soak/process.go
+++ b/internal/measure/soak/process.go
@@ -22,6 +22,7 @@
 type span struct {
 	from, until   time.Time
 	stopRequested time.Time // when SIGTERM was sent, if the process exited because of it
+	silent        bool      // the process was only silent, and went on
 }
 
 // process is a named program that can be restarted. Each run of it is an incarnation.
@@ -144,6 +145,13 @@
 	return p.addSpan(span{from: time.Now()})
 }
 
+// silence records that the process is silent, and otherwise sound, from now until the returned function is called.
+func (p *process) silence() (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addSpan(span{from: time.Now(), silent: true})
+}
+
 // recordDowntime records that the process is down after a SIGTERM, from its exit until the returned function is called.
 func (p *process) recordDowntime(requestedAt time.Time) (end func()) {
 	p.mu.Lock()
@@ -169,6 +177,13 @@
 	return overlaps(p.disturbances, from, until, margin)
 }
 
+// unsound reports the same as disturbed, for disturbances other than silence.
+func (p *process) unsound(from, until time.Time, margin time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbances, func(s span) bool { return !s.silent && s.overlaps(from, until, margin) })
+}
+
 func overlaps(spans []span, from, until time.Time, margin time.Duration) bool {
 	return slices.ContainsFunc(spans, func(s span) bool { return s.overlaps(from, until, margin) })
 }
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,7 +24,16 @@
 			is.Equal(s.Variant != "", len(variants[s.Kind]) > 0)
 		}
 	}
-	is.Equal(len(drawn), len(weights)+len(laterWeights))
+	is.Equal(len(drawn), len(weights)+len(laterWeights)+len(troubleWeights))
+}
+
+// TestSeedOfCI checks that the seed which is played in CI has all kinds of trouble.
+func TestSeedOfCI(t *testing.T) {
+	is := is.New(t)
+	p := NewPlan(1, Small, 10*time.Second)
+	for kind := range troubleWeights {
+		is.True(slices.ContainsFunc(p.Faults, func(s Fault) bool { return s.Kind == kind }))
+	}
 }
 
 // newScene returns a checker for a fleet with one router, and an attempt to it that succeeded.
@@ -50,16 +60,24 @@
 		change func(c *checker, a *attempt)
 		want   string // the violated guarantee; empty for none
 	}{
-		"served":             {func(c *checker, a *attempt) { c.addEvent(run(a, 0)) }, ""},
-		"not the endpoint's": {func(_ *checker, a *attempt) { a.fromEndpoint = false }, "whole"},
-		"other bytes":        {func(_ *checker, a *attempt) { a.responseBody = "POST /buy/y b" }, "whole"},
-		"complete stream":    {func(_ *checker, a *attempt) { stream(a) }, ""},
-		"short stream":       {func(_ *checker, a *attempt) { stream(a); a.received-- }, "whole"},
-		"broken stream":      {func(_ *checker, a *attempt) { stream(a); a.received, a.complete = 3, false }, ""},
-		"wrong event":        {func(_ *checker, a *attempt) { stream(a); a.eventError = "x" }, "order"},
-		"unexpected 404":     {func(_ *checker, a *attempt) { a.status, a.fromEndpoint = 404, false }, "denied"},
-		"unknown key":        {func(_ *checker, a *attempt) { a.status, a.fromEndpoint, a.key = 401, false, extraKeyName(0) }, ""},
-		"no response":        {func(_ *checker, a *attempt) { a.status, a.complete = 0, false }, "answer"},
+		"served":                                {func(c *checker, a *attempt) { c.addEvent(run(a, 0)) }, ""},
+		"not the endpoint's":                    {func(_ *checker, a *attempt) { a.fromEndpoint = false }, "whole"},
+		"other bytes":                           {func(_ *checker, a *attempt) { a.responseBody = "POST /buy/y b" }, "whole"},
+		"complete stream":                       {func(_ *checker, a *attempt) { stream(a) }, ""},
+		"short stream":                          {func(_ *checker, a *attempt) { stream(a); a.received-- }, "whole"},
+		"broken stream":                         {func(_ *checker, a *attempt) { stream(a); a.received, a.complete = 3, false }, ""},
+		"stream cut while its engine is silent": {func(c *checker, a *attempt) { stream(a); cutAt(c, a, a.sentAt.Add(time.Second), true) }, "cut"},
+		"stream cut after its engine ended":     {func(c *checker, a *attempt) { stream(a); cutAt(c, a, a.sentAt.Add(time.Second), false) }, ""},
+		"stream cut at its deadline":            {func(c *checker, a *attempt) { stream(a); cutAt(c, a, a.sentAt.Add(streamTimeout), true) }, ""},
+		"stream cut, router was killed": {func(c *checker, a *attempt) {
+			stream(a)
+			cutAt(c, a, a.sentAt.Add(time.Second), true)
+			a.router.disturbances = []span{{from: a.endedAt}}
+		}, ""},
+		"wrong event":    {func(_ *checker, a *attempt) { stream(a); a.eventError = "x" }, "order"},
+		"unexpected 404": {func(_ *checker, a *attempt) { a.status, a.fromEndpoint = 404, false }, "denied"},
+		"unknown key":    {func(_ *checker, a *attempt) { a.status, a.fromEndpoint, a.key = 401, false, extraKeyName(0) }, ""},
+		"no response":    {func(_ *checker, a *attempt) { a.status, a.complete = 0, false }, "answer"},
 		"router was killed": {func(_ *checker, a *attempt) {
 			a.status, a.complete = 0, false
 			a.router.disturbances = []span{{from: a.sentAt, until: a.endedAt}}
@@ -146,6 +164,15 @@
 	}
 }
 
+// cutAt ends a stream of an engine that is silent, or has ended.
+func cutAt(c *checker, a *attempt, at time.Time, silent bool) {
+	e := &replica{}
+	e.name, e.disturbances = "replica0", []span{{from: a.sentAt, until: at, silent: silent}}
+	c.fleet.replicas = []*replica{e}
+	c.addEvent(standin.RunEvent{UnixMilli: a.sentAt.UnixMilli(), Kind: "run", AttemptID: a.id, Replica: "i-replica0-1", Target: a.target})
+	a.received, a.complete, a.endedAt = 3, false, at
+}
+
 // pausedRuns lets an endpoint ask for a pause and run some requests of the same router in it.
 func pausedRuns(c *checker, a *attempt, runs int) {
 	c.attempts["q0"] = &attempt{id: "q0", status: 200, router: a.router}
