soak: a part of prompts that crashes engines

Requests with one part in common crashed each engine that began to write on it; the soak's engines had no such fault.

Change: a replica process that is started with -crash ends at a prompt with that part and prints "crash"; the soak starts it under a new id after some time. A series sends requests with a new part for 9 s, at any routers, no two alike; the other streams have the same first part and organisation. New guarantees: "deadly", from 3 s after the fifth crash three requests with the part at most run, not counted at routers that have been disturbed in the 3 s before, and "sound", streams that share the first part are served at least half as often then as at other times. The report has a line with the counts of each part.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -11,6 +11,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -147,13 +148,18 @@
 	f.DurationVar(&r.PrefillTime, "read", 100*time.Millisecond, "prefill time of a prompt")
 	f.IntVar(&r.EventCount, "events", 50, "`number` of events in a complete stream")
 	store := f.String("store", "", "`address` of the platform's store")
+	crash := f.String("crash", "", "exit when it begins to write on a prompt with this `part`, also after POST /faults")
 	return func() http.Handler {
 		r.Incarnation = time.Now().UnixMilli()
-		r.SetFaults(standin.Faults{InternalError: *bad})
+		r.SetFaults(standin.Faults{InternalError: *bad, CrashPart: *crash})
 		g := &standin.Registration{Replica: r, Store: *store}
 		log := &runLog{}
 		r.OnStart = func(run standin.Run) { log.write(run, g.DrainingSince(), "run") }
 		r.OnRefuse = func(run standin.Run) { log.write(run, g.DrainingSince(), "refuse") }
+		r.OnCrash = func(run standin.Run) {
+			log.write(run, g.DrainingSince(), "crash")
+			os.Exit(1)
+		}
 		r.OnEnd = func(run standin.Run, left bool) {
 			event := "end"
 			if left {
@@ -172,6 +178,7 @@
 				http.Error(w, err.Error(), http.StatusBadRequest)
 				return
 			}
+			faults.CrashPart = cmp.Or(faults.CrashPart, *crash)
 			r.SetFaults(faults)
 		})
 		return m
--- a/internal/measure/soak/caller.go
+++ b/internal/measure/soak/caller.go
@@ -28,6 +28,7 @@
 	target       string
 	body         string
 	key          string
+	part         string // that crashes engines; empty for none
 	router       *router
 	sentAt       time.Time
 	endedAt      time.Time
@@ -54,6 +55,7 @@
 	config  *operatorConfig
 	checker *checker
 	random  *rand.Rand
+	part    string // that crashes engines, in all its prompts; empty for none
 
 	transport  *http.Transport
 	routers    []*router
@@ -82,7 +84,7 @@
 		case a.complete && a.status != http.StatusServiceUnavailable, !a.leftAt.IsZero():
 			return
 		case a.status == http.StatusServiceUnavailable: // not run, so a retry is safe
-		case a.isUnsafe():
+		case a.isUnsafe(), c.part != "":
 			return
 		}
 		after += a.received
@@ -95,6 +97,9 @@
 // nextRequest draws a path prefix and an API key. Most requests use the initial routes and key; some use the route that was
 // added last, or an extra key that may be revoked.
 func (c *caller) nextRequest() (prefix, key string) {
+	if c.part != "" {
+		return "/stream/", "key"
+	}
 	n := c.random.IntN(100)
 	prefix, key = "/get/", "key"
 	switch {
@@ -148,7 +153,7 @@
 // send makes one attempt to a picked router.
 func (c *caller) send(prefix, key string, after int) *attempt {
 	c.requests++
-	a := &attempt{id: fmt.Sprintf("q%d-%d-", c.number, c.requests), prefix: prefix, key: key, after: after, router: c.pickRouter()}
+	a := &attempt{id: fmt.Sprintf("q%d-%d-", c.number, c.requests), prefix: prefix, key: key, part: c.part, after: after, router: c.pickRouter()}
 	a.target = fmt.Sprintf("%sx%d?n=%d", prefix, c.number, c.requests)
 	a.body = strings.Repeat(a.id, 1+c.random.IntN(40))
 	timeout := plainTimeout
@@ -164,6 +169,9 @@
 	q := standin.Request{AttemptID: a.id, Address: a.router.callerAddress, Host: host, Target: a.target, Body: a.body, Key: key, Timeout: timeout, LastEventID: after}
 	if a.isStream() {
 		q.PromptParts, q.PromptTokens, q.MaxTokens = fmt.Sprintf("aa:200,%d:800", c.number), 1000, 300
+		if a.part != "" {
+			q.PromptParts = fmt.Sprintf("aa:200,%s:90,%d%04d:710", a.part, c.number, c.requests) // no two prompts are alike
+		}
 	}
 	a.sentAt = time.Now()
 	response, err := q.Send(ctx, c.transport)
--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -196,6 +196,7 @@
 	r.checkRetryBudget()
 	r.checkDepartures()
 	r.checkPauses()
+	r.checkDeadly()
 }
 
 // cutAtSoundEngine reports whether a stream was ended before its caller's deadline although the engines that ran it were at most
@@ -250,6 +251,78 @@
 	return e != nil && e.disturbed(from, until, schedulingSlack)
 }
 
+const (
+	freeCrashes   = 5 // of engines under a part, before routers have to know it
+	learnTime     = 3 * time.Second
+	maxDeadlyRuns = 3
+	minCompared   = 10 // sound streams, for a comparison of their shares
+)
+
+// checkDeadly checks for each part that crashes engines that routers keep its requests back, and serve the sound ones with the same
+// first part; the caller holds mu.
+func (r *checker) checkDeadly() {
+	crashes, lastSent := map[string][]time.Time{}, map[string]time.Time{}
+	for id, a := range r.attempts {
+		if a.part == "" {
+			continue
+		}
+		if a.sentAt.After(lastSent[a.part]) {
+			lastSent[a.part] = a.sentAt
+		}
+		for _, s := range r.events[id] {
+			if s.Kind == "crash" {
+				crashes[a.part] = append(crashes[a.part], time.UnixMilli(s.UnixMilli))
+			}
+		}
+	}
+	var series []span // from the first crash to the last request
+	for part, all := range crashes {
+		slices.SortFunc(all, time.Time.Compare)
+		series = append(series, span{from: all[0], until: lastSent[part]})
+	}
+	usual, usualOf := r.servedStreams(func(a *attempt) bool { return !overlaps(series, a.sentAt, a.endedAt, 0) })
+	for part, all := range crashes {
+		known := all[min(len(all), freeCrashes)-1].Add(learnTime)
+		id, runs := r.deadlyRuns(part, known)
+		served, of := r.servedStreams(func(a *attempt) bool { return a.sentAt.After(known) && a.sentAt.Before(lastSent[part]) })
+		_, _ = fmt.Fprintf(r.out, "part %s: %d crashes, %d later runs, %d of %d sound streams served, %d of %d at other times\n", part, len(all), runs, served, of, usual, usualOf)
+		if len(all) >= freeCrashes && runs > maxDeadlyRuns {
+			r.violations = append(r.violations, Violation{"deadly", id, fmt.Sprintf("%d requests with a part reached engines %v after the fifth of its %d crashes", runs, learnTime, len(all))})
+		}
+		if min(of, usualOf) >= minCompared && 2*served*usualOf < usual*of {
+			r.violations = append(r.violations, Violation{"sound", "", fmt.Sprintf("%d of %d sound streams served beside part %s, %d of %d at other times", served, of, part, usual, usualOf)})
+		}
+	}
+}
+
+// deadlyRuns returns how many requests with a part ran after a time although their routers had been undisturbed for a while, and
+// the id of one of them.
+func (r *checker) deadlyRuns(part string, after time.Time) (last string, runs int) {
+	for id, a := range r.attempts {
+		if a.part == part && slices.ContainsFunc(r.events[id], func(s standin.RunEvent) bool {
+			at := time.UnixMilli(s.UnixMilli)
+			return s.Kind == "run" && at.After(after) && !a.router.disturbed(at.Add(-learnTime), at, 0)
+		}) {
+			last, runs = id, runs+1
+		}
+	}
+	return last, runs
+}
+
+// servedStreams counts the sound streams at undisturbed routers that a predicate selects, and those of them that were served.
+func (r *checker) servedStreams(selects func(*attempt) bool) (served, all int) {
+	for _, a := range r.attempts {
+		if !a.isStream() || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || !selects(a) {
+			continue
+		}
+		all++
+		if a.status == http.StatusOK && !a.truncated() {
+			served++
+		}
+	}
+	return served, all
+}
+
 const (
 	pauseSlack        = 500 * time.Millisecond // after the refusal that asks for a pause
 	maxArrivalsPaused = 2
--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -165,7 +165,7 @@
 	r.args = []string{"replica", "-version", r.version, fmt.Sprintf("-bad=%v", r.failing), "-listen", r.address, "-at", r.proxy.address, "-id", fmt.Sprintf("i-%s-%d", r.name, r.incarnation),
 		"-service", r.service, "-zone", r.zone, "-store", f.storeAddress, "-events", fmt.Sprint(streamEvents)}
 	if r.service == "pool" {
-		r.args = append(r.args, "-engine")
+		r.args = append(r.args, "-engine", "-crash", crashPart)
 	}
 }
 
--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"jaywind/internal/standin/relay"
 	"jaywind/platform/standin"
 )
@@ -22,6 +25,8 @@
 	active      sync.WaitGroup // faults that have not been removed yet
 	rolloutLock sync.Mutex     // held by the roll-out in progress
 	rollouts    int            // number of roll-outs so far
+	crashLock   sync.Mutex     // held while requests with a part that crashes engines are sent
+	crashSeries int            // number of such parts so far
 	storeLock   sync.Mutex     // held while the store has a copy to come back from
 
 	orderLock sync.Mutex
@@ -120,6 +125,8 @@
 		n.leaveReplica(ctx, s, e)
 	case PauseCalls:
 		n.pauseCalls(ctx, s, e)
+	case CrashEngines:
+		n.crashEngines(ctx, s)
 	case StallEngines:
 		n.stallEngines(ctx, s)
 	case RollOut:
@@ -246,6 +253,61 @@
 	waitFault(ctx, silence) // for the streams that are silent
 }
 
+const (
+	crashPart      = "bad" // begins the names of the parts that crash engines
+	deadlyCallers  = 3
+	deadlyNumber   = 100_000 // number of the first of them
+	deadlyTime     = 9 * time.Second
+	deadlyInterval = 100 * time.Millisecond // between two looks for engines that have crashed
+)
+
+// crashEngines sends requests with a part in common that crashes engines, and starts these under new ids after the time of the fault.
+func (n *injector) crashEngines(ctx context.Context, s Fault) {
+	if !n.crashLock.TryLock() {
+		return
+	}
+	defer n.crashLock.Unlock()
+	asking, stop := context.WithTimeout(ctx, deadlyTime)
+	defer stop()
+	var group conc.WaitGroup
+	for i := range deadlyCallers {
+		c := &caller{number: deadlyNumber + n.crashSeries*deadlyCallers + i, fleet: n.fleet, config: n.config, checker: n.checker, part: fmt.Sprintf("%s%d", crashPart, n.crashSeries),
+			random: rand.New(rand.NewPCG(uint64(s.Target), uint64(i)))} //nolint:gosec // not used for security
+		group.Go(func() { c.run(asking) })
+	}
+	n.crashSeries++
+	for asking.Err() == nil {
+		n.restartCrashed(s.Duration)
+		time.Sleep(deadlyInterval)
+	}
+	group.Wait()
+	time.Sleep(transitTime) // for the last runs to crash their engines
+	for ctx.Err() == nil && n.restartCrashed(s.Duration) {
+		time.Sleep(deadlyInterval)
+	}
+}
+
+// restartCrashed starts the engines that have been down for a time and that no other fault has claimed. It reports whether any is down.
+func (n *injector) restartCrashed(downtime time.Duration) (down bool) {
+	for _, e := range n.fleet.engines() {
+		if e.pid() != 0 {
+			continue
+		}
+		down = true
+		if !e.claim() {
+			continue
+		}
+		if e.pid() == 0 && e.downFor() > downtime {
+			end := e.recordDowntime(time.Time{})
+			e.setArguments(n.fleet, true)
+			n.restart(&e.process)
+			end()
+		}
+		e.release()
+	}
+	return down
+}
+
 func (n *injector) killReplica(ctx context.Context, s Fault, e *replica) {
 	if !e.claim() {
 		return
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -53,6 +53,7 @@
 	PauseCalls   FaultKind = "replica asks for pauses"
 
 	StallEngines FaultKind = "engines fall silent" // and go on
+	CrashEngines FaultKind = "part that crashes engines"
 )
 
 // weights are the relative frequencies of the kinds.
@@ -68,7 +69,7 @@
 // that a seed still gives the same faults of the other kinds.
 var (
 	laterWeights   = map[FaultKind]int{RestoreStore: 2, LeaveReplica: 2, PauseCalls: 3}
-	troubleWeights = map[FaultKind]int{StallEngines: 2}
+	troubleWeights = map[FaultKind]int{StallEngines: 3, CrashEngines: 2}
 )
 
 // variants lists the variants of a kind, if any. Those of a cut name the blocked direction:
--- a/internal/measure/soak/process.go
+++ b/internal/measure/soak/process.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// downFor returns how long ago an incarnation last exited.
+func (p *process) downFor() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.exitedAt)
+}
+
 // waitExit waits for the current incarnation to exit and returns false on timeout.
 func (p *process) waitExit(limit time.Duration) bool {
 	p.mu.Lock()
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -74,10 +74,18 @@
 			cutAt(c, a, a.sentAt.Add(time.Second), true)
 			a.router.disturbances = []span{{from: a.endedAt}}
 		}, ""},
-		"wrong event":    {func(_ *checker, a *attempt) { stream(a); a.eventError = "x" }, "order"},
-		"unexpected 404": {func(_ *checker, a *attempt) { a.status, a.fromEndpoint = 404, false }, "denied"},
-		"unknown key":    {func(_ *checker, a *attempt) { a.status, a.fromEndpoint, a.key = 401, false, extraKeyName(0) }, ""},
-		"no response":    {func(_ *checker, a *attempt) { a.status, a.complete = 0, false }, "answer"},
+		"deadly part runs on":      {func(c *checker, a *attempt) { deadlyRuns(c, a, freeCrashes+maxDeadlyRuns+1) }, "deadly"},
+		"deadly part is kept back": {func(c *checker, a *attempt) { deadlyRuns(c, a, freeCrashes+maxDeadlyRuns) }, ""},
+		"deadly part, fresh router": {func(c *checker, a *attempt) {
+			deadlyRuns(c, a, 20)
+			a.router.disturbances = []span{{from: a.sentAt, until: a.sentAt.Add(12 * time.Second)}}
+		}, ""},
+		"sound streams are kept back": {func(c *checker, a *attempt) { deadlyRuns(c, a, freeCrashes); soundStreams(c, a, minCompared/2-1) }, "sound"},
+		"sound streams are served":    {func(c *checker, a *attempt) { deadlyRuns(c, a, freeCrashes); soundStreams(c, a, minCompared/2) }, ""},
+		"wrong event":                 {func(_ *checker, a *attempt) { stream(a); a.eventError = "x" }, "order"},
+		"unexpected 404":              {func(_ *checker, a *attempt) { a.status, a.fromEndpoint = 404, false }, "denied"},
+		"unknown key":                 {func(_ *checker, a *attempt) { a.status, a.fromEndpoint, a.key = 401, false, extraKeyName(0) }, ""},
+		"no response":                 {func(_ *checker, a *attempt) { a.status, a.complete = 0, false }, "answer"},
 		"router was killed": {func(_ *checker, a *attempt) {
 			a.status, a.complete = 0, false
 			a.router.disturbances = []span{{from: a.sentAt, until: a.endedAt}}
@@ -173,6 +181,40 @@
 	a.received, a.complete, a.endedAt = 3, false, at
 }
 
+// deadlyRuns lets requests with a part that crashes engines run: five at once, the others over 3 s later, and one that is kept back.
+func deadlyRuns(c *checker, a *attempt, runs int) {
+	for i := range runs + 1 {
+		at := a.sentAt
+		if i >= freeCrashes {
+			at = at.Add(learnTime + 2*time.Second)
+		}
+		d := &attempt{id: fmt.Sprint("d", i), prefix: "/stream/", target: "/stream/x", part: "bad1", router: a.router, sentAt: at, endedAt: at, status: 502, complete: true}
+		c.attempts[d.id] = d
+		if i == runs {
+			d.sentAt = at.Add(10 * time.Second)
+			return
+		}
+		for _, kind := range []string{"run", "crash"} {
+			c.addEvent(standin.RunEvent{UnixMilli: at.UnixMilli(), Kind: kind, AttemptID: d.id, Replica: fmt.Sprint("i-e", i), Target: d.target})
+		}
+	}
+}
+
+// soundStreams serves all streams of an earlier time, and some of those after five crashes.
+func soundStreams(c *checker, a *attempt, served int) {
+	for i := range 2 * minCompared {
+		s := &attempt{id: fmt.Sprint("s", i), prefix: "/stream/", router: a.router, sentAt: a.sentAt.Add(-5 * time.Second), status: 200, complete: true}
+		if i >= minCompared {
+			s.sentAt = a.sentAt.Add(4 * time.Second)
+			if i >= minCompared+served {
+				s.status = 503
+			}
+		}
+		s.endedAt = s.sentAt
+		c.attempts[s.id] = s
+	}
+}
+
 // pausedRuns lets an endpoint ask for a pause and run some requests of the same router in it.
 func pausedRuns(c *checker, a *attempt, runs int) {
 	c.attempts["q0"] = &attempt{id: "q0", status: 200, router: a.router}
