suspect: a router that has missed a quarantine learns it from its collector

Callers of a router that had just started could crash engines without end with a part that all other routers kept back.

Cause: a router that starts learns quarantines from the store only. A restore of the store from an older copy, or the end of all leases, removes them there. The router's losses reach collectors that hold the group as known, and these announce nothing again.

Change: a collector answers a report of losses with the groups in force which the losses are under. The router adopts them, and stores those that were news to it for the next one that starts.

TestMissedQuarantine failed before (timed out) and passes.

--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -30,6 +30,8 @@
 	AddQuarantine(g suspect.Group) bool
 	// LiftQuarantine lets the requests of a group run again, and reports whether that is news.
 	LiftQuarantine(g suspect.Group) bool
+	// Quarantined returns the groups in force that a prompt with these shared parts has.
+	Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group
 	// SoundParts returns those of the parts under which runs have survived their beginning.
 	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart
 }
@@ -135,11 +137,25 @@
 	}
 	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
 	for at, r := range reports {
-		p.Go(func() { _, _ = send[lossReport, emptyResponse](ctx, d, at, lossPath, r) })
+		p.Go(func() { d.report(ctx, at, r) })
 	}
 	p.Wait()
 }
 
+// report sends losses to a collector, and adopts the quarantines that this router has missed. A router that starts may miss one because the
+// store has lost it, so it is stored again.
+func (d *Detector) report(ctx context.Context, at jaywind.Address, r *lossReport) {
+	answer, err := send[lossReport, lossResponse](ctx, d, at, lossPath, r)
+	if err != nil {
+		return
+	}
+	for _, w := range answer.Quarantined {
+		if g := w.decode(); d.Router.AddQuarantine(g) {
+			d.Persist(ctx, g, false)
+		}
+	}
+}
+
 // collect adds a loss to those that this router has collected.
 func (d *Detector) collect(l suspect.Loss) {
 	d.mu.Lock()
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -42,6 +42,16 @@
 	return was
 }
 
+func (r *fakeRouter) Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group {
+	var found []suspect.Group
+	for _, p := range shared {
+		if g := (suspect.Group{Service: s, Parts: []jaywind.PromptPart{p}}); r.holds(g.Key()) {
+			found = append(found, g)
+		}
+	}
+	return found
+}
+
 func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -221,3 +231,27 @@
 	}
 	eventually(true)
 }
+
+// TestMissedQuarantine fails if a router that has missed a quarantine, which the store has lost, can lose runs under it again and again.
+func TestMissedQuarantine(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 4)
+	eventually := func(ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if ok() {
+				return
+			}
+		}
+		t.Fatal("timed out")
+	}
+	for i := range 3 {
+		f.detectors[i].Report(loss(i, "x"))
+	}
+	eventually(func() bool { return f.routers[3].holds("pool/x") && f.storedGroups() != "" })
+	stored := f.storedGroups()
+	is.True(f.routers[3].LiftQuarantine(suspect.Group{Service: "pool", Parts: []jaywind.PromptPart{"x"}})) // as if it had just started
+	f.detectors[3].Report(loss(3, "y", "x"))
+	eventually(func() bool { return f.routers[3].holds("pool/x") && f.storedGroups() != stored })
+	is.True(!f.routers[3].holds("pool/y"))
+}
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -18,12 +18,17 @@
 	m.Handle(quarantinePath, connect.NewUnaryHandler(quarantinePath, d.handleQuarantine, cbor.HandlerOptions()...))
 }
 
-func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[emptyResponse], error) {
-	for _, l := range req.Msg.Losses {
-		d.collect(l.decode())
+func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[lossResponse], error) {
+	response := &lossResponse{}
+	for _, w := range req.Msg.Losses {
+		l := w.decode()
+		for _, g := range d.Router.Quarantined(l.Service, l.Shared) {
+			response.Quarantined = append(response.Quarantined, encodeGroup(g, false))
+		}
+		d.collect(l)
 	}
 	d.signal()
-	return connect.NewResponse(&emptyResponse{}), nil
+	return connect.NewResponse(response), nil
 }
 
 func (d *Detector) handleSound(_ context.Context, req *connect.Request[group]) (*connect.Response[soundParts], error) {
--- a/internal/fleet/suspect/message.go
+++ b/internal/fleet/suspect/message.go
@@ -16,6 +16,11 @@
 	Losses []loss `cbor:"1,keyasint"`
 }
 
+// lossResponse is what a collector answers.
+type lossResponse struct {
+	Quarantined []group `cbor:"1,keyasint"` // groups in force which the losses are under
+}
+
 // loss is a suspect.Loss on the wire.
 type loss struct {
 	Service string   `cbor:"1,keyasint"`
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -54,6 +54,14 @@
 	return true
 }
 
+// Quarantined returns the groups in force that a prompt with these shared parts has.
+func (r *Router) Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.Matching(s, shared, time.Now())
+}
+
 // SoundParts returns those of a service's parts under which runs of this router have survived their beginning.
 func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) []jaywind.PromptPart {
 	r.init()
