suspect: a failing test of a shared part that is quarantined for its victims

Three engines crashed under the part bad0. At 41.411 s a collector quarantined the part aa, which all prompts have, and the other the group aa and bad0. All streams were refused until the end of the run: 0 of 157 served beside the part, and no router served streams again ("sound" once, "recover" three times).

Cause: the routers report the losses of one crash in batches of their own. A report with victims only, 50 ms before the one with the crashing part, makes the victims' part a candidate by itself. The later losses, which show that the two always came together, change nothing, and as its requests are refused no run can survive and lift the quarantine for 10 minutes.

TestVictimsReportedFirst fails.

--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -255,3 +255,18 @@
 	eventually(func() bool { return f.routers[3].holds("pool/x") && f.storedGroups() != stored })
 	is.True(!f.routers[3].holds("pool/y"))
 }
+
+// TestVictimsReportedFirst fails if a shared part is quarantined because its losses came before those of the part which crashes the engines.
+func TestVictimsReportedFirst(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 5)
+	for i := range 3 {
+		f.detectors[3].Report(loss(i, "aa")) // victims on the engines that crash
+	}
+	time.Sleep(50 * time.Millisecond)
+	for i := range 3 {
+		f.detectors[4].Report(loss(i, "aa", "bad"))
+	}
+	time.Sleep(500 * time.Millisecond)
+	is.True(!f.routers[0].holds("pool/aa")) // sound prompts with it would be refused, so that none can survive and lift it
+}
