--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -69,6 +69,12 @@
 		"stream cut while its engine is silent": {func(c *checker, a *attempt) { stream(a); cutAt(c, a, a.sentAt.Add(time.Second), true) }, "cut"},
 		"stream cut after its engine ended":     {func(c *checker, a *attempt) { stream(a); cutAt(c, a, a.sentAt.Add(time.Second), false) }, ""},
 		"stream cut at its deadline":            {func(c *checker, a *attempt) { stream(a); cutAt(c, a, a.sentAt.Add(streamTimeout), true) }, ""},
+		"stream cut as its engine crashed": {func(c *checker, a *attempt) {
+			stream(a)
+			cutAt(c, a, a.sentAt.Add(time.Second), true)
+			c.attempts["d"] = &attempt{id: "d", part: "bad1", status: 502, router: a.router}
+			c.addEvent(standin.RunEvent{UnixMilli: a.endedAt.UnixMilli() - 1, Kind: "crash", AttemptID: "d", Replica: "i-replica0-1"})
+		}, ""},
 		"stream cut, router was killed": {func(c *checker, a *attempt) {
 			stream(a)
 			cutAt(c, a, a.sentAt.Add(time.Second), true)
