--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -19,30 +18,17 @@
 	m.Handle(quarantinePath, connect.NewUnaryHandler(quarantinePath, d.handleQuarantine, cbor.HandlerOptions()...))
 }
 
-func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[lossAnswer], error) {
-	answer := &lossAnswer{}
-	for _, l := range req.Msg.Losses {
-		l := l.decode()
-		d.collect(l)
-		for _, g := range d.quarantined(l) {
-			answer.Quarantined = append(answer.Quarantined, encodeGroup(g, false))
+func (d *Detector) handleLosses(_ context.Context, req *connect.Request[lossReport]) (*connect.Response[lossResponse], error) {
+	response := &lossResponse{}
+	for _, w := range req.Msg.Losses {
+		l := w.decode()
+		for _, g := range d.Router.Quarantined(l.Service, l.Shared) {
+			response.Quarantined = append(response.Quarantined, encodeGroup(g, false))
 		}
+		d.collect(l)
 	}
 	d.signal()
-	return connect.NewResponse(answer), nil
-}
-
-// quarantined returns the groups that this router has quarantined and that the prompt of a loss had.
-func (d *Detector) quarantined(l suspect.Loss) []suspect.Group {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var found []suspect.Group
-	for _, k := range d.known {
-		if k.group.In(l.Service, l.Shared) && time.Now().Before(k.until) {
-			found = append(found, k.group)
-		}
-	}
-	return found
+	return connect.NewResponse(response), nil
 }
 
 func (d *Detector) handleSound(_ context.Context, req *connect.Request[soundQuestion]) (*connect.Response[soundParts], error) {
--- a/internal/fleet/suspect/message.go
+++ b/internal/fleet/suspect/message.go
@@ -18,9 +18,9 @@
 	Losses []loss `cbor:"1,keyasint"`
 }
 
-// lossAnswer tells the sender of a report which quarantined groups its prompts had, as it may have missed their announcement.
-type lossAnswer struct {
-	Quarantined []group `cbor:"1,keyasint"`
+// lossResponse is what a collector answers.
+type lossResponse struct {
+	Quarantined []group `cbor:"1,keyasint"` // groups in force which the losses are under
 }
 
 // loss is a suspect.Loss on the wire.
--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -37,13 +37,14 @@
 	mu         sync.Mutex
 	attempts   map[string]*attempt
 	events     map[string][]standin.RunEvent // by attempt id
+	crashedAt  map[string]time.Time          // when replicas crashed under a part, by their ids
 	violations []Violation
 	outcomes   map[string]int
 }
 
 func newChecker(f *fleet, u *operatorConfig, out io.Writer) *checker {
 	return &checker{fleet: f, config: u, startedAt: time.Now(), out: out,
-		attempts: map[string]*attempt{}, events: map[string][]standin.RunEvent{}, outcomes: map[string]int{}}
+		attempts: map[string]*attempt{}, events: map[string][]standin.RunEvent{}, crashedAt: map[string]time.Time{}, outcomes: map[string]int{}}
 }
 
 // logf prints a line, prefixed by the seconds since the start.
@@ -64,6 +65,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events[s.AttemptID] = append(r.events[s.AttemptID], s)
+	if s.Kind == "crash" {
+		r.crashedAt[s.Replica] = time.UnixMilli(s.UnixMilli)
+	}
 }
 
 // checkAttempt records a finished attempt and checks what its caller observed.
@@ -177,6 +181,9 @@
 		if a.truncated() && a.router.exitedNear(a.endedAt) && !a.mayLoseResponse() {
 			r.violations = append(r.violations, Violation{"answer", id, fmt.Sprintf("response truncated by %s during its graceful shutdown", a.router.name)})
 		}
+		if a.isStream() && a.truncated() && !a.mayLoseResponse() && r.cutAtSoundEngine(a) {
+			r.violations = append(r.violations, Violation{"cut", id, fmt.Sprintf("stream ended by %s after %v, its engines are sound", a.router.name, a.endedAt.Sub(a.sentAt).Round(time.Millisecond))})
+		}
 		notRun := a.status == http.StatusServiceUnavailable && !a.fromEndpoint
 		if a.isUnsafe() && runs > 1 {
 			r.violations = append(r.violations, Violation{"once", id, fmt.Sprintf("unsafe call ran %d times", runs)})
@@ -193,6 +200,23 @@
 	r.checkRetryBudget()
 	r.checkDepartures()
 	r.checkPauses()
+	r.checkDeadly()
+}
+
+// cutAtSoundEngine reports whether a stream was ended before its caller's deadline although the engines that ran it were at most
+// silent for a while; the caller holds mu.
+func (r *checker) cutAtSoundEngine(a *attempt) bool {
+	ran := false
+	for _, s := range r.events[a.id] {
+		ran = ran || s.Kind == "run"
+		if at, crashed := r.crashedAt[s.Replica]; crashed && at.After(a.sentAt) && at.Before(a.endedAt.Add(transitTime)) {
+			return false
+		}
+		if e := r.replicaOf(s.Replica); e == nil || e.unsound(a.sentAt, a.endedAt, transitTime) {
+			return false
+		}
+	}
+	return ran && a.endedAt.Sub(a.sentAt) < streamTimeout-transitTime
 }
 
 // checkDepartures checks that a router that has passed on a response in which an endpoint says that it is leaving sends it no
@@ -219,14 +243,91 @@
 	}
 }
 
+// replicaOf returns the replica that has or had an id, or nil.
+func (r *checker) replicaOf(id string) *replica {
+	i := slices.IndexFunc(r.fleet.replicas, func(e *replica) bool { return strings.HasPrefix(id, "i-"+e.name+"-") })
+	if i < 0 {
+		return nil
+	}
+	return r.fleet.replicas[i]
+}
+
 // replicaDisturbed reports whether the replica with an id was disturbed within a time.
 func (r *checker) replicaDisturbed(id string, from, until time.Time) bool {
-	for _, e := range r.fleet.replicas {
-		if strings.HasPrefix(id, "i-"+e.name+"-") && e.disturbed(from, until, schedulingSlack) {
-			return true
+	e := r.replicaOf(id)
+	return e != nil && e.disturbed(from, until, schedulingSlack)
+}
+
+const (
+	freeCrashes   = 5 // of engines under a part, before routers have to know it
+	learnTime     = 3 * time.Second
+	maxDeadlyRuns = 3
+	minCompared   = 10 // sound streams, for a comparison of their shares
+)
+
+// checkDeadly checks for each part that crashes engines that routers keep its requests back, and serve the sound ones with the same
+// first part; the caller holds mu.
+func (r *checker) checkDeadly() {
+	crashes, lastSent := map[string][]time.Time{}, map[string]time.Time{}
+	for id, a := range r.attempts {
+		if a.part == "" {
+			continue
+		}
+		if a.sentAt.After(lastSent[a.part]) {
+			lastSent[a.part] = a.sentAt
+		}
+		for _, s := range r.events[id] {
+			if s.Kind == "crash" {
+				crashes[a.part] = append(crashes[a.part], time.UnixMilli(s.UnixMilli))
+			}
 		}
 	}
-	return false
+	var series []span // from the first crash to the last request
+	for part, all := range crashes {
+		slices.SortFunc(all, time.Time.Compare)
+		series = append(series, span{from: all[0], until: lastSent[part]})
+	}
+	usual, usualOf := r.servedStreams(func(a *attempt) bool { return !overlaps(series, a.sentAt, a.endedAt, 0) })
+	for part, all := range crashes {
+		known := all[min(len(all), freeCrashes)-1].Add(learnTime)
+		id, runs := r.deadlyRuns(part, known)
+		served, of := r.servedStreams(func(a *attempt) bool { return a.sentAt.After(known) && a.sentAt.Before(lastSent[part]) })
+		_, _ = fmt.Fprintf(r.out, "part %s: %d crashes, %d later runs, %d of %d sound streams served, %d of %d at other times\n", part, len(all), runs, served, of, usual, usualOf)
+		if len(all) >= freeCrashes && runs > maxDeadlyRuns {
+			r.violations = append(r.violations, Violation{"deadly", id, fmt.Sprintf("%d requests with a part reached engines %v after the fifth of its %d crashes", runs, learnTime, len(all))})
+		}
+		if min(of, usualOf) >= minCompared && 2*served*usualOf < usual*of {
+			r.violations = append(r.violations, Violation{"sound", "", fmt.Sprintf("%d of %d sound streams served beside part %s, %d of %d at other times", served, of, part, usual, usualOf)})
+		}
+	}
+}
+
+// deadlyRuns returns how many requests with a part ran after a time although their routers had been undisturbed for a while, and
+// the id of one of them.
+func (r *checker) deadlyRuns(part string, after time.Time) (last string, runs int) {
+	for id, a := range r.attempts {
+		if a.part == part && slices.ContainsFunc(r.events[id], func(s standin.RunEvent) bool {
+			at := time.UnixMilli(s.UnixMilli)
+			return s.Kind == "run" && at.After(after) && !a.router.disturbed(at.Add(-learnTime), at, 0)
+		}) {
+			last, runs = id, runs+1
+		}
+	}
+	return last, runs
+}
+
+// servedStreams counts the sound streams at undisturbed routers that a predicate selects, and those of them that were served.
+func (r *checker) servedStreams(selects func(*attempt) bool) (served, all int) {
+	for _, a := range r.attempts {
+		if !a.isStream() || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || !selects(a) {
+			continue
+		}
+		all++
+		if a.status == http.StatusOK && !a.truncated() {
+			served++
+		}
+	}
+	return served, all
 }
 
 const (
--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -98,6 +98,8 @@
 	})
 }
 
+func (f *fleet) engines() []*replica { return f.replicas[:f.size.Engines] }
+
 func (f *fleet) binary(name string) string { return filepath.Join(f.binDir, name) }
 
 // openLog creates the log file of a process. If that fails its output is discarded.
@@ -163,7 +165,7 @@
 	r.args = []string{"replica", "-version", r.version, fmt.Sprintf("-bad=%v", r.failing), "-listen", r.address, "-at", r.proxy.address, "-id", fmt.Sprintf("i-%s-%d", r.name, r.incarnation),
 		"-service", r.service, "-zone", r.zone, "-store", f.storeAddress, "-events", fmt.Sprint(streamEvents)}
 	if r.service == "pool" {
-		r.args = append(r.args, "-engine")
+		r.args = append(r.args, "-engine", "-crash", crashPart)
 	}
 }
 
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -54,6 +54,14 @@
 	return true
 }
 
+// Quarantined returns the groups in force that a prompt with these shared parts has.
+func (r *Router) Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.Matching(s, shared, time.Now())
+}
+
 // AllowProbe lets one request of a quarantined group run after a delay. If it survives, the quarantine is lifted.
 func (r *Router) AllowProbe(g suspect.Group, delay time.Duration) {
 	r.init()
