suspect: collectors ask less often while nothing survives

While no run of a service survives, a collector asked all routers twice a second whether one has; in a fleet of 300 that is 600 calls a second from each of two. It asks every 2 s now, and at each further loss as before. Names that hid the built-in any are replaced.

--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -21,9 +21,9 @@
 	batchTime          = 20 * time.Millisecond  // within which losses are sent together
 	callTimeout        = 300 * time.Millisecond // for one call to a router
 	maxConcurrentCalls = 16
-	probeDelay         = time.Second            // from a quarantine to the request that may lift it; longer than the crash lasts
-	undecidedDelay     = 500 * time.Millisecond // before a candidate is looked at again while no run survives
-	maxPending         = 256                    // losses that wait to be sent; further ones are dropped, as many more are on their way
+	probeDelay         = time.Second     // from a quarantine to the request that may lift it; longer than the crash lasts
+	undecidedDelay     = 2 * time.Second // before a candidate is looked at again while no run survives
+	maxPending         = 256             // losses that wait to be sent; further ones are dropped, as many more are on their way
 )
 
 // Router is the part of a router that a Detector uses.
@@ -38,7 +38,7 @@
 	AllowProbe(g suspect.Group, delay time.Duration)
 	// SoundParts returns those of the parts under which runs have survived their beginning, and whether any run of the service has
 	// within the given time.
-	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, any bool)
+	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, survived bool)
 }
 
 // Detector exchanges losses and quarantines with the other routers. Set the exported fields before the first call.
@@ -188,14 +188,14 @@
 		if !found {
 			return wait
 		}
-		sound, any := d.soundParts(ctx, c)
+		sound, survived := d.soundParts(ctx, c)
 		d.mu.Lock()
 		if len(sound) > 0 {
 			d.finder.Clear(c.Service, sound)
 			d.mu.Unlock()
 			continue
 		}
-		if !any {
+		if !survived {
 			d.mu.Unlock()
 			return undecidedDelay
 		}
@@ -230,10 +230,10 @@
 
 // soundParts returns those of a candidate's parts under which runs have survived, at this router or, if none has, at any other, and
 // whether any run of the service has since the first loss.
-func (d *Detector) soundParts(ctx context.Context, c suspect.Candidate) (sound []jaywind.PromptPart, any bool) {
+func (d *Detector) soundParts(ctx context.Context, c suspect.Candidate) (sound []jaywind.PromptPart, survived bool) {
 	within := time.Since(c.FirstLoss)
-	if sound, any = d.Router.SoundParts(c.Service, c.Parts, within); len(sound) > 0 {
-		return sound, any
+	if sound, survived = d.Router.SoundParts(c.Service, c.Parts, within); len(sound) > 0 {
+		return sound, survived
 	}
 	question := soundQuestion{Group: encodeGroup(c.Group, false), Within: within}
 	p := pool.NewWithResults[soundParts]().WithMaxGoroutines(maxConcurrentCalls)
@@ -248,9 +248,9 @@
 	}
 	for _, answer := range p.Wait() {
 		sound = append(sound, parts(answer.Parts)...)
-		any = any || answer.Any
+		survived = survived || answer.Any
 	}
-	return sound, any
+	return sound, survived
 }
 
 // publish announces a quarantine, or its end, to all routers and stores it.
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -57,7 +57,7 @@
 
 func (r *fakeRouter) AllowProbe(suspect.Group, time.Duration) {}
 
-func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart, _ time.Duration) (sound []jaywind.PromptPart, any bool) {
+func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart, _ time.Duration) (sound []jaywind.PromptPart, survived bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var found []jaywind.PromptPart
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -33,8 +33,8 @@
 
 func (d *Detector) handleSound(_ context.Context, req *connect.Request[soundQuestion]) (*connect.Response[soundParts], error) {
 	g := req.Msg.Group.decode()
-	sound, any := d.Router.SoundParts(g.Service, g.Parts, req.Msg.Within)
-	return connect.NewResponse(&soundParts{Parts: texts(sound), Any: any}), nil
+	sound, survived := d.Router.SoundParts(g.Service, g.Parts, req.Msg.Within)
+	return connect.NewResponse(&soundParts{Parts: texts(sound), Any: survived}), nil
 }
 
 func (d *Detector) handleQuarantine(_ context.Context, req *connect.Request[group]) (*connect.Response[emptyResponse], error) {
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -72,7 +72,7 @@
 
 // SoundParts returns those of a service's parts under which runs of this router have survived their beginning, and whether any run of
 // the service has within the given time.
-func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, any bool) {
+func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, survived bool) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
