suspect: a part is found also while it lets no run survive

In a fleet of four engines the part ended all of them again and again, so that for 7 s no run survived at all; and since the part of all prompts may not be quarantined for its victims, nothing was.

The routers now say whether any run has survived within the last two minutes, not only since the first loss: parts that many prompts have are cleared by these. If none has, as after all routers were restarted, the most specific part is quarantined: of those that explain four fifths of the ends of engines, the one in the fewest lost prompts, and never one that all lost prompts have.

TestMostSpecific and TestCrashesWhileNothingSurvives are new; they were not run on the code before, whose interface differs.

--- a/internal/core/suspect/finder.go
+++ b/internal/core/suspect/finder.go
@@ -101,16 +101,10 @@
 	prompts map[jaywind.PromptPart]bool
 }
 
-// Candidate is a group that may have crashed engines.
-type Candidate struct {
-	Group
-	FirstLoss time.Time // of those that are held against it
-}
-
 // Candidates returns the groups that may have crashed engines, the most likely first. An engine that ended under a more likely group
 // is not held against the others, as its other runs were lost with it. It also returns after which time to look again, because losses
 // may still come; 0 if there is no need to.
-func (f *Finder) Candidates(now time.Time) (found []Candidate, again time.Duration) {
+func (f *Finder) Candidates(now time.Time) (found []Group, again time.Duration) {
 	f.expire(now)
 	explained := map[jaywind.EndpointRef]bool{}
 	for {
@@ -134,11 +128,10 @@
 			}
 		}
 		slices.Sort(g.Parts)
-		first, last := f.span(records[best].engines)
-		if left := settleTime - now.Sub(last); left > 0 {
+		if left := settleTime - now.Sub(f.lastLoss(records[best].engines)); left > 0 {
 			again = max(again, left)
 		} else {
-			found = append(found, Candidate{g, first})
+			found = append(found, g)
 		}
 		for e := range records[best].engines {
 			explained[e] = true
@@ -146,18 +139,50 @@
 	}
 }
 
-// span returns the times of the first and the last loss at engines.
-func (f *Finder) span(engines map[jaywind.EndpointRef]bool) (first, last time.Time) {
+// MostSpecific returns the candidate that explains most of the ends of engines of a service and is in the fewest of the lost prompts, for
+// the time in which no run survives that could clear the parts that many prompts have. It returns false if all lost prompts have
+// that part.
+func (f *Finder) MostSpecific(s jaywind.ServiceName, now time.Time) (Group, bool) {
+	f.expire(now)
+	records, prompts, most := f.records(nil), map[jaywind.PromptPart]bool{}, 0
 	for _, l := range f.losses {
-		if !engines[l.Engine] {
+		if l.Service == s {
+			prompts[l.Prompt] = true
+		}
+	}
+	for k, r := range records {
+		if k.service == s {
+			most = max(most, len(r.engines))
+		}
+	}
+	best, found := partKey{service: s}, false
+	for k, r := range records {
+		if k.service != s || len(r.engines) < minEngines || len(r.prompts) < minPrompts || len(r.prompts) == len(prompts) || float64(len(r.engines)) < explainedShare*float64(most) {
 			continue
 		}
-		if first.IsZero() {
-			first = l.at
+		n := len(r.prompts)
+		if known := len(records[best].prompts); !found || n < known || n == known && compareKeys(k, best) < 0 {
+			best, found = k, true
+		}
+	}
+	if !found {
+		return Group{}, false
+	}
+	g := Group{Service: s, Parts: []jaywind.PromptPart{best.part}}
+	return g, now.Sub(f.lastLoss(records[best].engines)) >= settleTime
+}
+
+// explainedShare is the share of the ends of engines that a part explains which is taken for the cause of all of them.
+const explainedShare = 0.8
+
+// lastLoss returns the time of the last loss at engines.
+func (f *Finder) lastLoss(engines map[jaywind.EndpointRef]bool) (last time.Time) {
+	for _, l := range f.losses {
+		if engines[l.Engine] {
+			last = l.at
 		}
-		last = l.at
 	}
-	return first, last
+	return last
 }
 
 // records returns what is held against each part, without the engines whose end is explained.
--- a/internal/core/suspect/quarantine.go
+++ b/internal/core/suspect/quarantine.go
@@ -139,10 +139,10 @@
 	}
 }
 
-// AnySince reports whether any run of a service has survived its beginning since a time.
-func (s *Survivors) AnySince(service jaywind.ServiceName, at time.Time) bool {
+// Any reports whether any run of a service has survived its beginning within the time for which survivors are remembered.
+func (s *Survivors) Any(service jaywind.ServiceName, now time.Time) bool {
 	last, known := s.last[service]
-	return known && !last.Before(at)
+	return known && now.Sub(last) <= survivorTime
 }
 
 // Among returns those of the parts that are remembered.
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -26,12 +26,8 @@
 
 // candidates returns the groups of a finder.
 func candidates(f *suspect.Finder, at time.Time) []suspect.Group {
-	var groups []suspect.Group
 	found, _ := f.Candidates(at)
-	for _, c := range found {
-		groups = append(groups, c.Group)
-	}
-	return groups
+	return found
 }
 
 func TestCandidates(t *testing.T) {
@@ -212,3 +208,31 @@
 	is.True(q.TakeProbe("pool", x, start.Add(2*time.Second)))
 	is.True(!q.TakeProbe("pool", x, start.Add(3*time.Second)))
 }
+
+// TestMostSpecific fails if a part that victims have is taken for the cause while no run survives, or one that all prompts have.
+func TestMostSpecific(t *testing.T) {
+	victims := []suspect.Loss{lossAt("e1", "v1", "all", "m"), lossAt("e2", "v2", "all", "n"), lossAt("e3", "v3", "all", "m"), lossAt("e4", "v1", "all", "m")}
+	tests := map[string]struct {
+		losses []suspect.Loss
+		want   string
+	}{
+		"one cause beside victims": {append([]suspect.Loss{lossAt("e1", "a", "all", "x"), lossAt("e2", "b", "all", "x"), lossAt("e3", "c", "all", "x"),
+			lossAt("e4", "d", "all", "x"), lossAt("e5", "a", "all", "x")}, victims...), "pool/x"},
+		"victims only":      {victims[:3], ""},
+		"all have the part": {[]suspect.Loss{lossAt("e1", "a", "x"), lossAt("e2", "b", "x"), lossAt("e3", "c", "x")}, ""},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f suspect.Finder
+			for _, l := range c.losses {
+				f.Add(l, start)
+			}
+			g, found := f.MostSpecific("pool", start.Add(time.Second))
+			is.Equal(found, c.want != "")
+			if found {
+				is.Equal(g.Key(), c.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -37,8 +37,8 @@
 	// AllowProbe lets one request of a quarantined group run after a delay.
 	AllowProbe(g suspect.Group, delay time.Duration)
 	// SoundParts returns those of the parts under which runs have survived their beginning, and whether any run of the service has
-	// within the given time.
-	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, survived bool)
+	// lately.
+	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) (sound []jaywind.PromptPart, survived bool)
 }
 
 // Detector exchanges losses and quarantines with the other routers. Set the exported fields before the first call.
@@ -180,8 +180,9 @@
 	d.changed = true
 }
 
-// evaluate quarantines the candidates under which no router knows of a run that has survived, while others have. If no run survives at
-// all, the losses may have any cause. It returns after which time to look again, or 0.
+// evaluate quarantines the candidates under which no router knows of a run that has survived, while others have. If no run has survived at
+// all, a candidate may be a part of all prompts, so that only the most specific one is quarantined. It returns after which time to look
+// again, or 0.
 func (d *Detector) evaluate(ctx context.Context) (again time.Duration) {
 	for ctx.Err() == nil {
 		c, found, wait := d.nextCandidate()
@@ -196,14 +197,18 @@
 			continue
 		}
 		if !survived {
-			d.mu.Unlock()
-			return undecidedDelay
+			specific, found := d.finder.MostSpecific(c.Service, time.Now())
+			if !found || time.Now().Before(d.known[specific.Key()].until) {
+				d.mu.Unlock()
+				return undecidedDelay
+			}
+			c = specific
 		}
-		d.known[c.Key()] = knownGroup{c.Group, time.Now().Add(suspect.QuarantineTime)}
+		d.known[c.Key()] = knownGroup{c, time.Now().Add(suspect.QuarantineTime)}
 		d.mu.Unlock()
-		if d.Router.AddQuarantine(c.Group) {
-			d.Router.AllowProbe(c.Group, probeDelay)
-			d.publish(ctx, c.Group, false)
+		if d.Router.AddQuarantine(c) {
+			d.Router.AllowProbe(c, probeDelay)
+			d.publish(ctx, c, false)
 		}
 	}
 	return 0
@@ -211,11 +216,11 @@
 
 // nextCandidate returns a candidate that is not quarantined yet, or after which time to look for one again, 0 for only after further
 // losses.
-func (d *Detector) nextCandidate() (c suspect.Candidate, found bool, again time.Duration) {
+func (d *Detector) nextCandidate() (c suspect.Group, found bool, again time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.changed {
-		return suspect.Candidate{}, false, 0
+		return suspect.Group{}, false, 0
 	}
 	now := time.Now()
 	candidates, again := d.finder.Candidates(now)
@@ -225,21 +230,20 @@
 		}
 	}
 	d.changed = again > 0
-	return suspect.Candidate{}, false, again
+	return suspect.Group{}, false, again
 }
 
 // soundParts returns those of a candidate's parts under which runs have survived, at this router or, if none has, at any other, and
-// whether any run of the service has since the first loss.
-func (d *Detector) soundParts(ctx context.Context, c suspect.Candidate) (sound []jaywind.PromptPart, survived bool) {
-	within := time.Since(c.FirstLoss)
-	if sound, survived = d.Router.SoundParts(c.Service, c.Parts, within); len(sound) > 0 {
+// whether any run of the service has lately.
+func (d *Detector) soundParts(ctx context.Context, c suspect.Group) (sound []jaywind.PromptPart, survived bool) {
+	if sound, survived = d.Router.SoundParts(c.Service, c.Parts); len(sound) > 0 {
 		return sound, survived
 	}
-	question := soundQuestion{Group: encodeGroup(c.Group, false), Within: within}
+	question := encodeGroup(c, false)
 	p := pool.NewWithResults[soundParts]().WithMaxGoroutines(maxConcurrentCalls)
 	for _, at := range d.Peers(math.MaxInt) {
 		p.Go(func() soundParts {
-			answer, err := send[soundQuestion, soundParts](ctx, d, at, soundPath, &question)
+			answer, err := send[group, soundParts](ctx, d, at, soundPath, &question)
 			if err != nil {
 				return soundParts{}
 			}
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -57,7 +57,7 @@
 
 func (r *fakeRouter) AllowProbe(suspect.Group, time.Duration) {}
 
-func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart, _ time.Duration) (sound []jaywind.PromptPart, survived bool) {
+func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart) (sound []jaywind.PromptPart, survived bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var found []jaywind.PromptPart
@@ -246,6 +246,26 @@
 	is.True(f.routers[0].holds())
 }
 
+// TestCrashesWhileNothingSurvives fails if no part is quarantined since all engines crash so often that no run survives, as in a small fleet
+// whose routers have all been restarted.
+func TestCrashesWhileNothingSurvives(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 3)
+	for _, r := range f.routers {
+		r.allLost = true
+	}
+	for i := range 4 {
+		f.detectors[i%3].Report(loss(i, "all", "x"))
+		victim := loss(i, "all")
+		victim.Prompt = jaywind.PromptPart(fmt.Sprint("victim", i%2))
+		f.detectors[(i+1)%3].Report(victim)
+	}
+	for end := time.Now().Add(5 * time.Second); !f.routers[2].holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	is.True(f.routers[2].holds())
+	is.True(!f.routers[2].holdsKey("pool/all"))
+}
+
 // TestLift fails if a run that survives at one router does not end the quarantine at all, or if the next losses can't bring it back.
 func TestLift(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -31,9 +31,9 @@
 	return connect.NewResponse(response), nil
 }
 
-func (d *Detector) handleSound(_ context.Context, req *connect.Request[soundQuestion]) (*connect.Response[soundParts], error) {
-	g := req.Msg.Group.decode()
-	sound, survived := d.Router.SoundParts(g.Service, g.Parts, req.Msg.Within)
+func (d *Detector) handleSound(_ context.Context, req *connect.Request[group]) (*connect.Response[soundParts], error) {
+	g := req.Msg.decode()
+	sound, survived := d.Router.SoundParts(g.Service, g.Parts)
 	return connect.NewResponse(&soundParts{Parts: texts(sound), Any: survived}), nil
 }
 
--- a/internal/fleet/suspect/message.go
+++ b/internal/fleet/suspect/message.go
@@ -1,8 +1,6 @@
 package suspect
 
 import (
-	"time"
-
 	"jaywind"
 	"jaywind/internal/core/suspect"
 )
@@ -40,16 +38,10 @@
 	Lifted  bool     `cbor:"3,keyasint"` // the quarantine ends
 }
 
-// soundQuestion asks which parts of a group are sound.
-type soundQuestion struct {
-	Group  group         `cbor:"1,keyasint"`
-	Within time.Duration `cbor:"2,keyasint"` // nanoseconds; since the first loss under the group
-}
-
 // soundParts are the parts of a group under which runs have survived.
 type soundParts struct {
 	Parts []string `cbor:"1,keyasint"`
-	Any   bool     `cbor:"2,keyasint"` // any run of the service has survived within the time of the question
+	Any   bool     `cbor:"2,keyasint"` // any run of the service has survived lately
 }
 
 type emptyResponse struct{}
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -71,12 +71,12 @@
 }
 
 // SoundParts returns those of a service's parts under which runs of this router have survived their beginning, and whether any run of
-// the service has within the given time.
-func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart, within time.Duration) (sound []jaywind.PromptPart, survived bool) {
+// the service has lately.
+func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) (sound []jaywind.PromptPart, survived bool) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.survivors.Among(s, parts), r.survivors.AnySince(s, time.Now().Add(-within))
+	return r.survivors.Among(s, parts), r.survivors.Any(s, time.Now())
 }
 
 // isQuarantined reports whether a stream's prompt is kept back. It ends the stream if so.
