--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -22,6 +22,8 @@
 // Pool keeps idle connections for reuse. Its zero value is ready to use.
 type Pool struct {
 	IdleTimeout time.Duration // after which an idle connection is closed; defaults to 4 s
+	// DialContext opens the connections; TCP over this VM's own links if nil.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[jaywind.Address][]*Conn
@@ -70,7 +72,13 @@
 // Dial opens a new connection. The error wraps jaywind.ErrNotSent.
 func (p *Pool) Dial(ctx context.Context, at jaywind.Address) (*Conn, error) {
 	p.dialed.Add(1)
-	conn, err := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", string(at))
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dial := p.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", string(at))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
