tunnel: a VM whose links to endpoints are lost reaches them through other VMs

Cause: a VM had one way to each endpoint, its own link, and nobody to tell whether the link or the endpoint had failed. Class: the failure of a path taken for the failure of its end.

A tunnel carries one call.

--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -88,6 +88,14 @@
 	return c, nil
 }
 
+// Via returns the address of the router through which the connection goes; empty for none.
+func (c *Conn) Via() jaywind.Address {
+	if relayed, ok := c.conn.(interface{ Via() jaywind.Address }); ok {
+		return relayed.Via()
+	}
+	return ""
+}
+
 func (p *Pool) popIdle(at jaywind.Address) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -116,10 +124,11 @@
 	return c.reader.Buffered() == 0 && openAndEmpty(c.conn)
 }
 
-// Put returns a connection to the pool after a complete response.
+// Put returns a connection to the pool after a complete response. One through another router is closed, as that router decides on each
+// request whether it may be sent.
 func (p *Pool) Put(c *Conn) {
 	c.idleSince, c.OnStall = time.Now(), nil
-	if c.closed.Load() || c.reader.Buffered() > 0 {
+	if c.closed.Load() || c.reader.Buffered() > 0 || c.Via() != "" {
 		_ = c.Close()
 		return
 	}
--- a/internal/fleet/cbor/secret.go
+++ b/internal/fleet/cbor/secret.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 )
@@ -34,6 +35,15 @@
 
 // NewHTTPClient returns a client that uses cleartext HTTP/2 and sends the shared secret.
 func NewHTTPClient(secret string) *http.Client {
+	return newClient(secret, maxBodyBytes)
+}
+
+// NewStreamClient is NewHTTPClient for streams of messages, which have no limit on their whole length.
+func NewStreamClient(secret string) *http.Client {
+	return newClient(secret, math.MaxInt)
+}
+
+func newClient(secret string, maxBytes int) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
@@ -46,7 +56,7 @@
 			WriteByteTimeout: writeTimeout,
 		},
 	}
-	return &http.Client{Transport: &secretTransport{secret: secret, next: transport}}
+	return &http.Client{Transport: &secretTransport{secret: secret, maxBytes: maxBytes, next: transport}}
 }
 
 // Protocols returns the protocols that a server for calls between routers must accept.
@@ -58,8 +68,9 @@
 }
 
 type secretTransport struct {
-	secret string
-	next   http.RoundTripper
+	secret   string
+	maxBytes int // of the body of a response
+	next     http.RoundTripper
 }
 
 // RoundTrip sends a copy of the request with the secret.
@@ -70,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response.Body = &limitedBody{ReadCloser: response.Body, left: maxBodyBytes}
+	response.Body = &limitedBody{ReadCloser: response.Body, left: s.maxBytes}
 	return response, nil
 }
 
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -396,6 +397,18 @@
 	return all[:min(limit, len(all))]
 }
 
+// HasHost reports whether a router of the fleet has its fleet address at a host.
+func (r *Roster) HasHost(host string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if h, _, err := net.SplitHostPort(string(m.FleetAddress)); err == nil && h == host {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns the number of routers that are not leaving.
 func (r *Roster) Count() int {
 	r.mu.Lock()
--- a/internal/relay/router/notice.go
+++ b/internal/relay/router/notice.go
@@ -56,6 +56,15 @@
 	return nil
 }
 
+// AcceptsAt reports whether this router knows an endpoint at an address that takes calls from it.
+func (r *Router) AcceptsAt(at jaywind.Address) bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.table.ByAddress(at)
+	return e != nil && !e.IsPaused(time.Now())
+}
+
 // observeLimit passes on whether an endpoint names a limit.
 func (r *Router) observeLimit(n jaywind.EndpointNotice, now time.Time) {
 	var reading limit.Reading
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -377,9 +377,10 @@
 }
 
 // recordFailure counts a failure of an endpoint. One that accepts no connection, or that another endpoint has replaced at its
-// address, is recorded as absent. A call that was held back because of a pause is no failure.
+// address, is recorded as absent. A call that was held back because of a pause, or that was lost with the router that relayed it, is no
+// failure.
 func (r *Router) recordFailure(ctx context.Context, c *call, e *endpoint.Endpoint, cause error) {
-	if errors.Is(cause, jaywind.ErrPushedBack) {
+	if errors.Is(cause, jaywind.ErrPushedBack) || errors.Is(cause, jaywind.ErrRelayLost) {
 		return
 	}
 	r.mu.Lock()
--- a/upstream.go
+++ b/upstream.go
@@ -17,6 +17,10 @@
 // ErrBadAnswer is wrapped by errors for an answer that can't be the endpoint's own complete answer to the call.
 var ErrBadAnswer = errors.New("bad answer")
 
+// ErrRelayLost is wrapped by errors of a connection that another router relays, if that router is lost. It says nothing about the
+// endpoint; a call that was sent may have run.
+var ErrRelayLost = errors.New("the router that relays the connection is lost")
+
 // ErrPushedBack is returned for a call that was not sent, as its endpoint has asked this router for a pause.
 var ErrPushedBack = fmt.Errorf("%w: the endpoint has asked for a pause", ErrNotSent)
 
@@ -36,6 +40,7 @@
 // EndpointNotice is what an endpoint says of itself in the head of an answer, whatever the answer is.
 type EndpointNotice struct {
 	Endpoint EndpointRef
+	Via      Address       // the router through which the answer came; empty for none
 	Leaving  bool          // it takes no new work
 	Pause    time.Duration // for which it wants no call from this router; 0 if it asks for none
 	Limited  bool          // it names a limit
