--- a/internal/core/reach/helpers.go
+++ b/internal/core/reach/helpers.go
@@ -14,6 +14,7 @@
 
 	avoidTime  = time.Second // for which a helper is not asked after it could not help
 	maxWorking = 4           // helpers that are preferred because they have connected lately
+	newHelper  = 4           // one in so many connections tries another helper first, so that no one carries all
 )
 
 // Helpers selects the routers through which this one reaches endpoints. The zero value knows none.
@@ -25,19 +26,23 @@
 // Order returns the helpers to try for a connection, in this order: those that have connected lately, then others among the known
 // ones. Helpers that could not help come last.
 func (h *Helpers) Order(known []jaywind.Address, now time.Time) []jaywind.Address {
-	order := slices.Clone(h.working)
-	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	var last []jaywind.Address
+	working := slices.Clone(h.working)
+	rand.Shuffle(len(working), func(i, j int) { working[i], working[j] = working[j], working[i] })
+	var others, last []jaywind.Address
 	for _, at := range known {
 		switch {
-		case slices.Contains(order, at):
+		case slices.Contains(working, at):
 		case now.Before(h.avoided[at]):
 			last = append(last, at)
 		default:
-			order = append(order, at)
+			others = append(others, at)
 		}
 	}
-	order = append(order, last...)
+	var order []jaywind.Address
+	if len(working) < maxWorking && len(others) > 0 && rand.IntN(newHelper) == 0 {
+		order, others = append(order, others[0]), others[1:]
+	}
+	order = slices.Concat(order, working, others, last)
 	return order[:min(MaxTries, len(order))]
 }
 
--- a/internal/fleet/tunnel/conn.go
+++ b/internal/fleet/tunnel/conn.go
@@ -86,8 +86,10 @@
 			c.ended.Store(&lost)
 			return
 		}
-		if _, err := far.Write(m.Data); len(m.Data) > 0 && err != nil {
-			return // closed by its user
+		if len(m.Data) > 0 {
+			if _, err := far.Write(m.Data); err != nil {
+				return // closed by its user
+			}
 		}
 		switch m.End {
 		case endingClosed:
--- a/internal/fleet/tunnel/dialer.go
+++ b/internal/fleet/tunnel/dialer.go
@@ -200,13 +200,14 @@
 	}
 	if a.err != nil {
 		cancel()
+		_ = s.CloseRequest() // without it the transport would not notice the cancellation
 		_ = s.CloseResponse()
 		return a
 	}
 	near, far := net.Pipe()
 	c := &Conn{Conn: near, helper: helper, cancel: cancel}
 	d.Calls.Go(func(stopped context.Context) {
-		defer context.AfterFunc(stopped, cancel)()
+		defer context.AfterFunc(stopped, func() { _ = c.Close() })()
 		c.receive(far, s)
 	})
 	d.Calls.Go(func(context.Context) { c.forward(far, s) })
