--- a/internal/fleet/sighting/sighting.go
+++ b/internal/fleet/sighting/sighting.go
@@ -19,11 +19,13 @@
 const (
 	path          = "/fleet/sighting"
 	departurePath = path + "/departure"
+	pausePath     = path + "/pause"
 )
 
 const (
 	announceTimeout    = 500 * time.Millisecond // for all routers together; a router that is missed identifies the endpoint by itself
 	maxConcurrentCalls = 8
+	maxPauseMs         = 24 * 60 * 60 * 1000 // a longer one counts as this
 )
 
 // announcement is an identified endpoint on the wire.
@@ -38,36 +40,61 @@
 	Born    int64    `cbor:"8,keyasint"` // endpoint.Entry.Incarnation, in Unix milliseconds
 }
 
-// departure is an endpoint that is leaving, on the wire.
-type departure struct {
+// reference is a jaywind.EndpointRef on the wire.
+type reference struct {
 	ID      string `cbor:"1,keyasint"`
 	Born    int64  `cbor:"2,keyasint"` // jaywind.EndpointRef.Incarnation, in Unix milliseconds
 	Address string `cbor:"3,keyasint"`
 }
 
+// pause is a pause that an endpoint has asked for, on the wire.
+type pause struct {
+	Endpoint reference `cbor:"1,keyasint"`
+	Ms       int64     `cbor:"2,keyasint"`
+}
+
 type emptyResponse struct{}
 
+func encodeReference(e jaywind.EndpointRef) reference {
+	return reference{ID: string(e.ID), Born: e.Incarnation, Address: string(e.Address)}
+}
+
+func (r reference) decode() jaywind.EndpointRef {
+	return jaywind.EndpointRef{ID: jaywind.EndpointID(r.ID), Incarnation: r.Born, Address: jaywind.Address(r.Address)}
+}
+
 // endpointReceiver is the part of a router that the handler uses.
 type endpointReceiver interface {
 	AddIdentified(e endpoint.Entry)
 	MarkLeaving(e jaywind.EndpointRef)
+	PauseEndpoint(e jaywind.EndpointRef, d time.Duration)
 }
 
 // Handle adds the handlers of announcements to a mux.
 func Handle(m *http.ServeMux, r endpointReceiver) {
 	m.Handle(path, newIdentifiedHandler(r))
 	m.Handle(departurePath, newDepartureHandler(r))
+	m.Handle(pausePath, newPauseHandler(r))
 }
 
 func newDepartureHandler(r endpointReceiver) http.Handler {
-	handle := func(_ context.Context, req *connect.Request[departure]) (*connect.Response[emptyResponse], error) {
-		msg := req.Msg
-		r.MarkLeaving(jaywind.EndpointRef{ID: jaywind.EndpointID(msg.ID), Incarnation: msg.Born, Address: jaywind.Address(msg.Address)})
+	handle := func(_ context.Context, req *connect.Request[reference]) (*connect.Response[emptyResponse], error) {
+		r.MarkLeaving(req.Msg.decode())
 		return connect.NewResponse(&emptyResponse{}), nil
 	}
 	return connect.NewUnaryHandler(departurePath, handle, cbor.HandlerOptions()...)
 }
 
+func newPauseHandler(r endpointReceiver) http.Handler {
+	handle := func(_ context.Context, req *connect.Request[pause]) (*connect.Response[emptyResponse], error) {
+		if ms := req.Msg.Ms; ms > 0 {
+			r.PauseEndpoint(req.Msg.Endpoint.decode(), time.Duration(min(ms, maxPauseMs))*time.Millisecond)
+		}
+		return connect.NewResponse(&emptyResponse{}), nil
+	}
+	return connect.NewUnaryHandler(pausePath, handle, cbor.HandlerOptions()...)
+}
+
 func newIdentifiedHandler(r endpointReceiver) http.Handler {
 	handle := func(_ context.Context, req *connect.Request[announcement]) (*connect.Response[emptyResponse], error) {
 		msg := req.Msg
@@ -106,16 +133,28 @@
 
 // AnnounceDeparture announces to all other routers that an endpoint is leaving. It does not wait for the calls to end.
 func (a *Announcer) AnnounceDeparture(e jaywind.EndpointRef) {
-	msg := departure{ID: string(e.ID), Born: e.Incarnation, Address: string(e.Address)}
+	msg := encodeReference(e)
 	a.Calls.Go(func(ctx context.Context) { sendAll(ctx, a, departurePath, msg.ID, &msg) })
 }
 
+// TellPause tells one router of a pause that an endpoint has asked it for, in an answer that the router has relayed unread. It does not
+// wait for the call to end.
+func (a *Announcer) TellPause(to jaywind.Address, e jaywind.EndpointRef, d time.Duration) {
+	msg := pause{Endpoint: encodeReference(e), Ms: d.Milliseconds()}
+	a.Calls.Go(func(ctx context.Context) { send(ctx, a, []jaywind.Address{to}, pausePath, msg.Endpoint.ID, &msg) })
+}
+
 // sendAll sends a message about an endpoint to all other routers.
 func sendAll[T any](ctx context.Context, a *Announcer, path, id string, msg *T) {
+	send(ctx, a, a.Peers(math.MaxInt), path, id, msg)
+}
+
+// send sends a message about an endpoint to some routers.
+func send[T any](ctx context.Context, a *Announcer, to []jaywind.Address, path, id string, msg *T) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
-	for _, at := range a.Peers(math.MaxInt) {
+	for _, at := range to {
 		p.Go(func() {
 			client := connect.NewClient[T, emptyResponse](a.HTTP, "http://"+string(at)+path, cbor.ClientOptions()...)
 			if _, err := client.CallUnary(ctx, connect.NewRequest(msg)); err != nil {
--- a/internal/fleet/sighting/sighting_test.go
+++ b/internal/fleet/sighting/sighting_test.go
@@ -21,10 +21,16 @@
 type fakeReceiver struct {
 	received []endpoint.Entry
 	departed []jaywind.EndpointRef
+	paused   []jaywind.EndpointRef
+	pause    time.Duration // the last one
 }
 
 func (r *fakeReceiver) AddIdentified(e endpoint.Entry)    { r.received = append(r.received, e) }
 func (r *fakeReceiver) MarkLeaving(e jaywind.EndpointRef) { r.departed = append(r.departed, e) }
+func (r *fakeReceiver) PauseEndpoint(e jaywind.EndpointRef, d time.Duration) {
+	r.paused = append(r.paused, e)
+	r.pause = d
+}
 
 // TestAnnounce checks that all reachable routers receive an endpoint with all its fields, and its departure, also when
 // another router can't be reached.
@@ -84,3 +90,20 @@
 	sighting.Handle(m, r)
 	return m
 }
+
+// TestTellPause checks that one router, and no other, receives a pause that an endpoint has asked it for.
+func TestTellPause(t *testing.T) {
+	is := is.New(t)
+	r := &fakeReceiver{}
+	s := httptest.NewUnstartedServer(newMux(r))
+	s.Config.Protocols = cbor.Protocols()
+	s.Start()
+	defer s.Close()
+	var calls drain.Calls
+	announcer := sighting.Announcer{HTTP: cbor.NewHTTPClient(""), Log: zaptest.NewLogger(t), Calls: &calls}
+	e := jaywind.EndpointRef{ID: "e1", Incarnation: 7, Address: "10.0.0.1:1"}
+	announcer.TellPause(jaywind.Address(strings.TrimPrefix(s.URL, "http://")), e, 1500*time.Millisecond)
+	calls.Wait(time.Minute)
+	is.Equal(r.paused, []jaywind.EndpointRef{e})
+	is.Equal(r.pause, 1500*time.Millisecond)
+}
--- a/internal/relay/router/notice.go
+++ b/internal/relay/router/notice.go
@@ -42,6 +42,14 @@
 		}
 		r.table.Pause(e, n.Pause, now)
 	}
+	if n.Pause > 0 && n.Via != "" && r.OnRelayedPause != nil {
+		r.OnRelayedPause(n.Via, n.Endpoint, n.Pause)
+	}
+}
+
+// PauseEndpoint applies a pause that an endpoint has asked for in an answer which this router has relayed to another one.
+func (r *Router) PauseEndpoint(at jaywind.EndpointRef, d time.Duration) {
+	r.ObserveEndpoint(jaywind.EndpointNotice{Endpoint: at, Pause: d})
 }
 
 // CheckSend implements jaywind.EndpointObserver.
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -135,7 +135,7 @@
 	if err == nil {
 		r.addSurvivor(c)
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, jaywind.ErrRelayLost) {
 		r.recordResult(e, err == nil)
 		r.recordOutcome(c, e, err != nil || reply.Status >= http.StatusInternalServerError, true)
 	}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -39,6 +39,9 @@
 	OnIdentified func(e endpoint.Entry)
 	// OnLeaving is called with an endpoint that is leaving, if the other routers may not know it. It must not block. May be nil.
 	OnLeaving func(e jaywind.EndpointRef)
+	// OnRelayedPause is called with a pause that an endpoint has asked for in an answer that came through another router, which the
+	// endpoint takes for the one that called it. It must not block. May be nil.
+	OnRelayedPause func(via jaywind.Address, e jaywind.EndpointRef, d time.Duration)
 	// OnLoss is called with each run that is lost at its beginning because its engine ended. It must not block. May be nil.
 	OnLoss func(l suspect.Loss)
 	// OnLifted is called with a group whose quarantine this router has lifted. It must not block. May be nil.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -309,7 +309,7 @@
 		case errors.Is(err, jaywind.ErrIdleTimeout):
 			r.recordResult(a.endpoint, false)
 			return series.FailureSilent, err
-		case errors.Is(err, errEventGap):
+		case errors.Is(err, errEventGap), errors.Is(err, jaywind.ErrRelayLost):
 			return series.FailureBroken, err
 		case err != nil:
 			r.recordResult(a.endpoint, false)
