suspect: losses of before a router knew others reach the collectors that it finds

A request that crashed each endpoint which ran it crashed up to 16 further ones in about half of the plays of TestRequestThatCrashesEndpoints: a router that knows no other is the collector of its own losses, and looked for other collectors only at its next loss. Routers meet that when they have just started or were cut off.

The roster now says when its members change, and the detector hands its losses to the collectors that it has found. TestCollectorsFoundAfterTheLosses failed before.

--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -105,6 +105,13 @@
 	d.signal()
 }
 
+// MembersChanged makes Run hand the losses of this router to collectors that have joined the fleet, or that it has only now learnt of. It
+// does not block.
+func (d *Detector) MembersChanged() {
+	d.init()
+	d.signal()
+}
+
 func (d *Detector) signal() {
 	select {
 	case d.wake <- struct{}{}:
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -89,6 +89,13 @@
 	stored    []string // groups, and "lifted" behind their ends
 	collect   []int    // the detectors that are collectors
 	silent    int      // the detector that does not answer, or -1
+	alone     bool     // no detector knows another one
+}
+
+func (f *testFleet) setAlone(alone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alone = alone
 }
 
 func (f *testFleet) setCollectors(all ...int) {
@@ -151,6 +158,9 @@
 		d.Collectors = func(string, int) (others []jaywind.Address, self bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
+			if f.alone {
+				return nil, true
+			}
 			for _, n := range f.collect {
 				if n == i {
 					self = true
@@ -275,6 +285,25 @@
 	}
 }
 
+// TestCollectorsFoundAfterTheLosses guards against losses that routers saw before they knew any other, and that are told to no collector
+// until further endpoints have crashed.
+func TestCollectorsFoundAfterTheLosses(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(t, 5)
+	f.setAlone(true)
+	f.detectors[2].Report(loss(0, "x"))
+	f.detectors[2].Report(loss(1, "x"))
+	f.detectors[3].Report(loss(2, "x"))
+	time.Sleep(200 * time.Millisecond)
+	f.setAlone(false)
+	for _, d := range f.detectors {
+		d.MembersChanged()
+	}
+	for end := time.Now().Add(5 * time.Second); !f.routers[0].holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	is.True(f.routers[0].holds())
+}
+
 // TestCollectorStartsAgain fails if a collector that has started again under its address does not get the losses that it has forgotten, however
 // many.
 func TestCollectorStartsAgain(t *testing.T) {
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -70,6 +70,7 @@
 	Store       LeaseStore
 	Log         *zap.Logger
 	OnPartition func(index, routers int) // is called with this router's index, from 0, and the number of routers; may be nil
+	OnMembers   func()                   // is called after a change of the members; may be nil
 
 	mu        sync.Mutex
 	members   map[jaywind.VM]Member
@@ -244,6 +245,7 @@
 // Update applies a change of a key under Prefix. With mayReturn, a deleted key may have expired because the store was
 // unavailable; its member stays until Expire or until it registers again.
 func (r *Roster) Update(i follow.Item, mayReturn bool) {
+	defer r.reportMembers()
 	switch found := r.update(i, mayReturn); {
 	case found:
 		r.callSoon(restOfList) // adopt waits for it
@@ -290,15 +292,31 @@
 
 // Expire removes the members whose keys disappeared before a time.
 func (r *Roster) Expire(before time.Time) {
+	if r.expire(before) {
+		r.reportMembers()
+	}
+}
+
+// expire is Expire. It reports whether a member was removed.
+func (r *Roster) expire(before time.Time) (removed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for vm, m := range r.members {
 		if !m.missingSince.IsZero() && m.missingSince.Before(before) {
 			delete(r.members, vm)
+			removed = true
 			r.Log.Info("roster: member removed", zap.String("vm", string(vm)))
 		}
 	}
 	r.reportPartition()
+	return removed
+}
+
+// reportMembers calls Roster.OnMembers; the caller does not hold mu.
+func (r *Roster) reportMembers() {
+	if r.OnMembers != nil {
+		r.OnMembers()
+	}
 }
 
 // reportPartition calls Roster.OnPartition with this router's index by name among the routers that are not leaving; the
