--- a/internal/measure/soak/fleet.go
+++ b/internal/measure/soak/fleet.go
@@ -33,6 +33,7 @@
 	peerAddress                                   string // host:port for other routers
 	metricsURL                                    string
 	storeProxy                                    *proxy // carries its connections to the store
+	linksAddress                                  string // where its links are cut; empty if they can't be
 }
 
 // replica is the process of one endpoint.
@@ -50,6 +51,7 @@
 // fleet holds all processes of a run.
 type fleet struct {
 	size         Size
+	cutsLinks    bool // the links of routers to replicas can be cut
 	binDir       string
 	dir          string
 	group        conc.WaitGroup
@@ -63,6 +65,7 @@
 
 	mu                sync.Mutex
 	storeDisturbances []storeDisturbance
+	linkCuts          []linkCut
 }
 
 // start starts all processes and waits until the routers are ready.
@@ -232,6 +235,12 @@
 	}
 	r.metricsURL = "http://" + operator + "/metrics"
 	r.name, r.path, r.args, r.log = fmt.Sprintf("vm%d", i), f.binary("jaywind"), []string{"route", "-settings", settings}, f.openLog(fmt.Sprintf("vm%d", i))
+	if f.cutsLinks {
+		if r.linksAddress, err = f.ports.next(); err != nil {
+			return err
+		}
+		r.path, r.args = f.binary("standin"), []string{"router", "-listen", r.linksAddress, "-settings", settings}
+	}
 	f.routers = append(f.routers, r)
 	return r.start()
 }
--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -133,6 +133,8 @@
 		n.repeatDeadly(ctx, s)
 	case LimitReplicas:
 		n.limitReplicas(ctx, s, e)
+	case CutLinks:
+		n.cutLinks(ctx, s)
 	case StallEngines:
 		n.stallEngines(ctx, s)
 	case RollOut:
--- a/internal/measure/soak/run.go
+++ b/internal/measure/soak/run.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	r.config = &operatorConfig{}
-	r.fleet = &fleet{size: r.Plan.Size, binDir: r.BinDir, dir: r.OutputDir}
+	r.fleet = &fleet{size: r.Plan.Size, cutsLinks: r.Plan.CutsLinks(), binDir: r.BinDir, dir: r.OutputDir}
 	if err := r.fleet.ports.reserve(os.Getpid()); err != nil {
 		return nil, err
 	}
