--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -150,7 +150,7 @@
 // writeReply forwards an endpoint's response.
 func (r *Router) writeReply(c *call, reply jaywind.Reply) {
 	r.stats.recordAnswer(c.route.Kind, reply.Status, time.Since(c.request.Arrived))
-	r.Log.Info("request: answered", c.fields(zap.Int("status", reply.Status))...)
+	r.Log.Info("request: answered", c.fields(zap.Int("status", reply.Status), viaField(reply.Via))...)
 	c.response.Reply(reply)
 }
 
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -122,6 +122,14 @@
 	}, more...)
 }
 
+// viaField is the log field for the router through which an answer came.
+func viaField(via jaywind.Address) zap.Field {
+	if via == "" {
+		return zap.Skip()
+	}
+	return zap.String("via", string(via))
+}
+
 // timeLeft returns the time until the deadline of the call.
 func (c *call) timeLeft(now time.Time) time.Duration {
 	return c.deadline.Sub(now)
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -404,7 +404,7 @@
 	if a.fromCopy {
 		r.stats.copyUsed.Inc(1)
 	}
-	r.Log.Info("stream: whole", st.fields(zap.Int("events", st.gaps), zap.Bool("from_copy", a.fromCopy), zap.Bool("resumed", st.request.Resumed),
+	r.Log.Info("stream: whole", st.fields(zap.Int("events", st.gaps), zap.Bool("from_copy", a.fromCopy), zap.Bool("resumed", st.request.Resumed), viaField(a.events.Head().Via),
 		zap.Any("parts", st.request.SharedParts), zap.Int64("first_ms", st.timeToFirst.Milliseconds()), zap.Int64("longest_ms", st.longestGap.Milliseconds()))...)
 }
 
--- a/service.go
+++ b/service.go
@@ -21,6 +21,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	Via    Address // the router through which it came; empty for none
 }
 
 // Idempotent tells whether the request may be repeated judging by its method alone.
