--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -30,6 +30,7 @@
 	repeatLock   sync.Mutex     // held while a request that crashes replicas is repeated
 	repeatSeries int            // number of such requests so far
 	storeLock    sync.Mutex     // held while the store has a copy to come back from
+	linkLock     sync.Mutex     // held while the links of routers are cut
 
 	orderLock sync.Mutex
 	order     string // version of the roll-out that the operator has ordered last
--- a/internal/measure/soak/links.go
+++ b/internal/measure/soak/links.go
@@ -25,8 +25,13 @@
 	routers []*router
 }
 
-// cutLinks cuts one router, or most of them, from all replicas.
+// cutLinks cuts one router, or most of them, from all replicas. It does nothing during another cut, as no router might be left then that
+// reaches the replicas.
 func (n *injector) cutLinks(ctx context.Context, s Fault) {
+	if !n.linkLock.TryLock() {
+		return
+	}
+	defer n.linkLock.Unlock()
 	f := n.fleet
 	count := 1
 	which, cut, _ := strings.Cut(s.Variant, " ")
