permit: the fleet bounds the calls under way at brittle endpoints

Brittle endpoints (Server-Brittle: N) fall over when they have to turn away more than N calls in a second.

A VM that has read the header asks one owner VM for a permit before each call to such an endpoint. The owner grants as many as the endpoint has slots, less after a rejection, none once half of the tolerated rejections were seen in a second; a new owner begins with a quarter. Permits end with their leases. Callers that find no permit are refused at once with the time at which one may be free. While the first owner does not answer the second one grants.

--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -8,11 +8,15 @@
 )
 
 const (
-	firstShare   = 0.25                   // of the slots for which permits are granted at first, as calls of before may be under way
-	growInterval = 150 * time.Millisecond // in which one more permit is granted while there is demand for it
-	calmTime     = 2 * time.Second        // after a rejection, in which the number of permits does not grow
-	strictTime   = 10 * time.Second       // the same if the endpoint tolerates one rejection or none
+	firstShare   = 0.25                   // of the slots for which a new owner grants permits at first, as those of the one before are in use
+	growInterval = 100 * time.Millisecond // in which the number of permits grows by a quarter while there is demand for more
+	probeTime    = time.Second            // in which one more permit is granted than were held when a call was turned away
+	strictTime   = 4 * time.Second        // the same if the endpoint tolerates one rejection or none
+	settleTime   = 4 * time.Second        // after the first permit, in which rejections are put down to calls without permits
+	cutFactor    = 0.7                    // of the number of permits that is left after a rejection
+	cutInterval  = 200 * time.Millisecond // in which further rejections are taken for those of calls that were under way
 	window       = time.Second            // in which an endpoint counts the calls that it turns away
+	earlyReturn  = 0.5                    // of the time that all waiting routers need on average, so that a free permit finds a router
 	minWait      = 10 * time.Millisecond  // that a refused router is told to wait
 	maxWait      = 2 * time.Second
 	maxLease     = time.Minute
@@ -24,6 +28,8 @@
 	Slots     int           // calls that the endpoint runs concurrently
 	Tolerance int           // calls that it may turn away in a second
 	Lease     time.Duration // after which the permit ends if it is not returned
+	Routers   int           // that may ask, of which each waits after a refusal
+	Onset     bool          // the endpoints of the service have become brittle only now, so that no other owner has granted permits
 }
 
 // Grant is an owner's answer.
@@ -43,14 +49,16 @@
 
 // pool holds the permits for one endpoint.
 type pool struct {
+	since    time.Time            // of the first permit
 	limit    float64              // permits that may be held at the same time
 	held     map[uint64]time.Time // ends of the leases, by permit
 	taken    map[uint64]time.Time // when each was granted
 	grownAt  time.Time            // when limit last grew, or could have
-	calmTo   time.Time            // before which limit does not grow
+	ceiling  float64              // limit at the last rejection, over which it grows slowly; 0 for none
+	cutAt    time.Time            // when limit was last cut
 	rejected []time.Time          // calls that were turned away lately
 	hold     time.Duration        // moving average of the time for which permits are held
-	queue    float64              // refused calls that are expected to come back
+	queue    float64              // refused routers that are expected to come back
 	queueAt  time.Time            // of queue
 }
 
@@ -62,7 +70,7 @@
 		p.grow(q, now)
 	}
 	if float64(len(p.held))+1 > p.limit || p.isExhausted(q, now) {
-		return Grant{Wait: p.wait(now)}
+		return Grant{Wait: p.wait(q, now)}
 	}
 	o.lastID++
 	p.held[o.lastID] = now.Add(min(q.Lease, maxLease))
@@ -83,13 +91,25 @@
 	switch {
 	case rejected:
 		p.rejected = append(p.rejected, now)
-		p.limit = max(1, min(p.limit, under)-1)
-		p.calmTo = now.Add(calmTime)
+		p.cut(under, now)
 	case held:
 		p.hold += (now.Sub(since) - p.hold) / 8
 	}
 }
 
+// cut reduces the number of permits after a rejection, when so many were held.
+func (p *pool) cut(held float64, now time.Time) {
+	if now.Sub(p.cutAt) < cutInterval {
+		return
+	}
+	level := max(1, min(p.limit, held)-1)
+	if now.Sub(p.since) >= settleTime {
+		p.ceiling = level
+	}
+	p.limit = max(1, math.Floor(cutFactor*level))
+	p.cutAt, p.grownAt = now, now
+}
+
 // Held returns the number of permits in use.
 func (o *Owner) Held() (n int) {
 	for _, p := range o.pools {
@@ -105,8 +125,12 @@
 	if o.pools == nil || len(o.pools) >= maxEndpoints {
 		o.pools = map[jaywind.EndpointRef]*pool{}
 	}
+	share := firstShare
+	if q.Onset {
+		share = 1
+	}
 	p := &pool{
-		limit: max(1, math.Floor(firstShare*float64(q.Slots))), held: map[uint64]time.Time{}, taken: map[uint64]time.Time{},
+		since: now, limit: max(1, math.Floor(share*float64(q.Slots))), held: map[uint64]time.Time{}, taken: map[uint64]time.Time{},
 		grownAt: now, queueAt: now, hold: usualHold,
 	}
 	o.pools[e] = p
@@ -126,21 +150,23 @@
 	}
 }
 
-// grow allows more permits, one for each growInterval since it last did, up to the slots of the endpoint.
+// grow allows more permits, up to the slots of the endpoint: by a quarter in each growInterval up to the last level at which a call was
+// not turned away, and then one at a time.
 func (p *pool) grow(q Question, now time.Time) {
-	calm := p.calmTo
-	if q.Tolerance <= 1 && !calm.IsZero() {
-		calm = calm.Add(strictTime - calmTime)
+	interval, step := growInterval, max(1, p.limit/4)
+	if p.ceiling > 0 && p.limit >= p.ceiling {
+		interval, step = probeTime, 1
+		if q.Tolerance <= 1 {
+			interval = strictTime
+		}
 	}
-	if now.Before(calm) {
-		p.grownAt = now
+	if now.Sub(p.grownAt) < interval {
 		return
 	}
-	steps := math.Floor(float64(now.Sub(p.grownAt)) / float64(growInterval))
-	if steps < 1 {
-		return
+	if p.ceiling > p.limit {
+		step = min(step, p.ceiling-p.limit)
 	}
-	p.limit = min(p.limit+min(steps, 1+p.limit/4), math.Max(1, float64(q.Slots)))
+	p.limit = min(p.limit+step, max(1, float64(q.Slots)))
 	p.grownAt = now
 }
 
@@ -155,11 +181,11 @@
 	return n > 0 && 2*n >= q.Tolerance
 }
 
-// wait counts a refused call and returns when it may come back, so that those that were refused before it find permits, too.
-func (p *pool) wait(now time.Time) time.Duration {
+// wait counts a refused router and returns when it may ask again, so that those that were refused before it find permits, too.
+func (p *pool) wait(q Question, now time.Time) time.Duration {
 	perCall := float64(max(p.hold, time.Millisecond)) / max(1, p.limit)
 	p.queue = max(0, p.queue-float64(now.Sub(p.queueAt))/perCall)
 	p.queueAt = now
-	p.queue++
-	return min(maxWait, max(minWait, time.Duration(perCall*p.queue)))
+	p.queue = min(p.queue+1, float64(max(1, q.Routers)))
+	return min(maxWait, max(minWait, time.Duration(earlyReturn*perCall*p.queue)))
 }
--- a/internal/core/permit/tracker.go
+++ b/internal/core/permit/tracker.go
@@ -8,6 +8,7 @@
 
 const (
 	wordTime     = 10 * time.Second // for which an endpoint's word about itself, or that of another one of its service, counts
+	onsetTime    = 2 * time.Second  // after the first endpoint of a service has said that it is brittle; within the time in which they do not fall
 	maxEndpoints = 4096             // that are remembered
 )
 
@@ -22,6 +23,7 @@
 	brittle   bool
 	tolerance int
 	at        time.Time
+	since     time.Time // of a service, when one of its endpoints first said so
 }
 
 // Record records an answer of an endpoint: whether it is brittle, and how many calls it may turn away in a second. It reports whether
@@ -39,10 +41,14 @@
 	}
 	w := word{brittle: brittle, tolerance: tolerance, at: now}
 	t.endpoints[e] = w
+	news := brittle && (!before.brittle || now.Sub(before.at) >= wordTime)
+	if w.since = before.since; news {
+		w.since = now
+	}
 	if brittle || before.at.Add(wordTime).Before(now) || !t.anyBrittle(now) {
 		t.services[s] = w
 	}
-	return brittle && !(before.brittle && now.Sub(before.at) < wordTime)
+	return news
 }
 
 // anyBrittle reports whether any endpoint has said lately that it is brittle. It forgets what is old.
@@ -71,6 +77,12 @@
 	return true, w.tolerance
 }
 
+// Onset reports whether the endpoints of a service have become brittle only now.
+func (t *Tracker) Onset(s jaywind.ServiceName, now time.Time) bool {
+	w := t.services[s]
+	return w.brittle && now.Sub(w.since) < onsetTime
+}
+
 // Count returns the number of endpoints that are known to be brittle.
 func (t *Tracker) Count(now time.Time) (n int) {
 	for _, w := range t.endpoints {
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -427,6 +427,20 @@
 	return false
 }
 
+// Helpers returns the fleet addresses of at most so many other routers through which endpoints may be reached, drawn at random. Routers
+// that are leaving come last.
+func (r *Roster) Helpers(limit int) []jaywind.Address {
+	helpers := r.Sample(limit)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for vm, m := range r.members {
+		if len(helpers) < limit && m.Leaving && m.missingSince.IsZero() && vm != r.Self.VM {
+			helpers = append(helpers, m.FleetAddress)
+		}
+	}
+	return helpers
+}
+
 // Count returns the number of routers that are not leaving.
 func (r *Roster) Count() int {
 	r.mu.Lock()
@@ -439,11 +453,7 @@
 func (r *Roster) Collectors(key string, count int) (others []jaywind.Address, self bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var members []jaywind.Member
-	for _, m := range r.active() {
-		members = append(members, jaywind.Member{VM: m.VM, Domain: m.Domain, Fleet: m.FleetAddress})
-	}
-	for _, m := range rendezvous.Pick(key, members, count, "") {
+	for _, m := range rendezvous.Pick(key, r.fleetMembers(), count, "") {
 		if m.VM == r.Self.VM {
 			self = true
 			continue
@@ -453,6 +463,27 @@
 	return others, self
 }
 
+// Owners returns the fleet addresses of the routers that own a key, the best first; this one may be among them. All routers with the same
+// view of the members choose the same.
+func (r *Roster) Owners(key string, count int) []jaywind.Address {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var owners []jaywind.Address
+	for _, m := range rendezvous.Pick(key, r.fleetMembers(), count, "") {
+		owners = append(owners, m.Fleet)
+	}
+	return owners
+}
+
+// fleetMembers returns the active routers; the caller holds mu.
+func (r *Roster) fleetMembers() []jaywind.Member {
+	var members []jaywind.Member
+	for _, m := range r.active() {
+		members = append(members, jaywind.Member{VM: m.VM, Domain: m.Domain, Fleet: m.FleetAddress})
+	}
+	return members
+}
+
 // active returns the routers that are not leaving and whose keys exist, including this one unless it is leaving; the
 // caller holds mu.
 func (r *Roster) active() []Member {
--- a/internal/relay/router/notice.go
+++ b/internal/relay/router/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -10,6 +11,7 @@
 	"jaywind"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/limit"
+	"jaywind/internal/core/permit"
 )
 
 const (
@@ -31,6 +33,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.rowOf(n.Endpoint)
+	speaks := n.Brittle || !n.SentAt.IsZero() // of whether it is brittle
+	if e != nil && speaks && r.brittle.Record(n.Endpoint, e.Service, n.Brittle, n.Tolerance, now) {
+		r.Log.Info("endpoint: brittle", zap.String("endpoint", string(e.ID)), zap.String("service", string(e.Service)), zap.Int("tolerance", n.Tolerance))
+	}
 	if n.Leaving && r.markLeaving(n.Endpoint, "its own answer") {
 		spread := announceDelayPerRouter * time.Duration(r.routers)
 		r.departures = append(r.departures, departure{n.Endpoint, now.Add(announceDelay + rand.N(spread))})
@@ -110,6 +116,33 @@
 	return jaywind.ErrLimited
 }
 
+// permitSlack is how much longer than a call its permit lasts, so that it is returned rather than expires.
+const permitSlack = time.Second
+
+// takePermit takes a permit for a call to a brittle endpoint, which is held for other calls if there is none. The function that it returns
+// has to be called at the end of the call; it does nothing at other endpoints.
+func (r *Router) takePermit(ctx context.Context, c *call, e *endpoint.Endpoint) (release func(cause error), err error) {
+	now := time.Now()
+	r.mu.Lock()
+	brittle, tolerance := r.brittle.Brittle(e.Ref(), e.Service, now)
+	q := permit.Question{Slots: e.Slots, Tolerance: tolerance, Lease: c.timeLeft(now) + permitSlack, Onset: r.brittle.Onset(e.Service, now)}
+	r.mu.Unlock()
+	if !brittle || r.Permits == nil {
+		return func(error) {}, nil
+	}
+	give, retryAt := r.Permits.Take(ctx, e.Ref(), q)
+	if give != nil {
+		return func(cause error) { give(errors.Is(cause, jaywind.ErrBusy)) }, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.limited.Inc(1)
+	if at := r.rowOf(e.Ref()); at != nil {
+		r.table.Hold(at, c.requirements.Urgent, retryAt, time.Now())
+	}
+	return nil, jaywind.ErrLimited
+}
+
 // rowOf returns the row of an incarnation, or nil; the caller holds mu.
 func (r *Router) rowOf(at jaywind.EndpointRef) *endpoint.Endpoint {
 	if e := r.table.Get(at.ID); e != nil && e.Incarnation == at.Incarnation {
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -118,8 +118,12 @@
 // send makes one attempt and records its outcome.
 func (r *Router) send(ctx context.Context, c *call, e *endpoint.Endpoint) (jaywind.Reply, error) {
 	defer r.releaseEndpoint(c, e)
-	now := time.Now()
-	reply, err := r.Upstream.Do(ctx, c.upstreamRequest(e, now))
+	release, err := r.takePermit(ctx, c, e)
+	if err != nil {
+		return jaywind.Reply{}, err
+	}
+	reply, err := r.Upstream.Do(ctx, c.upstreamRequest(e, time.Now()))
+	release(err)
 	if errors.Is(err, jaywind.ErrLimited) {
 		return reply, err
 	}
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -14,6 +14,7 @@
 	"jaywind/internal/core/drain"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/limit"
+	"jaywind/internal/core/permit"
 	"jaywind/internal/core/retry"
 	"jaywind/internal/core/rollout"
 	"jaywind/internal/core/route"
@@ -49,6 +50,7 @@
 	// BorrowRetry takes a retry for a service from another router's part of the budget. May be nil.
 	BorrowRetry         func(ctx context.Context, s jaywind.ServiceName) bool
 	Limiter             Limiter      // counts the calls to endpoints that name a limit; nil for not at all
+	Permits             Permits      // bounds the calls under way at brittle endpoints; nil for not at all
 	Calls               *drain.Calls // runs the calls to endpoints that no request waits for; set by the first call if nil
 	RegistryUnavailable func() bool  // reports whether the registry can't be read now; nil for never
 
@@ -66,6 +68,7 @@
 
 	rolloutStates map[jaywind.ServiceName]rollout.State // as last read, whether or not their orders are known
 
+	brittle    permit.Tracker
 	quarantine suspect.Quarantine
 	survivors  suspect.Survivors
 	departures []departure // endpoints whose departure may have to be announced
@@ -79,6 +82,13 @@
 	Take(ctx context.Context, e jaywind.EndpointRef, p jaywind.Priority) (allowed bool, retryAt time.Time)
 }
 
+// Permits grants permits for the calls of all routers to brittle endpoints.
+type Permits interface {
+	// Take returns a function that returns the permit and is told whether the endpoint has turned the call away; or nil, and when a permit
+	// may be free.
+	Take(ctx context.Context, e jaywind.EndpointRef, q permit.Question) (release func(rejected bool), retryAt time.Time)
+}
+
 func (r *Router) init() {
 	r.start.Do(func() {
 		if r.Log == nil {
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -235,7 +235,18 @@
 	if a.fromCopy {
 		limit = series.SilenceTimeout(st.usualGap, 2*st.route.EventTimeout)
 	}
+	release, err := r.takePermit(ctx, st.call, a.endpoint)
+	if err != nil {
+		return r.recordOpenFailure(ctx, st, a, err)
+	}
 	events, reply, err := r.Upstream.Open(ctx, s, limit)
+	defer func() {
+		if a.fromCopy && errors.Is(err, jaywind.ErrBusy) {
+			release(nil) // the copy is missing, which says nothing about room
+			return
+		}
+		release(err)
+	}()
 	if err == nil && events == nil {
 		st.mayHaveRun = true
 		st.attempts++
--- a/upstream.go
+++ b/upstream.go
@@ -45,6 +45,9 @@
 	Pause    time.Duration // for which it wants no call from this router; 0 if it asks for none
 	Limited  bool          // it names a limit
 	Limit    Rate          // of all routers together; valid only with Limited
+	// Brittle says that it falls over if it has to turn away more than Tolerance calls in a second.
+	Brittle   bool
+	Tolerance int
 	// SentAt is when the request was sent to which an answer names no limit; zero if the answer says nothing about one.
 	SentAt time.Time
 }
