permit: a substitute grants no more than the endpoint may turn away

A router that answers in place of the owner now holds at most half of the tolerated rejections (TestSubstitute). Permits are returned after 2 ms, not 10.

--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -29,7 +29,9 @@
 	Tolerance int           // calls that it may turn away in a second
 	Lease     time.Duration // after which the permit ends if it is not returned
 	Routers   int           // that may ask, of which each waits after a refusal
-	Onset     bool          // the endpoints of the service have become brittle only now, so that no other owner has granted permits
+	// Substitute says that the asked router answers in place of the owner, which may have permits in use.
+	Substitute bool
+	Onset      bool // the endpoints of the service have become brittle only now, so that no other owner has granted permits
 }
 
 // Grant is an owner's answer.
@@ -69,7 +71,7 @@
 	if float64(len(p.held))+1 > p.limit {
 		p.grow(q, now)
 	}
-	if float64(len(p.held))+1 > p.limit || p.isExhausted(q, now) {
+	if float64(len(p.held))+1 > p.allowed(q) || p.isExhausted(q, now) {
 		return Grant{Wait: p.wait(q, now)}
 	}
 	o.lastID++
@@ -170,6 +172,14 @@
 	p.grownAt = now
 }
 
+// allowed returns the number of permits that may be held now. Those of a substitute may all be rejected.
+func (p *pool) allowed(q Question) float64 {
+	if q.Substitute {
+		return min(p.limit, float64(q.Tolerance)/2)
+	}
+	return p.limit
+}
+
 // isExhausted reports whether the endpoint might fall over if it turned further calls away now.
 func (p *pool) isExhausted(q Question, now time.Time) bool {
 	n := 0
--- a/internal/core/permit/permit_test.go
+++ b/internal/core/permit/permit_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// TestSubstitute guards against permits of two routers at the same time that together are more than an endpoint has room for and tolerates.
+func TestSubstitute(t *testing.T) {
+	for tolerance, want := range map[int]int{0: 0, 1: 0, 2: 1, 4: 2, 100: 4} {
+		is := is.New(t)
+		var o permit.Owner
+		q := permit.Question{Slots: 16, Tolerance: tolerance, Lease: time.Minute, Substitute: true}
+		granted := 0
+		for granted < 20 && o.Take(endpoint, q, start).Granted() {
+			granted++
+		}
+		is.Equal(granted, want)
+	}
+}
+
 // TestLeases guards against permits that are lost with their router.
 func TestLeases(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/permit/client.go
+++ b/internal/fleet/permit/client.go
@@ -21,7 +21,7 @@
 	ownerCount         = 2                      // the owner of an endpoint and the one that answers while it does not
 	askTimeout         = 60 * time.Millisecond  // a request waits for the answer
 	silentTime         = time.Second            // for which a router that did not answer is not asked
-	returnTime         = 10 * time.Millisecond  // within which permits are returned together
+	returnTime         = 2 * time.Millisecond   // within which permits are returned together
 	returnTimeout      = 500 * time.Millisecond // a permit that can't be returned ends with its lease
 	noOwnerWait        = 300 * time.Millisecond // until a permit is asked for again if no owner answers
 	maxReturns         = 4096                   // permits that wait to be returned to one owner
@@ -89,7 +89,6 @@
 // ask asks one router, which may be this one.
 func (c *Client) ask(ctx context.Context, at jaywind.Address, e jaywind.EndpointRef, q permit.Question) (permit.Grant, error) {
 	if at == c.Self {
-		q.Routers = c.Routers()
 		return c.grant(e, q), nil
 	}
 	c.mu.Lock()
@@ -125,6 +124,9 @@
 
 // grant answers a question as an owner.
 func (c *Client) grant(e jaywind.EndpointRef, q permit.Question) permit.Grant {
+	q.Routers = c.Routers()
+	owners := c.Owners(string(e.ID), 1)
+	q.Substitute = len(owners) > 0 && owners[0] != c.Self
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	g := c.owner.Take(e, q, time.Now())
@@ -169,7 +171,7 @@
 func (c *Client) Handle(m *http.ServeMux) {
 	c.init()
 	take := func(_ context.Context, req *connect.Request[question]) (*connect.Response[answer], error) {
-		g := c.grant(req.Msg.Endpoint.decode(), req.Msg.decode(c.Routers()))
+		g := c.grant(req.Msg.Endpoint.decode(), req.Msg.decode())
 		return connect.NewResponse(&answer{ID: g.ID, Wait: g.Wait.Microseconds()}), nil
 	}
 	giveBack := func(_ context.Context, req *connect.Request[returns]) (*connect.Response[emptyResponse], error) {
--- a/internal/fleet/permit/wire.go
+++ b/internal/fleet/permit/wire.go
@@ -66,9 +66,9 @@
 }
 
 // decode returns the question; values out of range count as the nearest in range.
-func (q *question) decode(routers int) permit.Question {
+func (q *question) decode() permit.Question {
 	return permit.Question{
-		Slots: min(max(q.Slots, 1), maxSlots), Tolerance: max(q.Tolerance, 0), Routers: routers, Onset: q.Onset,
+		Slots: min(max(q.Slots, 1), maxSlots), Tolerance: max(q.Tolerance, 0), Onset: q.Onset,
 		Lease: time.Duration(min(max(q.Lease, 1), maxLease.Milliseconds())) * time.Millisecond,
 	}
 }
