--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -49,9 +49,9 @@
 	Request      jaywind.RequestID
 	Organisation jaywind.Organisation
 	Endpoint     Key
-	Standby      Key  // engine that keeps a copy of the run's memory; 0 for none
-	Tokens       int  // memory of the run at its end
-	Prefill      int  // prompt tokens that the engine has to process before the first event
+	Standby      Key       // engine that keeps a copy of the run's memory; 0 for none
+	Tokens       int       // memory of the run at its end
+	Prefill      int       // prompt tokens that the engine has to process before the first event
 	Begun        bool      // the run has had its first event
 	Started      time.Time // when the router sent it
 }
