core/schedule: no grant and no memory is lost between calls

What callers saw: nothing yet, as no router uses the package. Found while reading it for the exchange between routers:

- Ask runs Dispatch and dropped the grants of all requests but its own; such a request kept its memory until the grant expired and had lost its place.
Dispatch now returns them.
- Dispatch did not expire grants and reports, so a request could wait for memory that was free until somebody reported or asked.
- Open plain calls of a router that is gone were counted forever.
- New: Release drops a grant whose caller has left.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -87,11 +87,13 @@
 		return s.decision(TooLate, 0)
 	}
 	s.enqueue(w)
-	for _, a := range s.Dispatch(now) {
-		if a.Request == r.ID {
-			return a.Decision
-		}
+	all := s.Dispatch(now)
+	if i := slices.IndexFunc(all, func(a Assignment) bool { return a.Request == r.ID }); i >= 0 {
+		d := all[i].Decision
+		s.others = slices.Delete(all, i, i+1)
+		return d
 	}
+	s.others = all
 	i := s.find(r.ID)
 	if len(s.queue) > maxQueue {
 		return s.refuse(i, now)
@@ -155,6 +157,14 @@
 	}
 }
 
+// Release drops a grant that its router will not use. It does nothing once a report has confirmed the grant.
+func (s *Scheduler) Release(id jaywind.RequestID) {
+	if g, granted := s.grants[id]; granted {
+		s.remove(g.run)
+		delete(s.grants, id)
+	}
+}
+
 // Waiting returns the number of requests in the queue.
 func (s *Scheduler) Waiting() int { return len(s.queue) }
 
@@ -184,18 +194,23 @@
 	return 1
 }
 
-// Dispatch grants the requests whose turn has come and for which there is room.
+// Dispatch grants the requests whose turn has come and for which there is room. It also returns what Ask has granted to requests other
+// than its own since the last call.
 func (s *Scheduler) Dispatch(now time.Time) []Assignment {
 	s.init()
+	s.expire(now)
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return now.Sub(w.seen) > pollGrace })
-	var all []Assignment
+	all := s.others
+	s.others = nil
+	granted := 0
 	for {
 		w, at, standby := s.next(now)
 		if w == nil {
-			s.rate.record(len(all), len(s.queue) > 0, now)
+			s.rate.record(granted, len(s.queue) > 0, now)
 			return all
 		}
 		all = append(all, s.assign(w, at, standby, now))
+		granted++
 	}
 }
 
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -82,6 +82,7 @@
 	work      map[jaywind.Organisation]int // tokens of the runs of each organisation
 	tokens    int                          // of all runs
 	queue     []*waiting
+	others    []Assignment // granted within Ask to requests that waited, until Dispatch returns them
 	rate      rateMeter
 	speeds    Speeds
 	plain     plainStats
@@ -204,6 +205,7 @@
 			s.remove(run)
 		}
 		delete(s.reports, vm)
+		delete(s.plain.open, vm)
 	}
 	for id, g := range s.grants {
 		if now.Before(g.until) {
