core/schedule: grants made while another request is asked for are returned

What callers see: a request that waits gets its engine only when its router asks again, up to 400 ms later, and the engine's memory and prefill are reserved meanwhile. Cause: Ask calls Dispatch and dropped all grants but that of its own request. They are now kept and returned by the next Dispatch, or by the request's own Ask, and end with the grant.

TestGrantsWhileAsking failed before (no grant returned, want 1).

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -78,6 +78,9 @@
 func (s *Scheduler) Ask(r Request, now time.Time) Decision {
 	s.init()
 	s.expire(now)
+	if d, granted := s.takeReady(r.ID); granted {
+		return d
+	}
 	if i := s.find(r.ID); i >= 0 {
 		s.queue[i].seen = now
 		return s.review(i, now)
@@ -87,10 +90,9 @@
 		return s.decision(TooLate, 0)
 	}
 	s.enqueue(w)
-	for _, a := range s.Dispatch(now) {
-		if a.Request == r.ID {
-			return a.Decision
-		}
+	s.grant(now)
+	if d, granted := s.takeReady(r.ID); granted {
+		return d
 	}
 	i := s.find(r.ID)
 	if len(s.queue) > maxQueue {
@@ -150,6 +152,7 @@
 
 // Leave removes a request from the queue whose caller has left.
 func (s *Scheduler) Leave(id jaywind.RequestID) {
+	s.takeReady(id)
 	if i := s.find(id); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
@@ -184,18 +187,37 @@
 	return 1
 }
 
-// Dispatch grants the requests whose turn has come and for which there is room.
+// takeReady returns the grant of a request that was made while another one was asked for.
+func (s *Scheduler) takeReady(id jaywind.RequestID) (Decision, bool) {
+	i := slices.IndexFunc(s.ready, func(a Assignment) bool { return a.Request == id })
+	if i < 0 {
+		return Decision{}, false
+	}
+	d := s.ready[i].Decision
+	s.ready = slices.Delete(s.ready, i, i+1)
+	return d, true
+}
+
+// Dispatch grants the requests whose turn has come and for which there is room. It also returns those that were granted while others
+// were asked for.
 func (s *Scheduler) Dispatch(now time.Time) []Assignment {
 	s.init()
+	s.grant(now)
+	all := s.ready
+	s.ready = nil
+	return all
+}
+
+// grant grants the requests whose turn has come and for which there is room.
+func (s *Scheduler) grant(now time.Time) {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return now.Sub(w.seen) > pollGrace })
-	var all []Assignment
-	for {
+	for n := 0; ; n++ {
 		w, at, standby := s.next(now)
 		if w == nil {
-			s.rate.record(len(all), len(s.queue) > 0, now)
-			return all
+			s.rate.record(n, len(s.queue) > 0, now)
+			return
 		}
-		all = append(all, s.assign(w, at, standby, now))
+		s.ready = append(s.ready, s.assign(w, at, standby, now))
 	}
 }
 
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -35,7 +35,7 @@
 	return schedule.Run{Request: jaywind.RequestID(id), Organisation: jaywind.Organisation("of " + id), Endpoint: schedule.Key(at), Standby: schedule.Key(standby), Tokens: tokens, Begun: true, Started: start}
 }
 
-// prefilling is a run that was sent at the start and has had no event.
+// prefilling is a run that was sent to an engine at the start and has had no event.
 func prefilling(id string, at, tokens, prompt int) schedule.Run {
 	r := run(id, at, 0, tokens)
 	r.Begun, r.Prefill = false, prompt
@@ -466,3 +466,22 @@
 	s.SetEndpoints(all)
 	is.Equal(s.Summary(start.Add(3 * time.Second)).Rows[0].Factor, 2.0)
 }
+
+// TestGrantsWhileAsking guards against grants that are made while another request is asked for and that nobody hears of: their requests
+// would wait until their routers ask again, and keep their engines from others meanwhile.
+func TestGrantsWhileAsking(t *testing.T) {
+	is := is.New(t)
+	all := endpoints("a", "b")
+	s := scheduler(all)
+	busy := schedule.Report{Runs: []schedule.Run{prefilling("1", 1, 10, 100), prefilling("2", 2, 10, 100)}}
+	s.Report("vm0", busy, start)
+	is.Equal(s.Ask(request("first", nil), start).Outcome, schedule.Queued)
+	now := start.Add(time.Second) // the prefills no longer count
+	s.Leave("first")
+	is.Equal(s.Ask(request("second", nil), now.Add(-500*time.Millisecond)).Outcome, schedule.Queued)
+	is.Equal(s.Ask(request("third", nil), now).Outcome, schedule.Granted)
+	granted := s.Dispatch(now)
+	is.Equal(len(granted), 1)
+	is.Equal(granted[0].Request, jaywind.RequestID("second"))
+	is.Equal(len(s.Dispatch(now)), 0)
+}
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -82,6 +82,7 @@
 	work      map[jaywind.Organisation]int // tokens of the runs of each organisation
 	tokens    int                          // of all runs
 	queue     []*waiting
+	ready     []Assignment // grants that Dispatch has not returned yet
 	rate      rateMeter
 	speeds    Speeds
 	plain     plainStats
@@ -211,6 +212,7 @@
 		}
 		s.remove(g.run)
 		delete(s.grants, id)
+		s.takeReady(id)
 	}
 }
 
