core/schedule: a new owner learns the median of all speeds of a summary

What callers see: after a change of owner, slow engines count as usual ones until samples arrive: with factors of 1.7, 0.7 and 1 in the summary the factors were 1, 0.41 and 0.59, and the time per prompt token was the default. Cause: the median is updated at most every 250 ms, so only the first row counted, and Learn left out PromptMs.

TestLearn failed before with these figures.

--- a/internal/core/schedule/summary.go
+++ b/internal/core/schedule/summary.go
@@ -48,6 +48,9 @@
 	return out
 }
 
+// learnedPrompt is the prompt tokens of the sample that stands for a learned time per prompt token, so that rounding to ns doesn't matter.
+const learnedPrompt = 1000
+
 // Learn takes over the speeds of a summary for addresses of which this scheduler knows nothing, when another router becomes the owner.
 func (s *Scheduler) Learn(from Summary, addresses map[Key]jaywind.Address, now time.Time) {
 	for _, row := range from.Rows {
@@ -55,6 +58,8 @@
 		if !known || from.EventMs <= 0 || row.Factor <= 0 || s.speeds.addresses[at] != nil {
 			continue
 		}
-		s.speeds.Add(Sample{Address: at, Event: milliseconds(row.Factor * from.EventMs)}, now)
+		s.speeds.Add(Sample{Address: at, Event: milliseconds(row.Factor * from.EventMs), Prefill: milliseconds(row.Factor * from.PromptMs * learnedPrompt), Tokens: learnedPrompt}, now)
 	}
+	s.speeds.medianAt = time.Time{} // the median has to count all of them, not the first one only
+	s.speeds.updateMedians(now)
 }
--- a/internal/core/schedule/summary_test.go
+++ b/internal/core/schedule/summary_test.go
@@ -44,3 +44,30 @@
 	is.Equal(schedule.KeyOf(e), schedule.KeyOf(e))
 	is.True(schedule.KeyOf(e) != schedule.KeyOf(next))
 }
+
+// TestLearn guards against a new owner that takes engines of known speeds for others: the factors and the medians of the last summary hold
+// from the start, and what the owner has seen itself counts more.
+func TestLearn(t *testing.T) {
+	is := is.New(t)
+	all := endpoints("a", "b", "c", "d")
+	addresses := map[schedule.Key]jaywind.Address{}
+	for _, e := range all[:3] {
+		addresses[e.Key] = e.Address
+	}
+	s := scheduler(all)
+	s.Learn(schedule.Summary{
+		EventMs: 40, PromptMs: 0.5,
+		Rows: []schedule.Row{{Endpoint: 1, Factor: 1.7}, {Endpoint: 2, Factor: 0.7}, {Endpoint: 3, Factor: 1}, {Endpoint: 4, Factor: 9}},
+	}, addresses, start)
+	got := s.Summary(start)
+	for i, want := range []float64{1.7, 0.7, 1, 1} {
+		if f := got.Rows[i].Factor; f < want-0.01 || f > want+0.01 {
+			t.Errorf("factor %.2f of engine %d, want %.2f", f, i+1, want)
+		}
+	}
+	is.Equal(got.EventMs, 40.0)
+	is.Equal(got.PromptMs, 0.5)
+
+	s.Learn(schedule.Summary{EventMs: 40, Rows: []schedule.Row{{Endpoint: 2, Factor: 5}}}, addresses, start)
+	is.True(s.Summary(start.Add(time.Second)).Rows[1].Factor < 1)
+}
