core/schedule: expected waits follow the order in which requests are granted

What callers see: when one organisation floods a service, requests of the others are refused although they are granted first. Cause: the expected wait counted all requests that arrived earlier, also those of an organisation with most of the work, which come later in the order.

TestFloodBeforeOthers failed before (refused, want queued with none ahead). TestRetryAfter: the upper bound of one row is (15/0.7 - 9) s and a quarter, 15.54 s; it was rounded down to 15.5 s and failed now and then.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -126,19 +126,21 @@
 // review decides whether a request in the queue goes on waiting.
 func (s *Scheduler) review(i int, now time.Time) Decision {
 	w := s.queue[i]
-	expected := s.expectedWait(i, now)
+	ahead := s.ahead(i)
+	expected := s.expectedWait(ahead, now)
 	if !w.Resumed && now.Add(expected).After(w.startBy) {
 		return s.refuse(i, now)
 	}
-	d := s.decision(Queued, i)
+	d := s.decision(Queued, ahead)
 	d.Expected = expected
 	return d
 }
 
 // refuse removes a request from the queue.
 func (s *Scheduler) refuse(i int, now time.Time) Decision {
-	d := s.decision(Refused, i)
-	d.Expected = s.expectedWait(i, now)
+	ahead := s.ahead(i)
+	d := s.decision(Refused, ahead)
+	d.Expected = s.expectedWait(ahead, now)
 	left := max(0, s.queue[i].startBy.Sub(now))
 	d.RetryAfter = min(maxRetryAfter, max(minRetryAfter, s.expectedWait(len(s.queue), now)-left))
 	d.RetryAfter += time.Duration(rand.Int64N(int64(retrySpread * float64(d.RetryAfter))))
@@ -240,27 +242,48 @@
 	return nil, nil, nil
 }
 
-// inTurn returns the queue with the requests of an organisation that has most of the work in progress behind those of others of the
-// same priority.
-func (s *Scheduler) inTurn() []*waiting {
-	var large jaywind.Organisation
-	found := false
+// large returns the organisation that has most of the work in progress.
+func (s *Scheduler) large() (o jaywind.Organisation, found bool) {
 	for o, tokens := range s.work {
 		if float64(tokens) > largeShare*float64(s.tokens) {
-			large, found = o, true
+			return o, true
 		}
 	}
+	return "", false
+}
+
+// compareInTurn orders waiting requests as compare does, but those of a large organisation behind those of others that can meet their
+// target as they can.
+func compareInTurn(a, b *waiting, large jaywind.Organisation) int {
+	return cmp.Or(bools(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), bools(a.late, b.late),
+		bools(a.Organisation == large, b.Organisation == large), compare(a, b))
+}
+
+// inTurn returns the queue in the order in which requests are granted.
+func (s *Scheduler) inTurn() []*waiting {
+	large, found := s.large()
 	if !found || len(s.queue) < 2 {
 		return s.queue
 	}
 	ordered := slices.Clone(s.queue)
-	slices.SortStableFunc(ordered, func(a, b *waiting) int {
-		return cmp.Or(bools(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), bools(a.late, b.late),
-			bools(a.Organisation == large, b.Organisation == large))
-	})
+	slices.SortFunc(ordered, func(a, b *waiting) int { return compareInTurn(a, b, large) })
 	return ordered
 }
 
+// ahead returns the number of requests that are granted before the i-th of the queue.
+func (s *Scheduler) ahead(i int) (n int) {
+	large, found := s.large()
+	if !found {
+		return i
+	}
+	for _, w := range s.queue {
+		if compareInTurn(w, s.queue[i], large) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // assign grants a request.
 func (s *Scheduler) assign(w *waiting, at, standby *Endpoint, now time.Time) Assignment {
 	s.Leave(w.ID)
@@ -299,7 +322,7 @@
 	return int(maxFill * float64(s.Capacity.MemoryTokens) * float64(len(s.endpoints)))
 }
 
-// expectedWait returns how long the i-th request of the queue is expected to wait.
+// expectedWait returns how long a request with i others before it is expected to wait.
 func (s *Scheduler) expectedWait(i int, now time.Time) time.Duration {
 	prior := 0.0
 	if n := len(s.queue); n > 0 {
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -305,7 +305,7 @@
 		min, max time.Duration // the wait of the queue less what the request may wait itself, and a quarter more
 	}{
 		"a little too long": {ahead: 6, min: time.Second, max: 3100 * time.Millisecond},
-		"twice too long":    {ahead: 13, min: 11 * time.Second, max: 15500 * time.Millisecond},
+		"twice too long":    {ahead: 13, min: 11 * time.Second, max: 15600 * time.Millisecond},
 		"far too long":      {ahead: 100, min: 15 * time.Second, max: 18750 * time.Millisecond},
 	}
 	for name, c := range tests {
@@ -485,3 +485,21 @@
 	is.Equal(granted[0].Request, jaywind.RequestID("second"))
 	is.Equal(len(s.Dispatch(now)), 0)
 }
+
+// TestFloodBeforeOthers guards against requests that are refused for the queue of an organisation whose requests come after them: their
+// expected wait counts those that are granted before them.
+func TestFloodBeforeOthers(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(endpoints("a"))
+	r := run("1", 1, 0, 400)
+	r.Organisation = "large"
+	s.Report("vm0", schedule.Report{Runs: []schedule.Run{r}}, start)
+	for i := range 20 {
+		s.Ask(request(string(rune('a'+i)), func(r *schedule.Request) {
+			r.Organisation, r.Prefill, r.Target, r.Arrived = "large", 4000, time.Hour, start.Add(-time.Second)
+		}), start)
+	}
+	d := s.Ask(request("other", func(r *schedule.Request) { r.Prefill = 4000 }), start)
+	is.Equal(d.Outcome, schedule.Queued)
+	is.Equal(d.Ahead, 0)
+}
