core/schedule: a request larger than an engine's memory does not hold up the others

What callers see: one request whose prompt and maximum output exceed 0.9 of an engine's memory (49,500 of 55,000 tokens) keeps all requests behind it waiting until it is refused, up to its latency target; a resumed one until its deadline. Cause: it can fit nowhere, and no request overtakes one for which there is no room. Its reservation is now limited to what an empty engine can give, a reported run counts as one engine's memory at most, and others may overtake it.

TestOversizedRequest and TestOversizedRun failed before.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -72,6 +72,8 @@
 	startBy time.Time // after which it can't meet its target, or its deadline if it is late
 	late    bool      // it can't meet its latency target
 	seen    time.Time // when its router last asked
+
+	oversized bool // it may need more memory than an engine has
 }
 
 // Ask grants a request, adds it to the queue or refuses it. A request that is in the queue keeps its place.
@@ -108,7 +110,8 @@
 	if !r.Resumed && r.Left < time.Duration(usefulShare*float64(runTime)) {
 		return nil
 	}
-	w := &waiting{Request: r, seen: now}
+	w := &waiting{Request: r, seen: now, oversized: r.Tokens > s.maxTokens()}
+	w.Tokens = min(r.Tokens, s.maxTokens())
 	last := now.Add(r.Left - time.Duration(usefulShare*float64(runTime)))
 	onTime := r.Arrived.Add(r.Target - prefillTime)
 	switch {
@@ -224,10 +227,13 @@
 }
 
 // next returns the first request that can be granted, and where. A request for which there is no room keeps those after it waiting,
-// unless it is only kept from engines that may not run it.
+// unless it is only kept from engines that may not run it, or needs an empty engine, as all others would wait until one is empty.
 func (s *Scheduler) next(now time.Time) (w *waiting, at, standby *Endpoint) {
 	for _, w := range s.inTurn() {
 		if !w.Resumed && s.inUse()+s.need(w.Tokens) > s.bound() {
+			if w.oversized {
+				continue
+			}
 			return nil, nil, nil
 		}
 		if at, standby := s.place(&w.Request, now); at != nil {
@@ -235,7 +241,7 @@
 		}
 		free := w.Request
 		free.Exclude = nil
-		if at, _ := s.place(&free, now); at == nil {
+		if at, _ := s.place(&free, now); at == nil && !w.oversized {
 			return nil, nil, nil
 		}
 	}
@@ -306,6 +312,10 @@
 	return Assignment{Request: w.ID, Decision: d}
 }
 
+// maxTokens returns the memory that is reserved for one run at most. A run whose maximum output exceeds the memory of an engine seldom
+// uses all of it, and can run nowhere else.
+func (s *Scheduler) maxTokens() int { return int(maxFill * float64(s.Capacity.MemoryTokens)) }
+
 // need returns the memory that a run takes with its copy.
 func (s *Scheduler) need(tokens int) int {
 	if s.Capacity.CopiesMemory {
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -503,3 +503,30 @@
 	is.Equal(d.Outcome, schedule.Queued)
 	is.Equal(d.Ahead, 0)
 }
+
+// TestOversizedRequest guards against a request that is larger than an engine's memory and keeps all others waiting.
+func TestOversizedRequest(t *testing.T) {
+	tests := map[string]func(r *schedule.Request){
+		"new":     func(r *schedule.Request) { r.Tokens = 5000 },
+		"resumed": func(r *schedule.Request) { r.Tokens, r.Resumed = 5000, true },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler(endpoints("a", "b"))
+			s.Report("vm0", schedule.Report{Runs: []schedule.Run{run("1", 1, 0, 200), run("2", 2, 0, 200)}}, start)
+			s.Ask(request("oversized", change), start)
+			is.New(t).Equal(s.Ask(request("small", nil), start).Outcome, schedule.Granted)
+		})
+	}
+}
+
+// TestOversizedRun checks that a request which is larger than an engine's memory gets an empty engine, and that its run leaves the
+// others to new requests.
+func TestOversizedRun(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(endpoints("a", "b", "c", "d"))
+	d := s.Ask(request("oversized", func(r *schedule.Request) { r.Tokens = 5000 }), start)
+	is.Equal(d.Outcome, schedule.Granted)
+	s.Report("vm1", schedule.Report{Runs: []schedule.Run{run("oversized", int(d.Endpoint), int(d.Standby), 5000)}}, start)
+	is.Equal(s.Ask(request("small", nil), start).Outcome, schedule.Granted)
+}
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -140,7 +141,10 @@
 	for _, run := range s.reports[from].runs {
 		s.remove(run)
 	}
-	for _, run := range r.Runs {
+	r.Runs = slices.Clone(r.Runs)
+	for i, run := range r.Runs {
+		run.Tokens = min(run.Tokens, s.Capacity.MemoryTokens)
+		r.Runs[i] = run
 		if g, granted := s.grants[run.Request]; granted {
 			s.remove(g.run)
 			delete(s.grants, run.Request)
