core/schedule: the organisation with most of the work is found without going over all

The scheduler now keeps the organisation with the largest part of the work, and looks for another one only after that one has lost a run and no longer has most.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -248,14 +248,19 @@
 	return nil, nil, nil
 }
 
-// large returns the organisation that has most of the work in progress.
+// large returns the organisation that has most of the work in progress. It goes over all organisations only after the one with the
+// largest part has lost a run, as it is called for each request and there may be tens of thousands of organisations.
 func (s *Scheduler) large() (o jaywind.Organisation, found bool) {
-	for o, tokens := range s.work {
-		if float64(tokens) > largeShare*float64(s.tokens) {
-			return o, true
+	isLarge := func() bool { return float64(s.work[s.top]) > largeShare*float64(s.tokens) }
+	if s.topStale && !isLarge() {
+		s.topStale = false
+		for o, tokens := range s.work {
+			if tokens > s.work[s.top] {
+				s.top = o
+			}
 		}
 	}
-	return "", false
+	return s.top, isLarge()
 }
 
 // compareInTurn orders waiting requests as compare does, but those of a large organisation behind those of others that can meet their
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -530,3 +530,51 @@
 	s.Report("vm1", schedule.Report{Runs: []schedule.Run{run("oversized", int(d.Endpoint), int(d.Standby), 5000)}}, start)
 	is.Equal(s.Ask(request("small", nil), start).Outcome, schedule.Granted)
 }
+
+// TestLargeOrganisation guards against a change of the organisation with most of the work that is missed: its requests come after those of
+// another one that arrive later.
+func TestLargeOrganisation(t *testing.T) {
+	type work map[string]int // tokens of organisations
+	tests := map[string]struct {
+		reports []work
+		want    string // the first request that is granted; large asks before small
+	}{
+		"by its own runs":             {[]work{{"small": 100}, {"small": 100, "large": 200}}, "small"},
+		"as others have ended":        {[]work{{"small": 100, "large": 100, "third": 100}, {"large": 100, "third": 50}}, "small"},
+		"as the largest has ended":    {[]work{{"third": 300, "large": 100}, {"large": 100}}, "small"},
+		"the largest of many":         {[]work{{"third": 100, "large": 100, "small": 100}}, "large"},
+		"half is not most":            {[]work{{"third": 100, "large": 100}}, "large"},
+		"no longer, its runs ended":   {[]work{{"large": 300, "third": 50}, {"large": 50, "third": 50}}, "large"},
+		"no longer, others have more": {[]work{{"large": 200}, {"large": 200, "third": 200}}, "large"},
+		"another one now":             {[]work{{"large": 300}, {"third": 300}}, "large"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			all := endpoints("a", "b")
+			all[0].Slots, all[1].Slots = 1, 0
+			s := scheduler(all)
+			ask := func(id string) schedule.Request {
+				return request(id, func(r *schedule.Request) { r.Organisation = jaywind.Organisation(id) })
+			}
+			for i, w := range c.reports {
+				busy := schedule.Report{Runs: []schedule.Run{run("busy", 1, 0, 0)}}
+				for o, tokens := range w {
+					r := run("run of "+o, 99, 0, tokens) // at an engine that is about to stop
+					r.Organisation = jaywind.Organisation(o)
+					busy.Runs = append(busy.Runs, r)
+				}
+				s.Report("vm1", busy, start)
+				if i == 0 { // the queue is looked at in between
+					is.Equal(s.Ask(ask("large"), start).Outcome, schedule.Queued)
+					is.Equal(s.Ask(ask("small"), start.Add(time.Millisecond)).Outcome, schedule.Queued)
+				}
+			}
+			all[0].Slots = 2
+			s.SetEndpoints(all)
+			granted := s.Dispatch(start)
+			is.Equal(len(granted), 1)
+			is.Equal(string(granted[0].Request), c.want)
+		})
+	}
+}
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -81,6 +81,8 @@
 	reports   map[jaywind.VM]report
 	grants    map[jaywind.RequestID]grant
 	work      map[jaywind.Organisation]int // tokens of the runs of each organisation
+	top       jaywind.Organisation         // with the largest part of the work
+	topStale  bool                         // runs of it have ended since
 	tokens    int                          // of all runs
 	queue     []*waiting
 	ready     []Assignment // grants that Dispatch has not returned yet
@@ -171,6 +173,9 @@
 		s.loadOf(r.Standby).copies += r.Tokens
 	}
 	s.work[r.Organisation] += r.Tokens
+	if s.work[r.Organisation] > s.work[s.top] {
+		s.top = r.Organisation
+	}
 	s.tokens += r.Tokens
 }
 
@@ -184,6 +189,7 @@
 		s.loadOf(r.Standby).copies -= r.Tokens
 	}
 	s.work[r.Organisation] -= r.Tokens
+	s.topStale = s.topStale || r.Organisation == s.top
 	if s.work[r.Organisation] <= 0 {
 		delete(s.work, r.Organisation)
 	}
