core/schedule: prompts of one engine take their time together

What callers see: a new request is sent to an engine before which several prompts still wait, and misses its target (an urgent stream in a model of 195 routers waited for 7 s behind four prompts). Cause: each run counted as prefilling for three times the time of its own prompt, but an engine prefills its prompts one after the other. Each now counts for three times the time of all of them.

TestFits, "several take three times together", failed before (granted, want queued).

--- a/internal/core/schedule/place.go
+++ b/internal/core/schedule/place.go
@@ -45,9 +45,14 @@
 	if float64(l.held+l.copies+r.Tokens) > fill*float64(s.Capacity.MemoryTokens) {
 		return false
 	}
+	expected := 0.0 // ms for all prompts, which the engine prefills one after the other
+	for _, run := range l.prefills {
+		expected += s.speeds.prefillMs(e.Address, run.Prefill, now)
+	}
+	grace := max(minPrefill, milliseconds(prefillGrace*expected))
 	n := 0
 	for _, run := range l.prefills {
-		if now.Sub(run.Started) < max(minPrefill, time.Duration(prefillGrace*s.speeds.prefillMs(e.Address, run.Prefill, now))*time.Millisecond) {
+		if now.Sub(run.Started) < grace {
 			n++
 		}
 	}
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -140,6 +140,8 @@
 		"it should have ended long ago":          {runs: []schedule.Run{prefilling("1", 1, 10, 100)}, after: time.Second, want: schedule.Granted},
 		"a long one may take three times":        {runs: []schedule.Run{prefilling("1", 1, 10, 8000)}, after: 5990 * time.Millisecond, want: schedule.Queued},
 		"and not longer":                         {runs: []schedule.Run{prefilling("1", 1, 10, 8000)}, after: 6 * time.Second, want: schedule.Granted},
+		"several take three times together":      {runs: []schedule.Run{prefilling("1", 1, 10, 2000), prefilling("2", 1, 10, 2000), prefilling("3", 1, 10, 2000)}, after: 4490 * time.Millisecond, want: schedule.Queued},
+		"and not longer than that":               {runs: []schedule.Run{prefilling("1", 1, 10, 2000), prefilling("2", 1, 10, 2000), prefilling("3", 1, 10, 2000)}, after: 4500 * time.Millisecond, want: schedule.Granted},
 		"resumed beside one prompt":              {runs: []schedule.Run{prefilling("1", 1, 10, 100)}, change: resumed, want: schedule.Granted},
 		"resumed beside two prompts":             {runs: []schedule.Run{prefilling("1", 1, 10, 100), prefilling("2", 1, 10, 100)}, change: resumed, want: schedule.Queued},
 		"the bound counts a copy of each run":    {runs: []schedule.Run{run("1", 1, 0, 351)}, want: schedule.Queued},
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -15,7 +15,7 @@
 	grantTTL     = time.Second             // after which a grant that no report has confirmed ends
 	maxFill      = 0.9                     // fraction of the memory of engines that new runs and their copies may take
 	maxPrefills  = 1                       // prompts that an engine prefills at the same time, as more would only delay each other
-	prefillGrace = 3                       // times the expected time of a prefill, after which its run no longer keeps others from the engine
+	prefillGrace = 3                       // times the expected time of the prefills of an engine, after which they no longer keep others from it
 	minPrefill   = time.Second             // for which a run without an event counts as prefilling at least
 )
 
