core/schedule: a run that its engine has preempted counts as a prompt again

What callers see: after crashes, urgent streams are sent to engines that prefill up to four preempted runs first, and miss their target. Cause: such a run is reported as begun, so the scheduler sees no prompt. Run.Begun is now defined to be false after StallTime without an event, with Started the time of the last one and Prefill all tokens so far; the decisions need no other change. Routers have to report it so.

--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -19,6 +19,10 @@
 	minPrefill   = time.Second             // for which a run without an event counts as prefilling at least
 )
 
+// StallTime is the time without an event after which routers report a run as not begun, with all its tokens so far to prefill: its engine
+// has preempted it for lack of memory. It is three times the longest usual pause, a step of 31 ms beside a prefill for each of 5 tokens.
+const StallTime = 500 * time.Millisecond
+
 // Key identifies an incarnation of an endpoint in the messages of the scheduler.
 type Key uint64
 
@@ -53,8 +57,8 @@
 	Standby      Key       // engine that keeps a copy of the run's memory; 0 for none
 	Tokens       int       // memory of the run at its end
 	Prefill      int       // prompt tokens that the engine has to process before the first event
-	Begun        bool      // the run has had its first event
-	Started      time.Time // when the router sent it
+	Begun        bool      // the run has had its first event, and none is missing for StallTime
+	Started      time.Time // when the router sent it, or its last event if it has stalled
 }
 
 // Report is all that a router says of its work at a service.
