core/schedule: plain calls of a lost router no longer count

What callers see: calls that were under way at a router when it was lost count at their endpoints for as long as the owner lives, so these endpoints are avoided. Cause: only the runs of an old report were removed. Also, each summary went over all routers for each endpoint; the sums are now kept.

TestOpenCalls failed before (6, want 4).

--- a/internal/core/schedule/plain.go
+++ b/internal/core/schedule/plain.go
@@ -23,7 +23,8 @@
 
 // plainStats adds up the plain calls of all routers to each endpoint. The zero value is empty.
 type plainStats struct {
-	open  map[jaywind.VM]map[Key]int
+	open  map[jaywind.VM]map[Key]int // calls under way in the last report of each router
+	sum   map[Key]int                // of them
 	total map[Key]*plainLoad
 }
 
@@ -42,11 +43,13 @@
 
 func (p *plainStats) add(from jaywind.VM, all []PlainSample, now time.Time) {
 	if p.open == nil {
-		p.open, p.total = map[jaywind.VM]map[Key]int{}, map[Key]*plainLoad{}
+		p.open, p.sum, p.total = map[jaywind.VM]map[Key]int{}, map[Key]int{}, map[Key]*plainLoad{}
 	}
+	p.forget(from)
 	open := make(map[Key]int, len(all))
 	for _, m := range all {
-		open[m.Endpoint] = m.Open
+		open[m.Endpoint] += m.Open
+		p.sum[m.Endpoint] += m.Open
 		l := p.total[m.Endpoint]
 		if l == nil {
 			l = &plainLoad{since: now}
@@ -79,10 +82,15 @@
 	l.calls, l.rejected, l.time, l.since, l.at = 0, 0, 0, now, now
 }
 
-// openCalls returns the calls under way at an endpoint.
-func (p *plainStats) openCalls(k Key) (n int) {
-	for _, open := range p.open {
-		n += open[k]
+// forget removes the calls under way of a router.
+func (p *plainStats) forget(from jaywind.VM) {
+	for k, n := range p.open[from] {
+		if p.sum[k] -= n; p.sum[k] == 0 {
+			delete(p.sum, k)
+		}
 	}
-	return n
+	delete(p.open, from)
 }
+
+// openCalls returns the calls under way at an endpoint.
+func (p *plainStats) openCalls(k Key) int { return p.sum[k] }
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -219,6 +219,7 @@
 			s.remove(run)
 		}
 		delete(s.reports, vm)
+		s.plain.forget(vm)
 	}
 	for id, g := range s.grants {
 		if now.Before(g.until) {
--- a/internal/core/schedule/summary_test.go
+++ b/internal/core/schedule/summary_test.go
@@ -45,6 +45,22 @@
 	is.True(schedule.KeyOf(e) != schedule.KeyOf(next))
 }
 
+// TestOpenCalls guards against plain calls of a router that is lost, which would count as under way for ever.
+func TestOpenCalls(t *testing.T) {
+	is := is.New(t)
+	s := scheduler(endpoints("a"))
+	open := func(n int) schedule.Report {
+		return schedule.Report{Plain: []schedule.PlainSample{{Endpoint: 1, Open: n}}}
+	}
+	s.Report("vm1", open(2), start)
+	s.Report("vm2", open(3), start)
+	s.Report("vm2", open(4), start.Add(2*time.Second))
+	is.Equal(s.Summary(start.Add(2 * time.Second)).Rows[0].Open, 6)
+	is.Equal(s.Summary(start.Add(3 * time.Second)).Rows[0].Open, 4)
+	s.Report("vm2", schedule.Report{}, start.Add(3*time.Second))
+	is.Equal(s.Summary(start.Add(3 * time.Second)).Rows[0].Open, 0)
+}
+
 // TestLearn guards against a new owner that takes engines of known speeds for others: the factors and the medians of the last summary hold
 // from the start, and what the owner has seen itself counts more.
 func TestLearn(t *testing.T) {
