core/schedule: bulk requests leave a tenth of the bound to urgent ones

What callers see: with bulk streams at 1.6 times the capacity, urgent ones at 0.4 of it find no room for about 3 s at a time, but may wait for 2.7 s only. Cause: the bulk streams that wait when the load begins take all memory within a few seconds, and as their runs take equally long nothing is granted until they end. While a more urgent priority has been asked for in the last 10 s, new runs of others are now granted up to 0.9 of the bound only.

TestReserve is new.

--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -12,6 +12,8 @@
 const (
 	maxQueue       = 4096                   // requests that wait, so that the memory of an owner stays bounded
 	pollGrace      = 600 * time.Millisecond // after which a waiting request that was not asked for again has left
+	urgentReserve  = 0.1                    // of the bound, which requests of other priorities than the most urgent leave free
+	urgentMemory   = 10 * time.Second       // for which a priority counts as the most urgent after a request of it; runs take as long under load
 	largeShare     = 0.5                    // of the work in progress; an organisation that has more goes behind the others
 	minRetryAfter  = 500 * time.Millisecond
 	maxRetryAfter  = 15 * time.Second
@@ -87,6 +89,9 @@
 		s.queue[i].seen = now
 		return s.review(i, now)
 	}
+	if r.Priority <= s.urgent || now.Sub(s.urgentAt) >= urgentMemory {
+		s.urgent, s.urgentAt = r.Priority, now
+	}
 	w := s.newWaiting(r, now)
 	if w == nil {
 		return s.decision(TooLate, 0)
@@ -230,7 +235,7 @@
 // unless it is only kept from engines that may not run it, or needs an empty engine, as all others would wait until one is empty.
 func (s *Scheduler) next(now time.Time) (w *waiting, at, standby *Endpoint) {
 	for _, w := range s.inTurn() {
-		if !w.Resumed && s.inUse()+s.need(w.Tokens) > s.bound() {
+		if !w.Resumed && s.inUse()+s.need(w.Tokens) > s.boundFor(w, now) {
 			if w.oversized {
 				continue
 			}
@@ -337,6 +342,15 @@
 	return int(maxFill * float64(s.Capacity.MemoryTokens) * float64(len(s.endpoints)))
 }
 
+// boundFor returns the memory that runs and their copies may take together once a request is granted. Bulk requests that take all of it at
+// the same time would keep urgent ones waiting until their runs end, which is longer than an urgent request may wait.
+func (s *Scheduler) boundFor(w *waiting, now time.Time) int {
+	if w.Priority > s.urgent && now.Sub(s.urgentAt) < urgentMemory {
+		return int((1 - urgentReserve) * float64(s.bound()))
+	}
+	return s.bound()
+}
+
 // expectedWait returns how long a request with i others before it is expected to wait.
 func (s *Scheduler) expectedWait(i int, now time.Time) time.Duration {
 	prior := 0.0
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -168,6 +168,34 @@
 	}
 }
 
+// TestReserve guards against bulk requests that take all memory, so that the next urgent one has to wait for the end of a run.
+func TestReserve(t *testing.T) {
+	tests := map[string]struct {
+		used     int // tokens of 2,000 for runs and copies, 1,800 of which are the bound
+		priority int
+		after    time.Duration // since an urgent request
+		want     schedule.Outcome
+	}{
+		"bulk up to 0.9 of the bound":     {used: 710, priority: 2, want: schedule.Granted},
+		"not more of it":                  {used: 711, priority: 2, want: schedule.Queued},
+		"urgent up to the bound":          {used: 800, want: schedule.Granted},
+		"not more of it either":           {used: 801, want: schedule.Queued},
+		"bulk alone up to the bound":      {used: 800, priority: 2, after: 10 * time.Second, want: schedule.Granted},
+		"no urgent request for some time": {used: 711, priority: 2, after: 9999 * time.Millisecond, want: schedule.Queued},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := scheduler(endpoints("a", "b"))
+			s.Ask(request("urgent", nil), start)
+			s.Leave("urgent")
+			now := start.Add(max(c.after, time.Second)) // its grant ends unconfirmed
+			s.Report("vm0", schedule.Report{Runs: []schedule.Run{run("1", 1, 0, c.used-300), run("2", 2, 0, 300)}}, now)
+			r := request("new", func(r *schedule.Request) { r.Priority, r.Arrived = c.priority, now })
+			is.New(t).Equal(s.Ask(r, now).Outcome, c.want)
+		})
+	}
+}
+
 // TestOrderKept guards against small new requests that overtake one for which there is no room, and against one that is kept from certain
 // engines holding up all others.
 func TestOrderKept(t *testing.T) {
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -91,6 +91,8 @@
 	queue     []*waiting
 	ready     []Assignment // grants that Dispatch has not returned yet
 	rate      rateMeter
+	urgent    int       // the most urgent priority that was asked for lately
+	urgentAt  time.Time // when it was asked for last
 	speeds    Speeds
 	plain     plainStats
 }
