--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -12,6 +12,8 @@
 const (
 	maxQueue       = 4096                   // requests that wait, so that the memory of an owner stays bounded
 	pollGrace      = 600 * time.Millisecond // after which a waiting request that was not asked for again has left
+	urgentReserve  = 0.1                    // of the bound, which requests of other priorities than the most urgent leave free
+	urgentMemory   = 10 * time.Second       // for which a priority counts as the most urgent after a request of it; runs take as long under load
 	largeShare     = 0.5                    // of the work in progress; an organisation that has more goes behind the others
 	minRetryAfter  = 500 * time.Millisecond
 	maxRetryAfter  = 15 * time.Second
@@ -72,28 +74,33 @@
 	startBy time.Time // after which it can't meet its target, or its deadline if it is late
 	late    bool      // it can't meet its latency target
 	seen    time.Time // when its router last asked
+
+	oversized bool // it may need more memory than an engine has
 }
 
 // Ask grants a request, adds it to the queue or refuses it. A request that is in the queue keeps its place.
 func (s *Scheduler) Ask(r Request, now time.Time) Decision {
 	s.init()
 	s.expire(now)
+	if d, granted := s.takeReady(r.ID); granted {
+		return d
+	}
 	if i := s.find(r.ID); i >= 0 {
 		s.queue[i].seen = now
 		return s.review(i, now)
 	}
+	if r.Priority <= s.urgent || now.Sub(s.urgentAt) >= urgentMemory {
+		s.urgent, s.urgentAt = r.Priority, now
+	}
 	w := s.newWaiting(r, now)
 	if w == nil {
 		return s.decision(TooLate, 0)
 	}
 	s.enqueue(w)
-	all := s.Dispatch(now)
-	if i := slices.IndexFunc(all, func(a Assignment) bool { return a.Request == r.ID }); i >= 0 {
-		d := all[i].Decision
-		s.others = slices.Delete(all, i, i+1)
+	s.grant(now)
+	if d, granted := s.takeReady(r.ID); granted {
 		return d
 	}
-	s.others = all
 	i := s.find(r.ID)
 	if len(s.queue) > maxQueue {
 		return s.refuse(i, now)
@@ -108,7 +115,8 @@
 	if !r.Resumed && r.Left < time.Duration(usefulShare*float64(runTime)) {
 		return nil
 	}
-	w := &waiting{Request: r, seen: now}
+	w := &waiting{Request: r, seen: now, oversized: r.Tokens > s.maxTokens()}
+	w.Tokens = min(r.Tokens, s.maxTokens())
 	last := now.Add(r.Left - time.Duration(usefulShare*float64(runTime)))
 	onTime := r.Arrived.Add(r.Target - prefillTime)
 	switch {
@@ -126,19 +134,21 @@
 // review decides whether a request in the queue goes on waiting.
 func (s *Scheduler) review(i int, now time.Time) Decision {
 	w := s.queue[i]
-	expected := s.expectedWait(i, now)
+	ahead := s.ahead(i)
+	expected := s.expectedWait(ahead, now)
 	if !w.Resumed && now.Add(expected).After(w.startBy) {
 		return s.refuse(i, now)
 	}
-	d := s.decision(Queued, i)
+	d := s.decision(Queued, ahead)
 	d.Expected = expected
 	return d
 }
 
 // refuse removes a request from the queue.
 func (s *Scheduler) refuse(i int, now time.Time) Decision {
-	d := s.decision(Refused, i)
-	d.Expected = s.expectedWait(i, now)
+	ahead := s.ahead(i)
+	d := s.decision(Refused, ahead)
+	d.Expected = s.expectedWait(ahead, now)
 	left := max(0, s.queue[i].startBy.Sub(now))
 	d.RetryAfter = min(maxRetryAfter, max(minRetryAfter, s.expectedWait(len(s.queue), now)-left))
 	d.RetryAfter += time.Duration(rand.Int64N(int64(retrySpread * float64(d.RetryAfter))))
@@ -152,6 +162,7 @@
 
 // Leave removes a request from the queue whose caller has left.
 func (s *Scheduler) Leave(id jaywind.RequestID) {
+	s.takeReady(id)
 	if i := s.find(id); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
@@ -194,31 +205,49 @@
 	return 1
 }
 
-// Dispatch grants the requests whose turn has come and for which there is room. It also returns what Ask has granted to requests other
-// than its own since the last call.
+// takeReady returns the grant of a request that was made while another one was asked for.
+func (s *Scheduler) takeReady(id jaywind.RequestID) (Decision, bool) {
+	i := slices.IndexFunc(s.ready, func(a Assignment) bool { return a.Request == id })
+	if i < 0 {
+		return Decision{}, false
+	}
+	d := s.ready[i].Decision
+	s.ready = slices.Delete(s.ready, i, i+1)
+	return d, true
+}
+
+// Dispatch grants the requests whose turn has come and for which there is room. It also returns those that were granted while others
+// were asked for.
 func (s *Scheduler) Dispatch(now time.Time) []Assignment {
 	s.init()
 	s.expire(now)
+	s.grant(now)
+	all := s.ready
+	s.ready = nil
+	return all
+}
+
+// grant grants the requests whose turn has come and for which there is room.
+func (s *Scheduler) grant(now time.Time) {
 	s.queue = slices.DeleteFunc(s.queue, func(w *waiting) bool { return now.Sub(w.seen) > pollGrace })
-	all := s.others
-	s.others = nil
-	granted := 0
-	for {
+	for n := 0; ; n++ {
 		w, at, standby := s.next(now)
 		if w == nil {
-			s.rate.record(granted, len(s.queue) > 0, now)
-			return all
+			s.rate.record(n, len(s.queue) > 0, now)
+			return
 		}
-		all = append(all, s.assign(w, at, standby, now))
-		granted++
+		s.ready = append(s.ready, s.assign(w, at, standby, now))
 	}
 }
 
 // next returns the first request that can be granted, and where. A request for which there is no room keeps those after it waiting,
-// unless it is only kept from engines that may not run it.
+// unless it is only kept from engines that may not run it, or needs an empty engine, as all others would wait until one is empty.
 func (s *Scheduler) next(now time.Time) (w *waiting, at, standby *Endpoint) {
 	for _, w := range s.inTurn() {
-		if !w.Resumed && s.inUse()+s.need(w.Tokens) > s.bound() {
+		if !w.Resumed && s.inUse()+s.need(w.Tokens) > s.boundFor(w, now) {
+			if w.oversized {
+				continue
+			}
 			return nil, nil, nil
 		}
 		if at, standby := s.place(&w.Request, now); at != nil {
@@ -226,34 +255,60 @@
 		}
 		free := w.Request
 		free.Exclude = nil
-		if at, _ := s.place(&free, now); at == nil {
+		if at, _ := s.place(&free, now); at == nil && !w.oversized {
 			return nil, nil, nil
 		}
 	}
 	return nil, nil, nil
 }
 
-// inTurn returns the queue with the requests of an organisation that has most of the work in progress behind those of others of the
-// same priority.
-func (s *Scheduler) inTurn() []*waiting {
-	var large jaywind.Organisation
-	found := false
-	for o, tokens := range s.work {
-		if float64(tokens) > largeShare*float64(s.tokens) {
-			large, found = o, true
+// large returns the organisation that has most of the work in progress. It goes over all organisations only after the one with the
+// largest part has lost a run, as it is called for each request and there may be tens of thousands of organisations.
+func (s *Scheduler) large() (o jaywind.Organisation, found bool) {
+	isLarge := func() bool { return float64(s.work[s.top]) > largeShare*float64(s.tokens) }
+	if s.topStale && !isLarge() {
+		s.topStale = false
+		for o, tokens := range s.work {
+			if tokens > s.work[s.top] {
+				s.top = o
+			}
 		}
 	}
+	return s.top, isLarge()
+}
+
+// compareInTurn orders waiting requests as compare does, but those of a large organisation behind those of others that can meet their
+// target as they can.
+func compareInTurn(a, b *waiting, large jaywind.Organisation) int {
+	return cmp.Or(bools(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), bools(a.late, b.late),
+		bools(a.Organisation == large, b.Organisation == large), compare(a, b))
+}
+
+// inTurn returns the queue in the order in which requests are granted.
+func (s *Scheduler) inTurn() []*waiting {
+	large, found := s.large()
 	if !found || len(s.queue) < 2 {
 		return s.queue
 	}
 	ordered := slices.Clone(s.queue)
-	slices.SortStableFunc(ordered, func(a, b *waiting) int {
-		return cmp.Or(bools(b.Resumed, a.Resumed), cmp.Compare(a.Priority, b.Priority), bools(a.late, b.late),
-			bools(a.Organisation == large, b.Organisation == large))
-	})
+	slices.SortFunc(ordered, func(a, b *waiting) int { return compareInTurn(a, b, large) })
 	return ordered
 }
 
+// ahead returns the number of requests that are granted before the i-th of the queue.
+func (s *Scheduler) ahead(i int) (n int) {
+	large, found := s.large()
+	if !found {
+		return i
+	}
+	for _, w := range s.queue {
+		if compareInTurn(w, s.queue[i], large) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // assign grants a request.
 func (s *Scheduler) assign(w *waiting, at, standby *Endpoint, now time.Time) Assignment {
 	s.Leave(w.ID)
@@ -276,6 +331,10 @@
 	return Assignment{Request: w.ID, Decision: d}
 }
 
+// maxTokens returns the memory that is reserved for one run at most. A run whose maximum output exceeds the memory of an engine seldom
+// uses all of it, and can run nowhere else.
+func (s *Scheduler) maxTokens() int { return int(maxFill * float64(s.Capacity.MemoryTokens)) }
+
 // need returns the memory that a run takes with its copy.
 func (s *Scheduler) need(tokens int) int {
 	if s.Capacity.CopiesMemory {
@@ -292,7 +351,16 @@
 	return int(maxFill * float64(s.Capacity.MemoryTokens) * float64(len(s.endpoints)))
 }
 
-// expectedWait returns how long the i-th request of the queue is expected to wait.
+// boundFor returns the memory that runs and their copies may take together once a request is granted. Bulk requests that take all of it at
+// the same time would keep urgent ones waiting until their runs end, which is longer than an urgent request may wait.
+func (s *Scheduler) boundFor(w *waiting, now time.Time) int {
+	if w.Priority > s.urgent && now.Sub(s.urgentAt) < urgentMemory {
+		return int((1 - urgentReserve) * float64(s.bound()))
+	}
+	return s.bound()
+}
+
+// expectedWait returns how long a request with i others before it is expected to wait.
 func (s *Scheduler) expectedWait(i int, now time.Time) time.Duration {
 	prior := 0.0
 	if n := len(s.queue); n > 0 {
--- a/internal/core/schedule/scheduler.go
+++ b/internal/core/schedule/scheduler.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,10 +15,14 @@
 	grantTTL     = time.Second             // after which a grant that no report has confirmed ends
 	maxFill      = 0.9                     // fraction of the memory of engines that new runs and their copies may take
 	maxPrefills  = 1                       // prompts that an engine prefills at the same time, as more would only delay each other
-	prefillGrace = 3                       // times the expected time of a prefill, after which its run no longer keeps others from the engine
+	prefillGrace = 3                       // times the expected time of the prefills of an engine, after which they no longer keep others from it
 	minPrefill   = time.Second             // for which a run without an event counts as prefilling at least
 )
 
+// StallTime is the time without an event after which routers report a run as not begun, with all its tokens so far to prefill: its engine
+// has preempted it for lack of memory. It is three times the longest usual pause, a step of 31 ms beside a prefill for each of 5 tokens.
+const StallTime = 500 * time.Millisecond
+
 // Key identifies an incarnation of an endpoint in the messages of the scheduler.
 type Key uint64
 
@@ -52,8 +57,8 @@
 	Standby      Key       // engine that keeps a copy of the run's memory; 0 for none
 	Tokens       int       // memory of the run at its end
 	Prefill      int       // prompt tokens that the engine has to process before the first event
-	Begun        bool      // the run has had its first event
-	Started      time.Time // when the router sent it
+	Begun        bool      // the run has had its first event, and none is missing for StallTime
+	Started      time.Time // when the router sent it, or its last event if it has stalled
 }
 
 // Report is all that a router says of its work at a service.
@@ -80,10 +85,14 @@
 	reports   map[jaywind.VM]report
 	grants    map[jaywind.RequestID]grant
 	work      map[jaywind.Organisation]int // tokens of the runs of each organisation
+	top       jaywind.Organisation         // with the largest part of the work
+	topStale  bool                         // runs of it have ended since
 	tokens    int                          // of all runs
 	queue     []*waiting
-	others    []Assignment // granted within Ask to requests that waited, until Dispatch returns them
+	ready     []Assignment // grants that Dispatch has not returned yet
 	rate      rateMeter
+	urgent    int       // the most urgent priority that was asked for lately
+	urgentAt  time.Time // when it was asked for last
 	speeds    Speeds
 	plain     plainStats
 }
@@ -140,7 +149,10 @@
 	for _, run := range s.reports[from].runs {
 		s.remove(run)
 	}
-	for _, run := range r.Runs {
+	r.Runs = slices.Clone(r.Runs)
+	for i, run := range r.Runs {
+		run.Tokens = min(run.Tokens, s.Capacity.MemoryTokens)
+		r.Runs[i] = run
 		if g, granted := s.grants[run.Request]; granted {
 			s.remove(g.run)
 			delete(s.grants, run.Request)
@@ -167,6 +179,9 @@
 		s.loadOf(r.Standby).copies += r.Tokens
 	}
 	s.work[r.Organisation] += r.Tokens
+	if s.work[r.Organisation] > s.work[s.top] {
+		s.top = r.Organisation
+	}
 	s.tokens += r.Tokens
 }
 
@@ -180,6 +195,7 @@
 		s.loadOf(r.Standby).copies -= r.Tokens
 	}
 	s.work[r.Organisation] -= r.Tokens
+	s.topStale = s.topStale || r.Organisation == s.top
 	if s.work[r.Organisation] <= 0 {
 		delete(s.work, r.Organisation)
 	}
@@ -205,7 +221,7 @@
 			s.remove(run)
 		}
 		delete(s.reports, vm)
-		delete(s.plain.open, vm)
+		s.plain.forget(vm)
 	}
 	for id, g := range s.grants {
 		if now.Before(g.until) {
@@ -213,6 +229,7 @@
 		}
 		s.remove(g.run)
 		delete(s.grants, id)
+		s.takeReady(id)
 	}
 }
 
