core/retry: Left, the fraction of a router's part that is left

Hedges stop when less than half of the retry budget is left, which no caller could ask for. Left is 0 for a part below one retry, so that a caller that sees half of it can always take one. The computation of the part moves to a method; Take and Lend are unchanged.

go test ./internal/core/retry -race: ok

--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -35,20 +35,33 @@
 	return b.take(now, routers, lendableShare)
 }
 
+// Left returns the fraction of this router's part of the budget that is left, or 0 if the part is less than one retry.
+func (b *Budget) Left(now time.Time, routers int) float64 {
+	part := b.part(now, routers)
+	if part < 1 {
+		return 0
+	}
+	return max(0, 1-float64(b.retries.sum(now, b.Window))/part)
+}
+
 // take counts a retry if the retries stay within the given fraction of this router's part of the budget.
 func (b *Budget) take(now time.Time, routers int, fraction float64) bool {
-	reserve := b.Reserve / float64(max(1, routers))
-	if now.Sub(b.Started) < b.Window {
-		reserve *= (1 - budgetMargin) / budgetMargin // the previous process may have spent the rest in this window
-	}
-	part := budgetMargin * (b.Ratio*float64(b.requests.sum(now, b.Window)) + reserve)
-	if float64(b.retries.sum(now, b.Window)+1) > fraction*part {
+	if float64(b.retries.sum(now, b.Window)+1) > fraction*b.part(now, routers) {
 		return false
 	}
 	b.retries.add(now, b.Window)
 	return true
 }
 
+// part returns the retries that this router may make in the present window.
+func (b *Budget) part(now time.Time, routers int) float64 {
+	reserve := b.Reserve / float64(max(1, routers))
+	if now.Sub(b.Started) < b.Window {
+		reserve *= (1 - budgetMargin) / budgetMargin // the previous process may have spent the rest in this window
+	}
+	return budgetMargin * (b.Ratio*float64(b.requests.sum(now, b.Window)) + reserve)
+}
+
 // slidingCount counts events in a sliding window that is divided into buckets.
 type slidingCount struct {
 	buckets [bucketCount]int
--- a/internal/core/retry/budget_test.go
+++ b/internal/core/retry/budget_test.go
@@ -104,3 +104,30 @@
 	now = now.Add(10 * time.Second)
 	is.Equal(spend(), spent) // the full budget is available one window later
 }
+
+// TestLeft guards against hedges that spend the retries which failures need: they stop at half of what is left.
+func TestLeft(t *testing.T) {
+	tests := map[string]struct {
+		reserve        float64
+		taken, routers int // retries, and routers that share the budget
+		want           float64
+	}{
+		"unused":                      {100, 0, 1, 1},
+		"half":                        {100, 40, 1, 0.5},
+		"spent":                       {100, 80, 1, 0},
+		"less than one retry":         {100, 0, 200, 0},
+		"part of several":             {100, 4, 10, 0.5},
+		"no budget":                   {0, 0, 1, 0},
+		"refused ones are no retries": {100, 1000, 1, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := retry.Budget{Reserve: c.reserve, Window: 10 * time.Second}
+			now := time.Unix(1000, 0)
+			for range c.taken {
+				b.Take(now, c.routers)
+			}
+			is.New(t).Equal(b.Left(now, c.routers), c.want)
+		})
+	}
+}
