relay/router: hedged requests for safe plain calls

Callers of a plain call waited for a slow or pausing endpoint until its answer or their deadline. After the learned delay one second attempt goes to an endpoint of another failure domain; the first good answer is written, the other attempt is cancelled and is no failure of its endpoint. Both count in maxAttempts, the retry budget, limits and permits. HedgeShare is 0 by default, with which calls are sent as before.

--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -41,8 +41,8 @@
 			r.endUnanswered(c, failed)
 			return
 		}
-		startedAt := time.Now()
-		reply, err := r.send(ctx, c, e)
+		a := attempt{endpoint: e, startedAt: time.Now()}
+		reply, err := r.sendHedged(ctx, c, &a)
 		switch {
 		case err == nil && reply.Status < http.StatusInternalServerError:
 			r.writeReply(c, reply)
@@ -59,7 +59,7 @@
 		case notRun(err):
 			notRunCount++
 		case link.IsConnectionEnd(err):
-			if r.recordPlainLoss(ctx, c, attempt{endpoint: e, startedAt: startedAt}, err) {
+			if r.recordPlainLoss(ctx, c, a, err) {
 				r.endUnanswered(c, failed)
 				return
 			}
@@ -69,7 +69,7 @@
 			r.endUnanswered(c, failed)
 			return
 		}
-		c.requirements.Avoid = append(c.requirements.Avoid, e.ID)
+		c.requirements.Avoid = append(c.requirements.Avoid, a.endpoint.ID)
 		r.Log.Info("request: retrying", c.fields(zap.Int("status", reply.Status), zap.NamedError("cause", err))...)
 	}
 }
@@ -89,6 +89,7 @@
 // refuseBusy ends a call that no endpoint takes. If all endpoints have asked for a pause or their limits are used up, the caller may
 // try again when the first of them takes calls, which may lie past its deadline; otherwise after a usual time.
 func (r *Router) refuseBusy(c *call, usual time.Duration) {
+	r.recordNoRoom(c.service.Name)
 	now := time.Now()
 	r.mu.Lock()
 	unrestricted := c.requirements
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -173,15 +173,23 @@
 // recordPlainLoss reports the loss of a plain call. From the second one on it waits for a quarantine that the losses may lead to, and
 // reports whether the call may not be sent again.
 func (r *Router) recordPlainLoss(ctx context.Context, c *call, a attempt, cause error) (heldBack bool) {
-	r.stats.lost.Inc(1)
-	r.Log.Warn("request: lost with its endpoint", c.fields(zap.Error(cause), zap.String("whole", string(c.wholePart())))...)
+	r.countPlainLoss(c, a, cause)
 	if r.OnLoss == nil {
 		return false
 	}
-	r.reportLoss(c, a.endpoint, a.startedAt)
-	if c.losses++; c.losses > 1 && c.attempts < c.route.MaxAttempts {
+	if c.losses > 1 && c.attempts < c.route.MaxAttempts {
 		pause(ctx, quarantineDelay)
 	}
 	why, _ := r.quarantineOf(c)
 	return why != ""
 }
+
+// countPlainLoss reports the loss of a plain call.
+func (r *Router) countPlainLoss(c *call, a attempt, cause error) {
+	r.stats.lost.Inc(1)
+	r.Log.Warn("request: lost with its endpoint", c.fields(zap.Error(cause), zap.String("whole", string(c.wholePart())))...)
+	c.losses++
+	if r.OnLoss != nil {
+		r.reportLoss(c, a.endpoint, a.startedAt)
+	}
+}
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -90,6 +90,8 @@
 	whole         jaywind.PromptPart // stands for the whole request; empty until wholePart is called
 	tracker       *rolloutTracker    // roll-out that counts the outcomes of this call; nil for none
 	observation   *observation       // of the current attempt; nil for none
+	hedgeable     bool               // counted as a request that may be hedged
+	hedged        bool               // a second attempt was sent beside the first one
 }
 
 // wholePart returns the part that stands for the whole request. Repeats of the request under other ids have the same one.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -53,6 +53,7 @@
 	Permits             Permits      // bounds the calls under way at brittle endpoints; nil for not at all
 	Calls               *drain.Calls // runs the calls to endpoints that no request waits for; set by the first call if nil
 	RegistryUnavailable func() bool  // reports whether the registry can't be read now; nil for never
+	HedgeShare          float64      // of the repeatable requests of a service that may be hedged; 0 for none
 
 	start sync.Once
 	stats callStats
@@ -72,6 +73,7 @@
 	quarantine suspect.Quarantine
 	survivors  suspect.Survivors
 	departures []departure // endpoints whose departure may have to be announced
+	hedges     hedgeState
 }
 
 // Limiter counts the calls of all routers to endpoints that name a limit for them together.
@@ -185,6 +187,7 @@
 	defer r.mu.Unlock()
 	r.routers = max(1, routers)
 	r.table.SetPartition(index, routers)
+	r.hedges.index = index
 	r.stats.members.Update(int64(r.routers))
 }
 
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -118,6 +118,9 @@
 		return
 	}
 	st.waits = true
+	if cause == causeNoEndpoint {
+		r.recordNoRoom(st.service.Name)
+	}
 	r.stats.streamWaits.Inc(1)
 	r.Log.Info("stream: waiting", st.fields(zap.String("cause", cause), zap.Int64("silent_ms", st.silentMs()))...)
 }
--- a/internal/relay/router/stats.go
+++ b/internal/relay/router/stats.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"jaywind/internal/core/hedge"
 	"jaywind/internal/core/route"
 )
 
@@ -28,6 +29,8 @@
 	identified, borrowed           metrics.Counter
 	leaving, paused, withheld      metrics.Counter
 	limitNotices, limited          metrics.Counter
+	hedges, hedgesWon              metrics.Counter
+	hedgesCancelled                metrics.Counter
 	firstEvent, movePause          metrics.Histogram // milliseconds
 	answerTime                     map[route.Kind]metrics.Histogram
 }
@@ -56,6 +59,9 @@
 	m.limited = metrics.GetOrRegisterCounter("sends.limited", r)
 	m.paused = metrics.GetOrRegisterCounter("endpoints.paused", r)
 	m.withheld = metrics.GetOrRegisterCounter("sends.withheld", r)
+	m.hedges = metrics.GetOrRegisterCounter("hedge.sent", r)
+	m.hedgesWon = metrics.GetOrRegisterCounter("hedge.won", r)
+	m.hedgesCancelled = metrics.GetOrRegisterCounter("hedge.cancelled", r)
 	m.cacheFound = metrics.GetOrRegisterCounter("recalls.found", r)
 	m.cacheMissed = metrics.GetOrRegisterCounter("recalls.missed", r)
 	m.firstEvent = histogram("streams.first_ms", r)
@@ -88,6 +94,11 @@
 	}
 }
 
+// recordHedgeDenied counts a slow request that is not hedged, by its cause.
+func (m *callStats) recordHedgeDenied(why hedge.Denial) {
+	metrics.GetOrRegisterCounter("hedge.denied."+metricName(string(why)), m.registry).Inc(1)
+}
+
 // recordBroken counts a stream that ends incomplete, by its cause.
 func (m *callStats) recordBroken(cause string) {
 	m.broken.Inc(1)
