operator/settings: platform.scheduling

priorities, uneven and hedge, with checks. priorities and uneven are pointers, read through methods, so that false and 0 differ from absent and settings that were not parsed have the defaults too. The program does not read them yet.

go test ./internal/operator/settings -race: ok

--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"net/url"
@@ -13,6 +14,9 @@
 const (
 	minSecretBytes = 16
 	maxRecall      = 60 // s; what a restore brings back of deleted values may be that old
+
+	maxHedgeShare   = 0.2 // more extra work than this slows endpoints more than hedges save
+	minUnevenFactor = 1.1 // learned speeds of equal endpoints differ by up to 1.1
 )
 
 // check reports invalid values.
@@ -75,6 +79,16 @@
 	if f.Retry.Share < 0 || f.Retry.Spare < 0 {
 		p.reportKey("platform.retry.share", "want a share and a spare of 0 or more")
 	}
+	p.checkScheduling(f.Scheduling)
+}
+
+func (p *parser) checkScheduling(s Scheduling) {
+	if h := s.Hedge; !(h >= 0 && h <= maxHedgeShare) {
+		p.reportKey("platform.scheduling.hedge", fmt.Sprintf("want a share from 0 to %v, got %v", maxHedgeShare, h))
+	}
+	if u := s.UnevenFactor(); u != 0 && !(u >= minUnevenFactor && !math.IsInf(u, 1)) {
+		p.reportKey("platform.scheduling.uneven", fmt.Sprintf("want 0 or a factor of at least %v, got %v", minUnevenFactor, u))
+	}
 }
 
 func (p *parser) checkPositive(key string, value int) {
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -35,6 +35,31 @@
 	Hint      int      `toml:"hint"`      // s for which a caller may cache the directory's answer
 	Retry     Retry    `toml:"retry"`     // budget of the whole fleet
 	Exposure  Exposure `toml:"exposure"`  // limits for a new version until it is known to be good
+
+	Scheduling Scheduling `toml:"scheduling"`
+}
+
+// Scheduling selects how requests are assigned to endpoints. The zero value selects the defaults.
+type Scheduling struct {
+	Priorities *bool    `toml:"priorities"` // schedule services whose routes have different priorities; defaults to true
+	Uneven     *float64 `toml:"uneven"`     // schedule services whose endpoints differ in speed by this factor; 0 for never; defaults to 1.5
+	Hedge      float64  `toml:"hedge"`      // share of the repeatable requests of a service that may be hedged, 0 to 0.2; defaults to 0
+}
+
+// defaultUneven is the factor between the speeds of endpoints from which choosing by speed shortens the median of streams.
+const defaultUneven = 1.5
+
+// UsesPriorities reports whether services whose routes have different priorities are scheduled.
+func (s Scheduling) UsesPriorities() bool {
+	return s.Priorities == nil || *s.Priorities
+}
+
+// UnevenFactor returns the factor between the learned speeds of endpoints from which a service is scheduled, or 0 for never.
+func (s Scheduling) UnevenFactor() float64 {
+	if s.Uneven == nil {
+		return defaultUneven
+	}
+	return *s.Uneven
 }
 
 // SeedList returns the addresses in Seeds.
