--- a/internal/core/hedge/learner.go
+++ b/internal/core/hedge/learner.go
@@ -18,9 +18,9 @@
 	maxSampleAge   = 30 * time.Second       // a router with one call per second collects minSamples in this time
 	minSamples     = 20                     // the fewest for which the 95th percentile is not the longest of them
 	minEndpointHas = 3                      // samples of an endpoint before its median is used; a single pause does not make it slow
-	slowFactor     = 2                      // of the median endpoint; healthy plain servers differ by less than 1.7 over a few answers
+	slowFactor     = 2                      // of the median endpoint; below the factors of 2.5 and 8 seen on slow plain servers (docs/HARDLOAD.md)
 	refreshTime    = 100 * time.Millisecond // between two computations; bounds their cost to 10 per second and key
-	maxKeys        = 256                    // routes and services with samples; 1.3 MB. A configuration has fewer than 50
+	maxKeys        = 256                    // routes and services with samples; 1.3 MB at most
 )
 
 // Key names the requests whose answer times are comparable.
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -46,7 +46,7 @@
 	Hedge      float64  `toml:"hedge"`      // share of the repeatable requests of a service that may be hedged, 0 to 0.2; defaults to 0
 }
 
-// defaultUneven is the factor between the speeds of endpoints from which choosing by speed shortens the median of streams.
+// defaultUneven is the default of Uneven (docs/HARDLOAD.md); the uneven engines seen so far differ by 2.4.
 const defaultUneven = 1.5
 
 // UsesPriorities reports whether services whose routes have different priorities are scheduled.
