endpoint: list the eligible endpoints of the best rank

A choice by learned times has to follow the same rules as Choose: endpoints that are leaving, paused, held, closed or avoided come in the same order. Eligible returns all endpoints of the best rank, with the one that Choose returns first. Choose itself ranks as before.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -38,7 +38,7 @@
 // domain; low load and a short ring distance. Among closed endpoints the one that opens first is
 // best. One that has asked for a pause, or whose limit is used up, is never chosen.
 func (t *Table) Choose(s *route.Service, n Requirements, now time.Time) *Endpoint {
-	return t.choose(s, n, now, 4)
+	return t.choose(s, n, now, closedRank)
 }
 
 // ChooseWithRoom returns the best endpoint of a service for a call that has room for it and has not failed, or nil.
@@ -46,12 +46,44 @@
 	return t.choose(s, n, now, 1)
 }
 
+// Eligible returns the endpoints of a service that are the best for a call by the same criteria, except for load and distance. The one that
+// Choose returns is the first; all others have no order. Only one is returned if all are closed after failures.
+func (t *Table) Eligible(s *route.Service, n Requirements, now time.Time) []*Endpoint {
+	judge := t.judgeFor(s, n, now)
+	first := t.best(s, n, now, judge, closedRank)
+	if first == nil {
+		return nil
+	}
+	all := []*Endpoint{first}
+	rank, _ := judge(first, 0)
+	if rank == closedRank {
+		return all
+	}
+	for _, e := range t.services[s.Name] {
+		if e == first || !e.available(n, now) {
+			continue
+		}
+		if r, _ := judge(e, 0); r == rank {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
 func (t *Table) choose(s *route.Service, n Requirements, now time.Time, worst int) *Endpoint {
-	return t.best(s, n, now, func(e *Endpoint, distance float64) (rank int, weight float64) {
+	return t.best(s, n, now, t.judgeFor(s, n, now), worst)
+}
+
+// closedRank is the rank of an endpoint that is closed after a failure, the worst of all.
+const closedRank = 4
+
+// judgeFor returns the function that ranks the endpoints of a service for a call.
+func (t *Table) judgeFor(s *route.Service, n Requirements, now time.Time) func(*Endpoint, float64) (int, float64) {
+	return func(e *Endpoint, distance float64) (rank int, weight float64) {
 		weight = e.load(s, n) + distanceWeight*distance
 		switch {
 		case now.Before(e.closedUntil):
-			return 4, e.closedUntil.Sub(now).Seconds()
+			return closedRank, e.closedUntil.Sub(now).Seconds()
 		case slices.Contains(n.Avoid, e.ID), !e.missingSince.IsZero(), // a missing endpoint may have stopped
 			e.returning && e.Calls > 0:
 			return 3, weight
@@ -61,7 +93,7 @@
 			return 1, weight
 		}
 		return 0, weight
-	}, worst)
+	}
 }
 
 // ChooseStandby returns the endpoint that should hold a copy of the memory of a run at another
@@ -91,7 +123,7 @@
 	rank, weight := worst, math.Inf(1)
 	all := t.services[s.Name]
 	for i, e := range all {
-		if e.Leaving || now.Before(e.opensAt(n)) || !e.serves(n) {
+		if !e.available(n, now) {
 			continue
 		}
 		if r, w := judge(e, t.distance(i, len(all))); r < rank || r == rank && w < weight {
@@ -101,6 +133,11 @@
 	return found
 }
 
+// available reports whether a call may go to an endpoint at all.
+func (e *Endpoint) available(n Requirements, now time.Time) bool {
+	return !e.Leaving && !now.Before(e.opensAt(n)) && e.serves(n)
+}
+
 func (e *Endpoint) serves(n Requirements) bool {
 	if n.Version != "" && e.Version != n.Version || n.ExcludeVersion != "" && e.Version == n.ExcludeVersion {
 		return false
