relay/router: balance plain calls and refuse those that all endpoints reject

Callers of a service with one server left waited for up to four rejections of the same call, which also took retries from the budget. Calls went on to slow servers.

With BalanceUneven set, plain calls are chosen by core/balance while the learned times of the endpoints differ by that ratio or endpoints reject calls; all other calls are chosen as before. A call that all eligible endpoints have rejected is refused at once with the time that the first needs to work off its queue. Calls are refused on arrival with the reason "the service rejects calls" while the service rejects more than it can serve. Roll-outs, pauses, limits and permits hold as before, as the candidates come from the table. Off by default.

--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -11,6 +11,7 @@
 
 	"jaywind"
 	"jaywind/internal/backend/link"
+	"jaywind/internal/core/balance"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/route"
 )
@@ -35,6 +36,9 @@
 		r.writeRefusal(c, why, left+rand.N(quarantineReturnSpread))
 		return
 	}
+	if r.shedPlain(c) {
+		return
+	}
 	for {
 		e := r.acquireEndpoint(c)
 		if e == nil {
@@ -64,6 +68,10 @@
 				return
 			}
 		}
+		if errors.Is(err, jaywind.ErrBusy) && r.rejectedByAll(c, e) {
+			r.endRejected(c, failed)
+			return
+		}
 		again := notRun(err) && notRunCount <= maxNotRun && r.takeRetry(ctx, c, err) || !notRun(err) && r.mayRetry(ctx, c, err)
 		if !again {
 			r.endUnanswered(c, failed)
@@ -122,7 +130,10 @@
 	if err != nil {
 		return jaywind.Reply{}, err
 	}
+	started := r.startBalanced(c, e)
+	defer r.endBalanced(c, started, balance.NotSent) // has no effect unless Do panics
 	reply, err := r.Upstream.Do(ctx, c.upstreamRequest(e, time.Now()))
+	r.endBalanced(c, started, outcomeOf(ctx, reply, err))
 	release(err)
 	if errors.Is(err, jaywind.ErrLimited) {
 		return reply, err
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -47,6 +47,7 @@
 	ReasonLimited     Reason = "the limits of all endpoints are used up" // not run
 	ReasonQuarantined Reason = "part of the prompt crashes engines"      // not run
 	ReasonDeadly      Reason = "the request crashes endpoints"           // not run
+	ReasonRejecting   Reason = "the service rejects calls"               // not run
 	ReasonTimeout     Reason = "no answer within the time"               // may have run
 	ReasonNotSent     Reason = "not sent within the time"                // not run
 	ReasonAnswerLost  Reason = "the endpoint's answer was lost"          // may have run
@@ -90,6 +91,7 @@
 	whole         jaywind.PromptPart // stands for the whole request; empty until wholePart is called
 	tracker       *rolloutTracker    // roll-out that counts the outcomes of this call; nil for none
 	observation   *observation       // of the current attempt; nil for none
+	balancing     balancing          // of a plain call
 }
 
 // wholePart returns the part that stands for the whole request. Repeats of the request under other ids have the same one.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"jaywind"
+	"jaywind/internal/core/balance"
 	"jaywind/internal/core/drain"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/limit"
@@ -52,6 +53,7 @@
 	Limiter             Limiter      // counts the calls to endpoints that name a limit; nil for not at all
 	Permits             Permits      // bounds the calls under way at brittle endpoints; nil for not at all
 	Calls               *drain.Calls // runs the calls to endpoints that no request waits for; set by the first call if nil
+	BalanceUneven       float64      // ratio of the learned times of a plain service's endpoints from which on calls are balanced by them; 0 for never
 	RegistryUnavailable func() bool  // reports whether the registry can't be read now; nil for never
 
 	start sync.Once
@@ -68,6 +70,8 @@
 
 	rolloutStates map[jaywind.ServiceName]rollout.State // as last read, whether or not their orders are known
 
+	balancers map[jaywind.ServiceName]*balance.Balancer // of plain services; nil before the first call
+
 	brittle    permit.Tracker
 	quarantine suspect.Quarantine
 	survivors  suspect.Survivors
@@ -362,7 +366,7 @@
 	if c.limitRefusals > maxLimitRefusals && !c.requirements.Urgent {
 		return nil
 	}
-	e := anyVersion(r.table.Choose, c.service, c.requirements)
+	e := anyVersion(r.chooserFor(c), c.service, c.requirements)
 	if e != nil {
 		r.table.StartCall(e, c.requirements)
 		c.countStart(e)
