--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -47,6 +47,7 @@
 	ReasonLimited     Reason = "the limits of all endpoints are used up" // not run
 	ReasonQuarantined Reason = "part of the prompt crashes engines"      // not run
 	ReasonDeadly      Reason = "the request crashes endpoints"           // not run
+	ReasonRejecting   Reason = "the service rejects calls"               // not run
 	ReasonTimeout     Reason = "no answer within the time"               // may have run
 	ReasonNotSent     Reason = "not sent within the time"                // not run
 	ReasonAnswerLost  Reason = "the endpoint's answer was lost"          // may have run
@@ -92,6 +93,7 @@
 	observation   *observation       // of the current attempt; nil for none
 	hedgeable     bool               // counted as a request that may be hedged
 	hedged        bool               // a second attempt was sent beside the first one
+	balancing     balancing          // of a plain call
 }
 
 // wholePart returns the part that stands for the whole request. Repeats of the request under other ids have the same one.
