router, platform: streams ask the owner of their service for an engine

Cause: each router knows its own calls only.

Change: streams of a scheduled service ask its owner (core/schedule over fleet/schedule) for an engine and a standby, wait in its queue or are refused; routers report runs, failures, samples of speed and plain calls, and place copies by the work of all routers.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -103,9 +103,12 @@
 		return nil
 	}
 	return t.best(s, n, now, func(e *Endpoint, distance float64) (rank int, weight float64) {
-		weight = float64(e.HeldTokens)/float64(max(1, s.Engine.MemoryTokens)) + distanceWeight*distance
+		weight = float64(e.heldTokens(now))/float64(max(1, s.Engine.MemoryTokens)) + distanceWeight*distance
+		if e.isSlow(now) {
+			weight++
+		}
 		switch {
-		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fits(s, n) || now.Before(e.closedUntil) || !e.missingSince.IsZero():
+		case e == run || slices.Contains(n.Avoid, e.ID) || !e.fitsCopy(s, n, now) || now.Before(e.closedUntil) || !e.missingSince.IsZero():
 			return 4, weight
 		case e.Domain == run.Domain:
 			return 2, weight
@@ -163,6 +166,11 @@
 	return e.Calls < e.Slots && float64(e.HeldTokens+n.MemoryTokens) <= maxMemoryFill*float64(s.Engine.MemoryTokens)
 }
 
+// fitsCopy is fits for a copy, which takes memory of all routers.
+func (e *Endpoint) fitsCopy(s *route.Service, n Requirements, now time.Time) bool {
+	return e.fits(s, n) && float64(e.heldTokens(now)+n.MemoryTokens) <= maxMemoryFill*float64(s.Engine.MemoryTokens)
+}
+
 // StartCall counts a call that is sent to an endpoint.
 func (t *Table) StartCall(e *Endpoint, n Requirements) {
 	e.Calls++
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -36,6 +36,7 @@
 	Calls         int // open calls of this router
 	HeldTokens    int // memory in tokens that calls and copies of this router take
 	PrefillTokens int // prompt tokens of calls that have had no event yet
+	Fleet         FleetLoad
 
 	missingSince    time.Time // when its registry entry disappeared; zero while there is one
 	unregistered    bool      // known from its own identity only, because the registry can't be read
--- a/internal/core/route/set.go
+++ b/internal/core/route/set.go
@@ -85,8 +85,9 @@
 	Services map[jaywind.ServiceName]*Service
 	Limits   Limits
 
-	routes map[hostPrefix]*Route
-	keys   map[string]KeyOwner
+	routes     map[hostPrefix]*Route
+	keys       map[string]KeyOwner
+	priorities map[jaywind.ServiceName]priorityRange
 }
 
 type hostPrefix struct{ host, prefix string }
@@ -107,9 +108,33 @@
 	for i := range services {
 		s.Services[services[i].Name] = &services[i]
 	}
+	s.priorities = prioritiesOf(routes)
 	return s
 }
 
+// priorityRange is the most and the least urgent priority of the routes of a service.
+type priorityRange struct{ first, last int }
+
+func prioritiesOf(routes []Route) map[jaywind.ServiceName]priorityRange {
+	all := map[jaywind.ServiceName]priorityRange{}
+	for _, r := range routes {
+		for _, b := range r.Backends {
+			p, known := all[b.Service]
+			if !known {
+				p = priorityRange{r.Priority, r.Priority}
+			}
+			all[b.Service] = priorityRange{min(p.first, r.Priority), max(p.last, r.Priority)}
+		}
+	}
+	return all
+}
+
+// Priorities returns the most and the least urgent priority of the routes of a service; both are 0 if it has none.
+func (s *Set) Priorities(service jaywind.ServiceName) (first, last int) {
+	p := s.priorities[service]
+	return p.first, p.last
+}
+
 // Match returns the route of a host with the longest matching prefix of path, or nil.
 func (s *Set) Match(host, path string) *Route {
 	host = strings.ToLower(host)
--- a/internal/core/schedule/queue.go
+++ b/internal/core/schedule/queue.go
@@ -30,6 +30,7 @@
 	Organisation jaywind.Organisation
 	Resumed      bool // part of the answer has reached the caller
 	Priority     int  // of its route or organisation; 0 is the most urgent
+	First        bool // its route is the most urgent of several, so that it only needs room at an engine
 	Arrived      time.Time
 	Target       time.Duration // for the time to the first event; 0 for none
 	Left         time.Duration // until the deadline
@@ -244,7 +245,7 @@
 // unless it is only kept from engines that may not run it, or needs an empty engine, as all others would wait until one is empty.
 func (s *Scheduler) next(now time.Time) (w *waiting, at, standby *Endpoint) {
 	for _, w := range s.inTurn() {
-		if !w.Resumed && s.inUse()+s.need(w.Tokens) > s.boundFor(w, now) {
+		if !w.Resumed && !w.First && s.inUse()+s.need(w.Tokens) > s.boundFor(w, now) {
 			if w.oversized {
 				continue
 			}
--- a/internal/fleet/schedule/client.go
+++ b/internal/fleet/schedule/client.go
@@ -33,6 +33,7 @@
 	inactiveInterval  = 2 * time.Second        // of a service whose runs are not scheduled
 	intervalJitter    = 0.1                    // fraction by which an interval may be shorter, so that routers started together don't report together
 	minReportGap      = 20 * time.Millisecond  // between two reports of a router with many runs
+	summaryInterval   = 400 * time.Millisecond // for which a router asks for no further summary: they are much larger than reports
 	wakeDelay         = 5 * time.Millisecond   // within which the changes that one report carries are collected
 	serviceCheck      = 100 * time.Millisecond // after which new services are noticed
 
@@ -112,6 +113,7 @@
 	from    jaywind.VM
 	process uint64
 	number  uint64 // rises with each report of a process
+	bare    bool   // no summary is wanted, as the router has had one lately
 	report  schedule.Report
 }
 
@@ -213,10 +215,7 @@
 
 // call calls another router, unless it did not answer lately.
 func call[Q, A any](ctx context.Context, c *Client, at jaywind.Address, path string, timeout time.Duration, q *Q) (*A, error) {
-	c.mu.Lock()
-	avoided := time.Now().Before(c.silent[at])
-	c.mu.Unlock()
-	if avoided {
+	if c.isSilent(at) {
 		return nil, fmt.Errorf("%s did not answer lately", at)
 	}
 	// The deadline of ctx does not travel: in whole milliseconds, it would end a question earlier at the owner than here, and the deputy
@@ -235,6 +234,13 @@
 	return response.Msg, nil
 }
 
+// isSilent reports whether a router did not answer lately.
+func (c *Client) isSilent(at jaywind.Address) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.silent[at])
+}
+
 // recordSilence notes that a router did not answer. A router of an older build, which does not know the call, counts as silent too.
 func (c *Client) recordSilence(at jaywind.Address, path string, cause error) {
 	c.unanswered.Inc(1)
@@ -367,7 +373,7 @@
 	n.number++
 	n.last, n.woken = now, time.Time{}
 	n.jitter = 1 - intervalJitter*rand.Float64()
-	m := message{service: s, from: c.VM, process: c.process, number: n.number}
+	m := message{service: s, from: c.VM, process: c.process, number: n.number, bare: now.Sub(n.appliedAt) < summaryInterval}
 	unsent := n.unsent
 	n.unsent = nil
 	c.mu.Unlock()
@@ -395,7 +401,9 @@
 	if s.Active {
 		var group conc.WaitGroup
 		for i, at := range owners {
-			group.Go(func() { receipts[i] = c.sendTo(ctx, at, m) })
+			part := m
+			part.bare = m.bare || i > 0 && !c.isSilent(owners[0])
+			group.Go(func() { receipts[i] = c.sendTo(ctx, at, part) })
 		}
 		group.Wait()
 	} else {
--- a/internal/fleet/schedule/server.go
+++ b/internal/fleet/schedule/server.go
@@ -270,7 +270,7 @@
 	p.reporters[m.from] = reporter{process: m.process, number: m.number, at: now}
 	p.scheduler.Report(m.from, m.report, now)
 	c.dispatch(p, now)
-	if !c.ready(p, now) {
+	if m.bare || !c.ready(p, now) {
 		return receipt{taken: true}
 	}
 	if p.madeAt.IsZero() || now.Sub(p.madeAt) >= summaryTime {
--- a/internal/fleet/schedule/wire.go
+++ b/internal/fleet/schedule/wire.go
@@ -27,7 +27,7 @@
 	maxTokens   = 1 << 30   // of one run, and of what an endpoint holds
 	maxTotal    = 1 << 50   // tokens of a service
 	maxCount    = 1 << 30   // runs, calls, events and requests
-	maxPriority = 1 << 16   // priorities of routes are small numbers
+	maxPriority = 1 << 30   // priorities of routes are small numbers
 	maxAge      = time.Hour // longer than any run or wait
 	maxRatio    = 1000.0    // of speeds; factors are limited to 20 by the scheduler
 )
@@ -48,6 +48,7 @@
 	Events       int      `cbor:"12,keyasint"`
 	Exclude      []uint64 `cbor:"13,keyasint,omitempty"`
 	Hold         int64    `cbor:"14,keyasint,omitempty"` // microseconds for which the answer may wait for a grant
+	First        bool     `cbor:"15,keyasint,omitempty"` // has the most urgent of several priorities
 }
 
 // outcome is a schedule.Outcome on the wire.
@@ -125,6 +126,7 @@
 	Samples []sample      `cbor:"6,keyasint,omitempty"`
 	Plain   []plainSample `cbor:"7,keyasint,omitempty"`
 	Failed  []failure     `cbor:"8,keyasint,omitempty"`
+	Bare    bool          `cbor:"9,keyasint,omitempty"` // no summary is wanted
 }
 
 // reportAnswer carries the summary of an owner that is ready.
@@ -159,7 +161,7 @@
 
 func encodeQuestion(s jaywind.ServiceName, r *schedule.Request, hold time.Duration, now time.Time) *question {
 	return &question{
-		Service: string(s), From: string(r.Router), ID: string(r.ID), Organisation: string(r.Organisation), Resumed: r.Resumed, Priority: r.Priority,
+		Service: string(s), From: string(r.Router), ID: string(r.ID), Organisation: string(r.Organisation), Resumed: r.Resumed, Priority: r.Priority, First: r.First,
 		Age: now.Sub(r.Arrived).Microseconds(), Target: r.Target.Microseconds(), Left: r.Left.Microseconds(),
 		Tokens: r.Tokens, Prefill: r.Prefill, Events: r.Events, Exclude: encodeKeys(r.Exclude), Hold: hold.Microseconds(),
 	}
@@ -168,7 +170,7 @@
 func (q *question) decode(now time.Time) schedule.Request {
 	return schedule.Request{
 		ID: jaywind.RequestID(text(q.ID)), Router: jaywind.VM(text(q.From)), Organisation: jaywind.Organisation(text(q.Organisation)),
-		Resumed: q.Resumed, Priority: limited(q.Priority, maxPriority),
+		Resumed: q.Resumed, Priority: limited(q.Priority, maxPriority), First: q.First,
 		Arrived: now.Add(-duration(q.Age, time.Microsecond)), Target: duration(q.Target, time.Microsecond), Left: duration(q.Left, time.Microsecond),
 		Tokens: limited(q.Tokens, maxTokens), Prefill: limited(q.Prefill, maxTokens), Events: limited(q.Events, maxCount),
 		Exclude: decodeKeys(first(q.Exclude, maxExcluded)),
@@ -202,7 +204,7 @@
 }
 
 func encodeReport(m message, now time.Time) *report {
-	w := &report{Service: string(m.service), From: string(m.from), Process: m.process, Number: m.number}
+	w := &report{Service: string(m.service), From: string(m.from), Process: m.process, Number: m.number, Bare: m.bare}
 	for _, r := range first(m.report.Runs, maxRuns) {
 		w.Runs = append(w.Runs, run{
 			Request: string(r.Request), Organisation: string(r.Organisation), Endpoint: uint64(r.Endpoint), Standby: uint64(r.Standby),
@@ -224,7 +226,7 @@
 }
 
 func (w *report) decode(now time.Time) message {
-	m := message{service: jaywind.ServiceName(text(w.Service)), from: jaywind.VM(text(w.From)), process: w.Process, number: w.Number}
+	m := message{service: jaywind.ServiceName(text(w.Service)), from: jaywind.VM(text(w.From)), process: w.Process, number: w.Number, bare: w.Bare}
 	for _, r := range first(w.Runs, maxRuns) {
 		m.report.Runs = append(m.report.Runs, schedule.Run{
 			Request: jaywind.RequestID(text(r.Request)), Organisation: jaywind.Organisation(text(r.Organisation)),
--- a/internal/provider/roster/roster.go
+++ b/internal/provider/roster/roster.go
@@ -475,6 +475,31 @@
 	return owners
 }
 
+// WideOwners is Owners among the routers with the widest links, for a key that all routers call about often. These are the ones that have
+// at least half of the widest link.
+func (r *Roster) WideOwners(key string, count int) []jaywind.Address {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	widest := 0.0
+	for _, m := range r.active() {
+		widest = max(widest, m.LinkMbps)
+	}
+	var wide []jaywind.Member
+	for _, m := range r.active() {
+		if 2*m.LinkMbps >= widest {
+			wide = append(wide, jaywind.Member{VM: m.VM, Domain: m.Domain, Fleet: m.FleetAddress})
+		}
+	}
+	if len(wide) < count {
+		wide = r.fleetMembers()
+	}
+	var owners []jaywind.Address
+	for _, m := range rendezvous.Pick(key, wide, count, "") {
+		owners = append(owners, m.Fleet)
+	}
+	return owners
+}
+
 // fleetMembers returns the active routers; the caller holds mu.
 func (r *Roster) fleetMembers() []jaywind.Member {
 	var members []jaywind.Member
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -45,6 +45,7 @@
 	ReasonBusy        Reason = "no endpoint takes the call"              // not run
 	ReasonPaused      Reason = "all endpoints ask for a pause"           // not run
 	ReasonLimited     Reason = "the limits of all endpoints are used up" // not run
+	ReasonNoRoom      Reason = "no engine has room in time"              // not run
 	ReasonQuarantined Reason = "part of the prompt crashes engines"      // not run
 	ReasonDeadly      Reason = "the request crashes endpoints"           // not run
 	ReasonRejecting   Reason = "the service rejects calls"               // not run
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -52,6 +52,8 @@
 	BorrowRetry         func(ctx context.Context, s jaywind.ServiceName) bool
 	Limiter             Limiter      // counts the calls to endpoints that name a limit; nil for not at all
 	Permits             Permits      // bounds the calls under way at brittle endpoints; nil for not at all
+	Scheduler           Scheduler    // assigns the runs of all routers to engines; nil for not at all
+	Scheduling          Scheduling   // says for which services
 	Calls               *drain.Calls // runs the calls to endpoints that no request waits for; set by the first call if nil
 	BalanceUneven       float64      // ratio of the learned times of a plain service's endpoints from which on calls are balanced by them; 0 for never
 	RegistryUnavailable func() bool  // reports whether the registry can't be read now; nil for never
@@ -71,7 +73,8 @@
 
 	rolloutStates map[jaywind.ServiceName]rollout.State // as last read, whether or not their orders are known
 
-	balancers map[jaywind.ServiceName]*balance.Balancer // of plain services; nil before the first call
+	balancers  map[jaywind.ServiceName]*balance.Balancer // of plain services; nil before the first call
+	scheduling map[jaywind.ServiceName]*scheduled
 
 	brittle    permit.Tracker
 	quarantine suspect.Quarantine
@@ -112,6 +115,7 @@
 		r.rollouts = map[jaywind.ServiceName]*rolloutTracker{}
 		r.baselines = map[jaywind.ServiceName]map[table.RouteMeasure]*table.Durations{}
 		r.rolloutStates = map[jaywind.ServiceName]rollout.State{}
+		r.scheduling = map[jaywind.ServiceName]*scheduled{}
 		r.routers = 1
 	})
 }
@@ -404,11 +408,13 @@
 		return
 	}
 	r.mu.Lock()
-	if errors.Is(cause, jaywind.ErrNotSent) || errors.Is(cause, jaywind.ErrEndpointReplaced) {
+	absent := errors.Is(cause, jaywind.ErrNotSent) || errors.Is(cause, jaywind.ErrEndpointReplaced)
+	if absent {
 		r.table.RecordAbsence(e, time.Now())
 	} else {
 		r.table.RecordFailure(e, time.Now())
 	}
+	r.reportFailure(e, absent)
 	r.mu.Unlock()
 	if errors.Is(cause, jaywind.ErrEndpointReplaced) && r.RegistryUnavailable != nil && r.RegistryUnavailable() {
 		r.identify(ctx, c, e)
@@ -424,6 +430,7 @@
 		return
 	}
 	r.table.RecordFailure(e, time.Now())
+	r.reportFailure(e, false)
 }
 
 // upstreamRequest returns the request that an attempt of a call sends to an endpoint.
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -74,19 +74,19 @@
 }
 
 // awaitEndpoint returns the endpoint of the next attempt, as nextEndpoint does. A stream that has begun waits for one. It returns nil
-// if there is none or if ctx ends.
-func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool) {
+// if there is none or if ctx ends, and a refusal if the schedule has no room for the stream.
+func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool, refusal *Refusal) {
 	if backoff := st.plan.Backoff(); st.plan.Begun && backoff > 0 && !pause(ctx, jitter(backoff)) {
-		return nil, false
+		return nil, false, nil
 	}
 	for {
-		at, fromCopy = r.nextEndpoint(st, step)
-		if at != nil || !st.plan.Begun {
-			return at, fromCopy
+		at, fromCopy, refusal = r.nextEndpoint(ctx, st, step)
+		if at != nil || refusal != nil || !st.plan.Begun {
+			return at, fromCopy, refusal
 		}
 		r.logWait(st, causeNoEndpoint)
 		if !pause(ctx, jitter(waitInterval)) {
-			return nil, false
+			return nil, false, nil
 		}
 	}
 }
--- a/internal/relay/router/stats.go
+++ b/internal/relay/router/stats.go
@@ -31,6 +31,7 @@
 	limitNotices, limited          metrics.Counter
 	hedges, hedgesWon              metrics.Counter
 	hedgesCancelled                metrics.Counter
+	fallback, noRoom               metrics.Counter
 	firstEvent, movePause          metrics.Histogram // milliseconds
 	answerTime                     map[route.Kind]metrics.Histogram
 }
@@ -57,6 +58,8 @@
 	m.leaving = metrics.GetOrRegisterCounter("endpoints.leaving", r)
 	m.limitNotices = metrics.GetOrRegisterCounter("limits.named", r)
 	m.limited = metrics.GetOrRegisterCounter("sends.limited", r)
+	m.fallback = metrics.GetOrRegisterCounter("schedule.fallback", r)
+	m.noRoom = metrics.GetOrRegisterCounter("schedule.no_room", r)
 	m.paused = metrics.GetOrRegisterCounter("endpoints.paused", r)
 	m.withheld = metrics.GetOrRegisterCounter("sends.withheld", r)
 	m.hedges = metrics.GetOrRegisterCounter("hedge.sent", r)
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -47,6 +47,11 @@
 	survived    bool      // the current run has survived its beginning
 	retryTaken  bool      // a retry was taken for the next attempt when the stream left a silent endpoint
 	waits       bool      // the wait for an endpoint or a retry was logged
+
+	grantedStandby *endpoint.Endpoint // for the copy of the next run, as the owner of the schedule has chosen; nil for none
+	speedGaps      []time.Duration    // between events of the current run, since its last sample of speed
+	reportedEvent  time.Time          // of the last event, for the reports; Router.mu guards it
+	reportedEvents int                // that the caller has; Router.mu guards it
 }
 
 // attempt is one run of a request at an endpoint.
@@ -71,8 +76,13 @@
 	step, fromCopy := series.ActionRestart, false
 	at := r.findCached(st)
 	for {
+		var refusal *Refusal
 		if at == nil {
-			at, fromCopy = r.awaitEndpoint(ctx, st, step)
+			at, fromCopy, refusal = r.awaitEndpoint(ctx, st, step)
+		}
+		if refusal != nil {
+			r.writeRefusal(st.call, refusal.Reason, refusal.RetryAfter)
+			return
 		}
 		if at == nil && ctx.Err() != nil {
 			r.cancelStream(st, ctx.Err())
@@ -141,13 +151,20 @@
 
 // nextEndpoint returns the endpoint of the next attempt and whether it has a copy, and counts the attempt there. The standby may
 // have been lost since the step was decided.
-func (r *Router) nextEndpoint(st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool) {
+func (r *Router) nextEndpoint(ctx context.Context, st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool, refusal *Refusal) {
 	if step == series.ActionUseCopy && r.hasCopy(st) {
-		return r.takeStandby(st), true
+		return r.takeStandby(st), true, nil
 	}
 	r.releaseStandby(st)
 	st.requirements.Urgent = st.headSent || st.request.Resumed
-	return r.acquireEndpoint(st.call), false
+	r.mu.Lock()
+	scheduled := r.isScheduled(st.service)
+	r.mu.Unlock()
+	if scheduled {
+		at, refusal = r.reserve(ctx, st)
+		return at, false, refusal
+	}
+	return r.acquireEndpoint(st.call), false, nil
 }
 
 // takeStandby counts the next attempt at the standby, which has a copy, and returns it.
@@ -189,7 +206,10 @@
 func (r *Router) assignStandby(st *streamCall, at *endpoint.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	st.standby = r.table.ChooseStandby(st.service, at, st.requirements, time.Now())
+	st.standby = r.usableStandby(st, at)
+	if st.standby == nil {
+		st.standby = r.table.ChooseStandby(st.service, at, st.requirements, time.Now())
+	}
 	st.copyState, st.producing = copyState{}, false
 	if st.standby != nil {
 		r.table.AddCopy(st.standby, st.requirements)
@@ -227,7 +247,10 @@
 	if a.fromCopy {
 		s.Copy = st.copy
 	}
+	s.First = r.isMostUrgent(st.call)
 	r.assignStandby(st, a.endpoint)
+	st.speedGaps = st.speedGaps[:0]
+	defer r.trackRun(st, a)()
 	if st.standby != nil {
 		s.Standby = st.standby.Address
 	}
@@ -328,7 +351,10 @@
 		}
 		if !st.producing {
 			onFirst()
+			r.mu.Lock()
 			st.producing = true
+			r.mu.Unlock()
+			r.reportPrefill(st, a)
 			r.recordFirstEvent(st.call, a.endpoint)
 		} else {
 			r.countEvent(st.call)
@@ -375,6 +401,7 @@
 // observeEvent updates the statistics of the time between events.
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
+	r.recordProgress(st, now)
 	st.unlistedAt = time.Time{}
 	if st.stalled {
 		st.stalled = false
@@ -392,6 +419,9 @@
 	}
 	gap := now.Sub(st.lastEventAt)
 	st.lastEventAt = now
+	if !st.begunAt.Equal(now) {
+		r.sampleGap(st, a, gap)
+	}
 	st.gaps++
 	st.longestGap = max(st.longestGap, gap)
 	if st.attempts > 1 && a.fromCopy && gap > st.usualGap {
--- a/upstream.go
+++ b/upstream.go
@@ -79,6 +79,7 @@
 	Standby      Address    // endpoint that keeps a copy of the run's memory; empty for none
 	Copy         MemoryCopy // copy of the run's memory to continue from
 	Urgent       bool       // has priority over new work at the endpoint
+	First        bool       // has the most urgent priority of several that new work of its service has
 
 	// OnStall is called each time that the endpoint of a stream may have stalled, which is when ErrIdleTimeout would be
 	// returned. The stream waits on if it returns true. May be nil, for never.
