fleet/schedule, router: fewer wake-ups and reports where nothing is scheduled

Cause: owners ticked every 20 ms, and plain services reported every 500 ms to two routers. Change: an owner ticks every 100 ms while nothing waits, and a plain service reports often only while its servers are uneven or reject calls.

--- a/internal/fleet/schedule/server.go
+++ b/internal/fleet/schedule/server.go
@@ -17,13 +17,14 @@
 )
 
 const (
-	reportTTL   = 2500 * time.Millisecond // for which a report counts, as in the scheduler; after it an owner that hears nothing knows nothing
-	readyTime   = 600 * time.Millisecond  // after which an owner decides with the reports that it has; above the interval of 81 routers
-	readyParts  = 4                       // an owner decides at once if it has the reports of
-	readyShare  = 3                       // so many parts of the routers
-	tickTime    = 20 * time.Millisecond   // within which a wait ends after a report, a grant or an engine's state has changed
-	offerTime   = 200 * time.Millisecond  // a grant between two questions of its request is kept; the scheduler drops a request at 600 ms, which is the hold and this
-	summaryTime = 100 * time.Millisecond  // for which a summary is used again; 160 reports a second get 10
+	reportTTL    = 2500 * time.Millisecond // for which a report counts, as in the scheduler; after it an owner that hears nothing knows nothing
+	readyTime    = 600 * time.Millisecond  // after which an owner decides with the reports that it has; above the interval of 81 routers
+	readyParts   = 4                       // an owner decides at once if it has the reports of
+	readyShare   = 3                       // so many parts of the routers
+	tickTime     = 20 * time.Millisecond   // within which a wait ends after a report, a grant or an engine's state has changed
+	idleTickTime = 100 * time.Millisecond  // the same while nothing waits, as each wake-up costs processor time
+	offerTime    = 200 * time.Millisecond  // a grant between two questions of its request is kept; the scheduler drops a request at 600 ms, which is the hold and this
+	summaryTime  = 100 * time.Millisecond  // for which a summary is used again; 160 reports a second get 10
 )
 
 // ownerState is the state of a service at its owner or deputy.
@@ -288,19 +289,24 @@
 
 // runTicks grants requests that wait until ctx ends.
 func (c *Client) runTicks(ctx context.Context) {
-	ticker := time.NewTicker(tickTime)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickTime)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			c.tick(time.Now())
+		case <-timer.C:
+		}
+		next := idleTickTime
+		if c.tick(time.Now()) {
+			next = tickTime
 		}
+		timer.Reset(next)
 	}
 }
 
-func (c *Client) tick(now time.Time) {
+// tick grants what waits at all services of this router, and reports whether anything still waits.
+func (c *Client) tick(now time.Time) (busy bool) {
 	c.mu.Lock()
 	all := make([]*ownerState, 0, len(c.owned))
 	for _, p := range c.owned {
@@ -314,11 +320,13 @@
 		if p.scheduler != nil {
 			waiting += p.scheduler.Waiting()
 			bound += p.bound
+			busy = busy || p.scheduler.Waiting() > 0 || len(p.offers) > 0
 		}
 		p.mu.Unlock()
 	}
 	c.waiting.Update(int64(waiting))
 	c.bound.Update(int64(bound))
+	return busy
 }
 
 // tickService grants what waits at one service, and drops what nobody has asked for again.
--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -346,12 +346,22 @@
 			c := schedule.Capacity{MemoryTokens: s.Engine.MemoryTokens, CopiesMemory: s.Engine.CopiesMemory}
 			all = append(all, fleet.Service{Name: s.Name, Capacity: c, Active: r.isScheduled(s)})
 		case r.BalanceUneven > 0:
-			all = append(all, fleet.Service{Name: s.Name, Active: true})
+			all = append(all, fleet.Service{Name: s.Name, Active: r.isBalanced(s)})
 		}
 	}
 	return all
 }
 
+// isBalanced reports whether the plain calls of a service are balanced by learned times; the caller holds mu.
+func (r *Router) isBalanced(s *route.Service) bool {
+	b := r.balancerOf(s.Name)
+	if b == nil {
+		return false
+	}
+	now, all := time.Now(), candidatesOf(r.table.OfService(s))
+	return b.Rejecting(all, now) || b.Spread(all, now) >= r.BalanceUneven
+}
+
 // Report implements schedule.Router.
 func (r *Router) Report(s jaywind.ServiceName, now time.Time) schedule.Report {
 	r.init()
