router: ask afresh for streams whose engines have changed

What callers saw: a stream that was lost while all engines were excluded waited for the owner until its deadline, as the owner keeps what a request excludes when it first asks; a stream whose caller had reconnected was refused although it had run; a stream that the limits of engines turned away went on from engine to engine; a grant after a wait was used although its version was rolled back. Cause: the question is described once, and the grant was only checked for an endpoint that is closed or leaving.

Change: with all engines excluded, a stream is placed without the owner as before; a resumed one that excludes some asks afresh every 800 ms; a grant is checked as the question was, and an unusable one is asked for once more; resumed requests are never refused; the bound on refusals by limits holds as without an owner.

--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -370,7 +370,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.followRolloutEnd(c)
-	if c.limitRefusals > maxLimitRefusals && !c.requirements.Urgent {
+	if c.exceedsLimitRefusals() {
 		return nil
 	}
 	e := anyVersion(r.chooserFor(c), c.service, c.requirements)
@@ -383,6 +383,11 @@
 	return e
 }
 
+// exceedsLimitRefusals reports whether the limits of endpoints have turned a call away so often that it is not tried again.
+func (c *call) exceedsLimitRefusals() bool {
+	return c.limitRefusals > maxLimitRefusals && !c.requirements.Urgent
+}
+
 // anyVersion chooses an endpoint of the required version, or of another one that is not excluded if there is none.
 func anyVersion(choose func(*route.Service, endpoint.Requirements, time.Time) *endpoint.Endpoint, s *route.Service, n endpoint.Requirements) *endpoint.Endpoint {
 	e := choose(s, n, time.Now())
--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -82,25 +83,35 @@
 }
 
 // reserve asks for an engine for the next run of a stream, and counts the run there. It returns nil and a refusal if there is no room
-// for a stream that has not run; and nil without a refusal if ctx ends.
+// for a stream that has not run; and nil without a refusal if ctx ends or the limits of endpoints have turned the stream away too often.
 func (r *Router) reserve(ctx context.Context, st *streamCall) (*endpoint.Endpoint, *Refusal) {
-	for {
+	for unusable := 0; ; {
+		if st.exceedsLimitRefusals() {
+			return nil, nil
+		}
 		r.mu.Lock()
 		r.followRolloutEnd(st.call)
-		q := r.scheduleRequest(st, time.Now())
+		q, anyLeft := r.scheduleRequest(st, time.Now())
 		r.mu.Unlock()
-		d, err := r.Scheduler.Ask(ctx, st.service.Name, q)
+		if !anyLeft { // the owner would keep the request waiting; without an owner, the endpoint that opens first is tried
+			return r.chooseAlone(st, errAllExcluded)
+		}
+		d, err := r.ask(ctx, st, q)
 		switch {
 		case ctx.Err() != nil:
 			return nil, nil
+		case errors.Is(err, errAskAfresh):
 		case err != nil:
 			return r.chooseAlone(st, err)
 		case d.Outcome == schedule.Granted:
-			if e := r.takeGrant(st, d); e != nil {
+			e, known := r.takeGrant(st, d)
+			if e != nil {
 				return e, nil
 			}
-			return r.chooseAlone(st, errUnknownGrant)
-		case st.plan.Begun || st.mayHaveRun:
+			if unusable++; !known || unusable > maxUnusableGrants {
+				return r.chooseAlone(st, errUnusableGrant)
+			}
+		case st.plan.Begun || st.mayHaveRun || st.request.Resumed:
 			if !pause(ctx, jitter(waitInterval)) {
 				return nil, nil
 			}
@@ -114,14 +125,40 @@
 	}
 }
 
-// errUnknownGrant means that the owner has assigned an endpoint that this router does not know or that does not accept its work.
-var errUnknownGrant = jaywind.ErrEndpointReplaced
+const (
+	askAfreshTime     = 800 * time.Millisecond // for one question of a resumed stream that excludes endpoints; the pause after a failure that another router has reported
+	maxUnusableGrants = 1                      // after which a stream chooses alone; the next question excludes the endpoint
+)
+
+// errAskAfresh is returned if a question has to be asked afresh.
+var errAskAfresh = errors.New("the excluded endpoints may have changed")
+
+// ask asks for an engine. The owner keeps what a request excludes when it first asks, and a resumed stream waits until its deadline. So its
+// question ends with errAskAfresh after askAfreshTime if it excludes endpoints, as they may open again. Other requests are refused in time.
+func (r *Router) ask(ctx context.Context, st *streamCall, q schedule.Request) (schedule.Decision, error) {
+	if !q.Resumed || len(q.Exclude) == 0 {
+		return r.Scheduler.Ask(ctx, st.service.Name, q)
+	}
+	limited, cancel := context.WithTimeout(ctx, askAfreshTime)
+	defer cancel()
+	d, err := r.Scheduler.Ask(limited, st.service.Name, q)
+	if err != nil && limited.Err() != nil {
+		return d, errAskAfresh
+	}
+	return d, err
+}
+
+// Causes for which a stream chooses without the owner although that answers.
+var (
+	errUnusableGrant = errors.New("the owner has assigned an endpoint that is not known or may not run the stream")
+	errAllExcluded   = errors.New("no endpoint may run the stream now")
+)
 
-// scheduleRequest describes the next run of a stream; the caller holds mu.
-func (r *Router) scheduleRequest(st *streamCall, now time.Time) schedule.Request {
+// scheduleRequest describes the next run of a stream, and returns whether any endpoint may run it now; the caller holds mu.
+func (r *Router) scheduleRequest(st *streamCall, now time.Time) (q schedule.Request, anyLeft bool) {
 	stride := max(1, st.service.Engine.TokensPerEvent)
 	produced := st.events()
-	q := schedule.Request{
+	q = schedule.Request{
 		ID: st.request.ID, Router: r.Self, Organisation: st.keyOwner.Organisation, Priority: st.rank(), First: r.isMostUrgent(st.call),
 		Resumed: st.headSent || st.mayHaveRun || st.request.Resumed,
 		Arrived: st.request.Arrived, Target: st.route.LatencyTarget, Left: st.timeLeft(now),
@@ -129,20 +166,26 @@
 		Prefill: st.requirements.PromptTokens + produced*stride,
 		Events:  max(1, st.request.MaxTokens/stride-produced),
 	}
+	excluded, anyLeft := r.excludedOf(st, now)
+	for _, e := range excluded {
+		q.Exclude = append(q.Exclude, schedule.KeyOf(e.Ref()))
+	}
+	return q, anyLeft
+}
+
+// excludedOf returns the endpoints that may not run a stream now, and whether any other is left; the caller holds mu.
+func (r *Router) excludedOf(st *streamCall, now time.Time) (excluded []*endpoint.Endpoint, anyLeft bool) {
 	n := st.requirements
-	excluded, anyLeft := r.table.Ineligible(st.service, n, now)
+	excluded, anyLeft = r.table.Ineligible(st.service, n, now)
 	if !anyLeft && n.Version != "" {
 		n.Version = "" // as in anyVersion
 		excluded, anyLeft = r.table.Ineligible(st.service, n, now)
 	}
 	if !anyLeft && len(n.Avoid) > 0 {
 		n.Avoid = nil
-		excluded, _ = r.table.Ineligible(st.service, n, now)
-	}
-	for _, e := range excluded {
-		q.Exclude = append(q.Exclude, schedule.KeyOf(e.Ref()))
+		excluded, anyLeft = r.table.Ineligible(st.service, n, now)
 	}
-	return q
+	return excluded, anyLeft
 }
 
 // maxRoutePriority bounds the priority of a route where it decides between requests whose organisations have the same one.
@@ -166,20 +209,21 @@
 	return int(max(0, last))
 }
 
-// takeGrant counts a run at the endpoint that was assigned to it. It returns nil if this router does not know the endpoint, or if it
-// does not accept work any more.
-func (r *Router) takeGrant(st *streamCall, d schedule.Decision) *endpoint.Endpoint {
+// takeGrant counts a run at the endpoint that was assigned to it. It returns nil if this router does not know the endpoint, or if the
+// endpoint may not run the stream any more, as a request may have waited for long.
+func (r *Router) takeGrant(st *streamCall, d schedule.Decision) (e *endpoint.Endpoint, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	e := r.byKey(st.service, d.Endpoint)
-	if e == nil || !r.table.AcceptsWork(e, now) {
-		r.Log.Info("stream: assigned endpoint is not usable", st.fields(zap.Bool("known", e != nil))...)
-		return nil
+	r.followRolloutEnd(st.call)
+	e = r.byKey(st.service, d.Endpoint)
+	known = e != nil
+	if excluded, _ := r.excludedOf(st, time.Now()); !known || slices.Contains(excluded, e) {
+		r.Log.Info("stream: assigned endpoint is not usable", st.fields(zap.Bool("known", known))...)
+		return nil, known
 	}
 	st.grantedStandby = r.byKey(st.service, d.Standby)
 	r.startRun(st, e)
-	return e
+	return e, true
 }
 
 // byKey returns the endpoint with a key, or nil; the caller holds mu.
@@ -207,7 +251,7 @@
 // known bound.
 func (r *Router) chooseAlone(st *streamCall, cause error) (*endpoint.Endpoint, *Refusal) {
 	r.stats.fallback.Inc(1)
-	r.Log.Info("stream: no owner of the schedule", st.fields(zap.Error(cause))...)
+	r.Log.Info("stream: placed without the owner of the schedule", st.fields(zap.Error(cause))...)
 	if !st.plan.Begun && !st.mayHaveRun && !st.request.Resumed && r.exceedsPart(st) {
 		return nil, &Refusal{Reason: ReasonNoRoom, RetryAfter: jitter(streamRetryAfter)}
 	}
