router: report a run as begun from its first event on

What callers saw: nothing directly; the owner kept an engine closed for new prompts, for up to the grace of a prefill that began at the zero time. Cause: a run that has had its first event counted as stalled until that event was written to its caller, as the time of the last event was recorded only then. Change: the time is recorded together with the state.

Measured: TestReportAtFirstEvent failed before, and passes.

--- a/internal/relay/router/schedule_test.go
+++ b/internal/relay/router/schedule_test.go
@@ -403,6 +403,22 @@
 	})
 }
 
+// TestReportAtFirstEvent guards against a run that is reported as stalled when its first event comes, while it is written to the caller.
+func TestReportAtFirstEvent(t *testing.T) {
+	is := is.New(t)
+	s := newScheduleTest(true)
+	var reported schedule.Report
+	who := &hookedCaller{caller: caller{reads: 6}, at: 1, hook: func() {
+		if reported.Runs == nil {
+			reported = s.report()
+		}
+	}}
+	s.router.Serve(context.Background(), s.request("q"), who)
+	is.Equal(len(reported.Runs), 1)
+	is.True(reported.Runs[0].Begun)
+	is.True(!reported.Runs[0].Started.IsZero())
+}
+
 // TestReportOfSpeed guards against speeds that depend on single long pauses, that are reported twice, or that count a prompt as processed
 // which the engine had cached.
 func TestReportOfSpeed(t *testing.T) {
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -352,7 +352,7 @@
 		if !st.producing {
 			onFirst()
 			r.mu.Lock()
-			st.producing = true
+			st.producing, st.reportedEvent = true, time.Now() // before the write to the caller, which may take long
 			r.mu.Unlock()
 			r.reportPrefill(st, a)
 			r.recordFirstEvent(st.call, a.endpoint)
