router: take no prefill sample of a reconnected caller

What callers saw: an engine that has the prompt of a reconnected caller cached seemed much faster than it is, and got more streams. Cause: only runs from a copy and later attempts were left out. Change: requests that resume are left out too.

Measured: TestReportOfSpeed/cached_prompt failed before, and passes.

--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -298,14 +298,14 @@
 	}
 }
 
-// reportPrefill reports the first event of a run.
+// reportPrefill reports the first event of a run. The time to it says nothing of the engine's speed if the engine had part of the memory.
 func (r *Router) reportPrefill(st *streamCall, a attempt) {
 	if r.Scheduler == nil || st.service.Engine == nil {
 		return
 	}
 	r.mu.Lock()
 	tokens := st.requirements.PromptTokens
-	if !a.fromCopy && st.attempts <= 1 && tokens >= minPrefill {
+	if !a.fromCopy && !st.request.Resumed && st.attempts <= 1 && tokens >= minPrefill {
 		r.addSample(st.service.Name, schedule.Sample{Address: a.endpoint.Address, Prefill: time.Since(a.startedAt), Tokens: tokens})
 	}
 	active := r.isScheduled(st.service)
--- a/internal/relay/router/schedule_test.go
+++ b/internal/relay/router/schedule_test.go
@@ -430,6 +430,7 @@
 	}{
 		"too few times": {16, false, true, false},
 		"enough":        {17, false, true, true},
+		"cached prompt": {17, true, false, true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
