router: count copies in a router's part of the bound only where there are any

What callers saw: while no owner answers, a service whose engines keep no copies refused streams at half of its capacity. Cause: each run counted twice, while the bound counts copies only for engines that keep them. Change: as the owner counts.

--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -266,9 +266,12 @@
 	if sc.summary.Bound == 0 || time.Since(sc.summaryAt) > boundAge {
 		return false
 	}
-	used := 2 * st.requirements.MemoryTokens
+	used := st.requirements.MemoryTokens
 	for other := range sc.runs {
-		used += 2 * other.requirements.MemoryTokens
+		used += other.requirements.MemoryTokens
+	}
+	if st.service.Engine.CopiesMemory {
+		used *= 2 // the bound counts a copy of each run
 	}
 	return len(sc.runs) > 1 && float64(used) > partSlack*float64(sc.summary.Bound)/float64(r.routers)
 }
--- a/internal/relay/router/schedule_test.go
+++ b/internal/relay/router/schedule_test.go
@@ -270,12 +270,13 @@
 		copies  bool
 		served  int // of four streams at the same time
 	}{
-		"no bound is known":    {0, 1, 0, true, 4},
-		"the bound is too old": {1000, 1, 11 * time.Second, true, 4},
-		"all are in the bound": {6000, 1, 0, true, 4}, // 1.5 times it
-		"three are":            {5000, 1, 0, true, 3},
-		"part of two routers":  {10000, 2, 0, true, 3},
-		"two at least":         {100, 1, 0, true, 2},
+		"no bound is known":                   {0, 1, 0, true, 4},
+		"the bound is too old":                {1000, 1, 11 * time.Second, true, 4},
+		"all are in the bound":                {6000, 1, 0, true, 4}, // 1.5 times it
+		"three are":                           {5000, 1, 0, true, 3},
+		"part of two routers":                 {10000, 2, 0, true, 3},
+		"two at least":                        {100, 1, 0, true, 2},
+		"without copies, half of it suffices": {3000, 1, 0, false, 4},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
