router: let no organisation of low priority take the place of urgent requests

What callers saw: streams of an organisation with a less urgent priority of its own, on the most urgent route, needed no room under the bound and were sent with urgency 4. Cause: only the route was looked at, although the priority of an organisation comes before it. Change: such a stream is not among the most urgent.

Measured: TestPriority failed before, and passes.

--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -76,10 +76,12 @@
 	return r.Scheduling.Priorities && first != last
 }
 
-// isMostUrgent reports whether the route of a call has the most urgent of several priorities of its service.
+// isMostUrgent reports whether the route of a call has the most urgent of several priorities of its service, and its organisation has no
+// less urgent one.
 func (r *Router) isMostUrgent(c *call) bool {
 	first, last := c.set.Priorities(c.service.Name)
-	return r.Scheduler != nil && r.Scheduling.Priorities && first != last && c.route.Priority == first
+	return r.Scheduler != nil && r.Scheduling.Priorities && first != last && c.route.Priority == first &&
+		(!c.keyOwner.HasPriority || c.keyOwner.Priority <= first)
 }
 
 // reserve asks for an engine for the next run of a stream, and counts the run there. It returns nil and a refusal if there is no room
--- a/internal/relay/router/schedule_test.go
+++ b/internal/relay/router/schedule_test.go
@@ -602,6 +602,7 @@
 	}
 	is.Equal(asked[len(order)].Priority, asked[0].Priority) // an urgent route, and no priority of the organisation
 	for i, q := range asked {
+		is.Equal(q.First, i == 0 || i == len(order))
 		is.Equal(s.upstream.sent[i].First, q.First)
 	}
 }
