--- a/internal/provider/roster/roster_test.go
+++ b/internal/provider/roster/roster_test.go
@@ -310,3 +310,66 @@
 		})
 	}
 }
+
+// TestWideOwners guards against owners with narrow links, on which the answers to all routers come too late, against a service without a
+// deputy, and against routers that disagree on the owner.
+func TestWideOwners(t *testing.T) {
+	links := func(all ...float64) []float64 { return all }
+	tests := map[string]struct {
+		links   []float64 // Mbit/s of each router
+		leaving int       // of the first ones
+		want    []int     // routers that may be owners
+		count   int
+	}{
+		"alike":                   {links(100, 100, 100), 0, []int{0, 1, 2}, 2},
+		"unknown":                 {links(0, 0, 0), 0, []int{0, 1, 2}, 2},
+		"two wide":                {links(200, 10, 200, 10), 0, []int{0, 2}, 2},
+		"half of the widest":      {links(200, 100, 99, 10), 0, []int{0, 1}, 2},
+		"one wide":                {links(200, 10, 10, 10), 0, []int{0, 1, 2, 3}, 2},
+		"wide ones are leaving":   {links(200, 200, 10, 10), 2, []int{2, 3}, 2},
+		"one of three is leaving": {links(200, 200, 200, 10), 1, []int{1, 2}, 2},
+		"alone":                   {links(10), 0, []int{0}, 1},
+		"some links are unknown":  {links(200, 0, 200, 0), 0, []int{0, 2}, 2},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			members := make([]roster.Member, len(c.links))
+			allowed := map[jaywind.Address]bool{}
+			for i, link := range c.links {
+				members[i] = member(i)
+				members[i].LinkMbps, members[i].FleetAddress = link, jaywind.Address(fmt.Sprintf("10.0.0.%d:2", i))
+				members[i].Leaving = i < c.leaving
+			}
+			for _, i := range c.want {
+				allowed[members[i].FleetAddress] = true
+			}
+			used := map[jaywind.Address]bool{}
+			for k := range 50 {
+				key := fmt.Sprint("schedule/s", k)
+				var first []jaywind.Address
+				for i := range members {
+					if members[i].Leaving { // it knows that of itself by Leave
+						continue
+					}
+					r := &roster.Roster{Self: members[i], Log: zap.NewNop()}
+					for _, m := range members {
+						r.Update(item(t, m), false)
+					}
+					owners := r.WideOwners(key, 2)
+					if first == nil {
+						first = owners
+					}
+					is.Equal(owners, first) // all agree
+				}
+				is.Equal(len(first), c.count)
+				is.True(c.count < 2 || first[0] != first[1])
+				for _, at := range first {
+					is.True(allowed[at])
+					used[at] = true
+				}
+			}
+			is.Equal(len(used), len(c.want)) // services have different owners
+		})
+	}
+}
