fleet/schedule: answer as unready while no engine is known to accept work

What callers saw: an owner that knew no engine refused all streams with 503 and kept resumed ones waiting until their deadline, although its deputy knew engines: after a start while the registry can't be read, or cut off from the engines. Cause: it answered with a bound of 0. Change: it is unready; the deputy is asked, and if that knows none either, routers choose as without an owner.

--- a/internal/fleet/schedule/client_test.go
+++ b/internal/fleet/schedule/client_test.go
@@ -272,6 +272,50 @@
 	}
 }
 
+// TestOwnerWithoutEngines guards against an owner that refuses all requests, or keeps resumed ones waiting, because it knows no engine that
+// accepts work: it has just started while the registry can't be read, or is cut off from the engines.
+func TestOwnerWithoutEngines(t *testing.T) {
+	tests := map[string]struct {
+		without []int // routers
+		resumed bool
+		err     error
+	}{
+		"owner":                     {[]int{0}, false, nil},
+		"owner, resumed":            {[]int{0}, true, nil},
+		"owner and deputy":          {[]int{0, 1}, false, ErrNoOwner},
+		"owner and deputy, resumed": {[]int{0, 1}, true, ErrNoOwner},
+	}
+	for name, c := range tests {
+		for asker, where := range map[int]string{0: "owner", 1: "deputy", 2: "other"} {
+			t.Run(name+", asked by the "+where, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t, 4, 1, 1)
+					defer f.stop()
+					time.Sleep(settle)
+					for _, i := range c.without {
+						f.routers[i].mu.Lock()
+						f.routers[i].endpoints = nil
+						f.routers[i].mu.Unlock()
+					}
+					r := request("r")
+					r.Resumed = c.resumed
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					begun := time.Now()
+					d, err := f.clients[asker].Ask(ctx, chat, r)
+					is.True(errors.Is(err, c.err))
+					is.Equal(time.Since(begun), time.Duration(0))
+					if c.err == nil {
+						is.Equal(d.Outcome, schedule.Granted)
+						is.Equal(d.Endpoint, schedule.Key(1))
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestOwnerDiesWhileQueued guards against requests that stay with an owner that will never answer.
 func TestOwnerDiesWhileQueued(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/internal/fleet/schedule/server.go
+++ b/internal/fleet/schedule/server.go
@@ -140,7 +140,11 @@
 		}
 	}
 	p.scheduler.Release(r.ID) // its answer was lost, as the router asks again
-	p.scheduler.SetEndpoints(c.Router.Endpoints(p.name, now))
+	endpoints := c.Router.Endpoints(p.name, now)
+	p.scheduler.SetEndpoints(endpoints)
+	if len(endpoints) == 0 { // another router may know some; this one may have just started or be cut off from them
+		return reply{}, nil
+	}
 	a := reply{ready: true, decision: p.scheduler.Ask(r, now), oldest: p.oldest(now)}
 	p.bound = a.decision.Bound
 	c.dispatch(p, now)
