jaywind: explain says why a request waited, was refused or was hedged

Callers of the command saw the raw lines of the scheduler, of the balancer and of hedging, and of a stream that the owner assigned elsewhere the last error as its cause.

Explain now prints a line "decision: …" for each of them after the cause, with the figures that decided: requests ahead, bound, memory in use, expected wait and the age of the oldest report; that no owner was reached, by which error and how long before, and that the router chose alone; probes, shed and rejected calls; hedges and which attempt won. Reasons against a hedge and those of the owner's own line are no longer taken for the cause of a failure.

Tests: go test -race -run Explain ./cmd/jaywind.

--- a/cmd/jaywind/explain.go
+++ b/cmd/jaywind/explain.go
@@ -34,7 +34,7 @@
 	if *id == "" || f.NArg() == 0 {
 		return c.misuse("want -id ID and the log files of one or more routers")
 	}
-	var lines, routerStarts []logLine
+	var lines, routerStarts, ownersLost []logLine
 	for _, name := range f.Args() {
 		found, bad, err := readLog(name, *id)
 		if err != nil {
@@ -42,9 +42,12 @@
 		}
 		for _, l := range found {
 			l.file = name
-			if l.message == routerStartedMessage {
+			switch l.message {
+			case routerStartedMessage:
 				routerStarts = append(routerStarts, l)
-			} else {
+			case ownerLostMessage:
+				ownersLost = append(ownersLost, l)
+			default:
 				lines = append(lines, l)
 			}
 		}
@@ -61,6 +64,7 @@
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.timestamp, b.timestamp) })
 	c.printf("cause: %s\n", causeOf(lines))
+	c.printDecisions(lines, ownersLost)
 	for _, l := range lines {
 		c.printf("%s\n", l)
 	}
@@ -70,8 +74,8 @@
 // routerStartedMessage is the first log message of a router process.
 const routerStartedMessage = "router: started"
 
-// readLog returns the lines of a file that belong to a request or report the start of a router, and the line numbers of
-// malformed JSON.
+// readLog returns the lines of a file that belong to a request, report the start of a router or name an owner that was not reached, and
+// the line numbers of malformed JSON.
 func readLog(name, id string) (lines []logLine, bad []int, err error) {
 	file, err := os.Open(name)
 	if err != nil {
@@ -95,7 +99,7 @@
 			continue
 		}
 		l.message, _ = l.fields["msg"].(string)
-		if l.fields["request"] != id && l.message != routerStartedMessage {
+		if l.fields["request"] != id && l.message != routerStartedMessage && l.message != ownerLostMessage {
 			continue
 		}
 		l.timestamp, _ = l.fields["ts"].(string)
@@ -115,9 +119,15 @@
 	}
 	for i := len(lines) - 1; i >= 0; i-- {
 		l := lines[i]
+		if l.message == notHedgedMessage || l.message == refusedMessage { // their reasons are printed as decisions
+			continue
+		}
 		for _, key := range []string{"error", "cause", "reason"} {
 			if text, found := l.fields[key].(string); found {
-				return fmt.Sprintf("%s, at endpoint %v (%s)", text, l.fields["endpoint"], l.message)
+				if l.text("endpoint") == "" {
+					return fmt.Sprintf("%s (%s)", text, l.message)
+				}
+				return fmt.Sprintf("%s, at endpoint %s (%s)", text, l.text("endpoint"), l.message)
 			}
 		}
 	}
@@ -139,9 +149,13 @@
 
 // String formats the line as timestamp, source, message and remaining fields.
 func (l logLine) String() string {
-	where := l.prefix
-	if where == "" {
-		where = l.file
+	return fmt.Sprintf("%s  %s  %s  %s", l.timestamp, l.where(), l.message, l.details())
+}
+
+// where names the source of the line.
+func (l logLine) where() string {
+	if l.prefix == "" {
+		return l.file
 	}
-	return fmt.Sprintf("%s  %s  %s  %s", l.timestamp, where, l.message, l.details())
+	return l.prefix
 }
