soak: bursts of bulk streams, priorities and true refusals

The engine service has a second route of streams now, with a lower priority. The check "priority" compares urgent and bulk streams that were sent to the same router within a second, at routers that reach engines, and allows three standard deviations of a hypergeometric count. "refused" holds for streams too: one that a router has answered with 503 never reaches an engine. The check "sound" still counts the streams that it did: those of the urgent route with usual prompts.

--- a/internal/measure/soak/caller.go
+++ b/internal/measure/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +20,7 @@
 	directoryTTL     = 2 * time.Second       // how long a caller caches the directory's answer
 	leaveProbability = 0.05                  // that a caller disconnects in the middle of a stream
 	maxTries         = 2                     // per request
+	usualPrompt      = 1000                  // tokens
 )
 
 // attempt is one try of a request, with an id of its own, as its caller saw it.
@@ -30,6 +32,7 @@
 	key          string
 	part         string // that crashes engines; empty for none
 	deadly       string // body of a request that crashes replicas; empty for any other
+	prompt       int    // tokens of the prompt
 	router       *router
 	sentAt       time.Time
 	endedAt      time.Time
@@ -47,7 +50,6 @@
 	err          error
 }
 
-func (a *attempt) isStream() bool { return a.prefix == "/stream/" }
 func (a *attempt) isUnsafe() bool { return a.prefix == "/buy/" }
 
 // caller sends one request after another and reuses its connections while they work.
@@ -60,6 +62,8 @@
 	part    string // that crashes engines, in all its prompts; empty for none
 	deadly  string // body of its only request, which crashes replicas; empty for none
 	once    bool   // with deadly: the request may not be repeated by a router
+	only    string // path prefix of all its requests; empty for a mixture
+	prompt  int    // tokens of its prompts; 0 for usualPrompt
 
 	transport  *http.Transport
 	routers    []*router
@@ -101,6 +105,9 @@
 // nextRequest draws a path prefix and an API key. Most requests use the initial routes and key; some use the route that was
 // added last, or an extra key that may be revoked.
 func (c *caller) nextRequest() (prefix, key string) {
+	if c.only != "" {
+		return c.only, "key"
+	}
 	if c.part != "" {
 		return "/stream/", "key"
 	}
@@ -181,7 +188,8 @@
 	defer cancel()
 	q := standin.Request{AttemptID: a.id, Address: a.router.callerAddress, Host: host, Target: a.target, Body: a.body, Key: key, Timeout: timeout, LastEventID: after}
 	if a.isStream() {
-		q.PromptParts, q.PromptTokens, q.MaxTokens = fmt.Sprintf("aa:200,%d:800", c.number), 1000, 300
+		a.prompt = cmp.Or(c.prompt, usualPrompt)
+		q.PromptParts, q.PromptTokens, q.MaxTokens = fmt.Sprintf("aa:200,%d:%d", c.number, a.prompt-200), a.prompt, 300
 		if a.part != "" {
 			q.PromptParts = fmt.Sprintf("aa:200,%s:90,%d%04d:710", a.part, c.number, c.requests) // no two prompts are alike
 		}
--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -40,6 +40,7 @@
 	crashedAt  map[string]time.Time          // when replicas crashed under a part, by their ids
 	limits     map[string][]span             // when replicas named a limit, by their ids
 	violations []Violation
+	bursts     []span // of bulk streams
 	outcomes   map[string]int
 }
 
@@ -103,7 +104,7 @@
 }
 
 func (a *attempt) describe() string {
-	kind := map[string]string{"/stream/": "stream", "/buy/": "unsafe"}[a.prefix]
+	kind := map[string]string{"/stream/": "stream", "/bulk/": "bulk stream", "/buy/": "unsafe"}[a.prefix]
 	if kind == "" {
 		kind = "safe"
 	}
@@ -185,12 +186,11 @@
 		if a.isStream() && a.truncated() && !a.mayLoseResponse() && r.cutAtSoundEngine(a) {
 			r.violations = append(r.violations, Violation{"cut", id, fmt.Sprintf("stream ended by %s after %v, its engines are sound", a.router.name, a.endedAt.Sub(a.sentAt).Round(time.Millisecond))})
 		}
-		notRun := a.status == http.StatusServiceUnavailable && !a.fromEndpoint
 		if a.isUnsafe() && runs > 1 {
 			r.violations = append(r.violations, Violation{"once", id, fmt.Sprintf("unsafe call ran %d times", runs)})
 		}
-		if a.isUnsafe() && notRun && runs > 0 {
-			r.violations = append(r.violations, Violation{"refused", id, "call ran although it was refused as not run"})
+		if (a.isUnsafe() || a.isStream()) && a.isRefusal() && runs > 0 {
+			r.violations = append(r.violations, Violation{"refused", id, "request ran although it was refused as not run"})
 		}
 	}
 	for id := range r.events {
@@ -206,6 +206,7 @@
 	r.checkRepeats()
 	r.checkHeldBack()
 	r.checkReach()
+	r.checkPriority()
 }
 
 // cutAtSoundEngine reports whether a stream was ended before its caller's deadline although the engines that ran it were at most
@@ -326,7 +327,7 @@
 // the engines name limits, the others may not suffice.
 func (r *checker) servedStreams(selects func(*attempt) bool) (served, all int) {
 	for _, a := range r.attempts {
-		if !a.isStream() || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || r.fleet.cutFromStore(a.router, a.sentAt, a.endedAt) || r.mostlyLimited(a.sentAt) || !selects(a) {
+		if a.prefix != "/stream/" || a.prompt == burstPrompt || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || r.fleet.cutFromStore(a.router, a.sentAt, a.endedAt) || r.mostlyLimited(a.sentAt) || !selects(a) {
 			continue
 		}
 		all++
--- a/internal/measure/soak/config.go
+++ b/internal/measure/soak/config.go
@@ -29,7 +29,8 @@
 func (u *operatorConfig) next() standin.Config {
 	u.version += 3
 	c := standin.Config{Version: u.version, Host: host, Keys: map[string]string{"key": "org"}, Routes: []standin.Route{
-		{Name: "stream", Prefix: "/stream/", Kind: "streaming", Service: "pool", Timeout: streamTimeout, MaxAttempts: 5},
+		{Name: "stream", Prefix: "/stream/", Kind: "streaming", Service: "pool", Timeout: streamTimeout, MaxAttempts: 5, Priority: urgentPriority, LatencyTarget: roomTarget},
+		{Name: "bulk", Prefix: "/bulk/", Kind: "streaming", Service: "pool", Timeout: streamTimeout, MaxAttempts: 5, Priority: bulkPriority, LatencyTarget: roomTarget},
 		{Name: "get", Prefix: "/get/", Kind: "safe", Service: "desk", Timeout: plainTimeout, MaxAttempts: 3},
 		{Name: "buy", Prefix: "/buy/", Kind: "unsafe", Service: "desk", Timeout: plainTimeout, MaxAttempts: 3},
 	}}
--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -31,6 +31,8 @@
 	repeatSeries int            // number of such requests so far
 	storeLock    sync.Mutex     // held while the store has a copy to come back from
 	linkLock     sync.Mutex     // held while the links of routers are cut
+	burstLock    sync.Mutex     // held during a burst of streams
+	bursts       int            // number of bursts so far
 
 	orderLock sync.Mutex
 	order     string // version of the roll-out that the operator has ordered last
@@ -136,6 +138,8 @@
 		n.limitReplicas(ctx, s, e)
 	case CutLinks:
 		n.cutLinks(ctx, s)
+	case BurstBulk:
+		n.burst(ctx, s)
 	case StallEngines:
 		n.stallEngines(ctx, s)
 	case RollOut:
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -60,6 +60,8 @@
 	RepeatDeadly  FaultKind = "request that crashes replicas"
 
 	CutLinks FaultKind = "cut routers from all replicas"
+
+	BurstBulk FaultKind = "burst of bulk streams, engines of a domain crash"
 )
 
 // weights are the relative frequencies of the kinds.
@@ -78,12 +80,13 @@
 	troubleWeights = map[FaultKind]int{StallEngines: 3, CrashEngines: 2}
 )
 
-// floodWeights, demandWeights, deadlyWeights and linkWeights are the same, each drawn separately from laterWeights.
+// floodWeights, demandWeights, deadlyWeights, linkWeights and burstWeights are the same, each drawn separately from laterWeights.
 var (
 	floodWeights  = map[FaultKind]int{FloodReplica: 1}
 	demandWeights = map[FaultKind]int{LimitReplicas: 1}
 	deadlyWeights = map[FaultKind]int{RepeatDeadly: 1}
 	linkWeights   = map[FaultKind]int{CutLinks: 1}
+	burstWeights  = map[FaultKind]int{BurstBulk: 1}
 )
 
 // variants lists the variants of a kind, if any. Those of a cut name the blocked direction:
@@ -121,6 +124,7 @@
 
 const (
 	warmUp       = 1500 * time.Millisecond // traffic before the first fault
+	burstStart   = 4 * time.Second         // of the first burst, when the faults of all kinds that begin with the first one are over
 	meanInterval = 450 * time.Millisecond  // between two faults; faults overlap, as most last longer than this
 	meanLater    = 1600 * time.Millisecond // the same for laterWeights
 	meanFlood    = 4 * time.Second         // the same for floodWeights
@@ -128,6 +132,7 @@
 	meanDemand   = 5 * time.Second         // the same for demandWeights
 	meanDeadly   = 12 * time.Second        // the same for deadlyWeights
 	meanLinks    = 4 * time.Second         // the same for linkWeights
+	meanBurst    = 8 * time.Second         // the same for burstWeights
 	maxFaultTime = 3 * time.Second         // duration of a fault
 	minFaultTime = 200 * time.Millisecond
 )
@@ -135,15 +140,16 @@
 // NewPlan returns the plan that a seed generates.
 func NewPlan(seed uint64, size Size, during time.Duration) Plan {
 	p := Plan{Seed: seed, Size: size, Duration: during}
-	p.draw(rand.New(rand.NewPCG(seed, 0)), weights, meanInterval)       //nolint:gosec // the same seed must give the same plan
-	p.draw(rand.New(rand.NewPCG(seed, 1)), laterWeights, meanLater)     //nolint:gosec // as above
-	p.draw(rand.New(rand.NewPCG(seed, 2)), troubleWeights, meanTrouble) //nolint:gosec // as above
-	p.draw(rand.New(rand.NewPCG(seed, 3)), floodWeights, meanFlood)     //nolint:gosec // as above
-	p.draw(rand.New(rand.NewPCG(seed, 4)), demandWeights, meanDemand)   //nolint:gosec // as above
-	p.draw(rand.New(rand.NewPCG(seed, 5)), deadlyWeights, meanDeadly)   //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 0)), warmUp, weights, meanInterval)       //nolint:gosec // the same seed must give the same plan
+	p.draw(rand.New(rand.NewPCG(seed, 1)), warmUp, laterWeights, meanLater)     //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 2)), warmUp, troubleWeights, meanTrouble) //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 3)), warmUp, floodWeights, meanFlood)     //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 4)), warmUp, demandWeights, meanDemand)   //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 5)), warmUp, deadlyWeights, meanDeadly)   //nolint:gosec // as above
 	if p.CutsLinks() {
-		p.draw(rand.New(rand.NewPCG(seed, 6)), linkWeights, meanLinks) //nolint:gosec // as above
+		p.draw(rand.New(rand.NewPCG(seed, 6)), warmUp, linkWeights, meanLinks) //nolint:gosec // as above
 	}
+	p.draw(rand.New(rand.NewPCG(seed, 7)), burstStart, burstWeights, meanBurst) //nolint:gosec // as above
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return p
 }
@@ -151,8 +157,8 @@
 // CutsLinks reports whether links of routers to replicas are cut. Its routers are stand-in processes that run the same router.
 func (p Plan) CutsLinks() bool { return p.Seed%2 == 1 }
 
-// draw adds faults of the kinds in weights at random times.
-func (p *Plan) draw(random *rand.Rand, weights map[FaultKind]int, interval time.Duration) {
+// draw adds faults of the kinds in weights, the first one at a time and the others at random times after it.
+func (p *Plan) draw(random *rand.Rand, first time.Duration, weights map[FaultKind]int, interval time.Duration) {
 	kinds := make([]FaultKind, 0, len(weights))
 	total := 0
 	for k, w := range weights {
@@ -160,7 +166,7 @@
 		total += w
 	}
 	slices.Sort(kinds)
-	for at := warmUp; at < p.Duration; at += time.Duration(random.ExpFloat64() * float64(interval)) {
+	for at := first; at < p.Duration; at += time.Duration(random.ExpFloat64() * float64(interval)) {
 		s := Fault{Start: at.Round(time.Millisecond), Duration: minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))).Round(time.Millisecond)}
 		n := random.IntN(total)
 		for _, k := range kinds {
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -24,14 +24,14 @@
 			is.Equal(s.Variant != "", len(variants[s.Kind]) > 0)
 		}
 	}
-	is.Equal(len(drawn), len(weights)+len(laterWeights)+len(troubleWeights)+len(floodWeights)+len(demandWeights)+len(deadlyWeights)+len(linkWeights))
+	is.Equal(len(drawn), len(weights)+len(laterWeights)+len(troubleWeights)+len(floodWeights)+len(demandWeights)+len(deadlyWeights)+len(linkWeights)+len(burstWeights))
 }
 
 // TestSeedOfCI checks that the seed which is played in CI has all kinds of trouble.
 func TestSeedOfCI(t *testing.T) {
 	is := is.New(t)
 	p := NewPlan(1, Small, 10*time.Second)
-	for _, kinds := range []map[FaultKind]int{troubleWeights, demandWeights, deadlyWeights, linkWeights} {
+	for _, kinds := range []map[FaultKind]int{troubleWeights, demandWeights, deadlyWeights, linkWeights, burstWeights} {
 		for kind := range kinds {
 			is.True(slices.ContainsFunc(p.Faults, func(s Fault) bool { return s.Kind == kind }))
 		}
@@ -142,8 +142,32 @@
 		"late": {func(_ *checker, a *attempt) {
 			a.endedAt = a.sentAt.Add(plainTimeout + maxLateness + schedulingSlack + 1)
 		}, "late"},
-		"ran twice":              {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); c.addEvent(run(a, 1)) }, "once"},
-		"refused and ran":        {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); a.status, a.fromEndpoint = 503, false }, "refused"},
+		"ran twice":       {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); c.addEvent(run(a, 1)) }, "once"},
+		"refused and ran": {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); a.status, a.fromEndpoint = 503, false }, "refused"},
+		"stream was refused and ran": {func(c *checker, a *attempt) {
+			stream(a)
+			c.addEvent(run(a, 0))
+			a.status, a.fromEndpoint, a.received = 503, false, 0
+		}, "refused"},
+		"stream was refused": {func(_ *checker, a *attempt) { stream(a); a.status, a.fromEndpoint, a.received = 503, false, 0 }, ""},
+		"bulk stream was refused and ran": {func(c *checker, a *attempt) {
+			a.prefix, a.target = "/bulk/", "/bulk/x"
+			c.addEvent(run(a, 0))
+			a.status, a.fromEndpoint = 503, false
+		}, "refused"},
+		"short bulk stream":                         {func(_ *checker, a *attempt) { stream(a); a.prefix, a.target, a.received = "/bulk/", "/bulk/x", 3 }, "whole"},
+		"urgent streams are served less often":      {func(c *checker, a *attempt) { burstStreams(c, a, 8, 0) }, "priority"},
+		"urgent streams are served as often":        {func(c *checker, a *attempt) { burstStreams(c, a, 18, 0) }, ""},
+		"urgent streams are served less by chance":  {func(c *checker, a *attempt) { burstStreams(c, a, 14, 0) }, ""},
+		"urgent streams are sent in a worse second": {func(c *checker, a *attempt) { burstStreams(c, a, 8, burstStratum) }, ""},
+		"urgent streams are served less, after burst": {func(c *checker, a *attempt) {
+			burstStreams(c, a, 8, 0)
+			c.bursts[0].until = a.sentAt.Add(-time.Microsecond)
+		}, ""},
+		"urgent streams at a router that reaches no engines": {func(c *checker, a *attempt) {
+			burstStreams(c, a, 8, 0)
+			c.fleet.linkCuts = []linkCut{{span: span{from: a.sentAt, until: a.sentAt.Add(time.Second)}, routers: []*router{a.router}}}
+		}, ""},
 		"refused by the replica": {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); a.status = 503 }, ""},
 		"other target":           {func(c *checker, a *attempt) { s := run(a, 0); s.Target = "/"; c.addEvent(s) }, "unasked"},
 		"unknown attempt id":     {func(c *checker, a *attempt) { s := run(a, 0); s.AttemptID = "q9"; c.addEvent(s) }, "unasked"},
@@ -283,6 +307,24 @@
 	}
 }
 
+// burstStreams sends 20 bulk streams in a burst, and 20 urgent ones some time later, and serves some of these and 18 bulk ones.
+func burstStreams(c *checker, a *attempt, urgentServed int, after time.Duration) {
+	c.addBurst(span{from: a.sentAt.Add(-time.Millisecond), until: a.sentAt.Add(burstTime)})
+	for prefix, served := range map[string]int{"/stream/": urgentServed, "/bulk/": 18} {
+		for i := range 20 {
+			s := &attempt{id: fmt.Sprint(prefix, i), prefix: prefix, prompt: burstPrompt, router: a.router, sentAt: a.sentAt, status: 503, complete: true}
+			if i < served {
+				s.status = 200
+			}
+			if prefix == "/stream/" {
+				s.sentAt = s.sentAt.Add(after)
+			}
+			s.endedAt = s.sentAt.Add(time.Millisecond)
+			c.attempts[s.id] = s
+		}
+	}
+}
+
 // limitEngines lets some of four engines name limits.
 func limitEngines(c *checker, a *attempt, limited int) {
 	c.fleet.size.Engines = 4
