--- a/internal/core/schedule/speed.go
+++ b/internal/core/schedule/speed.go
@@ -122,7 +122,7 @@
 	return 1 + (f-1)*keep
 }
 
-// Spread returns the ratio of the speeds of the slow and the fast addresses, at the 10th and 90th percentile; 1 while few are known.
+// Spread returns the ratio of the speeds of the slow and the fast addresses, at the quartiles, so that a few endpoints that are slow for a while do not count; 1 while few are known.
 func (s *Speeds) Spread() float64 {
 	var all []float64
 	for _, p := range s.addresses {
@@ -134,7 +134,7 @@
 		return 1
 	}
 	slices.Sort(all)
-	return all[len(all)*9/10] / max(0.001, all[len(all)/10])
+	return all[len(all)*3/4] / max(0.001, all[len(all)/4])
 }
 
 // minSpread is the number of addresses from which on their speeds are compared.
--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -457,8 +457,8 @@
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.set == nil || r.set.Services[s] == nil {
-		return
+	if r.set == nil || r.set.Services[s] == nil || !r.isScheduled(r.set.Services[s]) {
+		return // a router chooses by its own failures where nothing is scheduled
 	}
 	now := time.Now()
 	for _, f := range failed {
