--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -22,7 +22,7 @@
 // Pool keeps idle connections for reuse. Its zero value is ready to use.
 type Pool struct {
 	IdleTimeout time.Duration // after which an idle connection is closed; defaults to 4 s
-	// DialContext opens the connections; TCP over this VM's own links if nil.
+	// DialContext opens the connections, within limits of its own; TCP over this VM's own links if nil.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu    sync.Mutex
@@ -72,11 +72,9 @@
 // Dial opens a new connection. The error wraps jaywind.ErrNotSent.
 func (p *Pool) Dial(ctx context.Context, at jaywind.Address) (*Conn, error) {
 	p.dialed.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	dial := p.DialContext
 	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+		dial = (&net.Dialer{KeepAlive: -1, Timeout: dialTimeout}).DialContext
 	}
 	conn, err := dial(ctx, "tcp", string(at))
 	if err != nil {
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -98,3 +98,39 @@
 		})
 	}
 }
+
+// TestLatency checks the limits that follow from the times that answers took.
+func TestLatency(t *testing.T) {
+	const usual, least, most = 600 * time.Millisecond, 30 * time.Millisecond, time.Second
+	tests := map[string]struct {
+		prepare    func(l *reach.Latency)
+		after      time.Duration
+		from, upTo time.Duration
+	}{
+		"no samples":          {prepare: func(*reach.Latency) {}, from: usual, upTo: usual},
+		"fast":                {prepare: func(l *reach.Latency) { repeat(l, 50, time.Millisecond) }, from: least, upTo: least},
+		"steady":              {prepare: func(l *reach.Latency) { repeat(l, 50, 100*time.Millisecond) }, from: 100 * time.Millisecond, upTo: 110 * time.Millisecond},
+		"one sample":          {prepare: func(l *reach.Latency) { repeat(l, 1, 100*time.Millisecond) }, from: 300 * time.Millisecond, upTo: 300 * time.Millisecond},
+		"one is late":         {prepare: func(l *reach.Latency) { repeat(l, 50, time.Millisecond); repeat(l, 1, 100*time.Millisecond) }, from: 100 * time.Millisecond, upTo: 120 * time.Millisecond},
+		"none came in time":   {prepare: func(l *reach.Latency) { repeat(l, 50, 100*time.Millisecond); l.RecordTimeout(start) }, from: 200 * time.Millisecond, upTo: 220 * time.Millisecond},
+		"none came for long":  {prepare: func(l *reach.Latency) { l.RecordTimeout(start); l.RecordTimeout(start); l.RecordTimeout(start) }, from: most, upTo: most},
+		"one came after that": {prepare: func(l *reach.Latency) { l.RecordTimeout(start); repeat(l, 50, time.Millisecond) }, from: least, upTo: least},
+		"a while ago":         {prepare: func(l *reach.Latency) { repeat(l, 50, 300*time.Millisecond) }, after: 11 * time.Second, from: usual, upTo: usual},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var l reach.Latency
+			c.prepare(&l)
+			if got := l.Limit(usual, least, most, start.Add(c.after)); got < c.from || got > c.upTo {
+				t.Errorf("limit %v, want %v to %v", got, c.from, c.upTo)
+			}
+		})
+	}
+}
+
+// repeat records a time several times.
+func repeat(l *reach.Latency, times int, took time.Duration) {
+	for range times {
+		l.Record(took, start)
+	}
+}
--- a/internal/fleet/tunnel/dialer.go
+++ b/internal/fleet/tunnel/dialer.go
@@ -20,11 +20,18 @@
 )
 
 const (
-	connectTimeout = 150 * time.Millisecond // several round trips between failure domains; TCP resends a lost SYN only after a second
-	helpTimeout    = 80 * time.Millisecond  // the same at a helper, whose answer has to come within the time of the router that asks
-	headStart      = 30 * time.Millisecond  // of a router's own link over the first helper, and of each helper over the next
-	knownHelpers   = 8                      // routers of which the helpers for a connection are taken
-	refusals       = 2                      // of helpers that confirm that an endpoint refuses connections
+	connectTimeout = 150 * time.Millisecond // least limit of a connection: several round trips between failure domains; TCP resends a lost SYN only after a second
+	helpTimeout    = 80 * time.Millisecond  // the same at a helper, whose answer should come within the time of the router that asks
+	headStart      = 30 * time.Millisecond  // least one of a router's own link over the first helper, and of each helper over the next
+	maxHeadStart   = 300 * time.Millisecond // over the next helper: a call with 700 ms left still has time for it, and routers short of processor do not ask all helpers for each call
+	maxOwnStart    = 150 * time.Millisecond // of a router's own link over the first helper
+	// usualHelp is the limit of a helper's answer while none was measured. The first calls of a VM that is cut off succeed with it if answers take
+	// 500 ms, as from VMs that are short of processor.
+	usualHelp    = 600 * time.Millisecond
+	maxHelp      = time.Second // limit of a helper's answer; most calls have no more time left
+	knownHelpers = 8           // routers of which the helpers for a connection are taken
+	refusals     = 2           // of helpers that confirm that an endpoint refuses connections
+	silences     = 2           // of helpers that confirm that an endpoint does not answer
 )
 
 // Dialer opens connections to endpoints over this router's own links, or through other routers if those are lost. Set the exported
@@ -50,6 +57,8 @@
 	mu      sync.Mutex
 	links   reach.Links
 	helpers reach.Helpers
+	own     reach.Latency // of connections over this router's own links
+	help    reach.Latency // of the answers of helpers
 
 	opened, failed, helped, declined metrics.Counter
 	lost                             metrics.Gauge
@@ -88,7 +97,7 @@
 	at := jaywind.Address(address)
 	known := d.Peers(knownHelpers)
 	if len(known) == 0 {
-		return d.direct(ctx, at)
+		return d.direct(ctx, at, d.ownLimit(connectTimeout))
 	}
 	d.mu.Lock()
 	lost, probe := d.links.IsLost(at), d.links.TakeProbe(at, time.Now())
@@ -97,24 +106,53 @@
 	if probe {
 		d.Calls.Go(func(ctx context.Context) { d.probe(ctx, at) })
 	}
-	r := &race{dialer: d, at: at, helpers: helpers, results: make(chan attempt, len(helpers)+1)}
-	return r.run(ctx, lost)
+	r := &race{dialer: d, at: at, helpers: helpers, lost: lost, results: make(chan attempt, len(helpers)+1)}
+	return r.run(ctx)
 }
 
-// direct connects over this router's own link.
-func (d *Dialer) direct(ctx context.Context, at jaywind.Address) (net.Conn, error) {
+// direct connects over this router's own link within a limit, and measures how long that takes.
+func (d *Dialer) direct(ctx context.Context, at jaywind.Address, limit time.Duration) (net.Conn, error) {
 	dial := d.Direct
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
-	return dial(ctx, "tcp", string(at))
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	start := time.Now()
+	conn, err := dial(ctx, "tcp", string(at))
+	if err == nil {
+		d.mu.Lock()
+		d.own.Record(time.Since(start), time.Now())
+		d.mu.Unlock()
+	}
+	return conn, err
 }
 
-// probe tries a lost link.
+// ownLimit returns the time within which a connection over this router's own links is expected, which is at least a given one.
+func (d *Dialer) ownLimit(least time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own.Limit(least, least, maxHelp, time.Now())
+}
+
+// ownHeadStart returns how long this router's own link is tried alone.
+func (d *Dialer) ownHeadStart() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own.Limit(headStart, headStart, maxOwnStart, time.Now())
+}
+
+// helpLimits returns how long a helper is asked alone, and the time within which its answer is expected.
+func (d *Dialer) helpLimits() (alone, limit time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	return d.help.Limit(headStart, headStart, maxHeadStart, now), d.help.Limit(usualHelp, connectTimeout, maxHelp, now)
+}
+
+// probe tries a lost link. No call waits for it, so that it has the longest limit.
 func (d *Dialer) probe(ctx context.Context, at jaywind.Address) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	conn, err := d.direct(ctx, at)
+	conn, err := d.direct(ctx, at, maxHelp)
 	if err != nil {
 		return
 	}
@@ -142,9 +180,7 @@
 // confirmLost tries this router's own link once more after a helper has reached an endpoint, as a single packet may have been lost.
 func (d *Dialer) confirmLost(at, helper jaywind.Address) {
 	d.Calls.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-		defer cancel()
-		conn, err := d.direct(ctx, at)
+		conn, err := d.direct(ctx, at, d.ownLimit(connectTimeout))
 		if err == nil {
 			_ = conn.Close()
 			d.recordConnected(at)
@@ -180,9 +216,11 @@
 	d.lost.Update(int64(d.links.Count()))
 }
 
-// openThrough asks a helper for a connection to an endpoint. The connection lasts until it is closed, also if ctx ends.
+// openThrough asks a helper for a connection to an endpoint, and measures how long its answer takes. The connection lasts until it is closed,
+// also if ctx ends.
 func (d *Dialer) openThrough(ctx context.Context, helper, at jaywind.Address) attempt {
 	a := attempt{helper: helper}
+	start := time.Now()
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	client := connect.NewClient[upward, downward](d.HTTP, "http://"+string(helper)+Path, cbor.ClientOptions()...)
@@ -191,6 +229,13 @@
 	if a.err = s.Send(&upward{Endpoint: string(at)}); a.err == nil {
 		m, a.err = s.Receive()
 	}
+	if a.err == nil {
+		took := time.Since(start)
+		if m.Opened == outcomeUnreachable {
+			took -= helpTimeout // for which the helper has waited
+		}
+		d.recordAnswer(took)
+	}
 	switch {
 	case a.err != nil:
 	case m.Opened != outcomeConnected:
@@ -215,6 +260,20 @@
 	return a
 }
 
+// recordAnswer records how long a helper's answer took.
+func (d *Dialer) recordAnswer(took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.help.Record(took, time.Now())
+}
+
+// recordNoAnswer records that no helper has answered within the limit.
+func (d *Dialer) recordNoAnswer() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.help.RecordTimeout(time.Now())
+}
+
 // recordHelpful records that a helper has connected to an endpoint.
 func (d *Dialer) recordHelpful(helper jaywind.Address) {
 	d.mu.Lock()
--- a/internal/fleet/tunnel/handler.go
+++ b/internal/fleet/tunnel/handler.go
@@ -70,9 +70,7 @@
 		d.declined.Inc(1)
 		return nil, outcomeLinkLost
 	}
-	ctx, cancel := context.WithTimeout(ctx, helpTimeout)
-	defer cancel()
-	conn, err := d.direct(ctx, at)
+	conn, err := d.direct(ctx, at, d.ownLimit(helpTimeout))
 	switch {
 	case err == nil:
 		d.helped.Inc(1)
--- a/internal/fleet/tunnel/race.go
+++ b/internal/fleet/tunnel/race.go
@@ -18,55 +18,88 @@
 	dialer  *Dialer
 	at      jaywind.Address
 	helpers []jaywind.Address // that are left to be tried
+	lost    bool              // this router's own link is known to be lost
 	results chan attempt      // has room for all
 	pending int               // attempts under way
 	asked   []jaywind.Address // helpers that were tried
+	cancel  context.CancelFunc
 
-	ownFailure error // of this router's own link
-	refused    int   // helpers that the endpoint has refused
+	ownFailure  error // of this router's own link
+	refused     int   // helpers that the endpoint has refused
+	unreachable int   // helpers that the endpoint did not answer
+	answered    int   // helpers that have answered anything
 }
 
-// run returns the first connection that is made. The own link has a head start unless it is lost.
-func (r *race) run(ctx context.Context, lost bool) (net.Conn, error) {
-	if lost {
-		r.startHelper(ctx)
+// run returns the first connection that is made. The own link has a head start unless it is lost. The race ends without a connection when all
+// ways have failed, when helpers confirm that it is the endpoint which does not answer, or at a limit. That helpers have not answered yet says
+// nothing about the endpoint, as they or this router may be short of processor; the limit therefore follows the time that answers take.
+func (r *race) run(ctx context.Context) (net.Conn, error) {
+	started := time.Now()
+	alone, limit := r.dialer.helpLimits()
+	wait, first := alone, time.Duration(0) // first is when the first helper is asked
+	helpCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), maxHelp)
+	r.cancel = cancel
+	if r.lost {
+		r.startHelper(helpCtx)
 	} else {
+		wait = r.dialer.ownHeadStart()
+		first = wait
 		r.startOwn(ctx)
 	}
-	next := time.NewTimer(headStart)
+	next, least, end := time.NewTimer(wait), time.NewTimer(connectTimeout), time.NewTimer(first+alone+limit) // so that a second helper has its time, too
 	defer next.Stop()
+	defer least.Stop()
+	defer end.Stop()
 	for r.pending > 0 || len(r.helpers) > 0 {
+		ask := true
 		select {
 		case a := <-r.results:
 			r.pending--
 			if a.conn != nil {
-				r.finish(a)
+				r.finish(a, true)
 				return a.conn, nil
 			}
 			r.recordFailure(a)
+			if r.answered > 0 { // so that helpers are known to be fast or slow
+				alone, limit = r.dialer.helpLimits()
+				end.Reset(time.Until(started.Add(max(connectTimeout, first+alone+limit))))
+			}
 		case <-next.C:
+		case <-least.C:
+			ask = false
+		case <-end.C:
+			if r.answered == 0 && len(r.asked) > 0 {
+				r.dialer.recordNoAnswer()
+			}
+			r.finish(attempt{}, false)
+			return nil, r.failure(context.DeadlineExceeded)
 		case <-ctx.Done():
-			r.finish(attempt{})
+			r.finish(attempt{}, true)
 			return nil, r.failure(ctx.Err())
 		}
-		if r.refused >= refusals {
-			r.finish(attempt{})
+		if r.refused >= refusals || r.unreachable >= silences && time.Since(started) >= connectTimeout {
+			r.finish(attempt{}, true)
 			return nil, r.failure(nil)
 		}
-		r.startHelper(ctx)
-		next.Reset(headStart)
+		if ask {
+			r.startHelper(helpCtx)
+			next.Reset(alone)
+		}
 	}
+	cancel()
 	return nil, r.failure(nil)
 }
 
 // startOwn tries the own link. The attempt goes on when a helper is faster, as it shows whether the link is lost.
 func (r *race) startOwn(ctx context.Context) {
 	r.pending++
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
+	ctx = context.WithoutCancel(ctx)
+	limit := r.dialer.ownLimit(connectTimeout)
 	r.dialer.Calls.Go(func(stopped context.Context) {
+		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		defer context.AfterFunc(stopped, cancel)()
-		conn, err := r.dialer.direct(ctx, r.at)
+		conn, err := r.dialer.direct(ctx, r.at, limit)
 		r.results <- attempt{conn: conn, err: err}
 	})
 }
@@ -96,14 +129,23 @@
 		return
 	case a.outcome == outcomeRefused:
 		r.refused++
-	case a.outcome != outcomeUnreachable:
+	case a.outcome == outcomeUnreachable:
+		r.unreachable++
+	default:
 		r.dialer.recordUnhelpful(a.helper)
 	}
+	if a.outcome != outcomeFailed {
+		r.answered++
+	}
 	r.dialer.failed.Inc(1)
 }
 
-// finish records the attempt that has won, if any, and closes the connections of those that are still under way.
-func (r *race) finish(won attempt) {
+// finish records the attempt that has won, if any, and closes the connections of those that are still under way. With enough, helpers that
+// have not answered need not do so any more; without, the time of their answers is still measured.
+func (r *race) finish(won attempt, enough bool) {
+	if enough {
+		r.cancel()
+	}
 	switch {
 	case won.conn == nil:
 	case won.helper == "":
@@ -112,10 +154,12 @@
 		r.recordHelped(won.helper)
 	}
 	if r.pending == 0 {
+		r.cancel()
 		return
 	}
 	pending, ownFailure := r.pending, r.ownFailure
 	r.dialer.Calls.Go(func(context.Context) {
+		defer r.cancel()
 		for range pending {
 			a := <-r.results
 			switch {
