core/limit, fleet/limit: the end of a limit ends the waits that were given while it lasted

Cause: a router that was told to wait did not ask again before that time, had no answer of the endpoint that could show the end, and an owner computed waits after the end for the rate at that moment, which doubles each half second. Change: a reading without a limit ends the waits for owners that answer, owners announce the end as they do the beginning, and waits are computed for the growing rate.

Left: the router's table holds the endpoint until the time that was given before the end.

--- a/internal/core/limit/limit_test.go
+++ b/internal/core/limit/limit_test.go
@@ -152,6 +152,38 @@
 	is.Equal(decision, limit.Ask)
 }
 
+// TestWaitsAfterEnd fails if a request that is refused after the end of a limit is told to wait for longer than until the requests are not
+// counted any more, or if the end is not announced once.
+func TestWaitsAfterEnd(t *testing.T) {
+	const released = 3001 * time.Millisecond // a moment after the end of the growth
+	is := is.New(t)
+	ended := 0
+	o := &limit.Owner{OnEnded: func(_ jaywind.EndpointRef, r limit.Reading) {
+		is.True(!r.Limited)
+		ended++
+	}}
+	reading := limit.NewReading(1, start)
+	for range 4 {
+		o.Answer(target, limit.Question{Reading: reading, Count: 1, Priority: jaywind.PriorityNormal}, 1, start)
+	}
+	for range 50 {
+		g := o.Answer(target, limit.Question{Reading: limit.Reading{At: at(time.Second)}, Count: 1, Priority: jaywind.PriorityNormal}, 1, at(1100*time.Millisecond))
+		is.True(g.Wait <= released)
+	}
+	is.Equal(ended, 1)
+}
+
+// TestEndKeepsSilence fails if the end of a limit makes a router ask an owner that has just not answered.
+func TestEndKeepsSilence(t *testing.T) {
+	is := is.New(t)
+	var s limit.Sender
+	s.Observe(target, limit.NewReading(1, start))
+	s.RecordSilence(target, "o", start)
+	s.Observe(target, limit.Reading{At: at(100 * time.Millisecond)})
+	decision, _, _ := s.Begin(target, jaywind.PriorityNormal, []string{"o"}, at(200*time.Millisecond))
+	is.Equal(decision, limit.Refuse)
+}
+
 // TestSendsWithoutOwner fails if a router takes requests by itself while an owner answers, or none while all are silent.
 func TestSendsWithoutOwner(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/limit/owner.go
+++ b/internal/core/limit/owner.go
@@ -39,6 +39,8 @@
 type Owner struct {
 	// OnLimited is called with each endpoint of which it becomes known that it is limited. May be nil.
 	OnLimited func(e jaywind.EndpointRef, r Reading)
+	// OnEnded is called with each endpoint of which it becomes known that its limit has ended. May be nil.
+	OnEnded func(e jaywind.EndpointRef, r Reading)
 
 	buckets map[jaywind.EndpointRef]*bucket
 	offered float64 // requests that could have been granted so far
@@ -99,6 +101,9 @@
 	case r.supersedes(b.reading):
 		b.reading.At, b.endedAt = r.At, now
 		b.reading.Limited = false
+		if o.OnEnded != nil {
+			o.OnEnded(e, b.reading)
+		}
 	}
 	return b
 }
@@ -156,10 +161,22 @@
 		return yieldTime
 	}
 	b.refusedAt = now
-	seconds := (1 - b.level) / b.rate(part, now)
+	ahead := 1 - b.level
 	if p == jaywind.PriorityNormal {
-		seconds += b.queue / b.rate(part, now)
+		ahead += b.queue
 		b.queue++
 	}
-	return min(maxWait, time.Duration(seconds*float64(time.Second)))
+	return min(maxWait, b.timeFor(ahead, part, now))
+}
+
+// timeFor returns the time in which a number of requests is granted. After the end of a limit the rate doubles in each releaseStep, so that
+// rate × releaseStep / ln 2 × (2^(t/releaseStep) - 1) are granted in t, and all of them once requests are not counted any more.
+func (b *bucket) timeFor(requests, part float64, now time.Time) time.Duration {
+	seconds := requests / b.rate(part, now)
+	if b.reading.Limited {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	step := releaseStep.Seconds()
+	growing := time.Duration(step * math.Log2(1+seconds*math.Ln2/step) * float64(time.Second))
+	return min(growing, b.endedAt.Add(releaseTime).Sub(now)+time.Nanosecond)
 }
--- a/internal/core/limit/sender.go
+++ b/internal/core/limit/sender.go
@@ -65,7 +65,7 @@
 		if !r.Limited {
 			r.Rate = t.reading.Rate // an owner releases it gradually
 		}
-		t.reading = r
+		t.setReading(r)
 		return true
 	case !r.differs(t.reading) && r.At.After(t.reading.At):
 		t.reading.At = r.At
@@ -112,7 +112,7 @@
 		return true
 	}
 	if g.Reading.supersedes(t.reading) {
-		t.reading = g.Reading
+		t.setReading(g.Reading)
 	}
 	if g.Count == 0 && !g.Released {
 		t.close(owner, q.Priority, now.Add(g.Wait))
@@ -174,6 +174,22 @@
 	return first
 }
 
+// setReading applies a reading that says something new. The end of a limit also ends the waits that owners have given while it lasted, as they
+// were computed for a rate that has begun to grow; waits for silent owners remain.
+func (t *state) setReading(r Reading) {
+	if t.reading.Limited && !r.Limited {
+		for name, o := range t.owners {
+			for i := range o.closed {
+				if o.closed[i].After(o.silent) {
+					o.closed[i] = o.silent
+				}
+			}
+			t.owners[name] = o
+		}
+	}
+	t.reading = r
+}
+
 // close keeps requests up to a priority from an owner until a time.
 func (t *state) close(owner string, p jaywind.Priority, until time.Time) {
 	if len(t.owners) >= maxOwners {
--- a/internal/fleet/limit/limiter.go
+++ b/internal/fleet/limit/limiter.go
@@ -74,11 +74,11 @@
 		l.silent = metrics.GetOrRegisterCounter("limits.owner_silent", l.Metrics)
 		l.offered = metrics.GetOrRegisterGauge("limits.offered", l.Metrics)
 		l.endpoints = metrics.GetOrRegisterGauge("limits.endpoints", l.Metrics)
-		l.owner.OnLimited = l.announce
+		l.owner.OnLimited, l.owner.OnEnded = l.announce, l.announce
 	})
 }
 
-// announce adds a limit to those to be announced; the caller holds mu.
+// announce adds a limit, or its end, to those to be announced; the caller holds mu.
 func (l *Limiter) announce(e jaywind.EndpointRef, r limit.Reading) {
 	if len(l.pending) < maxPending {
 		l.pending = append(l.pending, limited{e, r})
@@ -230,8 +230,8 @@
 func (l *Limiter) handleNotice(_ context.Context, req *connect.Request[notice]) (*connect.Response[emptyResponse], error) {
 	now := time.Now()
 	for _, w := range req.Msg.Readings {
-		if e, r := w.decode(now); r.Limited && l.Observe(e, r) {
-			l.Log.Info("endpoint: limit announced by another router", zap.String("endpoint", string(e.ID)), zap.Float64("rate", float64(r.Rate)))
+		if e, r := w.decode(now); l.Observe(e, r) {
+			l.Log.Info("endpoint: limit announced by another router", zap.String("endpoint", string(e.ID)), zap.Bool("limited", r.Limited), zap.Float64("rate", float64(r.Rate)))
 		}
 	}
 	return connect.NewResponse(&emptyResponse{}), nil
--- a/internal/fleet/limit/limiter_test.go
+++ b/internal/fleet/limit/limiter_test.go
@@ -112,6 +112,33 @@
 	}
 }
 
+// TestEndIsAnnounced fails if a router that waits does not hear of the end of a limit, as it gets no answers of the endpoint itself.
+func TestEndIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	fleet := newTestFleet(t, 5)
+	limited := core.NewReading(0.25, time.Now())
+	for _, l := range fleet {
+		l.Observe(target, limited)
+	}
+	waits := func() bool {
+		_, retryAt := fleet[4].Take(context.Background(), target, jaywind.PriorityNormal)
+		return time.Until(retryAt) > 4*time.Second
+	}
+	for end := time.Now().Add(5 * time.Second); !waits(); {
+		is.True(time.Now().Before(end))
+	}
+	fleet[2].Observe(target, core.Reading{At: time.Now()})
+	for range 2 { // one that has heard of it tells the owners
+		_, _ = fleet[2].Take(context.Background(), target, jaywind.PriorityNormal)
+	}
+	for end := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if ok, _ := fleet[4].Take(context.Background(), target, jaywind.PriorityNormal); ok {
+			break
+		}
+		is.True(time.Now().Before(end)) // before the wait is over that was given while the limit lasted
+	}
+}
+
 // TestNotAnOwner fails if a router grants requests that does not consider itself an owner.
 func TestNotAnOwner(t *testing.T) {
 	is := is.New(t)
