core/permit: leave half of the slots to calls of before the onset where no rejection is tolerated

What callers saw (model): all 24 endpoints that tolerate no rejection fell when their queues shrank after the onset. Cause: an owner granted permits for all slots from the onset on, while calls without permits, sent before it, still took some. Change: at endpoints that tolerate one rejection or none, permits for half of the slots until four times the longest hold of a permit has passed, at most 4 s.

--- a/internal/core/permit/fleet_test.go
+++ b/internal/core/permit/fleet_test.go
@@ -315,3 +315,20 @@
 		t.Errorf("%d falls, %d allowed", m.falls(), allowed)
 	}
 }
+
+// TestOnsetsOfLongCalls guards against the same fall at other lengths of calls and other times of their arrival.
+func TestOnsetsOfLongCalls(t *testing.T) {
+	const endpoints, seeds = 24, 3
+	for _, mean := range []time.Duration{600 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(mean.String(), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seeds) {
+				m := &model{random: rand.New(rand.NewPCG(seed, 7)), grants: true, mean: mean} //nolint:gosec // the same seed must give the same run
+				runModel(m, 9, endpoints, 32, 0, 2)
+				if allowed := 2 + endpoints/10; m.falls() > allowed {
+					t.Errorf("seed %d: %d falls, %d allowed", seed, m.falls(), allowed)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/permit/owner.go
+++ b/internal/core/permit/owner.go
@@ -12,6 +12,8 @@
 	growInterval = 100 * time.Millisecond // in which the number of permits grows by a quarter while there is demand for more
 	probeTime    = time.Second            // in which one more permit is granted than were held when a call was turned away
 	strictTime   = 4 * time.Second        // the same if the endpoint tolerates one rejection or none
+	onsetShare   = 0.5                    // of the slots for which permits are granted after the onset, if the endpoint tolerates one rejection or none; with 0.65, up to 7 of 24 endpoints of the model fall
+	onsetHolds   = 4                      // times the longest hold of a permit, for which onsetShare holds; queued calls of before the onset run for up to that time after the first permits
 	settleTime   = 4 * time.Second        // after the first permit, in which rejections are put down to calls without permits
 	cutFactor    = 0.7                    // of the number of permits that is left after a rejection
 	cutInterval  = 200 * time.Millisecond // in which further rejections are taken for those of calls that were under way
@@ -52,6 +54,8 @@
 // pool holds the permits for one endpoint.
 type pool struct {
 	since    time.Time            // of the first permit
+	onset    bool                 // calls without permits, which were under way then, may still be
+	longest  time.Duration        // hold of a permit while onset lasts
 	limit    float64              // permits that may be held at the same time
 	held     map[uint64]time.Time // ends of the leases, by permit
 	taken    map[uint64]time.Time // when each was granted
@@ -71,7 +75,7 @@
 	if float64(len(p.held))+1 > p.limit {
 		p.grow(q, now)
 	}
-	if float64(len(p.held))+1 > p.allowed(q) || p.isExhausted(q, now) {
+	if float64(len(p.held))+1 > p.allowed(q, now) || p.isExhausted(q, now) {
 		return Grant{Wait: p.wait(q, now)}
 	}
 	o.lastID++
@@ -95,6 +99,9 @@
 		p.rejected = append(p.rejected, now)
 		p.cut(under, now)
 	case held:
+		if p.onset {
+			p.longest = max(p.longest, now.Sub(since))
+		}
 		p.hold += (now.Sub(since) - p.hold) / 8
 	}
 }
@@ -132,7 +139,7 @@
 		share = 1
 	}
 	p := &pool{
-		since: now, limit: max(1, math.Floor(share*float64(q.Slots))), held: map[uint64]time.Time{}, taken: map[uint64]time.Time{},
+		since: now, onset: q.Onset, limit: max(1, math.Floor(share*float64(q.Slots))), held: map[uint64]time.Time{}, taken: map[uint64]time.Time{},
 		grownAt: now, queueAt: now, hold: usualHold,
 	}
 	o.pools[e] = p
@@ -172,11 +179,18 @@
 	p.grownAt = now
 }
 
-// allowed returns the number of permits that may be held now. Those of a substitute may all be rejected.
-func (p *pool) allowed(q Question) float64 {
+// allowed returns the number of permits that may be held now. Those of a substitute may all be rejected. After the onset, calls without permits
+// still take some of the slots; an endpoint that tolerates no rejection must have room for both kinds when its queue shrinks.
+func (p *pool) allowed(q Question, now time.Time) float64 {
 	if q.Substitute {
 		return min(p.limit, float64(q.Tolerance)/2)
 	}
+	if age := now.Sub(p.since); age >= settleTime || p.longest > 0 && age >= onsetHolds*p.longest {
+		p.onset = false
+	}
+	if p.onset && q.Tolerance <= 1 {
+		return min(p.limit, max(1, math.Floor(onsetShare*float64(q.Slots))))
+	}
 	return p.limit
 }
 
