router: standbys follow the work of all routers only where runs are scheduled

A cause by reading: routers of a service that is not scheduled chose standbys by summaries of reports that are up to 4 s old. Now such summaries are left aside. The row "memory, not scheduled" fails without the change.

--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -491,9 +491,10 @@
 	for _, row := range sum.Rows {
 		rows[row.Endpoint] = row
 	}
+	isScheduled := r.isScheduled(r.set.Services[s])
 	for _, e := range r.table.OfService(r.set.Services[s]) {
 		row, listed := rows[schedule.KeyOf(e.Ref())]
-		if !listed {
+		if !listed || !isScheduled { // otherwise reports are too rare to choose by
 			e.Fleet = endpoint.FleetLoad{}
 			continue
 		}
--- a/internal/relay/router/schedule_test.go
+++ b/internal/relay/router/schedule_test.go
@@ -502,23 +502,26 @@
 // follows a summary which is no longer true.
 func TestStandbyFollowsSummary(t *testing.T) {
 	tests := map[string]struct {
-		row  schedule.Row // of the engine that is chosen without a summary
-		age  time.Duration
-		same bool
+		row   schedule.Row // of the engine that is chosen without a summary
+		age   time.Duration
+		same  bool
+		alone bool // the runs of the service are not scheduled
 	}{
-		"little memory in use":  {schedule.Row{Held: 0, Factor: 1}, 0, true},
-		"memory in use":         {schedule.Row{Held: 30000, Factor: 1}, 0, false},
-		"no memory left":        {schedule.Row{Held: 49000, Factor: 1}, 0, false},
-		"slow":                  {schedule.Row{Factor: 1.5}, 0, false},
-		"memory, old summary":   {schedule.Row{Held: 49000, Factor: 1}, 3 * time.Second, true},
-		"slow, old summary":     {schedule.Row{Factor: 1.5}, 3 * time.Second, true},
-		"memory, valid summary": {schedule.Row{Held: 49000, Factor: 1}, 2900 * time.Millisecond, false},
+		"little memory in use":  {schedule.Row{Held: 0, Factor: 1}, 0, true, false},
+		"memory in use":         {schedule.Row{Held: 30000, Factor: 1}, 0, false, false},
+		"no memory left":        {schedule.Row{Held: 49000, Factor: 1}, 0, false, false},
+		"slow":                  {schedule.Row{Factor: 1.5}, 0, false, false},
+		"memory, old summary":   {schedule.Row{Held: 49000, Factor: 1}, 3 * time.Second, true, false},
+		"slow, old summary":     {schedule.Row{Factor: 1.5}, 3 * time.Second, true, false},
+		"memory, valid summary": {schedule.Row{Held: 49000, Factor: 1}, 2900 * time.Millisecond, false, false},
+		"memory, not scheduled": {schedule.Row{Held: 49000, Factor: 1}, 0, true, true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := newScheduleTest(true)
+				s.router.Scheduling.Priorities = !c.alone
 				s.scheduler.answer = func(context.Context, int, schedule.Request) (schedule.Decision, error) { return grant("e1", "") }
 				s.serve("q1")
 				first := s.upstream.sent[0].Standby
