core/series: connections that are refused don't end a stream after four

Cause: crashed engines stay listed for seconds, are closed for 300 ms only, and four attempts that were not sent ended a stream. Change: eight such attempts do. TestUnsentAttempts fails before.

--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -81,6 +81,10 @@
 	return "attempts are used up"
 }
 
+// maxUnsent is the same as maxMisses if the last one was not sent: a refused connection costs little, and the registry lists endpoints for
+// seconds after they have crashed, of which one request may crash five.
+const maxUnsent = 8
+
 // maxMisses is the most successive attempts without a run, after which a stream gives up or, once it has begun, backs off.
 const maxMisses = 4
 
@@ -104,7 +108,11 @@
 		if f == FailureNotRun {
 			p.refusals++
 		}
-		if p.misses > maxMisses && !p.Begun {
+		limit := maxMisses
+		if f == FailureNotSent {
+			limit = maxUnsent
+		}
+		if p.misses > limit && !p.Begun {
 			return ActionGiveUp
 		}
 		return ActionRestart
--- a/internal/core/series/series_test.go
+++ b/internal/core/series/series_test.go
@@ -119,6 +119,23 @@
 	is.Equal(p.Backoff(), time.Duration(0)) // the next failure is answered at once
 }
 
+// TestUnsentAttempts guards against a stream that is refused because five endpoints that have just crashed are still listed, although
+// others run, and against one that tries endpoints without end.
+func TestUnsentAttempts(t *testing.T) {
+	is := is.New(t)
+	p := series.ResumePlan{Retryable: true, MaxAttempts: 5}
+	for range 5 {
+		is.Equal(p.AfterFailure(series.FailureNotSent, false), series.ActionRestart)
+	}
+	is.Equal(p.AfterFailure(series.FailureNotRun, false), series.ActionGiveUp) // an endpoint that refuses a sixth attempt has no room
+	q := series.ResumePlan{MaxAttempts: 1}
+	attempts := 0
+	for attempts < 100 && q.AfterFailure(series.FailureNotSent, false) == series.ActionRestart {
+		attempts++
+	}
+	is.Equal(attempts, 8)
+}
+
 // TestLimitedAttempts fails if endpoints whose limits are used up end a stream, or are tried again and again without a pause.
 func TestLimitedAttempts(t *testing.T) {
 	is := is.New(t)
