--- a/internal/fleet/tunnel/dialer.go
+++ b/internal/fleet/tunnel/dialer.go
@@ -25,8 +25,7 @@
 	headStart      = 30 * time.Millisecond  // least one of a router's own link over the first helper, and of each helper over the next
 	maxHeadStart   = 300 * time.Millisecond // over the next helper: a call with 700 ms left still has time for it, and routers short of processor do not ask all helpers for each call
 	maxOwnStart    = 150 * time.Millisecond // of a router's own link over the first helper
-	// usualHelp is the limit of a helper's answer while none was measured. The first calls of a VM that is cut off succeed with it if answers take
-	// 500 ms, as from VMs that are short of processor.
+	// usualHelp limits the first answer of a helper. Helpers short of processor take up to 500 ms, and an unsafe call has 700 ms left.
 	usualHelp    = 600 * time.Millisecond
 	maxHelp      = time.Second // limit of a helper's answer; most calls have no more time left
 	knownHelpers = 8           // routers of which the helpers for a connection are taken
