review: after a silence of the store's connections, old routes are used for longer than allowed

Cause: the follower's time-out for a dead connection bounds one watch, and not the pause of 0.3 s before it that follows each change.

Done: a case as a script, and the beginnings of one with model replicas; the program is unchanged.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"os"
@@ -19,7 +20,7 @@
 var (
 	background sync.WaitGroup
 	zones      = []string{"lagos-marina", "apapa-port", "onne-terminal", "phc-trans"}
-	cases      = map[string]func(*deployment) (broken bool, err error){"copies": copies, "revoke": revoke}
+	cases      = map[string]func(*deployment) (broken bool, err error){"copies": copies, "revoke": revoke, "silence": silence, "memory": memory}
 )
 
 // deployment is a small deployment with a plain service.
@@ -31,6 +32,7 @@
 	replicas  []*replica
 	routers   []*router
 	version   int
+	service   string // of all routes; cover-desk if empty
 }
 
 func main() {
@@ -108,8 +110,17 @@
 }
 
 // startRouters starts routers and waits until they are ready.
-func (d *deployment) startRouters(count int) (err error) {
-	if d.routers, err = newRouters(d.root, d.dir, d.store.address, zones, count); err != nil {
+func (d *deployment) startRouters(count int) error {
+	var stores []string
+	for range count {
+		stores = append(stores, d.store.address)
+	}
+	return d.startRoutersAt(stores)
+}
+
+// startRoutersAt starts a router for each address of the store.
+func (d *deployment) startRoutersAt(stores []string) (err error) {
+	if d.routers, err = newRouters(d.root, d.dir, stores, zones); err != nil {
 		return err
 	}
 	for _, r := range d.routers {
@@ -134,16 +145,25 @@
 	for name, keys := range tenants {
 		list = append(list, object{"name": name, "apiKeys": append([]string{}, keys...)})
 	}
+	service := cmp.Or(d.service, "cover-desk")
 	route := func(name, prefix, kind string, attempts int) object {
 		return object{"name": name, "host": host, "prefix": prefix, "kind": kind, "timeoutMs": 800, "targetLatencyMs": 300, "priority": 2,
-			"service": "cover-desk", "maxAttempts": attempts, "allowAnonymous": false}
+			"service": service, "maxAttempts": attempts, "allowAnonymous": false}
 	}
+	stream := object{"name": "voyage-brief", "host": host, "prefix": "/lohu930/", "kind": "streaming", "timeoutMs": 25000, "targetLatencyMs": 4500, "priority": 1,
+		"service": "jaywind-pool", "maxAttempts": 5, "allowAnonymous": false, "stickySessions": true, "resumeStreams": true, "gapAimMs": 700}
 	revision := d.store.put("op/config", object{
-		"version":  d.version,
-		"routes":   []object{route("bind-cover", "/pule252/", "unsafe", 1), route("policy-lookup", "/puxa403/", "safe", 2)},
-		"services": []object{{"name": "cover-desk", "healthPath": "/healthz", "maxConnections": 110, "protocol": "h1", "tls": false}},
-		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  list,
+		"version": d.version,
+		"routes":  []object{route("bind-cover", "/pule252/", "unsafe", 1), route("policy-lookup", "/puxa403/", "safe", 2), stream},
+		"services": []object{
+			{"name": "cover-desk", "healthPath": healthPath, "maxConnections": 110, "protocol": "h1", "tls": false},
+			{"name": "jaywind-pool", "healthPath": healthPath, "maxConnections": 180, "protocol": "h1", "tls": false, "engine": object{"slots": 16, "kvCapacity": 55000,
+				"kvTokenBytes": 163840, "linkMbps": 280000.0, "moves": true, "backups": true, "stride": 6, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 4.0,
+				"models": []object{{"name": "m"}}}},
+			{"name": "claims-desk", "healthPath": healthPath, "maxConnections": 110, "protocol": "h1", "tls": false},
+		},
+		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": list,
 	}, 0)
-	d.record.line("the store has version %d of the configuration at revision %d; tenants: %v", d.version, revision, tenants)
+	d.record.line("the store has version %d of the configuration at revision %d; routes go to %s; tenants: %v", d.version, revision, service, tenants)
 }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -16,8 +16,8 @@
 
 // run is a run of a request at a replica.
 type run struct {
-	id, replica, tenant, target string
-	at                          time.Time
+	id, replica, service, tenant, target string
+	at                                   time.Time
 }
 
 // replica is a replica of a plain service.
@@ -145,7 +145,7 @@
 	if health {
 		return respond(200, "X-Replica-Id: "+r.id+"\r\n", "")
 	}
-	r.record.ran(run{id: id, replica: r.id, tenant: request.Header.Get("X-Tenant"), target: request.URL.Path, at: time.Now()})
+	r.record.ran(run{id: id, replica: r.id, service: r.service, tenant: request.Header.Get("X-Tenant"), target: request.URL.Path, at: time.Now()})
 	time.Sleep(r.work)
 	return respond(200, headers+"X-Replica-Seal: "+r.id+"\r\n", fmt.Sprintf("%s %s %s %s", id, request.Method, request.RequestURI, body))
 }
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -56,8 +56,9 @@
 	return command, template, nil
 }
 
-// newRouters prepares routers with settings like those of the site, on loopback addresses of their own.
-func newRouters(root, dir, storeAddress string, zones []string, count int) ([]*router, error) {
+// newRouters prepares a router for each address of the store, with settings like those of the site, on loopback addresses of their own.
+func newRouters(root, dir string, stores, zones []string) ([]*router, error) {
+	count := len(stores)
 	_, template, err := deployFile(root)
 	if err != nil {
 		return nil, err
@@ -93,7 +94,7 @@
 		values := map[string]string{
 			"nodeName": r.name, "zone": zones[i%len(zones)], "region": "ng-south", "ip": r.ip,
 			"listen.front": r.front, "listen.ready": r.ready, "listen.directory": r.directory, "listen.control": controls[i],
-			"platform.address": storeAddress, "limits.memoryMb": "284", "limits.linkMbps": "1000.0", "seeds": strings.Join(controls[:min(3, count)], ","),
+			"platform.address": stores[i], "limits.memoryMb": "284", "limits.linkMbps": "1000.0", "seeds": strings.Join(controls[:min(3, count)], ","),
 			"bounds.graceS": "8", "bounds.retryBudgetRatio": "0.8", "bounds.retryBudgetSlack": "150", "bounds.budgetWindowS": "10",
 			"bounds.exposureShare": "0.1", "bounds.exposureSlack": "50",
 		}
