review: the case of the memory of another request leaves both disruptions out with TROUBLE=0

Cause: with TROUBLE=0 the replicas were started again though they had not crashed, which filled the record with failures.

Done: the loop that crashes replicas runs only with the disruption.

--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -42,16 +42,13 @@
 	var group sync.WaitGroup
 	end := time.Now().Add(length)
 	group.Go(func() {
-		for n := 0; ; n++ {
+		for n := 0; d.trouble; n++ {
 			time.Sleep(every)
 			if time.Now().Add(every).After(end) {
 				return
 			}
 			zone := zones[n%len(zones)]
 			for _, e := range byZone[zone] {
-				if !d.trouble {
-					break
-				}
 				e.crash()
 			}
 			time.Sleep(down)
