--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -156,7 +156,7 @@
 func (e *engine) draw() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if float64(e.copied+1) > e.spoiled*float64(e.answers) || e.random.Float64() > 3*e.spoiled {
+	if float64(e.copied+1) > e.spoiled*float64(e.answers) || e.random.Float64() > 10*e.spoiled {
 		return false
 	}
 	e.copied++
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -7,33 +7,31 @@
 	"time"
 )
 
-// memory crashes the model replicas of one zone after the other, while replicas send second copies of some answers late.
+// memory crashes the model replicas of two zones one after the other, while one of them sends second copies of some answers late.
 func memory(d *deployment) (broken bool, err error) {
 	const (
 		key     = "xd9dnn2ctnfzs989anu6"
-		perZone = 3
-		clients = 170
-		length  = 86 * time.Second
-		every   = 4 * time.Second         // a zone crashes
+		clients = 36
+		length  = 88 * time.Second
+		calm    = 4 * time.Second         // before two zones crash one after the other
+		apart   = 2400 * time.Millisecond // from one of these crashes to the next
 		down    = 1200 * time.Millisecond // for so long
-		spoiled = 0.03                    // of the answers of a faulty replica
+		spoiled = 0.03                    // of the answers of the faulty replica
 	)
 	if err := d.startStore(); err != nil {
 		return false, err
 	}
-	all, byZone := map[string]*engine{}, map[string][]*engine{}
-	for z, zone := range zones {
-		for i := range perZone {
-			e := &engine{id: "m-" + zone + "-" + string(rune('1'+i)), zone: zone, store: d.store, record: d.record, all: all, random: rand.New(rand.NewSource(int64(perZone*z + i)))}
-			if n := perZone*z + i; d.trouble && (n%2 == 0 || n == 11) { // 7 of 12
-				e.spoiled = spoiled
-			}
-			if err := e.start(); err != nil {
-				return false, err
-			}
-			all[e.address] = e
-			byZone[zone] = append(byZone[zone], e)
+	all, engines := map[string]*engine{}, []*engine{}
+	for i, zone := range zones[:3] {
+		e := &engine{id: "m-" + zone, zone: zone, store: d.store, record: d.record, all: all, random: rand.New(rand.NewSource(int64(i)))}
+		if d.trouble && i == 0 {
+			e.spoiled = spoiled
 		}
+		if err := e.start(); err != nil {
+			return false, err
+		}
+		all[e.address] = e
+		engines = append(engines, e)
 	}
 	d.configure(map[string][]string{"huka270": {key}})
 	if err := d.startRouters(2); err != nil {
@@ -43,19 +41,17 @@
 	end := time.Now().Add(length)
 	group.Go(func() {
 		for n := 0; d.trouble; n++ {
-			time.Sleep(every)
-			if time.Now().Add(every).After(end) {
+			time.Sleep(calm)
+			if time.Now().Add(2 * calm).After(end) {
 				return
 			}
-			zone := zones[n%len(zones)]
-			for _, e := range byZone[zone] {
+			for _, e := range []*engine{engines[1+n%2], engines[0]} { // the faulty one comes second
 				e.crash()
-			}
-			time.Sleep(down)
-			for _, e := range byZone[zone] {
+				time.Sleep(down)
 				if err := e.start(); err != nil {
 					d.record.line("%s doesn't start again: %v", e.id, err)
 				}
+				time.Sleep(apart - down)
 			}
 		}
 	})
