--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin"
 mkdir -p ../../target/review
-go build -o ../../target/review/standin .
+go build -buildvcs=false -o ../../target/review/standin .
