--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins of the review's scripts, after the build of the deploy file.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
-mkdir -p ../../target/review
-go build -buildvcs=false -o ../../target/review/standin .
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+go build -buildvcs=false -o ../target/review/standin .
