follow: failures of a source are logged with the age of what is known

The log had no line for a reader that did not answer, nor how old the knowledge was, so time-outs that add up and a reader that serves old items looked the same.

No decision changes.

--- a/internal/provider/follow/source.go
+++ b/internal/provider/follow/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -31,16 +32,26 @@
 	FirstListPeers func() []Peer                      // routers drawn at random that may pass on a first list, none in a small fleet; may be nil
 	Seeds          func() []Peer                      // asked for a first list while the store does not answer; may be nil
 	OnSwitch       func(peer string)                  // is called when the source changes; peer is empty for the store; may be nil
+	OnFailure      func(Failure)                      // is called after each call that failed; may be nil
 
 	firstListStart time.Time            // when a first list was requested from peers; zero before
 	failedAt       map[string]time.Time // when a peer last failed
 	storeFailedAt  time.Time            // when the store last failed, minus a random time
 	lastPeer       string               // peer that answered last; empty for the store
 	lastFromStore  bool                 // the store answered last
+	answeredAt     time.Time            // when a source answered last
 	era            int64                // latest era of an answer
 	reader         bool                 // this router was a reader when it called last
 }
 
+// Failure is a call of a source that failed.
+type Failure struct {
+	Peer string        // empty for the store
+	Took time.Duration // until the call failed
+	Age  time.Duration // of what the router knows: since any source answered last
+	Err  error
+}
+
 // IsReader tells whether this router was a reader when it called last.
 func (p *PeerSource) IsReader() bool { return p.reader }
 
@@ -111,11 +122,13 @@
 		if time.Since(p.failedAt[peer.Name]) < peerRetryDelay {
 			continue
 		}
+		start := time.Now()
 		err := call(ctx, peer.Source, true, false)
 		if err == nil || needsList(err) {
 			p.recordSource(peer.Name, false)
 			return err
 		}
+		p.reportFailure(peer.Name, start, err)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -127,20 +140,34 @@
 	if len(peers) > 0 && time.Since(p.storeFailedAt) < storeRetryDelay {
 		return ErrStale
 	}
+	start := time.Now()
 	err := call(ctx, p.Store, false, reader)
 	if err == nil || needsList(err) {
 		p.recordSource("", true)
 		return err
 	}
+	p.reportFailure("", start, err)
 	p.lastFromStore = false
 	p.storeFailedAt = time.Now().Add(-time.Duration(rand.Int64N(int64(storeRetryDelay / 2)))) // so that routers do not all return to the store at once
 	return err
 }
 
+// reportFailure reports a call that began at start and failed.
+func (p *PeerSource) reportFailure(peer string, start time.Time, err error) {
+	if p.OnFailure != nil && !errors.Is(err, context.Canceled) {
+		now := time.Now()
+		f := Failure{Peer: peer, Took: now.Sub(start), Err: err}
+		if !p.answeredAt.IsZero() {
+			f.Age = now.Sub(p.answeredAt)
+		}
+		p.OnFailure(f)
+	}
+}
+
 // recordSource records which source has answered, and reports a change of it.
 func (p *PeerSource) recordSource(peer string, fromStore bool) {
 	if p.OnSwitch != nil && (peer != p.lastPeer || fromStore != p.lastFromStore) {
 		p.OnSwitch(peer)
 	}
-	p.lastPeer, p.lastFromStore = peer, fromStore
+	p.lastPeer, p.lastFromStore, p.answeredAt = peer, fromStore, time.Now()
 }
