follow: one bound on the age of what a router knows, from which its waits follow

Cause: each call had a limit, and nothing bounded their sum. A router waited 1.1 s for each reader that was lost, one after the other, then up to 2.9 s for the store over a connection that was silent as well, and then asked nobody for up to 2 s. After a change it paused for 0.3 s and then waited for 2.9 s all the same. A watch at a reader that had lost the store ended without changes after the items were stale.

Change: the wait of a watch at the store is what is left of the greatest age (2.8 s; 1.6 s at a reader) less the margin for the answer; a watch that had none is repeated at once, over a new connection. When the preferred reader is lost, the others are asked for an answer at once, each 0.12 s after the one before, as first lists are. A watch at a reader ends when its items are stale.

--- a/internal/provider/follow/cache.go
+++ b/internal/provider/follow/cache.go
@@ -112,25 +112,40 @@
 	return items, b.position, nil
 }
 
-// Watch waits for changes after a position. Its errors are ErrStale, ErrCompacted, ErrRestored and that of ctx.
+// Watch waits for changes after a position, at most until the items are stale. Its errors are ErrStale, ErrCompacted, ErrRestored and that of
+// ctx.
 func (b *Cache) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]Item, jaywind.StorePosition, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	end := time.Now().Add(wait)
 	for {
 		items, position, changed, err := b.changesSince(prefix, after)
 		if err != nil || len(items) > 0 {
 			return items, position, err
 		}
+		left, fresh := time.Until(end), time.Until(b.freshUntil())
+		if left <= 0 {
+			return nil, position, nil
+		}
+		timer := time.NewTimer(min(left, fresh+time.Millisecond))
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, position, nil
 		case <-ctx.Done():
-			return nil, jaywind.StorePosition{}, ctx.Err()
+			err = ctx.Err()
+		}
+		timer.Stop()
+		if err != nil {
+			return nil, jaywind.StorePosition{}, err
 		}
 	}
 }
 
+// freshUntil returns until when the items may be served without another answer of the store.
+func (b *Cache) freshUntil() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.storeAnsweredAt.Add(cacheFreshTime)
+}
+
 // changesSince returns the changes after a position and a channel that is closed at the next change of state.
 func (b *Cache) changesSince(prefix string, after jaywind.StorePosition) (items []Item, position jaywind.StorePosition, changed chan struct{}, err error) {
 	b.mu.Lock()
--- a/internal/provider/follow/first.go
+++ b/internal/provider/follow/first.go
@@ -34,14 +34,14 @@
 	defer cancel()
 	var group conc.WaitGroup
 	defer group.Wait()
-	own := make(chan listResult, 1)
+	own := make(chan result, 1)
 	group.Go(func() {
 		items, position, err := p.Store.List(ctx, prefix, false) // not from the readers, which may have stopped together with this router
-		own <- listResult{items: items, position: position, err: err}
+		own <- result{items: items, position: position, err: err}
 	})
 	timer := time.NewTimer(seedDelay)
 	defer timer.Stop()
-	var l listResult
+	var l result
 	select {
 	case l = <-own:
 		if p.isCurrent(&l) {
@@ -67,7 +67,7 @@
 
 // isCurrent reports whether there is a list and it is not from before the last restore of the store; its error is set if it
 // is.
-func (p *PeerSource) isCurrent(l *listResult) bool {
+func (p *PeerSource) isCurrent(l *result) bool {
 	if l.err == nil {
 		l.err = p.recordEra(l.position)
 	}
@@ -75,22 +75,22 @@
 }
 
 // fromSeeds returns the list of the first seed that answers, or ErrStale.
-func (p *PeerSource) fromSeeds(ctx context.Context, prefix string) listResult {
+func (p *PeerSource) fromSeeds(ctx context.Context, prefix string) result {
 	for _, seed := range p.Seeds() {
 		limited, cancel := context.WithTimeout(ctx, seedTimeout)
 		items, position, err := seed.Source.List(limited, prefix, false)
 		cancel()
 		if err == nil {
-			return listResult{seed.Name, items, position, nil}
+			return result{peer: seed.Name, items: items, position: position}
 		}
 	}
-	return listResult{err: ErrStale}
+	return result{err: ErrStale}
 }
 
 // listFromPeers reads a first list from the readers, or from other routers that have one by now. If all routers of a large
 // fleet listed from the store at once, none would have its list soon. The readers may have started at the same time and
 // still be listing, and each router sends only a few lists at a time, so rounds of asking are repeated until a timeout.
-func (p *PeerSource) listFromPeers(ctx context.Context, prefix string) (l listResult, found bool) {
+func (p *PeerSource) listFromPeers(ctx context.Context, prefix string) (l result, found bool) {
 	if p.firstListStart.IsZero() {
 		p.firstListStart = time.Now()
 	}
@@ -98,7 +98,7 @@
 		peers, _ := p.Peers()
 		others := p.FirstListPeers()
 		if len(peers) == 0 || len(others) == 0 {
-			return listResult{}, false
+			return result{}, false
 		}
 		got, alive := hedgedList(ctx, prefix, slices.Concat(peers, others))
 		if p.isCurrent(&got) {
@@ -106,7 +106,7 @@
 			return got, true
 		}
 		if !alive && time.Since(p.firstListStart) >= peerStartTime {
-			return listResult{}, false
+			return result{}, false
 		}
 		timer := time.NewTimer(roundDelay + time.Duration(rand.Int64N(int64(roundDelay))))
 		select {
@@ -115,56 +115,63 @@
 			timer.Stop()
 		}
 	}
-	return listResult{}, false
+	return result{}, false
 }
 
-// hedgedList asks peers for a list that need not be exact, and returns the first one. The next peer is asked when the one
-// before has failed or has not answered within hedgeDelay. Without a list, alive tells whether a peer may have one later.
-func hedgedList(ctx context.Context, prefix string, peers []Peer) (first listResult, alive bool) {
+// hedgedList asks peers for a list that need not be exact, and returns the first one. Without a list, alive tells whether a peer may have one
+// later.
+func hedgedList(ctx context.Context, prefix string, peers []Peer) (first result, alive bool) {
+	first.err = ErrStale
+	list := func(ctx context.Context, s Source, _ time.Duration) ([]Item, jaywind.StorePosition, error) {
+		return s.List(ctx, prefix, false)
+	}
+	hedged(ctx, peers, peerListTimeout, list, func(r result) bool {
+		if r.err == nil {
+			first = r
+		}
+		alive = alive || r.err == nil || errors.Is(r.err, ErrStale) || errors.Is(r.err, ErrTooManyLists)
+		return r.err == nil
+	})
+	return first, alive
+}
+
+// hedged calls peers until accept returns true for an answer. The next peer is asked when the one before has failed or has not answered within
+// hedgeDelay.
+func hedged(ctx context.Context, peers []Peer, timeout time.Duration, c sourceCall, accept func(result) bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
 	defer cancel()
-	answers := make(chan listResult, len(peers))
+	answers := make(chan result, len(peers))
 	asked, answered := 0, 0
 	ask := func() {
 		peer := peers[asked]
 		asked++
 		group.Go(func() {
-			limited, cancel := context.WithTimeout(ctx, peerListTimeout)
+			limited, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
-			items, position, err := peer.Source.List(limited, prefix, false)
-			answers <- listResult{peer.Name, items, position, err}
+			r := call(limited, peer.Source, 0, c)
+			r.peer = peer.Name
+			answers <- r
 		})
 	}
 	next := time.NewTicker(hedgeDelay)
 	defer next.Stop()
-	first.err = ErrStale
 	for answered < len(peers) {
 		if asked == answered {
 			ask()
 			next.Reset(hedgeDelay)
 		}
 		select {
-		case a := <-answers:
+		case r := <-answers:
 			answered++
-			if a.err == nil {
-				return a, true
+			if accept(r) {
+				return
 			}
-			alive = alive || errors.Is(a.err, ErrStale) || errors.Is(a.err, ErrTooManyLists)
 		case <-next.C:
 			if asked < len(peers) {
 				ask()
 			}
 		}
 	}
-	return first, alive
-}
-
-// listResult is the result of a List call.
-type listResult struct {
-	peer     string
-	items    []Item
-	position jaywind.StorePosition
-	err      error
 }
--- a/internal/provider/follow/follow.go
+++ b/internal/provider/follow/follow.go
@@ -31,13 +31,14 @@
 	List(ctx context.Context, prefix string, exact bool) ([]Item, jaywind.StorePosition, error)
 	// Watch waits for changes after a position and returns them with the position up to which they are complete. If that is
 	// in a later era, the items are of no use. It returns no items once wait has passed. Its errors include ErrCompacted and
-	// ErrRestored.
+	// ErrRestored. A call after one that ran into its time-out uses a new connection.
 	Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]Item, jaywind.StorePosition, error)
 }
 
 const (
-	defaultWait    = 2400 * time.Millisecond // plus answerMargin less than 3 s, within which a dead connection has to be noticed
+	defaultWait    = maxAge - answerMargin
 	answerMargin   = 500 * time.Millisecond  // for the answer to arrive after the wait
+	failoverTime   = 3 * time.Second         // for a Source to turn to others
 	batchDelay     = 300 * time.Millisecond  // after a change from the store, so that further changes arrive in one answer
 	readerDelay    = 700 * time.Millisecond  // the same for a reader; in the large fleets that have readers, changes are frequent
 	peerBatchDelay = 50 * time.Millisecond   // the same after a change from another router
@@ -52,7 +53,7 @@
 	Source      Source
 	Prefix      string
 	PeersPrefix string        // prefix of the items that name the peers of the Source; listed before the whole prefix unless empty
-	Wait        time.Duration // longest wait for a change; 0 means 2.4 s
+	Wait        time.Duration // longest wait for a change; 0 means 2.3 s
 	Log         *zap.Logger
 	OnChange    func(Item)    // is called with each change; changes of one key come in the order of their positions
 	OnRestore   func()        // is called when the store has come back from an older copy, before the changes that this shows; may be nil
@@ -163,7 +164,7 @@
 	if next := f.releaseWithheld(); next > 0 {
 		wait = min(wait, next)
 	}
-	call, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	call, cancel := context.WithTimeout(ctx, wait+answerMargin+failoverTime)
 	defer cancel()
 	items, position, err := f.Source.Watch(call, f.Prefix, f.position, wait)
 	if ctx.Err() != nil {
--- a/internal/provider/follow/follow_test.go
+++ b/internal/provider/follow/follow_test.go
@@ -33,6 +33,7 @@
 	unavailable bool
 	dropsEvents bool // watches return no events
 	hangs       bool // watches return nothing
+	silent      bool // calls return nothing, a list after a second and a half
 	calls       int
 }
 
@@ -63,10 +64,19 @@
 	change(s)
 }
 
-func (s *fakeStore) List(context.Context, string, bool) ([]follow.Item, jaywind.StorePosition, error) {
+func (s *fakeStore) List(ctx context.Context, _ string, _ bool) ([]follow.Item, jaywind.StorePosition, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	if s.silent {
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(1500 * time.Millisecond):
+		}
+		s.mu.Lock()
+		return nil, jaywind.StorePosition{}, errUnavailable
+	}
 	if s.unavailable {
 		return nil, jaywind.StorePosition{}, errUnavailable
 	}
@@ -87,7 +97,7 @@
 				events = append(events, i)
 			}
 		}
-		unavailable, hangs, position := s.unavailable, s.hangs, s.position()
+		unavailable, hangs, position := s.unavailable, s.hangs || s.silent, s.position()
 		compacted := after.Revision < s.compacted || after.Revision > s.revision // as after a restore
 		s.mu.Unlock()
 		switch {
--- a/internal/provider/follow/silent_test.go
+++ b/internal/provider/follow/silent_test.go
@@ -210,3 +210,35 @@
 		})
 	}
 }
+
+// TestFleetAfterOutage fails if a router does not have a change that was made when the store returned by the time at which it counts as in touch
+// again, whatever the store did during the outage.
+func TestFleetAfterOutage(t *testing.T) {
+	const step = 430 * time.Millisecond
+	outages := map[string]func(s *fakeStore, down bool){
+		"the store refuses calls": func(s *fakeStore, down bool) { s.unavailable = down },
+		"the store is silent":     func(s *fakeStore, down bool) { s.silent = down },
+	}
+	for name, c := range fleetBounds {
+		for kind, set := range outages {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				for moment := 2 * time.Second; moment < 9*time.Second; moment += step {
+					bubble.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						ctx, cancel := context.WithCancel(context.Background())
+						var group conc.WaitGroup
+						defer func() { cancel(); group.Wait() }()
+						w := newFleet(ctx, &group, c.readers)
+						time.Sleep(6 * time.Second)
+						w.truth.update(func(s *fakeStore) { set(s, true) })
+						time.Sleep(moment)
+						w.truth.update(func(s *fakeStore) { set(s, false) })
+						w.truth.put("a", "2")
+						time.Sleep(c.contact)
+						is.Equal(w.known.String(), "map[a:2]")
+					})
+				}
+			})
+		}
+	}
+}
--- a/internal/provider/follow/source.go
+++ b/internal/provider/follow/source.go
@@ -2,20 +2,29 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
 	"jaywind"
 )
 
+// A router has to notice within contactTime that a connection has gone silent, so it asks again, over a new connection, before what it knows
+// is older. All waits follow from the age of that, not from each other.
+const (
+	contactTime  = 3 * time.Second                       // for which a router whose connections are lost may be out of date
+	maxAge       = contactTime - 200*time.Millisecond    // of what a router knows when it gives up a call of the store; the rest is for the next call
+	readerMaxAge = cacheFreshTime - 100*time.Millisecond // the same for a reader, whose items are no longer served after cacheFreshTime
+)
+
 const (
 	storeWait       = time.Second             // for a watch of a reader at the store
+	minWait         = time.Millisecond        // for a watch that is to be answered at once
 	peerWait        = 800 * time.Millisecond  // for a watch at a peer, which may become unreachable without notice
 	peerMargin      = 300 * time.Millisecond  // for a peer's answer to arrive after the wait
 	peerListTimeout = time.Second             // for a list from a peer
 	peerRetryDelay  = 2 * time.Second         // during which a peer that failed is not asked
 	storeRetryDelay = 2500 * time.Millisecond // between two calls of the store while the peers and the store fail
+	maxFailedPeers  = 64                      // remembered
 )
 
 // Peer is another router that serves its items.
@@ -42,6 +51,7 @@
 	answeredAt     time.Time            // when a source answered last
 	era            int64                // latest era of an answer
 	reader         bool                 // this router was a reader when it called last
+	hasPeers       bool                 // there were peers to follow then
 }
 
 // Failure is a call of a source that failed.
@@ -60,25 +70,154 @@
 
 // List lists from the first source that answers. A list that need not be exact is the first one of a router.
 func (p *PeerSource) List(ctx context.Context, prefix string, exact bool) ([]Item, jaywind.StorePosition, error) {
-	if exact || p.Seeds == nil {
-		return p.list(ctx, prefix, exact)
+	if !exact && p.Seeds != nil {
+		return p.firstList(ctx, prefix)
+	}
+	list := func(ctx context.Context, s Source, _ time.Duration) ([]Item, jaywind.StorePosition, error) {
+		return s.List(ctx, prefix, exact)
 	}
-	return p.firstList(ctx, prefix)
+	r, answered := p.hedge(ctx, p.candidates(), peerListTimeout, list)
+	if !answered {
+		r = p.askStore(ctx, func(ctx context.Context) result { return call(ctx, p.Store, 0, list) })
+	}
+	return r.items, r.position, r.err
 }
 
-func (p *PeerSource) list(ctx context.Context, prefix string, exact bool) (items []Item, position jaywind.StorePosition, err error) {
-	err = p.tryEach(ctx, func(ctx context.Context, s Source, peer, _ bool) error {
-		if peer {
-			limited, cancel := context.WithTimeout(ctx, peerListTimeout)
-			defer cancel()
-			ctx = limited
+// Watch watches the first source that answers. If the preferred peer is lost, the others are asked for an answer at once.
+func (p *PeerSource) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) ([]Item, jaywind.StorePosition, error) {
+	watch := func(ctx context.Context, s Source, wait time.Duration) ([]Item, jaywind.StorePosition, error) {
+		return s.Watch(ctx, prefix, after, wait)
+	}
+	peers := p.candidates()
+	if len(peers) > 0 {
+		r := p.askPeer(ctx, peers[0], min(wait, peerWait), watch)
+		if r.answered() || ctx.Err() != nil {
+			return r.items, r.position, r.err
+		}
+		if r, answered := p.hedge(ctx, peers[1:], peerMargin, watch); answered {
+			return r.items, r.position, r.err
 		}
-		if items, position, err = s.List(ctx, prefix, exact); err == nil {
-			err = p.recordEra(position)
+	}
+	r := p.askStore(ctx, func(ctx context.Context) result { return p.watchStore(ctx, wait, watch) })
+	return r.items, r.position, r.err
+}
+
+// sourceCall is a list or a watch of a source; a list ignores the wait.
+type sourceCall func(ctx context.Context, s Source, wait time.Duration) ([]Item, jaywind.StorePosition, error)
+
+// result is the outcome of a call of the store, or of a peer.
+type result struct {
+	peer     string // empty for the store
+	items    []Item
+	position jaywind.StorePosition
+	err      error
+	took     time.Duration
+}
+
+// answered tells whether the source answered, if only that the prefix has to be listed again.
+func (r result) answered() bool { return r.err == nil || needsList(r.err) }
+
+func call(ctx context.Context, s Source, wait time.Duration, c sourceCall) (r result) {
+	start := time.Now()
+	r.items, r.position, r.err = c(ctx, s, wait)
+	r.took = time.Since(start)
+	return r
+}
+
+// candidates returns the peers that have not failed lately.
+func (p *PeerSource) candidates() (peers []Peer) {
+	all, reader := p.Peers()
+	p.hasPeers, p.reader = len(all) > 0, reader
+	for _, peer := range all {
+		if time.Since(p.failedAt[peer.Name]) >= peerRetryDelay {
+			peers = append(peers, peer)
 		}
-		return err
+	}
+	return peers
+}
+
+// askPeer watches one peer for at most wait.
+func (p *PeerSource) askPeer(ctx context.Context, peer Peer, wait time.Duration, c sourceCall) result {
+	limited, cancel := context.WithTimeout(ctx, wait+peerMargin)
+	defer cancel()
+	r := call(limited, peer.Source, wait, c)
+	r.peer = peer.Name
+	p.record(ctx, &r)
+	return r
+}
+
+// hedge asks peers for an answer at once, which they have to give within a time, and returns the first one. The next peer is asked when
+// the one before has failed or has not answered within hedgeDelay.
+func (p *PeerSource) hedge(ctx context.Context, peers []Peer, timeout time.Duration, c sourceCall) (first result, answered bool) {
+	hedged(ctx, peers, timeout, c, func(r result) bool {
+		p.record(ctx, &r)
+		first, answered = r, r.answered()
+		return answered
 	})
-	return items, position, err
+	return first, answered
+}
+
+// askStore calls the store, unless it and the peers have failed a moment ago.
+func (p *PeerSource) askStore(ctx context.Context, ask func(context.Context) result) result {
+	switch {
+	case ctx.Err() != nil:
+		return result{err: ctx.Err()}
+	case p.hasPeers && time.Since(p.storeFailedAt) < storeRetryDelay:
+		return result{err: ErrStale}
+	}
+	r := ask(ctx)
+	p.record(ctx, &r)
+	return r
+}
+
+// watchStore watches the store. A connection that has gone silent makes the first call run into its time-out, after which the second one uses
+// a new connection.
+func (p *PeerSource) watchStore(ctx context.Context, wait time.Duration, c sourceCall) (r result) {
+	for range 2 {
+		limit := p.storeLimit(wait)
+		limited, cancel := context.WithTimeout(ctx, limit+answerMargin)
+		r = call(limited, p.Store, limit, c)
+		silent := limited.Err() != nil && ctx.Err() == nil
+		cancel()
+		if r.answered() || !silent {
+			break
+		}
+		p.reportFailure(r)
+	}
+	return r
+}
+
+// storeLimit returns how long the store may wait for a change: what the router knows must not become too old if there is no answer.
+func (p *PeerSource) storeLimit(wait time.Duration) time.Duration {
+	age := maxAge
+	if p.reader {
+		wait, age = min(wait, storeWait), readerMaxAge
+	}
+	return max(minWait, min(wait, age-answerMargin-time.Since(p.answeredAt)))
+}
+
+// record records the outcome of a call, which fails if it is from before the last restore of the store.
+func (p *PeerSource) record(ctx context.Context, r *result) {
+	if r.err == nil {
+		r.err = p.recordEra(r.position)
+	}
+	switch {
+	case r.answered():
+		p.recordSource(r.peer, r.peer == "")
+		return
+	case ctx.Err() != nil:
+		return
+	}
+	p.reportFailure(*r)
+	if r.peer == "" {
+		p.lastFromStore = false
+		p.storeFailedAt = time.Now().Add(-time.Duration(rand.Int64N(int64(storeRetryDelay / 2)))) // so that routers do not all return to the store at once
+		return
+	}
+	if p.failedAt == nil || len(p.failedAt) > maxFailedPeers {
+		p.failedAt = map[string]time.Time{}
+	}
+	p.failedAt[r.peer] = time.Now()
 }
 
 // recordEra records the era of an answer, or returns ErrStale if it is from before the last restore of the store.
@@ -90,78 +229,16 @@
 	return nil
 }
 
-// Watch watches the first source that answers. The wait is limited by how long an unreachable source may go unnoticed.
-func (p *PeerSource) Watch(ctx context.Context, prefix string, after jaywind.StorePosition, wait time.Duration) (items []Item, position jaywind.StorePosition, err error) {
-	err = p.tryEach(ctx, func(ctx context.Context, s Source, peer, reader bool) error {
-		limit := wait
-		switch {
-		case peer:
-			limit = min(wait, peerWait)
-			limited, cancel := context.WithTimeout(ctx, limit+peerMargin)
-			defer cancel()
-			ctx = limited
-		case reader:
-			limit = min(wait, storeWait)
-			limited, cancel := context.WithTimeout(ctx, limit+answerMargin)
-			defer cancel()
-			ctx = limited
-		}
-		if items, position, err = s.Watch(ctx, prefix, after, limit); err == nil {
-			err = p.recordEra(position)
-		}
-		return err
-	})
-	return items, position, err
-}
-
-// tryEach calls the peers and then the store until one answers.
-func (p *PeerSource) tryEach(ctx context.Context, call func(ctx context.Context, s Source, peer, reader bool) error) error {
-	peers, reader := p.Peers()
-	p.reader = reader
-	for _, peer := range peers {
-		if time.Since(p.failedAt[peer.Name]) < peerRetryDelay {
-			continue
-		}
-		start := time.Now()
-		err := call(ctx, peer.Source, true, false)
-		if err == nil || needsList(err) {
-			p.recordSource(peer.Name, false)
-			return err
-		}
-		p.reportFailure(peer.Name, start, err)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if p.failedAt == nil || len(p.failedAt) > len(peers)+16 {
-			p.failedAt = map[string]time.Time{}
-		}
-		p.failedAt[peer.Name] = time.Now()
-	}
-	if len(peers) > 0 && time.Since(p.storeFailedAt) < storeRetryDelay {
-		return ErrStale
+// reportFailure reports a call that failed.
+func (p *PeerSource) reportFailure(r result) {
+	if p.OnFailure == nil {
+		return
 	}
-	start := time.Now()
-	err := call(ctx, p.Store, false, reader)
-	if err == nil || needsList(err) {
-		p.recordSource("", true)
-		return err
-	}
-	p.reportFailure("", start, err)
-	p.lastFromStore = false
-	p.storeFailedAt = time.Now().Add(-time.Duration(rand.Int64N(int64(storeRetryDelay / 2)))) // so that routers do not all return to the store at once
-	return err
-}
-
-// reportFailure reports a call that began at start and failed.
-func (p *PeerSource) reportFailure(peer string, start time.Time, err error) {
-	if p.OnFailure != nil && !errors.Is(err, context.Canceled) {
-		now := time.Now()
-		f := Failure{Peer: peer, Took: now.Sub(start), Err: err}
-		if !p.answeredAt.IsZero() {
-			f.Age = now.Sub(p.answeredAt)
-		}
-		p.OnFailure(f)
+	f := Failure{Peer: r.peer, Took: r.took, Err: r.err}
+	if !p.answeredAt.IsZero() {
+		f.Age = time.Since(p.answeredAt)
 	}
+	p.OnFailure(f)
 }
 
 // recordSource records which source has answered, and reports a change of it.
