platform, link: an answer on a kept connection counts only for the request that it names

Cause: a faulty replica may write an earlier answer once more, when the next request has arrived. An answer without an id (to a health check, a copy of memory, a load report) was taken for that to whatever came next on its connection. And a refusal that names its request was taken for the answer to the same request when that was sent again on the same connection.

Change: a connection is used again only after an answer that names the request it belongs to, so one that has carried a call of the router's own is closed; and not for a request that has failed on it before. A copy that names another request stays what it was, an answer that can't be used, after which the request may have run.

--- a/internal/backend/link/link_test.go
+++ b/internal/backend/link/link_test.go
@@ -81,7 +81,7 @@
 			at := startPeer(t, c.closes, c.answer)
 			p := &link.Pool{}
 			defer p.Close()
-			l, err := p.Get(context.Background(), at)
+			l, err := p.Get(context.Background(), at, "")
 			is.NoErr(err)
 			is.NoErr(l.Send([]byte(request)))
 			answer, err := l.ReadResponse("GET", time.Now().Add(5*time.Second))
@@ -93,7 +93,7 @@
 				p.Put(l)
 			}
 			time.Sleep(20 * time.Millisecond) // for bytes that follow the response, or its close
-			second, err := p.Get(context.Background(), at)
+			second, err := p.Get(context.Background(), at, "")
 			is.NoErr(err)
 			defer func() { _ = second.Close() }()
 			_, reused := p.Counts()
@@ -106,7 +106,7 @@
 	is := is.New(t)
 	p := &link.Pool{}
 	defer p.Close()
-	_, err := p.Get(context.Background(), "127.0.0.1:1")
+	_, err := p.Get(context.Background(), "127.0.0.1:1", "")
 	is.True(errors.Is(err, jaywind.ErrNotSent)) // nothing listens
 	tests := map[string]struct {
 		answer string
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	defaultIdleTimeout = 4 * time.Second        // short, since an idle connection may be dead without notice
 	maxIdlePerAddress  = 16
 	bufferSize         = 2048 // bytes; responses are small and many connections are open
+	maxFailed          = 16   // requests that a connection remembers; then it is closed
 )
 
 // Pool keeps idle connections for reuse. Its zero value is ready to use.
@@ -48,14 +50,16 @@
 	expiresAt time.Time // when the peer may close it; zero if it did not say
 	sent      bool      // bytes of the current request may have been sent
 	closed    atomic.Bool
+	failed    []jaywind.RequestID // requests that got a failure on it
 
 	readTimeout time.Duration // of the reads to come, if OnStall is set
 }
 
-// Get returns an idle connection, or a new one if there is none. The error wraps jaywind.ErrNotSent.
-func (p *Pool) Get(ctx context.Context, at jaywind.Address) (*Conn, error) {
+// Get returns an idle connection for a request, or a new one if there is none. A connection on which the request has failed before is not
+// used: a late second copy of that failure could not be told from the answer. The error wraps jaywind.ErrNotSent.
+func (p *Pool) Get(ctx context.Context, at jaywind.Address, request jaywind.RequestID) (*Conn, error) {
 	for {
-		c := p.popIdle(at)
+		c := p.popIdle(at, request)
 		if c == nil {
 			break
 		}
@@ -94,16 +98,18 @@
 	return ""
 }
 
-func (p *Pool) popIdle(at jaywind.Address) *Conn {
+// popIdle removes and returns the connection that was idle for the shortest time, of those on which the request has not failed.
+func (p *Pool) popIdle(at jaywind.Address, request jaywind.RequestID) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.conns[at]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if c := conns[i]; !slices.Contains(c.failed, request) {
+			p.conns[at] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.conns[at] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) idleTimeout() time.Duration {
@@ -122,8 +128,22 @@
 	return c.reader.Buffered() == 0 && openAndEmpty(c.conn)
 }
 
-// Put returns a connection to the pool after a complete response. One through another router is closed, as that router decides on each
-// request whether it may be sent.
+// PutAnswered returns a connection to the pool after a complete response to a request, which names the request it answers unless answered is
+// empty. Only responses that do can be told from each other if one of them comes twice, so without a name the connection is closed. failed
+// tells whether the response is a failure.
+func (p *Pool) PutAnswered(c *Conn, answered jaywind.RequestID, failed bool) {
+	if failed {
+		c.failed = append(c.failed, answered)
+	}
+	if answered == "" || len(c.failed) > maxFailed {
+		_ = c.Close()
+		return
+	}
+	p.Put(c)
+}
+
+// Put returns a connection to the pool on which nothing was sent since Get. One through another router is closed, as that router decides on
+// each request whether it may be sent.
 func (p *Pool) Put(c *Conn) {
 	c.idleSince, c.OnStall = time.Now(), nil
 	if c.closed.Load() || c.reader.Buffered() > 0 || c.Via() != "" {
