route, platform: whether requests need an API key does not depend on how many keys are left

Cause: a set of routes required a key if it held at least one. A configuration with tenants but without keys looked like one without tenants.

--- a/internal/core/route/set.go
+++ b/internal/core/route/set.go
@@ -71,6 +71,9 @@
 	HasPriority  bool // Priority overrides that of the route
 }
 
+// Keys are the API keys that callers may use. An empty set accepts no caller.
+type Keys map[string]KeyOwner
+
 // Limits bound the size of requests and the time that callers may take to send them.
 type Limits struct {
 	HeaderBytes   int // bytes
@@ -86,14 +89,14 @@
 	Limits   Limits
 
 	routes     map[hostPrefix]*Route
-	keys       map[string]KeyOwner
+	keys       *Keys // nil if callers need none
 	priorities map[jaywind.ServiceName]priorityRange
 }
 
 type hostPrefix struct{ host, prefix string }
 
-// NewSet builds a set. Of two routes with the same host and prefix the later one applies.
-func NewSet(version uint64, routes []Route, services []Service, keys map[string]KeyOwner, limits Limits) *Set {
+// NewSet builds a set. Of two routes with the same host and prefix the later one applies. With nil for keys, callers need none.
+func NewSet(version uint64, routes []Route, services []Service, keys *Keys, limits Limits) *Set {
 	s := &Set{
 		Version:  version,
 		Services: make(map[jaywind.ServiceName]*Service, len(services)),
@@ -171,14 +174,15 @@
 
 // OwnerOf returns the owner of an API key.
 func (s *Set) OwnerOf(key string) (KeyOwner, bool) {
-	h, known := s.keys[key]
+	if s.keys == nil {
+		return KeyOwner{}, false
+	}
+	h, known := (*s.keys)[key]
 	return h, known
 }
 
-// RequiresKey reports whether any API keys are configured, so that requests need one.
-func (s *Set) RequiresKey() bool {
-	return len(s.keys) > 0
-}
+// RequiresKey reports whether requests need an API key. They also do while there is none that they could have.
+func (s *Set) RequiresKey() bool { return s.keys != nil }
 
 // RouteCount returns the number of routes.
 func (s *Set) RouteCount() int {
--- a/internal/relay/router/schedule_test.go
+++ b/internal/relay/router/schedule_test.go
@@ -149,7 +149,7 @@
 	}
 	s.router.SetConfig(route.NewSet(version, []route.Route{newRoute("urgent", 0), newRoute("bulk", bulk)},
 		[]route.Service{{Name: "pool", Engine: &route.Engine{Slots: 16, MemoryTokens: 55000, CopiesMemory: copies, TokensPerEvent: testStride}}},
-		map[string]route.KeyOwner{
+		&route.Keys{
 			"k0": {Organisation: "org0"}, "k1": {Organisation: "org1", Priority: 1, HasPriority: true},
 			"first": {Organisation: "first", Priority: 0, HasPriority: true}, "last": {Organisation: "last", Priority: 9, HasPriority: true},
 		}, route.Limits{}))
