caller: an answer that is cut off does not end like a complete one

What callers saw on the product's own path: when their router stopped, or they read too slowly, a stream ended with a proper last chunk, and an answer in one body was 200 with nothing in it.

Cause: the handler returned when the answer had ended without its last event, and net/http then completes the response.

Change: the connection of an answer that has begun is closed; before, the caller gets 502 with may_have_run.

--- a/internal/edge/caller/complete.go
+++ b/internal/edge/caller/complete.go
@@ -77,11 +77,21 @@
 			err = o.write(": waiting\n\n")
 		}
 		if err != nil {
+			o.cutOff()
 			return
 		}
 	}
 }
 
+// cutOff ends an answer that is not complete. The end of a body that has begun would look like that of the answer, so its connection is closed.
+func (o *answerWriter) cutOff() {
+	if o.started {
+		panic(http.ErrAbortHandler)
+	}
+	status, code := statusOf(table.OutcomeFailed)
+	writeJSON(o.w, status, errorResponse{Error: newErrorDetail(code, "the answer was cut off", true, 0)})
+}
+
 func nextWithTimeout(ctx context.Context, a *embed.Answer, limit time.Duration) (embed.Event, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -175,6 +185,7 @@
 	for {
 		e, err := a.Next(ctx)
 		if err != nil {
+			o.cutOff()
 			return
 		}
 		if e.Final == nil {
--- a/internal/edge/caller/complete_test.go
+++ b/internal/edge/caller/complete_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -65,7 +66,13 @@
 func (l *scriptedStream) Close() error { return nil }
 
 func newServer(t *testing.T, tokens []jaywind.Token) *httptest.Server {
-	r := &embed.Router{Self: "vm1", Engine: scriptedEngine{tokens: tokens}}
+	s, _ := newServerWith(t, scriptedEngine{tokens: tokens})
+	return s
+}
+
+// newServerWith starts a server before an engine; stop stops its router.
+func newServerWith(t *testing.T, e jaywind.Engine) (s *httptest.Server, stop func()) {
+	r := &embed.Router{Self: "vm1", Engine: e}
 	set := rule.NewSet()
 	set.Models["m"] = rule.Model{Name: "m", Version: "v"}
 	set.Endpoints["e"] = rule.Endpoint{ID: "e", Kind: rule.KindEngine, Model: "m", Version: "v", URL: "http://127.0.0.1:1"}
@@ -73,9 +80,10 @@
 	var group conc.WaitGroup
 	group.Go(func() { _ = r.Run(ctx) })
 	r.SetRules(1, set)
-	s := httptest.NewServer((&Handler{Router: r}).Mux())
-	t.Cleanup(func() { cancel(); group.Wait(); s.Close() })
-	return s
+	s = httptest.NewServer((&Handler{Router: r}).Mux())
+	stop = func() { cancel(); group.Wait() }
+	t.Cleanup(func() { stop(); s.Close() })
+	return s, stop
 }
 
 // read reads events until it has limit tokens or the stream ends, and returns the text, the tokens and the last id.
@@ -176,3 +184,57 @@
 		})
 	}
 }
+
+// haltingEngine generates one token and then nothing.
+type haltingEngine struct {
+	scriptedEngine
+	halted chan struct{} // closed when the token was generated
+}
+
+func (e haltingEngine) Open(ctx context.Context, _ jaywind.Address, c jaywind.Call) (jaywind.Stream, error) {
+	return &haltingStream{ctx: ctx, call: c, halted: e.halted}, nil
+}
+
+type haltingStream struct {
+	ctx    context.Context
+	call   jaywind.Call
+	halted chan struct{}
+	begun  bool
+}
+
+func (l *haltingStream) Next() (jaywind.Frame, error) {
+	if !l.begun {
+		l.begun = true
+		return jaywind.Frame{Request: l.call.Request, Attempt: l.call.Attempt, Token: jaywind.Token{Text: "a"}}, nil
+	}
+	close(l.halted)
+	<-l.ctx.Done()
+	return jaywind.Frame{}, l.ctx.Err()
+}
+
+func (l *haltingStream) Close() error { return nil }
+
+// TestAnswerCutOff fails if an answer that ends before its last token, as its router stops, looks complete to the caller.
+func TestAnswerCutOff(t *testing.T) {
+	for name, stream := range map[string]bool{"stream": true, "one body": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			halted := make(chan struct{})
+			s, stop := newServerWith(t, haltingEngine{halted: halted})
+			var group conc.WaitGroup
+			group.Go(func() { <-halted; stop() })
+			body := fmt.Sprintf(`{"model":"m","prompt":"p","stream":%t,"max_tokens":4}`, stream)
+			request, err := http.NewRequest(http.MethodPost, s.URL+"/v1/completions", strings.NewReader(body))
+			is.NoErr(err)
+			response, err := http.DefaultTransport.RoundTrip(request)
+			group.Wait()
+			if err != nil {
+				return // no answer is none that looks complete
+			}
+			defer func() { _ = response.Body.Close() }()
+			text, err := io.ReadAll(response.Body)
+			t.Logf("status %d, %q, %v", response.StatusCode, text, err)
+			is.True(err != nil || response.StatusCode != http.StatusOK)
+		})
+	}
+}
