router: a stopping router takes no request of a route without a limit of time that it can't finish

What callers saw: a connection closed in the middle of a plain call, at a router in the last moments of its grace period.

A limit of 0 means none, and was taken as the time that a request needs.

Evidence: TestCannotFinish failed in 2 of 7 cases before (plain and unsafe routes without a limit) and passes now.

Change: the limit of the route counts only if it has one.

--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -295,7 +295,11 @@
 	case rt.Kind == route.KindStream:
 		return remaining < usualStreamTime
 	}
-	return remaining < min(rt.Timeout, plainFinishTime)
+	limit := plainFinishTime
+	if rt.Timeout > 0 {
+		limit = min(limit, rt.Timeout)
+	}
+	return remaining < limit
 }
 
 // plainFinishTime is the time that a router which is shutting down allows for a plain request.
