embed: failing test of watches of the store that go silent

What callers would see: requests handled by older rules for up to 22 s, on the product's own path.

Ruled out as a quick mend: reading the head every 3 s, as it may hold 64 KB of rules, which is more than a router may spend on control.

--- a/embed/fleet_test.go
+++ b/embed/fleet_test.go
@@ -92,6 +92,7 @@
 	mu          sync.Mutex
 	stale       *jaywind.Entry // returned by Watch instead of the stored entry, if set
 	unreachable bool           // for this router only
+	silent      bool           // the connection of the running Watch has gone silent
 	cancelWatch func()         // cancels the running Watch
 }
 
@@ -148,7 +149,26 @@
 	if stale != nil {
 		return *stale, nil
 	}
-	return s.Store.Watch(ctx, key, old)
+	e, err := s.Store.Watch(ctx, key, old)
+	s.mu.Lock()
+	silent := s.silent
+	s.silent = false
+	s.mu.Unlock()
+	if silent {
+		sleepFor(ctx, pollTimeout)
+		return jaywind.Entry{}, jaywind.ErrStoreUnavailable
+	}
+	return e, err
+}
+
+// pollTimeout is when the client of the store gives up a long poll.
+const pollTimeout = 22 * time.Second
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
 }
 
 // testFleet is a fleet of routers in one process.
@@ -407,6 +427,27 @@
 	}
 }
 
+// TestSilentRulesWatch fails if rules are in force late because the connections on which the routers watch the store have gone silent, although
+// new ones work.
+func TestSilentRulesWatch(t *testing.T) {
+	const notice, apply = 3 * time.Second, 3 * time.Second // of a silent connection, and of a change
+	bubble.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, fleetSize)
+		fleet.acceptRules()
+		fleet.advance(convergeTime)
+		for _, s := range fleet.stores {
+			s.mu.Lock()
+			s.silent = true
+			s.mu.Unlock()
+		}
+		fleet.acceptRules()
+		time.Sleep(notice + apply)
+		for i := range fleet.routers {
+			is.New(t).Equal(fleet.version(i), jaywind.RulesVersion(2))
+		}
+	})
+}
+
 func TestStoreCallsDoNotGrowWithRouters(t *testing.T) {
 	tests := map[string]struct {
 		accepted bool // rules have been accepted
