follow: names and one report for each call that failed

What a newcomer would stop at: hedge, hedged and call beside each other, and a loop of two in watchStore, whose second failure was logged twice.

Change: askPeers, hedgeCalls, timeCall, watchPeer and watchStoreOnce; a repeated call is reported once. No decision changes; the tests of follow pass.

--- a/internal/provider/follow/first.go
+++ b/internal/provider/follow/first.go
@@ -125,7 +125,7 @@
 	list := func(ctx context.Context, s Source, _ time.Duration) ([]Item, jaywind.StorePosition, error) {
 		return s.List(ctx, prefix, false)
 	}
-	hedged(ctx, peers, peerListTimeout, list, func(r result) bool {
+	hedgeCalls(ctx, peers, peerListTimeout, list, func(r result) bool {
 		if r.err == nil {
 			first = r
 		}
@@ -135,9 +135,9 @@
 	return first, alive
 }
 
-// hedged calls peers until accept returns true for an answer. The next peer is asked when the one before has failed or has not answered within
+// hedgeCalls calls peers until accept returns true for an answer. The next peer is asked when the one before has failed or has not answered within
 // hedgeDelay.
-func hedged(ctx context.Context, peers []Peer, timeout time.Duration, c sourceCall, accept func(result) bool) {
+func hedgeCalls(ctx context.Context, peers []Peer, timeout time.Duration, c sourceCall, accept func(result) bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	var group conc.WaitGroup
 	defer group.Wait()
@@ -150,7 +150,7 @@
 		group.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
-			r := call(limited, peer.Source, 0, c)
+			r := timeCall(limited, peer.Source, 0, c)
 			r.peer = peer.Name
 			answers <- r
 		})
--- a/internal/provider/follow/source.go
+++ b/internal/provider/follow/source.go
@@ -8,8 +8,8 @@
 	"jaywind"
 )
 
-// A router has to notice within contactTime that a connection has gone silent, so it asks again, over a new connection, before what it knows
-// is older. All waits follow from the age of that, not from each other.
+// Connections may go silent for good. A router asks again, over a new connection, before what it knows is older than maxAge, so that it is
+// up to date within contactTime. The waits at the store follow from that age, whatever paused or failed before.
 const (
 	contactTime  = 3 * time.Second                       // for which a router whose connections are lost may be out of date
 	maxAge       = contactTime - 200*time.Millisecond    // of what a router knows when it gives up a call of the store; the rest is for the next call
@@ -76,9 +76,9 @@
 	list := func(ctx context.Context, s Source, _ time.Duration) ([]Item, jaywind.StorePosition, error) {
 		return s.List(ctx, prefix, exact)
 	}
-	r, answered := p.hedge(ctx, p.candidates(), peerListTimeout, list)
+	r, answered := p.askPeers(ctx, p.candidates(), peerListTimeout, list)
 	if !answered {
-		r = p.askStore(ctx, func(ctx context.Context) result { return call(ctx, p.Store, 0, list) })
+		r = p.askStore(ctx, func(ctx context.Context) result { return timeCall(ctx, p.Store, 0, list) })
 	}
 	return r.items, r.position, r.err
 }
@@ -90,11 +90,11 @@
 	}
 	peers := p.candidates()
 	if len(peers) > 0 {
-		r := p.askPeer(ctx, peers[0], min(wait, peerWait), watch)
+		r := p.watchPeer(ctx, peers[0], min(wait, peerWait), watch)
 		if r.answered() || ctx.Err() != nil {
 			return r.items, r.position, r.err
 		}
-		if r, answered := p.hedge(ctx, peers[1:], peerMargin, watch); answered {
+		if r, answered := p.askPeers(ctx, peers[1:], peerMargin, watch); answered {
 			return r.items, r.position, r.err
 		}
 	}
@@ -117,7 +117,8 @@
 // answered tells whether the source answered, if only that the prefix has to be listed again.
 func (r result) answered() bool { return r.err == nil || needsList(r.err) }
 
-func call(ctx context.Context, s Source, wait time.Duration, c sourceCall) (r result) {
+// timeCall makes one call and measures how long it takes.
+func timeCall(ctx context.Context, s Source, wait time.Duration, c sourceCall) (r result) {
 	start := time.Now()
 	r.items, r.position, r.err = c(ctx, s, wait)
 	r.took = time.Since(start)
@@ -136,20 +137,19 @@
 	return peers
 }
 
-// askPeer watches one peer for at most wait.
-func (p *PeerSource) askPeer(ctx context.Context, peer Peer, wait time.Duration, c sourceCall) result {
+// watchPeer watches one peer for at most wait.
+func (p *PeerSource) watchPeer(ctx context.Context, peer Peer, wait time.Duration, c sourceCall) result {
 	limited, cancel := context.WithTimeout(ctx, wait+peerMargin)
 	defer cancel()
-	r := call(limited, peer.Source, wait, c)
+	r := timeCall(limited, peer.Source, wait, c)
 	r.peer = peer.Name
 	p.record(ctx, &r)
 	return r
 }
 
-// hedge asks peers for an answer at once, which they have to give within a time, and returns the first one. The next peer is asked when
-// the one before has failed or has not answered within hedgeDelay.
-func (p *PeerSource) hedge(ctx context.Context, peers []Peer, timeout time.Duration, c sourceCall) (first result, answered bool) {
-	hedged(ctx, peers, timeout, c, func(r result) bool {
+// askPeers asks peers for an answer at once, which each has to give within timeout, and returns the first one. The calls are hedged.
+func (p *PeerSource) askPeers(ctx context.Context, peers []Peer, timeout time.Duration, c sourceCall) (first result, answered bool) {
+	hedgeCalls(ctx, peers, timeout, c, func(r result) bool {
 		p.record(ctx, &r)
 		first, answered = r, r.answered()
 		return answered
@@ -170,23 +170,25 @@
 	return r
 }
 
-// watchStore watches the store. A connection that has gone silent makes the first call run into its time-out, after which the second one uses
-// a new connection.
-func (p *PeerSource) watchStore(ctx context.Context, wait time.Duration, c sourceCall) (r result) {
-	for range 2 {
-		limit := p.storeLimit(wait)
-		limited, cancel := context.WithTimeout(ctx, limit+answerMargin)
-		r = call(limited, p.Store, limit, c)
-		silent := limited.Err() != nil && ctx.Err() == nil
-		cancel()
-		if r.answered() || !silent {
-			break
-		}
-		p.reportFailure(r)
+// watchStore watches the store. If the call runs into its time-out, as on a connection that has gone silent, it is repeated over a new one.
+func (p *PeerSource) watchStore(ctx context.Context, wait time.Duration, c sourceCall) result {
+	r, timedOut := p.watchStoreOnce(ctx, wait, c)
+	if !timedOut {
+		return r
 	}
+	p.reportFailure(r)
+	r, _ = p.watchStoreOnce(ctx, wait, c)
 	return r
 }
 
+func (p *PeerSource) watchStoreOnce(ctx context.Context, wait time.Duration, c sourceCall) (r result, timedOut bool) {
+	limit := p.storeLimit(wait)
+	limited, cancel := context.WithTimeout(ctx, limit+answerMargin)
+	defer cancel()
+	r = timeCall(limited, p.Store, limit, c)
+	return r, !r.answered() && limited.Err() != nil && ctx.Err() == nil
+}
+
 // storeLimit returns how long the store may wait for a change: what the router knows must not become too old if there is no answer.
 func (p *PeerSource) storeLimit(wait time.Duration) time.Duration {
 	age := maxAge
