soak: only what happened shortly before a request excuses a route that is not served

Cause: a router was excused for any disturbance since the route was added, with 3 s before it and after it, so a router that took up the route much too late passed.

The check is stricter than before.

--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -129,7 +129,7 @@
 		return false
 	}
 	_, since, _ := r.config.newestRoute()
-	return a.sentAt.Sub(since) < applyTimeout+schedulingSlack || !r.fleet.undisturbed(a.router, since, a.sentAt)
+	return a.sentAt.Sub(since) < applyTimeout+schedulingSlack || !r.fleet.undisturbed(a.router, a.sentAt.Add(-schedulingSlack), a.sentAt)
 }
 
 // transitTime bounds how long a request may be under way; one sent this shortly before a process exits may not reach it.
