soak: streams that a burst leaves no room for are not counted as kept back

Cause: the check compares sound streams during a series of crashes with those at other times, to find streams that the quarantine of a part keeps back.

Change: streams that overlap a burst are not compared, as those of routers that are cut off or of limited engines are not. Two rows are new: refusals in a burst are no violation, those after it are one.

--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -324,10 +324,11 @@
 
 // servedStreams counts the sound streams at undisturbed routers that a predicate selects, and those of them that were served. A router
 // whose connections to the store are silent may have heard that all leases lapsed, but not that the endpoints registered again. While half of
-// the engines name limits, the others may not suffice.
+// the engines name limits, the others may not suffice. In a burst, engines have no room for all.
 func (r *checker) servedStreams(selects func(*attempt) bool) (served, all int) {
 	for _, a := range r.attempts {
-		if a.prefix != "/stream/" || a.prompt == burstPrompt || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || r.fleet.cutFromStore(a.router, a.sentAt, a.endedAt) || r.mostlyLimited(a.sentAt) || !selects(a) {
+		if a.prefix != "/stream/" || a.prompt == burstPrompt || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || r.fleet.cutFromStore(a.router, a.sentAt, a.endedAt) || r.mostlyLimited(a.sentAt) ||
+			overlaps(r.bursts, a.sentAt, a.endedAt, 0) || !selects(a) {
 			continue
 		}
 		all++
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -89,6 +89,16 @@
 			a.router.disturbances = []span{{from: a.sentAt, until: a.sentAt.Add(12 * time.Second)}}
 		}, ""},
 		"sound streams are kept back": {func(c *checker, a *attempt) { deadlyRuns(c, a, freeCrashes); soundStreams(c, a, minCompared/2-1) }, "sound"},
+		"sound streams are refused in a burst": {func(c *checker, a *attempt) {
+			deadlyRuns(c, a, freeCrashes)
+			soundStreams(c, a, 0)
+			c.bursts = []span{{from: a.sentAt.Add(3 * time.Second), until: a.sentAt.Add(5 * time.Second)}}
+		}, ""},
+		"sound streams are kept back after a burst": {func(c *checker, a *attempt) {
+			deadlyRuns(c, a, freeCrashes)
+			soundStreams(c, a, 0)
+			c.bursts = []span{{from: a.sentAt, until: a.sentAt.Add(3 * time.Second)}}
+		}, "sound"},
 		"sound streams, router is cut off from the store": {func(c *checker, a *attempt) {
 			deadlyRuns(c, a, freeCrashes)
 			soundStreams(c, a, minCompared/2-1)
