--- a/internal/provider/follow/silent_test.go
+++ b/internal/provider/follow/silent_test.go
@@ -106,10 +106,10 @@
 
 // fleet is one router with the readers that it follows, and the store.
 type fleet struct {
-	truth      *fakeStore
-	connection []*connection // of all of them
-	toReaders  []*connection // those of the router to the readers
-	known      recorder      // what the router has
+	truth       *fakeStore
+	connections []*connection // of all of them
+	toReaders   []*connection // those of the router to the readers
+	known       recorder      // what the router has
 }
 
 // newFleet starts the routers. Without readers the router watches the store itself.
@@ -118,7 +118,7 @@
 	w.truth.put("a", "1")
 	connect := func(s follow.Source, multiplexed bool) *connection {
 		c := &connection{Source: s, multiplexed: multiplexed}
-		w.connection = append(w.connection, c)
+		w.connections = append(w.connections, c)
 		return c
 	}
 	var peers []follow.Peer
@@ -137,6 +137,18 @@
 	return w
 }
 
+// playFleet starts a fleet, and calls play some seconds later.
+func playFleet(t *testing.T, readers int, play func(is *is.I, w *fleet)) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var group conc.WaitGroup
+		defer func() { cancel(); group.Wait() }()
+		w := newFleet(ctx, &group, readers)
+		time.Sleep(6 * time.Second)
+		play(is.New(t), w)
+	})
+}
+
 // fleetBounds are fleets of the sizes in service, with how many readers they have, within which time of its acknowledgement a change has to be
 // in force, and for how long routers whose connections were lost are excused.
 var fleetBounds = map[string]struct {
@@ -159,17 +171,12 @@
 		for when, before := range changed {
 			t.Run(name+", a change "+when, func(t *testing.T) {
 				for moment := time.Duration(0); moment < 2500*time.Millisecond; moment += step {
-					bubble.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						ctx, cancel := context.WithCancel(context.Background())
-						var group conc.WaitGroup
-						defer func() { cancel(); group.Wait() }()
-						w := newFleet(ctx, &group, c.readers)
-						time.Sleep(6*time.Second + moment)
+					playFleet(t, c.readers, func(is *is.I, w *fleet) {
+						time.Sleep(moment)
 						w.truth.put("b", "1")
 						time.Sleep(before)
 						silentAt := time.Now()
-						for _, l := range w.connection {
+						for _, l := range w.connections {
 							l.fallSilent()
 						}
 						time.Sleep(c.contact - c.apply)
@@ -191,13 +198,8 @@
 		t.Run(name, func(t *testing.T) {
 			for moment := time.Duration(0); moment < 2500*time.Millisecond; moment += step {
 				for lost := range c.readers {
-					bubble.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						ctx, cancel := context.WithCancel(context.Background())
-						var group conc.WaitGroup
-						defer func() { cancel(); group.Wait() }()
-						w := newFleet(ctx, &group, c.readers)
-						time.Sleep(6*time.Second + moment)
+					playFleet(t, c.readers, func(is *is.I, w *fleet) {
+						time.Sleep(moment)
 						for _, l := range w.toReaders[:lost] {
 							l.lose()
 						}
@@ -223,13 +225,7 @@
 		for kind, set := range outages {
 			t.Run(name+", "+kind, func(t *testing.T) {
 				for moment := 2 * time.Second; moment < 9*time.Second; moment += step {
-					bubble.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						ctx, cancel := context.WithCancel(context.Background())
-						var group conc.WaitGroup
-						defer func() { cancel(); group.Wait() }()
-						w := newFleet(ctx, &group, c.readers)
-						time.Sleep(6 * time.Second)
+					playFleet(t, c.readers, func(is *is.I, w *fleet) {
 						w.truth.update(func(s *fakeStore) { set(s, true) })
 						time.Sleep(moment)
 						w.truth.update(func(s *fakeStore) { set(s, false) })
