router, logs: a line for each request that ends without a whole answer, and how many engines are silent

The two lost requests are named by no line, 'caller disconnected' also stood for a caller that did not read, a panic named no request, and a silence said nothing of other engines.

'stream: lost' after a silence says how many engines were silent and heard of at that moment, by a tracker that later decides on it. Lines that are logged after the log was closed no longer crash the process.

No decision changes.

--- a/cmd/jaywind/explain.go
+++ b/cmd/jaywind/explain.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		l.message, _ = l.fields["msg"].(string)
-		if l.fields["request"] != id && l.message != routerStartedMessage && l.message != ownerLostMessage {
+		if l.fields["request"] != id && !l.lists(id) && l.message != routerStartedMessage && l.message != ownerLostMessage {
 			continue
 		}
 		l.timestamp, _ = l.fields["ts"].(string)
@@ -108,6 +108,12 @@
 	return lines, bad, s.Err()
 }
 
+// lists reports whether the line names a request in a list.
+func (l logLine) lists(id string) bool {
+	all, _ := l.fields["requests"].([]any)
+	return slices.Contains(all, any(id))
+}
+
 // causeOf describes why a request ended as it did: by the last failure that was logged for it, if it was not answered.
 func causeOf(lines []logLine) string {
 	last := lines[len(lines)-1]
--- a/cmd/jaywind/explain_test.go
+++ b/cmd/jaywind/explain_test.go
@@ -93,6 +93,7 @@
 		cause string
 		want  []string // decisions
 	}{
+		"one of many cut": {[]string{`{"level":"warn","ts":"2026-12-04T19:11:17Z","msg":"requests: cut","cause":"deadline","requests":["a0","a1"]}`}, "deadline (requests: cut)", nil},
 		"waited": {[]string{waited, whole}, "none, it was answered", []string{
 			"waited 1016 ms for an engine of pool: at most 2 requests ahead, 69600 of 99000 tokens of memory in use, oldest report 1234 ms old",
 		}},
--- a/cmd/jaywind/route.go
+++ b/cmd/jaywind/route.go
@@ -40,7 +40,7 @@
 	defer cancel()
 	group.Go(func() { reload(ctx, sighups, *file, s, log) })
 	if s.Platform != (settings.Platform{}) {
-		err = (&platform.Daemon{Settings: s, Log: log.Logger, OmittedLines: log.SuppressedLines}).Run(ctx)
+		err = (&platform.Daemon{Settings: s, Log: log.Logger, CompleteLog: log.Complete, OmittedLines: log.SuppressedLines}).Run(ctx)
 	} else {
 		err = serveStandalone(ctx, s, log)
 	}
--- a/cmd/standin/router.go
+++ b/cmd/standin/router.go
@@ -51,5 +51,5 @@
 		}
 	})
 	defer func() { _ = server.Close() }()
-	return (&platform.Daemon{Settings: s, Log: log.Logger, OmittedLines: log.SuppressedLines, DialEndpoint: links.Dial}).Run(ctx)
+	return (&platform.Daemon{Settings: s, Log: log.Logger, CompleteLog: log.Complete, OmittedLines: log.SuppressedLines, DialEndpoint: links.Dial}).Run(ctx)
 }
--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -127,17 +127,19 @@
 }
 
 const (
-	minSilenceTimeout = 350 * time.Millisecond // an engine step that also prefills the prompts of two other requests takes less
-	silenceFactor     = 6                      // of the usual time between two events
-	resumeTime        = 250 * time.Millisecond // from the decision to leave an endpoint to the next event, with a copy
+	// MinSilence is the least time without an event after which an engine counts as silent. A step of an engine that also prefills the
+	// prompts of two other requests takes less.
+	MinSilence    = 350 * time.Millisecond
+	silenceFactor = 6                      // of the usual time between two events
+	resumeTime    = 250 * time.Millisecond // from the decision to leave an endpoint to the next event, with a copy
 )
 
 // SilenceTimeout returns how long to wait for the next event, from the usual gap between events and
 // the longest allowed pause; a pause of 0 sets no bound.
 func SilenceTimeout(gap, pause time.Duration) time.Duration {
-	limit := max(minSilenceTimeout, silenceFactor*gap)
+	limit := max(MinSilence, silenceFactor*gap)
 	if pause > 0 {
-		limit = min(limit, max(minSilenceTimeout, pause-resumeTime))
+		limit = min(limit, max(MinSilence, pause-resumeTime))
 	}
 	return limit
 }
--- a/internal/operator/logs/doc.go
+++ b/internal/operator/logs/doc.go
@@ -7,4 +7,7 @@
 //	l, err := logs.New("info", os.Stdout)
 //	defer l.Close()
 //	l.Logger.Info("router: started")
+//
+// Lines that must not be missing go to Complete, which is not sampled and for which a
+// part of the queue is kept.
 package logs
--- a/internal/operator/logs/logs.go
+++ b/internal/operator/logs/logs.go
@@ -13,6 +13,7 @@
 
 const (
 	queueLines   = 2048 // of about 300 bytes each
+	keptLines    = 256  // of the queue, which only lines that are not sampled may fill
 	sampleAfter  = 60   // lines of one message in a second, which are all written
 	sampleEvery  = 50   // of the further lines in that second, one in this many is written
 	closeTimeout = time.Second
@@ -21,9 +22,13 @@
 // Log is a logger with a queue in front of its output.
 type Log struct {
 	Logger *zap.Logger
+	// Complete is the same logger without sampling, for lines whose number is bounded by other means.
+	Complete *zap.Logger
 
 	level   zap.AtomicLevel
 	queue   chan []byte
+	mu      sync.RWMutex // guards closed
+	closed  bool
 	out     io.Writer
 	dropped atomic.Int64 // lines dropped because the queue was full
 	sampled atomic.Int64 // lines that sampling left out
@@ -42,9 +47,10 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), l, at)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), writer{l, queueLines - keptLines}, at)
 	core = zapcore.NewSamplerWithOptions(core, time.Second, sampleAfter, sampleEvery, zapcore.SamplerHook(l.countSampled))
 	l.Logger = zap.New(core)
+	l.Complete = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), writer{l, queueLines}, at))
 	l.group.Go(l.write)
 	return l, nil
 }
@@ -65,8 +71,20 @@
 	return nil
 }
 
-// Write queues a line, or counts it as dropped.
-func (l *Log) Write(line []byte) (int, error) {
+// writer queues lines while fewer than most are queued, and counts the others as dropped.
+type writer struct {
+	log  *Log
+	most int
+}
+
+func (w writer) Write(line []byte) (int, error) {
+	l := w.log
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed || len(l.queue) >= w.most {
+		l.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case l.queue <- append([]byte(nil), line...):
 	default:
@@ -76,7 +94,7 @@
 }
 
 // Sync does nothing: the writer goroutine writes lines without delay.
-func (l *Log) Sync() error { return nil }
+func (w writer) Sync() error { return nil }
 
 // SuppressedLines returns how many lines were dropped because the queue was full, and how many sampling left out.
 func (l *Log) SuppressedLines() (dropped, sampled int64) {
@@ -90,9 +108,12 @@
 	}
 }
 
-// Close writes the queued lines, for at most a second. No line may be logged after it.
+// Close writes the queued lines, for at most a second. Lines that are logged later are dropped.
 func (l *Log) Close() {
 	l.once.Do(func() {
+		l.mu.Lock()
+		l.closed = true
+		l.mu.Unlock()
 		close(l.queue)
 		select {
 		case <-l.ended:
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -5,9 +5,11 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"jaywind"
 	"jaywind/internal/backend/link"
@@ -163,6 +165,11 @@
 	return errors.Is(err, jaywind.ErrNotSent) || errors.Is(err, jaywind.ErrBusy) || errors.Is(err, jaywind.ErrEndpointReplaced)
 }
 
+// recordCut logs that a call ends without a whole answer.
+func (r *Router) recordCut(c *call, level zapcore.Level, message, cause string, more ...zap.Field) {
+	r.Cuts.Record(level, message, c.request.ID, cause, append(c.fields()[1:], more...)...)
+}
+
 // writeReply forwards an endpoint's response.
 func (r *Router) writeReply(c *call, reply jaywind.Reply) {
 	r.stats.recordAnswer(c.route.Kind, reply.Status, time.Since(c.request.Arrived))
@@ -182,9 +189,12 @@
 // endCancelled ends a call whose deadline has passed or whose caller has disconnected.
 func (r *Router) endCancelled(c *call, cause error) {
 	switch {
-	case errors.Is(cause, context.Canceled):
+	case errors.Is(cause, errCallerGone) && errors.Is(cause, os.ErrDeadlineExceeded):
+		r.recordCut(c, zap.WarnLevel, "request: cut", "the caller does not read")
+		c.response.AbortStream()
+	case errors.Is(cause, context.Canceled), errors.Is(cause, errCallerGone):
 		r.stats.callerGone.Inc(1)
-		r.Log.Info("request: caller disconnected", c.fields()...)
+		r.recordCut(c, zap.InfoLevel, "request: caller disconnected", "caller disconnected")
 		c.response.AbortStream() // a caller that has only closed its sending side still reads
 	case c.mayHaveRun:
 		r.writeRefusal(c, ReasonTimeout, 0)
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -19,8 +19,10 @@
 	"jaywind/internal/core/retry"
 	"jaywind/internal/core/rollout"
 	"jaywind/internal/core/route"
+	"jaywind/internal/core/silence"
 	"jaywind/internal/core/suspect"
 	"jaywind/internal/core/table"
+	"jaywind/internal/operator/cuts"
 )
 
 const (
@@ -34,6 +36,7 @@
 	Domain      jaywind.Domain
 	Upstream    jaywind.Upstream
 	Log         *zap.Logger
+	Cuts        *cuts.Recorder // of the requests that end without a whole answer; writes to Log if nil
 	Metrics     metrics.Registry
 	RetryBudget retry.Budget // settings of each service's budget: Ratio, Reserve, Window and Started
 	// OnIdentified is called with an engine that this router has identified while the registry was unavailable. It must not
@@ -75,6 +78,7 @@
 
 	balancers  map[jaywind.ServiceName]*balance.Balancer // of plain services; nil before the first call
 	scheduling map[jaywind.ServiceName]*scheduled
+	silences   map[jaywind.ServiceName]*silence.Tracker // of engines
 
 	brittle    permit.Tracker
 	quarantine suspect.Quarantine
@@ -109,6 +113,9 @@
 		if r.Calls == nil {
 			r.Calls = &drain.Calls{}
 		}
+		if r.Cuts == nil {
+			r.Cuts = &cuts.Recorder{Log: r.Log}
+		}
 		r.stats.register(r.Metrics)
 		r.budgets = map[jaywind.ServiceName]*retry.Budget{}
 		r.lookups = map[jaywind.ServiceName]*cacheLookup{}
@@ -116,6 +123,7 @@
 		r.baselines = map[jaywind.ServiceName]map[table.RouteMeasure]*table.Durations{}
 		r.rolloutStates = map[jaywind.ServiceName]rollout.State{}
 		r.scheduling = map[jaywind.ServiceName]*scheduled{}
+		r.silences = map[jaywind.ServiceName]*silence.Tracker{}
 		r.routers = 1
 	})
 }
--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -330,13 +330,11 @@
 	r.reportSpeed(st, a)
 }
 
-// recordProgress notes an event of a run for the reports.
-func (r *Router) recordProgress(st *streamCall, now time.Time) {
-	if r.Scheduler == nil || st.service.Engine == nil {
-		return
-	}
+// recordProgress notes an event of a run for the reports, and that its endpoint speaks.
+func (r *Router) recordProgress(st *streamCall, a attempt, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.silencesOf(st.service.Name).Hear(a.endpoint.ID, now)
 	st.reportedEvent = now
 	st.reportedEvents = st.events()
 }
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -13,6 +13,7 @@
 	"jaywind"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/series"
+	"jaywind/internal/core/silence"
 )
 
 const (
@@ -41,12 +42,14 @@
 	copy        jaywind.MemoryCopy // the copy at the standby
 	producing   bool               // the current attempt has produced an event, so it has memory to copy
 	copyState   copyState
-	stalled     bool      // the endpoint is silent, and the stream waits for it
-	unlistedAt  time.Time // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
-	begunAt     time.Time // of the first event of the current run; zero before
-	survived    bool      // the current run has survived its beginning
-	retryTaken  bool      // a retry was taken for the next attempt when the stream left a silent endpoint
-	waits       bool      // the wait for an endpoint or a retry was logged
+	stalled     bool           // the endpoint is silent, and the stream waits for it
+	expected    bool           // the current run is known to the tracker of silences
+	unlistedAt  time.Time      // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
+	begunAt     time.Time      // of the first event of the current run; zero before
+	survived    bool           // the current run has survived its beginning
+	survey      silence.Survey // when the stream left a silent endpoint
+	retryTaken  bool           // a retry was taken for the next attempt when the stream left a silent endpoint
+	waits       bool           // the wait for an endpoint or a retry was logged
 
 	grantedStandby *endpoint.Endpoint // for the copy of the next run, as the owner of the schedule has chosen; nil for none
 	speedGaps      []time.Duration    // between events of the current run, since its last sample of speed
@@ -98,7 +101,7 @@
 			return
 		}
 		if errors.Is(err, errCallerGone) {
-			r.cancelStream(st, context.Canceled)
+			r.cancelStream(st, err)
 			return
 		}
 		if ctx.Err() != nil {
@@ -137,8 +140,12 @@
 		return
 	}
 	last, _ := st.cursor.LastID()
-	r.Log.Warn("stream: lost", st.fields(zap.Error(cause), zap.Stringer("loss", loss), zap.Stringer("next", next),
-		zap.Int64("event", last), zap.Int64("silent_ms", st.silentMs()), zap.Any("parts", st.parts()))...)
+	fields := []zap.Field{zap.Error(cause), zap.Stringer("loss", loss), zap.Stringer("next", next),
+		zap.Int64("event", last), zap.Int64("silent_ms", st.silentMs()), zap.Any("parts", st.parts())}
+	if loss == series.FailureSilent {
+		fields = append(fields, surveyFields(st.survey)...)
+	}
+	r.Log.Warn("stream: lost", st.fields(fields...)...)
 }
 
 // silentMs returns the time since the last event in milliseconds, or -1 before the first event.
@@ -219,7 +226,7 @@
 
 // runAttempt runs a stream at one endpoint, from the event after the last one forwarded. A nil error means that the call
 // has ended: the stream is complete, or a plain response was written.
-func (r *Router) runAttempt(ctx context.Context, st *streamCall, a attempt) (series.Failure, error) {
+func (r *Router) runAttempt(ctx context.Context, st *streamCall, a attempt) (loss series.Failure, err error) {
 	prefilling := true
 	prefillDone := func() {
 		if prefilling {
@@ -231,6 +238,8 @@
 	}
 	defer r.releaseEndpoint(st.call, a.endpoint)
 	defer prefillDone()
+	st.survey, st.expected = silence.Survey{}, false
+	defer func() { r.endExpectation(st, a, loss) }()
 
 	s := st.upstreamRequest(a.endpoint, time.Now())
 	s.LastEventID, s.Resumed = st.cursor.LastID()
@@ -241,6 +250,7 @@
 		runs := st.plan.Runs()
 		if !opened {
 			runs++ // the run in progress is not counted yet
+			r.expect(st, a, time.Now().Add(-series.MinSilence))
 		}
 		return r.waitsForStalled(ctx, st, a.endpoint, runs)
 	}
@@ -354,6 +364,7 @@
 			r.mu.Lock()
 			st.producing, st.reportedEvent = true, time.Now() // before the write to the caller, which may take long
 			r.mu.Unlock()
+			r.expect(st, a, time.Now())
 			r.reportPrefill(st, a)
 			r.recordFirstEvent(st.call, a.endpoint)
 		} else {
@@ -401,7 +412,7 @@
 // observeEvent updates the statistics of the time between events.
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
-	r.recordProgress(st, now)
+	r.recordProgress(st, a, now)
 	st.unlistedAt = time.Time{}
 	if st.stalled {
 		st.stalled = false
@@ -455,8 +466,8 @@
 	switch {
 	case st.headSent:
 		r.stats.recordBroken(cause)
-		r.Log.Warn("stream: given up", st.fields(zap.String("cause", cause), zap.Int64("silent_ms", st.silentMs()), zap.Int("events", st.gaps), zap.Duration("timeout", st.route.Timeout),
-			zap.Duration("within", st.request.Timeout))...)
+		r.recordCut(st.call, zap.WarnLevel, "stream: given up", cause, zap.Int64("silent_ms", st.silentMs()), zap.Int("events", st.gaps),
+			zap.Duration("timeout", st.route.Timeout), zap.Duration("within", st.request.Timeout))
 		st.response.AbortStream()
 	case st.mayHaveRun:
 		r.writeRefusal(st.call, ReasonAnswerLost, 0)
@@ -468,7 +479,7 @@
 // cancelStream ends a stream whose deadline has passed or whose caller has disconnected.
 func (r *Router) cancelStream(st *streamCall, cause error) {
 	r.releaseStandby(st)
-	if st.headSent && !errors.Is(cause, context.Canceled) {
+	if st.headSent && errors.Is(cause, context.DeadlineExceeded) {
 		r.failStream(st, "deadline")
 		return
 	}
