jaywind explain: the message of a stream that was placed without an owner

The router writes 'stream: placed without the owner of the schedule', and explain looked for 'stream: no owner of the schedule', so the decision was not printed.

--- a/cmd/jaywind/decisions.go
+++ b/cmd/jaywind/decisions.go
@@ -9,7 +9,7 @@
 // Messages of decisions that are treated specially.
 const (
 	notUsableMessage   = "stream: assigned endpoint is not usable" // noOwnerMessage follows, although the owner has answered
-	noOwnerMessage     = "stream: no owner of the schedule"
+	noOwnerMessage     = "stream: placed without the owner of the schedule"
 	ownerLostMessage   = "schedule: owner not reached" // names no request
 	refusedMessage     = "schedule: refused"
 	noRoomMessage      = "stream: no room" // follows refusedMessage, with fewer fields
