router: a stream leaves a silent engine only for one that answers, and waits if most are silent

Callers saw streams end without a whole answer beside changes of the configuration while sound engines paused for a second.

Cause: silence of 350 ms was taken for a loss, however many engines were silent at that moment. A stream went on at another engine that was silent as well, and again after 350 ms, until its attempts were used up; the next end of a connection then ended the answer, with most of the caller's time left.

Change: a tracker of when each engine was last heard of tells an engine that is silent alone from many that fell silent together, in several failure domains. If most are silent, a stream waits for 1.5 s. It leaves only for an engine that has been heard of or answers a call, goes on at that one, and enters its last allowed run only after 4 s. Engines that are silent together don't count as failed.

Why it works: a paused engine and a lost one look alike, but several failure domains are rarely lost at once, and a target that answers is not paused.

--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -51,6 +51,23 @@
 // MayRunAgain reports whether the stream may run at one more endpoint after a number of runs.
 func (p *ResumePlan) MayRunAgain(runs int) bool { return p.Retryable && runs < p.MaxAttempts }
 
+// Patience returns how long the engine of a stream in its last run of the given number is silent before the stream leaves it for
+// another one that answers. With common, most engines are silent.
+func (p *ResumePlan) Patience(runs int, common bool) time.Duration {
+	switch {
+	case runs+1 >= p.MaxAttempts:
+		return lastPatience
+	case common:
+		return commonPatience
+	}
+	return 0
+}
+
+const (
+	commonPatience = 1500 * time.Millisecond // sound engines pause for a second or so
+	lastPatience   = 4 * time.Second         // longer than the registry lists an engine that has ended
+)
+
 // Runs returns the number of runs so far.
 func (p *ResumePlan) Runs() int { return p.runs }
 
--- a/internal/core/silence/silence.go
+++ b/internal/core/silence/silence.go
@@ -75,8 +75,8 @@
 	return s.Silent >= minCommon && s.Domains >= min(minCommon, s.All) && float64(s.Silent) >= commonPart*float64(s.Silent+s.Heard)
 }
 
-// Survey returns how many engines have fallen silent at about the same time as one of them, which is when they were not heard of for
-// at least half of its silence.
+// Survey returns how many engines have fallen silent at about the same time as one of them: they were not heard of for half to twice as
+// long. Those that have been silent for longer are probably lost, and are not counted.
 func (t *Tracker) Survey(id jaywind.EndpointID, now time.Time) Survey {
 	own := t.engines[id]
 	if own == nil {
@@ -93,7 +93,7 @@
 		switch {
 		case now.Sub(e.heardAt) < s.Silence/2:
 			s.Heard++
-		case e == own || e.runs > 0 || e.silent:
+		case e == own || (e.runs > 0 || e.silent) && now.Sub(e.heardAt) <= 2*s.Silence:
 			s.Silent++
 			silent[e.domain] = true
 		}
--- a/internal/relay/router/router_test.go
+++ b/internal/relay/router/router_test.go
@@ -38,6 +38,8 @@
 
 func (u *fakeUpstream) HasEnded(context.Context, jaywind.EndpointRef, string) bool { return true }
 
+func (u *fakeUpstream) Answers(context.Context, jaywind.EndpointRef) bool { return true }
+
 func (u *fakeUpstream) CachedParts(context.Context, jaywind.EndpointRef) ([]jaywind.CachedPart, error) {
 	return nil, nil
 }
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -42,14 +42,15 @@
 	copy        jaywind.MemoryCopy // the copy at the standby
 	producing   bool               // the current attempt has produced an event, so it has memory to copy
 	copyState   copyState
-	stalled     bool           // the endpoint is silent, and the stream waits for it
-	expected    bool           // the current run is known to the tracker of silences
-	unlistedAt  time.Time      // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
-	begunAt     time.Time      // of the first event of the current run; zero before
-	survived    bool           // the current run has survived its beginning
-	survey      silence.Survey // when the stream left a silent endpoint
-	retryTaken  bool           // a retry was taken for the next attempt when the stream left a silent endpoint
-	waits       bool           // the wait for an endpoint or a retry was logged
+	stalled     bool               // the endpoint is silent, and the stream waits for it
+	expected    bool               // the current run is known to the tracker of silences
+	unlistedAt  time.Time          // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
+	begunAt     time.Time          // of the first event of the current run; zero before
+	survived    bool               // the current run has survived its beginning
+	proven      *endpoint.Endpoint // has answered when the stream left a silent endpoint; nil for none
+	survey      silence.Survey     // when the stream left a silent endpoint
+	retryTaken  bool               // a retry was taken for the next attempt when the stream left a silent endpoint
+	waits       bool               // the wait for an endpoint or a retry was logged
 
 	grantedStandby *endpoint.Endpoint // for the copy of the next run, as the owner of the schedule has chosen; nil for none
 	speedGaps      []time.Duration    // between events of the current run, since its last sample of speed
@@ -164,6 +165,9 @@
 	}
 	r.releaseStandby(st)
 	st.requirements.Urgent = st.headSent || st.request.Resumed
+	if at = r.takeProven(st); at != nil {
+		return at, false, nil
+	}
 	r.mu.Lock()
 	scheduled := r.isScheduled(st.service)
 	r.mu.Unlock()
--- a/upstream.go
+++ b/upstream.go
@@ -132,6 +132,8 @@
 	// answer, it probes the endpoint each time that limit has passed, and returns ErrIdleTimeout if a probe shows that no
 	// answer will come, or if one fails and OnStall does not wait on.
 	Open(ctx context.Context, s UpstreamRequest, limit time.Duration) (EventStream, Reply, error)
+	// Answers reports whether an endpoint answers a call that needs no slot before ctx ends.
+	Answers(ctx context.Context, at EndpointRef) bool
 	// HasEnded reports whether an endpoint does not answer any more at its address, or another one does; health is the path of its
 	// service's health check, empty for none.
 	HasEnded(ctx context.Context, at EndpointRef, health string) bool
