router, link: while most engines are silent, a copy that answers is used, and lost connections are left

While most engines are silent, a stream now asks its engine, over a new connection, and its standby at the same time. A standby that answers goes on at once, as that needs little work. An engine that answers, and sends nothing over the open connection in another 100 ms, has lost its connection, so the stream goes on elsewhere and the engine does not count as failed. Only reading the prompt anew waits.

Evidence: TestEnginesSilentTogether has the lost connections as a new case, which waited for 1.5 s before; all 16 cases pass.

--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -183,18 +183,36 @@
 	c := r.conn
 	for {
 		n, err := c.conn.Read(b)
-		if n > 0 || !isTimeout(err) || c.OnStall == nil || !c.OnStall() {
+		if n > 0 || !isTimeout(err) || c.OnStall == nil {
 			return n, err
 		}
-		if err := c.SetReadTimeout(c.readTimeout); err != nil {
+		if n, err = r.readWithin(lookTime, b); n > 0 || !isTimeout(err) { // it came in time, but this process did not run
+			return n, err
+		}
+		wait := c.OnStall()
+		if wait <= 0 {
+			return r.readWithin(lastLookTime, b)
+		}
+		if err := c.SetReadTimeout(wait); err != nil {
 			return 0, err
 		}
 	}
 }
 
+const (
+	lookTime     = time.Millisecond      // for what has arrived already
+	lastLookTime = 20 * time.Millisecond // for a peer that has gone on while OnStall decided
+)
+
+func (r stallReader) readWithin(limit time.Duration, b []byte) (int, error) {
+	if err := r.conn.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	return r.conn.conn.Read(b)
+}
+
 // SetReadTimeout sets how long the next read from the connection may take.
 func (c *Conn) SetReadTimeout(limit time.Duration) error {
-	c.readTimeout = limit
 	return c.conn.SetReadDeadline(time.Now().Add(limit))
 }
 
--- a/internal/backend/link/link_test.go
+++ b/internal/backend/link/link_test.go
@@ -222,7 +222,12 @@
 			answer, err := conn.ReadResponse("GET", time.Now().Add(5*time.Second))
 			is.NoErr(err)
 			stalls := 0
-			conn.OnStall = func() bool { stalls++; return stalls <= c.waits }
+			conn.OnStall = func() time.Duration {
+				if stalls++; stalls > c.waits {
+					return 0
+				}
+				return 20 * time.Millisecond
+			}
 			s := link.NewEventReader(conn, answer.Body, jaywind.Reply{})
 			var ids []int64
 			for {
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -37,9 +37,9 @@
 
 // Conn is a connection to an endpoint.
 type Conn struct {
-	// OnStall is called when nothing has come within the read timeout; the read waits for as long again if it returns true. May
-	// be nil, for never.
-	OnStall func() bool
+	// OnStall is called when nothing has come within the read timeout. It returns for how long the read waits on, or 0 if it does
+	// not. May be nil, for never.
+	OnStall func() time.Duration
 
 	conn      net.Conn
 	source    *source
@@ -51,8 +51,6 @@
 	sent      bool      // bytes of the current request may have been sent
 	closed    atomic.Bool
 	failed    []jaywind.RequestID // requests that got a failure on it
-
-	readTimeout time.Duration // of the reads to come, if OnStall is set
 }
 
 // Get returns an idle connection for a request, or a new one if there is none. A connection on which the request has failed before is not
--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -51,21 +51,19 @@
 // MayRunAgain reports whether the stream may run at one more endpoint after a number of runs.
 func (p *ResumePlan) MayRunAgain(runs int) bool { return p.Retryable && runs < p.MaxAttempts }
 
-// Patience returns how long the engine of a stream in its last run of the given number is silent before the stream leaves it for
-// another one that answers. With common, most engines are silent.
-func (p *ResumePlan) Patience(runs int, common bool) time.Duration {
-	switch {
-	case runs+1 >= p.MaxAttempts:
+// Patience returns for how long the engine of a stream in its last run of the given number has to be silent before the stream enters
+// another run. The last allowed one is left for other failures than a pause.
+func (p *ResumePlan) Patience(runs int) time.Duration {
+	if runs+1 >= p.MaxAttempts {
 		return lastPatience
-	case common:
-		return commonPatience
 	}
 	return 0
 }
 
 const (
-	commonPatience = 1500 * time.Millisecond // sound engines pause for a second or so
-	lastPatience   = 4 * time.Second         // longer than the registry lists an engine that has ended
+	// CommonPatience is for how long a stream waits if most engines are silent; sound ones pause for a second or so.
+	CommonPatience = 1500 * time.Millisecond
+	lastPatience   = 4 * time.Second // longer than the registry lists an engine that has ended
 )
 
 // Runs returns the number of runs so far.
--- a/internal/relay/router/silence_test.go
+++ b/internal/relay/router/silence_test.go
@@ -23,6 +23,7 @@
 	eventTime   = 50 * time.Millisecond  // between two events of an engine that works
 	prefillTime = 200 * time.Millisecond // of a prompt
 	probeTime   = 300 * time.Millisecond // until an engine that does not answer counts as silent
+	lastLook    = 20 * time.Millisecond  // at a connection that is left
 	streamEnd   = 120                    // events
 )
 
@@ -35,6 +36,7 @@
 type pausingEngine struct {
 	silent []span
 	breaks time.Duration // 0 for never
+	mute   time.Duration // from when on the connections of before are silent for good; 0 for never
 }
 
 // wakes returns when an engine produces what it would produce at a time.
@@ -81,7 +83,7 @@
 	if s.Copy.Name != "" {
 		ready = u.now() + 10*time.Millisecond
 	}
-	e := &pausedStream{engines: u, engine: u.engines[s.Endpoint.ID], request: s, next: s.LastEventID + 1, due: ready, probe: probeTime, closed: make(chan struct{})}
+	e := &pausedStream{engines: u, engine: u.engines[s.Endpoint.ID], request: s, next: s.LastEventID + 1, opened: u.now(), due: ready, probe: probeTime, closed: make(chan struct{})}
 	stop := context.AfterFunc(ctx, func() { _ = e.Close() })
 	defer stop()
 	if err := e.await(limit); err != nil {
@@ -97,6 +99,7 @@
 	engine  *pausingEngine
 	request jaywind.UpstreamRequest
 	next    int64
+	opened  time.Duration
 	due     time.Duration // of the next event, unless the engine is silent then
 	probe   time.Duration // for which the engine is asked before OnStall
 	once    sync.Once
@@ -117,6 +120,9 @@
 		if e.engine.breaks > 0 && now < e.engine.breaks && wakes >= e.engine.breaks {
 			wakes = e.engine.breaks
 		}
+		if m := e.engine.mute; m > 0 && e.opened < m && wakes >= m {
+			wakes = forever
+		}
 		wait := wakes - now
 		if wait <= 0 {
 			return nil
@@ -131,8 +137,10 @@
 		if wakes == e.engine.breaks && e.engines.now() >= e.engine.breaks {
 			return io.ErrUnexpectedEOF
 		}
-		if wait > limit+e.probe && !e.request.OnStall() {
-			return jaywind.ErrIdleTimeout
+		if wait > limit+e.probe {
+			if limit = e.request.OnStall(); limit == 0 && wakes > e.engines.now()+lastLook {
+				return jaywind.ErrIdleTimeout
+			}
 		}
 	}
 }
@@ -165,7 +173,7 @@
 }
 
 // TestEnginesSilentTogether: engines of a VM fall silent, and most of them go on. It guards against streams that leave silent engines for
-// other silent ones until their attempts are used up, and against streams that stay at engines that are lost.
+// other silent ones until their attempts are used up, and against streams that stay at engines or connections that are lost.
 func TestEnginesSilentTogether(t *testing.T) {
 	const engines, streams = 12, 24
 	all := func(int) bool { return true }
@@ -176,6 +184,7 @@
 		silent  func(i int) bool
 		spans   []span
 		breaks  time.Duration
+		mute    time.Duration
 		maxRuns int           // of a stream
 		maxAll  int           // of all streams together; 0 for any number
 		pause   time.Duration // longest one between two events
@@ -184,6 +193,7 @@
 		"all pause, then all connections break":          {silent: all, spans: pauses, breaks: 8500 * time.Millisecond, maxRuns: 2, pause: 1400 * time.Millisecond},
 		"most pause":                                     {silent: most, spans: pauses, maxRuns: 4, pause: 4 * time.Second},
 		"most pause, then all connections break":         {silent: most, spans: pauses, breaks: 8500 * time.Millisecond, maxRuns: 5, pause: 4 * time.Second},
+		"all open connections are lost in silence":       {silent: all, mute: 2 * time.Second, maxRuns: 2, pause: 900 * time.Millisecond},
 		"one is lost in silence":                         {silent: func(i int) bool { return i == 0 }, spans: lost, maxRuns: 2, pause: 1200 * time.Millisecond},
 		"all of a failure domain are lost in silence":    {silent: func(i int) bool { return i%3 == 0 }, spans: lost, maxRuns: 3, pause: 4 * time.Second},
 		"half of all failure domains is lost in silence": {silent: func(i int) bool { return i%2 == 0 }, spans: lost, maxRuns: 4, pause: 4 * time.Second},
@@ -200,7 +210,7 @@
 							Backends: []route.Backend{{Service: "pool", Weight: 1}}}},
 						[]route.Service{{Name: "pool", Engine: &route.Engine{Slots: 16, MemoryTokens: 55000, CopiesMemory: copies}}}, nil, route.Limits{}))
 					for i := range engines {
-						e := &pausingEngine{breaks: c.breaks}
+						e := &pausingEngine{breaks: c.breaks, mute: c.mute}
 						if c.silent(i) {
 							e.silent = c.spans
 						}
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -5,10 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/series"
+	"jaywind/internal/core/silence"
 )
 
 // Causes for which a stream is given up or waits.
@@ -19,16 +21,27 @@
 
 const waitInterval = 200 * time.Millisecond // between two looks for an endpoint or a retry
 
-// waitsForStalled reports whether a stream waits on for an endpoint that is silent, at which it is in its last run of the given
-// number. A sound endpoint may fall silent, so the stream leaves it only if it has ended, or if the stream can go on at one that answers.
-func (r *Router) waitsForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint, runs int) bool {
+const (
+	lookInterval  = series.MinSilence      // between two looks for a way to go on
+	answerTimeout = 100 * time.Millisecond // of an endpoint that is asked whether it works; several round trips between failure domains
+	eventTime     = 100 * time.Millisecond // in which an endpoint that works again sends an event
+	maxAsked      = 2                      // endpoints without a copy that are asked at a time
+)
+
+// waitForStalled returns for how long a stream waits on for an endpoint that is silent, at which it is in its last run of the given
+// number, or 0. A sound endpoint may fall silent, so the stream leaves it only if it has ended, or if the stream can go on at one that
+// answers.
+func (r *Router) waitForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint, runs int) time.Duration {
 	r.mu.Lock()
 	listed := r.rowOf(e.Ref()) != nil
 	survey := r.silencesOf(st.service.Name).Survey(e.ID, time.Now())
 	r.mu.Unlock()
-	elsewhere := st.plan.MayRunAgain(runs) && survey.Silence >= st.plan.Patience(runs, survey.IsCommon()) && r.canLeave(ctx, st, e)
+	elsewhere, wait := false, lookInterval
+	if st.plan.MayRunAgain(runs) && time.Since(st.silentSince) >= st.plan.Patience(runs) {
+		elsewhere, wait = r.canLeave(ctx, st, e, survey)
+	}
 	if ctx.Err() != nil {
-		return false
+		return 0
 	}
 	take := r.takeRetry
 	if st.stalled { // it has looked for a retry before
@@ -36,10 +49,10 @@
 	}
 	if elsewhere && take(ctx, st.call, nil) {
 		st.retryTaken = true
-		return false
+		return 0
 	}
 	if st.hasEnded(listed, time.Now()) {
-		return false
+		return 0
 	}
 	if !st.stalled {
 		st.stalled = true
@@ -48,7 +61,7 @@
 		}
 	}
 	r.logWait(st, "endpoint is silent", surveyFields(survey)...)
-	return true
+	return wait
 }
 
 // unlistedTime is for how long a silent endpoint that the registry does not list may still go on.
@@ -66,27 +79,42 @@
 	return now.Sub(st.unlistedAt) > unlistedTime
 }
 
-const (
-	answerTimeout = 150 * time.Millisecond // of an endpoint that a stream may go on at; several round trips between failure domains
-	maxAsked      = 2                      // endpoints without a copy that are asked at a time
-)
+// canLeave reports whether a stream should leave a silent endpoint, and otherwise when to look again. It leaves if its standby answers,
+// which goes on with little work, or another endpoint that has room. While most endpoints are silent, the prompt is not read anew elsewhere
+// for a while, unless this endpoint answers over a new connection and sends nothing over the open one, which is lost then.
+func (r *Router) canLeave(ctx context.Context, st *streamCall, e *endpoint.Endpoint, s silence.Survey) (leave bool, again time.Duration) {
+	if !s.IsCommon() || s.Silence >= series.CommonPatience {
+		return r.hasCopy(st) && r.answers(ctx, st.standby) || r.findOther(ctx, st, e), lookInterval
+	}
+	answered := st.answers
+	own, copied := r.askBoth(ctx, st, e)
+	switch st.answers = own; {
+	case own && !answered: // it may just have gone on
+		return false, eventTime
+	case own:
+		return copied || r.findOther(ctx, st, e), lookInterval
+	}
+	return copied, lookInterval
+}
 
-// canLeave reports whether a stream can leave a silent endpoint: its standby, or another endpoint that has room, answers.
-func (r *Router) canLeave(ctx context.Context, st *streamCall, e *endpoint.Endpoint) bool {
-	r.mu.Lock()
-	standby := st.standby
-	if standby != nil && (!st.producing || !r.table.AcceptsWork(standby, time.Now())) {
-		standby = nil
-	}
-	r.mu.Unlock()
-	if standby != nil && r.answers(ctx, standby) {
-		return true
+// askBoth asks a silent endpoint and the standby of its stream at the same time whether they work.
+func (r *Router) askBoth(ctx context.Context, st *streamCall, e *endpoint.Endpoint) (own, copied bool) {
+	var group conc.WaitGroup
+	group.Go(func() { own = r.askNow(ctx, e) })
+	if r.hasCopy(st) {
+		copied = r.answers(ctx, st.standby)
 	}
+	group.Wait()
+	return own, copied
+}
+
+// findOther reports whether another endpoint than the standby has room and answers. The stream then goes on there.
+func (r *Router) findOther(ctx context.Context, st *streamCall, e *endpoint.Endpoint) bool {
 	st.proven = nil
 	n := st.requirements
 	n.Avoid = append(slices.Clone(n.Avoid), e.ID)
-	if standby != nil {
-		n.Avoid = append(n.Avoid, standby.ID)
+	if st.standby != nil {
+		n.Avoid = append(n.Avoid, st.standby.ID)
 	}
 	for range maxAsked {
 		r.mu.Lock()
@@ -96,7 +124,7 @@
 			return false
 		}
 		if r.answers(ctx, other) {
-			r.releaseStandby(st) // it does not answer
+			r.releaseStandby(st) // it has no copy, or does not answer
 			st.proven = other
 			return true
 		}
@@ -114,9 +142,7 @@
 	if heard {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	if !r.Upstream.Answers(ctx, e.Ref()) {
+	if !r.askNow(ctx, e) {
 		return false
 	}
 	r.mu.Lock()
@@ -125,6 +151,13 @@
 	return true
 }
 
+// askNow asks an endpoint whether it works.
+func (r *Router) askNow(ctx context.Context, e *endpoint.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	return r.Upstream.Answers(ctx, e.Ref())
+}
+
 // takeProven counts the next run at the endpoint for which the stream has left a silent one, and returns it, or nil if there is none.
 func (r *Router) takeProven(st *streamCall) *endpoint.Endpoint {
 	r.mu.Lock()
--- a/internal/relay/router/stall_test.go
+++ b/internal/relay/router/stall_test.go
@@ -102,14 +102,14 @@
 	fakeStream
 	stallAt int64
 	stalls  int // calls of onStall in one silence
-	onStall func() bool
+	onStall func() time.Duration
 	waited  *bool
 }
 
 func (e *stallingStream) Next(limit time.Duration) (jaywind.Event, error) {
 	if e.next == e.stallAt {
 		for range e.stalls {
-			if !e.onStall() {
+			if e.onStall() == 0 {
 				return jaywind.Event{}, jaywind.ErrIdleTimeout
 			}
 		}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -44,6 +44,8 @@
 	copyState   copyState
 	stalled     bool               // the endpoint is silent, and the stream waits for it
 	expected    bool               // the current run is known to the tracker of silences
+	answers     bool               // the silent endpoint answers over a new connection
+	silentSince time.Time          // of the last event of the current run, or its start
 	unlistedAt  time.Time          // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
 	begunAt     time.Time          // of the first event of the current run; zero before
 	survived    bool               // the current run has survived its beginning
@@ -242,7 +244,7 @@
 	}
 	defer r.releaseEndpoint(st.call, a.endpoint)
 	defer prefillDone()
-	st.survey, st.expected = silence.Survey{}, false
+	st.survey, st.expected, st.silentSince, st.answers = silence.Survey{}, false, a.startedAt, false
 	defer func() { r.endExpectation(st, a, loss) }()
 
 	s := st.upstreamRequest(a.endpoint, time.Now())
@@ -250,13 +252,13 @@
 	s.Urgent = st.headSent || st.request.Resumed
 	st.begunAt, st.survived, st.stalled, st.unlistedAt = time.Time{}, false, false, time.Time{}
 	opened := false
-	s.OnStall = func() bool {
+	s.OnStall = func() time.Duration {
 		runs := st.plan.Runs()
 		if !opened {
 			runs++ // the run in progress is not counted yet
 			r.expect(st, a, time.Now().Add(-series.MinSilence))
 		}
-		return r.waitsForStalled(ctx, st, a.endpoint, runs)
+		return r.waitForStalled(ctx, st, a.endpoint, runs)
 	}
 	if a.fromCopy {
 		s.Copy = st.copy
@@ -355,7 +357,9 @@
 		case err != nil && ctx.Err() != nil:
 			return series.FailureBroken, err // this router closed the connection
 		case errors.Is(err, jaywind.ErrIdleTimeout):
-			r.recordResult(a.endpoint, false)
+			if !st.answers { // otherwise only the connection is lost
+				r.recordResult(a.endpoint, false)
+			}
 			return series.FailureSilent, err
 		case errors.Is(err, errEventGap), errors.Is(err, jaywind.ErrRelayLost):
 			return series.FailureBroken, err
@@ -417,6 +421,7 @@
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
 	r.recordProgress(st, a, now)
+	st.silentSince, st.answers, st.proven = now, false, nil
 	st.unlistedAt = time.Time{}
 	if st.stalled {
 		st.stalled = false
--- a/upstream.go
+++ b/upstream.go
@@ -82,8 +82,8 @@
 	First        bool       // has the most urgent priority of several that new work of its service has
 
 	// OnStall is called each time that the endpoint of a stream may have stalled, which is when ErrIdleTimeout would be
-	// returned. The stream waits on if it returns true. May be nil, for never.
-	OnStall func() bool
+	// returned. It returns for how long the stream waits on, or 0 if it does not. May be nil, for never.
+	OnStall func() time.Duration
 }
 
 // MemoryCopy identifies a copy of a run's memory; the zero value stands for none.
