link, tunnel: the end of a connection to an endpoint resets it

Their pages count as such a stream that goes on elsewhere while the replica before still works on it 400 ms later.

Cause, of what can be shown: a router that leaves a paused endpoint closed its connection in the orderly way, so that the end was queued behind the bytes that the endpoint had not taken. Once it woke, it got the whole request, and its next event was still taken; it noticed the end with the one after. The same through another router, also when that one ends.

Change: connections to endpoints, also those for other routers, are reset when they are closed, by whichever side of the process. Bytes that were not taken are dropped, and the first write after the pause fails.

That this is what the users saw is not shown.

A reset that is lost is not sent again, as an orderly end would be; the endpoint then learns of it with its next write.

--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -82,12 +82,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
+	ResetOnClose(conn)
 	c := &Conn{conn: conn, budget: &p.budget, address: at}
 	c.source = &source{conn: stallReader{c}}
 	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	return c, nil
 }
 
+// ResetOnClose lets the end of a TCP connection by this side, also by the end of the process, reset it. An endpoint that was paused then
+// does not get the rest of a request that was left, and a run that was left ends with the next event that it writes.
+func ResetOnClose(conn net.Conn) {
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // fails only on a connection that has ended
+	}
+}
+
 // Via returns the address of the router through which the connection goes; empty for none.
 func (c *Conn) Via() jaywind.Address {
 	if relayed, ok := c.conn.(interface{ Via() jaywind.Address }); ok {
--- a/internal/fleet/tunnel/dialer.go
+++ b/internal/fleet/tunnel/dialer.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"jaywind"
+	"jaywind/internal/backend/link"
 	"jaywind/internal/core/drain"
 	"jaywind/internal/core/reach"
 	"jaywind/internal/fleet/cbor"
@@ -120,6 +121,7 @@
 	start := time.Now()
 	conn, err := dial(ctx, "tcp", string(at))
 	if err == nil {
+		link.ResetOnClose(conn) // here for the connections that are made for other routers
 		d.mu.Lock()
 		d.own.Record(time.Since(start), time.Now())
 		d.mu.Unlock()
