router, series: the attempts of a stream are endpoints, and are spread over its caller's time

Cause: each run counted towards the attempts of the route, and runs followed each other at once. A route's attempts are the endpoints to which a request may be sent; going back to one of them is no further attempt.

Change: the plan counts endpoints. A stream that has begun and has used all of them goes on at one of these, as long as the registry lists any; it may not reach others, neither for a run nor with its copy. After two runs that were lost at their beginning, it waits before the next one, from 100 ms up to 2 s. Streams that have not begun end as before, since their callers can ask anew.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -29,6 +29,7 @@
 	Version        jaywind.Version      // the only version that may run the call; empty for any
 	ExcludeVersion jaywind.Version      // the version that may not run the call; empty for none
 	Avoid          []jaywind.EndpointID // endpoints that have failed this call
+	Only           []jaywind.EndpointID // the only endpoints that may run the call; empty for any
 	Urgent         bool                 // the call is a stream that has begun
 }
 
@@ -145,6 +146,9 @@
 	if n.Version != "" && e.Version != n.Version || n.ExcludeVersion != "" && e.Version == n.ExcludeVersion {
 		return false
 	}
+	if len(n.Only) > 0 && !slices.Contains(n.Only, e.ID) {
+		return false
+	}
 	return n.Model == "" || slices.Contains(e.Models, n.Model)
 }
 
--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -1,6 +1,11 @@
 package series
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"jaywind"
+)
 
 // Action is how a stream goes on after a failed attempt.
 type Action int
@@ -43,18 +48,38 @@
 	MaxAttempts int  // the most endpoints at which it may run
 	Begun       bool // the caller has part of the answer, which would be cut
 
-	runs     int
-	misses   int // attempts since the last run that did not run
-	refusals int // of these, attempts that an endpoint refused
+	used     []jaywind.EndpointID // at which it has run, each once
+	losses   int                  // successive runs that were lost at their beginning
+	misses   int                  // attempts since the last run that did not run
+	refusals int                  // of these, attempts that an endpoint refused
+}
+
+// usedWith returns the number of endpoints at which the stream has run, with the one of the run in progress.
+func (p *ResumePlan) usedWith(at jaywind.EndpointID) int {
+	if at == "" || slices.Contains(p.used, at) {
+		return len(p.used)
+	}
+	return len(p.used) + 1
+}
+
+// MayRunAgain reports whether the stream may run once more after the run in progress at an endpoint, which may be empty. The attempts of a
+// route are endpoints, so a stream that has begun may go back to one that it has used.
+func (p *ResumePlan) MayRunAgain(at jaywind.EndpointID) bool {
+	return p.Retryable && (p.Begun || p.usedWith(at) < p.MaxAttempts)
 }
 
-// MayRunAgain reports whether the stream may run at one more endpoint after a number of runs.
-func (p *ResumePlan) MayRunAgain(runs int) bool { return p.Retryable && runs < p.MaxAttempts }
+// Confined returns the only endpoints at which the stream may run, or nil while it may run at others as well.
+func (p *ResumePlan) Confined() []jaywind.EndpointID {
+	if len(p.used) < p.MaxAttempts {
+		return nil
+	}
+	return p.used
+}
 
-// Patience returns for how long the engine of a stream in its last run of the given number has to be silent before the stream enters
-// another run. The last allowed one is left for other failures than a pause.
-func (p *ResumePlan) Patience(runs int) time.Duration {
-	if runs+1 >= p.MaxAttempts {
+// Patience returns for how long the engine of a run in progress has to be silent before the stream goes on elsewhere. The last endpoint
+// that it may use is left for other failures than a pause.
+func (p *ResumePlan) Patience(at jaywind.EndpointID) time.Duration {
+	if p.usedWith(at)+1 >= p.MaxAttempts {
 		return lastPatience
 	}
 	return 0
@@ -66,13 +91,10 @@
 	lastPatience   = 4 * time.Second // longer than the registry lists an engine that has ended
 )
 
-// Runs returns the number of runs so far.
-func (p *ResumePlan) Runs() int { return p.runs }
-
 // Backoff returns how long a stream that has begun waits before its next attempt. Refusals count sooner, as each takes a retry
-// from the budget.
+// from the budget. After runs that were lost one after the other, waiting spreads those to come over the caller's time.
 func (p *ResumePlan) Backoff() time.Duration {
-	n := max(p.misses-maxMisses, p.refusals-maxRefusals)
+	n := max(p.misses-maxMisses, p.refusals-maxRefusals, p.losses-maxLosses)
 	if n <= 0 {
 		return 0
 	}
@@ -81,6 +103,7 @@
 
 const (
 	maxRefusals = 1                      // successive ones without a pause
+	maxLosses   = 2                      // the same
 	minBackoff  = 100 * time.Millisecond // doubles with each further attempt that did not run
 	maxBackoff  = 2 * time.Second
 )
@@ -104,11 +127,16 @@
 const maxMisses = 4
 
 // RunStarted counts a run at an endpoint.
-func (p *ResumePlan) RunStarted() {
-	p.runs++
+func (p *ResumePlan) RunStarted(at jaywind.EndpointID) {
+	if !slices.Contains(p.used, at) {
+		p.used = append(p.used, at)
+	}
 	p.misses, p.refusals = 0, 0
 }
 
+// RunSurvived records that the last run has survived its beginning.
+func (p *ResumePlan) RunSurvived() { p.losses = 0 }
+
 // AfterFailure returns how the stream goes on after a failed attempt; copied tells whether another
 // endpoint holds a copy.
 func (p *ResumePlan) AfterFailure(f Failure, copied bool) Action {
@@ -132,7 +160,8 @@
 		}
 		return ActionRestart
 	}
-	if !p.MayRunAgain(p.runs) {
+	p.losses++
+	if !p.MayRunAgain("") {
 		return ActionGiveUp
 	}
 	if copied {
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -126,6 +126,7 @@
 func (r *Router) recordSurvival(st *streamCall) {
 	if !st.survived {
 		st.survived = true
+		st.plan.RunSurvived()
 		r.addSurvivor(st.call)
 	}
 }
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"jaywind"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/series"
 	"jaywind/internal/core/silence"
@@ -28,16 +29,15 @@
 	maxAsked      = 2                      // endpoints without a copy that are asked at a time
 )
 
-// waitForStalled returns for how long a stream waits on for an endpoint that is silent, at which it is in its last run of the given
-// number, or 0. A sound endpoint may fall silent, so the stream leaves it only if it has ended, or if the stream can go on at one that
-// answers.
-func (r *Router) waitForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint, runs int) time.Duration {
+// waitForStalled returns for how long a stream waits on for an endpoint that is silent, or 0. A sound endpoint may fall silent, so the
+// stream leaves it only if it has ended, or if the stream can go on at one that answers.
+func (r *Router) waitForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint) time.Duration {
 	r.mu.Lock()
 	listed := r.rowOf(e.Ref()) != nil
 	survey := r.silencesOf(st.service.Name).Survey(e.ID, time.Now())
 	r.mu.Unlock()
 	elsewhere, wait := false, lookInterval
-	if st.plan.MayRunAgain(runs) && time.Since(st.silentSince) >= st.plan.Patience(runs) {
+	if st.plan.MayRunAgain(e.ID) && time.Since(st.silentSince) >= st.plan.Patience(e.ID) {
 		elsewhere, wait = r.canLeave(ctx, st, e, survey)
 	}
 	if ctx.Err() != nil {
@@ -175,6 +175,16 @@
 	return e
 }
 
+// isStranded reports whether the registry lists none of the endpoints at which a stream may still run.
+func (r *Router) isStranded(st *streamCall) bool {
+	if len(st.requirements.Only) == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !slices.ContainsFunc(st.requirements.Only, func(id jaywind.EndpointID) bool { return r.table.Get(id) != nil })
+}
+
 // awaitEndpoint returns the endpoint of the next attempt, as nextEndpoint does. A stream that has begun waits for one. It returns nil
 // if there is none or if ctx ends, and a refusal if the schedule has no room for the stream.
 func (r *Router) awaitEndpoint(ctx context.Context, st *streamCall, step series.Action) (at *endpoint.Endpoint, fromCopy bool, refusal *Refusal) {
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,6 +121,9 @@
 		if r.isQuarantined(st) {
 			return
 		}
+		if st.requirements.Only = st.plan.Confined(); step != series.ActionGiveUp && r.isStranded(st) {
+			step = series.ActionGiveUp
+		}
 		if step == series.ActionGiveUp {
 			r.failStream(st, st.plan.GiveUpCause(loss))
 			return
@@ -173,7 +177,7 @@
 	r.mu.Lock()
 	scheduled := r.isScheduled(st.service)
 	r.mu.Unlock()
-	if scheduled {
+	if scheduled && len(st.requirements.Only) == 0 {
 		at, refusal = r.reserve(ctx, st)
 		return at, false, refusal
 	}
@@ -202,6 +206,9 @@
 	if st.standby != nil && st.requirements.ExcludeVersion != "" && st.standby.Version == st.requirements.ExcludeVersion {
 		return false
 	}
+	if only := st.plan.Confined(); st.standby != nil && only != nil && !slices.Contains(only, st.standby.ID) {
+		return false
+	}
 	return st.standby != nil && st.producing && r.rowOf(st.standby.Ref()) == st.standby && r.table.AcceptsCalls(st.standby, time.Now())
 }
 
@@ -253,12 +260,10 @@
 	st.begunAt, st.survived, st.stalled, st.unlistedAt = time.Time{}, false, false, time.Time{}
 	opened := false
 	s.OnStall = func() time.Duration {
-		runs := st.plan.Runs()
 		if !opened {
-			runs++ // the run in progress is not counted yet
 			r.expect(st, a, time.Now().Add(-series.MinSilence))
 		}
-		return r.waitForStalled(ctx, st, a.endpoint, runs)
+		return r.waitForStalled(ctx, st, a.endpoint)
 	}
 	if a.fromCopy {
 		s.Copy = st.copy
@@ -299,7 +304,7 @@
 	defer stop()
 	st.mayHaveRun = true
 	st.attempts++
-	st.plan.RunStarted()
+	st.plan.RunStarted(a.endpoint.ID)
 	opened = true
 	a.events = events
 	copying, cancel := context.WithCancel(ctx)
@@ -327,7 +332,7 @@
 	}
 	st.mayHaveRun = true
 	st.attempts++
-	st.plan.RunStarted()
+	st.plan.RunStarted(a.endpoint.ID)
 	if errors.Is(err, jaywind.ErrIdleTimeout) {
 		return series.FailureSilent, err
 	}
@@ -336,7 +341,7 @@
 
 // handleReply handles a response that is no stream: it is forwarded unless the stream can continue elsewhere.
 func (r *Router) handleReply(st *streamCall, a attempt, reply jaywind.Reply) (series.Failure, error) {
-	st.plan.RunStarted()
+	st.plan.RunStarted(a.endpoint.ID)
 	r.recordOutcome(st.call, a.endpoint, reply.Status >= http.StatusInternalServerError, false)
 	if st.headSent || reply.Status >= http.StatusInternalServerError && st.attempts < st.route.MaxAttempts && st.route.Repeatable() {
 		return series.FailureBroken, errors.New(http.StatusText(reply.Status))
