router, platform: calls in progress get an answer before a stopping router exits

Cause: a stopping router took a plain request if 1.5 s were left, also if the request might take longer, looked at the time before it read the body, and closed the connections of whatever was in progress at the end.

Change: shortly before the router exits, calls in progress end with an answer: 504 if they may have run, 503 if not; streams that have begun are cut, with a line that says why. A request that may run once only is taken if all of the time that it may take is left, and otherwise refused as not run.

New rows in TestPlan and TestCannotFinish; the latter now also names the caller's limit of time.

--- a/internal/core/drain/plan.go
+++ b/internal/core/drain/plan.go
@@ -9,6 +9,7 @@
 	ttlFactor     = 3                       // some callers cache an answer up to this many times its TTL
 	acceptAllTime = 3 * time.Second         // in which work is accepted regardless of its run time
 	finishGrace   = 150 * time.Millisecond  // after new work is no longer accepted, for work in progress
+	answerGrace   = 70 * time.Millisecond   // of it, for the answers to the calls that are ended
 	idleTime      = 250 * time.Millisecond  // without work, after which no more is expected
 )
 
@@ -34,6 +35,11 @@
 	return max(time.Millisecond, p.lastAccept()-elapsed)
 }
 
+// EndsCalls reports whether the calls in progress are ended, so that their callers get an answer before the router exits.
+func (p Plan) EndsCalls(elapsed time.Duration) bool {
+	return elapsed >= p.lastAccept()+finishGrace-answerGrace
+}
+
 // Done reports whether the router exits, given the time since the order to stop, the time without
 // work at its end, and the number of calls in progress.
 func (p Plan) Done(elapsed, idle time.Duration, active int64) bool {
--- a/internal/core/drain/plan_test.go
+++ b/internal/core/drain/plan_test.go
@@ -15,21 +15,23 @@
 		elapsed, idle time.Duration
 		active        int64
 		limit         time.Duration
-		done          bool
+		ends, done    bool
 	}{
-		"just begun":                  {0, time.Second, 0, 0, false},
-		"idle, but callers may come":  {3400 * time.Millisecond, 3 * time.Second, 0, 4200 * time.Millisecond, false},
-		"settled and idle":            {3600 * time.Millisecond, time.Second, 0, 4 * time.Second, true},
-		"settled, work has just come": {5 * time.Second, 100 * time.Millisecond, 0, 2600 * time.Millisecond, false},
-		"long work":                   {7500 * time.Millisecond, 0, 3, 100 * time.Millisecond, false},
-		"work at the end":             {7650 * time.Millisecond, 0, 3, time.Millisecond, false},
-		"last work has ended":         {7650 * time.Millisecond, 0, 0, time.Millisecond, true},
-		"just before the kill":        {7800 * time.Millisecond, 0, 3, time.Millisecond, true},
+		"just begun":                  {0, time.Second, 0, 0, false, false},
+		"idle, but callers may come":  {3400 * time.Millisecond, 3 * time.Second, 0, 4200 * time.Millisecond, false, false},
+		"settled and idle":            {3600 * time.Millisecond, time.Second, 0, 4 * time.Second, false, true},
+		"settled, work has just come": {5 * time.Second, 100 * time.Millisecond, 0, 2600 * time.Millisecond, false, false},
+		"long work":                   {7500 * time.Millisecond, 0, 3, 100 * time.Millisecond, false, false},
+		"work at the end":             {7650 * time.Millisecond, 0, 3, time.Millisecond, false, false},
+		"last work has ended":         {7650 * time.Millisecond, 0, 0, time.Millisecond, false, true},
+		"work is ended":               {7690 * time.Millisecond, 0, 3, time.Millisecond, true, false},
+		"just before the kill":        {7800 * time.Millisecond, 0, 3, time.Millisecond, true, true},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			is.Equal(plan.MaxWork(c.elapsed), c.limit)
+			is.Equal(plan.EndsCalls(c.elapsed), c.ends)
 			is.Equal(plan.Done(c.elapsed, c.idle, c.active), c.done)
 		})
 	}
--- a/internal/relay/router/finish_test.go
+++ b/internal/relay/router/finish_test.go
@@ -24,6 +24,9 @@
 		"plain, long limit":       {route.Route{Timeout: time.Minute}, 2 * time.Second, false},
 		"plain, without a limit":  {route.Route{}, time.Millisecond, true},
 		"unsafe, without a limit": {route.Route{Kind: route.KindUnsafe}, 200 * time.Millisecond, true},
+		"unsafe, time left":       {route.Route{Kind: route.KindUnsafe, Timeout: time.Second}, 1100 * time.Millisecond, false},
+		"unsafe, long limit":      {route.Route{Kind: route.KindUnsafe, Timeout: time.Minute}, 2 * time.Second, true},
+		"unsafe, caller's limit":  {route.Route{Kind: route.KindUnsafe, Timeout: time.Minute}, 4 * time.Second, false},
 		"stream, without a limit": {route.Route{Kind: route.KindStream}, 2 * time.Second, true},
 	}
 	for name, c := range tests {
@@ -31,7 +34,7 @@
 			c.route.Host, c.route.Prefix = "a", "/"
 			r := &router.Router{}
 			r.SetConfig(route.NewSet(1, []route.Route{c.route}, nil, nil, route.Limits{}))
-			is.New(t).Equal(r.CannotFinish("a", "/x", c.remaining), c.want)
+			is.New(t).Equal(r.CannotFinish(&router.Request{Host: "a", Path: "/x", Timeout: 3 * time.Second}, c.remaining), c.want)
 		})
 	}
 }
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -30,6 +30,8 @@
 		// Not cancelled when the caller disconnects, as that would only leave the outcome of the call unknown.
 		ctx = context.WithoutCancel(ctx)
 	}
+	ctx, release := r.untilStop(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	notRunCount := 0
@@ -56,7 +58,7 @@
 		case err == nil:
 			failed = &reply
 		case ctx.Err() != nil:
-			r.endCancelled(c, ctx.Err())
+			r.endCancelled(c, endCause(ctx))
 			return
 		case errors.Is(err, jaywind.ErrLimited):
 			c.limitRefusals++
@@ -186,7 +188,7 @@
 	c.response.Refuse(refusal)
 }
 
-// endCancelled ends a call whose deadline has passed or whose caller has disconnected.
+// endCancelled ends a call whose deadline has passed, whose caller has disconnected or whose router exits.
 func (r *Router) endCancelled(c *call, cause error) {
 	switch {
 	case errors.Is(cause, errCallerGone) && errors.Is(cause, os.ErrDeadlineExceeded):
@@ -196,6 +198,8 @@
 		r.stats.callerGone.Inc(1)
 		r.recordCut(c, zap.InfoLevel, "request: caller disconnected", "caller disconnected")
 		c.response.AbortStream() // a caller that has only closed its sending side still reads
+	case c.mayHaveRun && errors.Is(cause, errStopping):
+		r.writeRefusal(c, ReasonStopping, 0)
 	case c.mayHaveRun:
 		r.writeRefusal(c, ReasonTimeout, 0)
 	default:
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -50,6 +50,7 @@
 	ReasonDeadly      Reason = "the request crashes endpoints"           // not run
 	ReasonRejecting   Reason = "the service rejects calls"               // not run
 	ReasonTimeout     Reason = "no answer within the time"               // may have run
+	ReasonStopping    Reason = "the router stops"                        // may have run
 	ReasonNotSent     Reason = "not sent within the time"                // not run
 	ReasonAnswerLost  Reason = "the endpoint's answer was lost"          // may have run
 )
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -53,14 +53,15 @@
 	OnLifted func(g suspect.Group)
 	// BorrowRetry takes a retry for a service from another router's part of the budget. May be nil.
 	BorrowRetry         func(ctx context.Context, s jaywind.ServiceName) bool
-	Limiter             Limiter      // counts the calls to endpoints that name a limit; nil for not at all
-	Permits             Permits      // bounds the calls under way at brittle endpoints; nil for not at all
-	Scheduler           Scheduler    // assigns the runs of all routers to engines; nil for not at all
-	Scheduling          Scheduling   // says for which services
-	Calls               *drain.Calls // runs the calls to endpoints that no request waits for; set by the first call if nil
-	BalanceUneven       float64      // ratio of the learned times of a plain service's endpoints from which on calls are balanced by them; 0 for never
-	RegistryUnavailable func() bool  // reports whether the registry can't be read now; nil for never
-	HedgeShare          float64      // of the repeatable requests of a service that may be hedged; 0 for none
+	Limiter             Limiter         // counts the calls to endpoints that name a limit; nil for not at all
+	Permits             Permits         // bounds the calls under way at brittle endpoints; nil for not at all
+	Scheduler           Scheduler       // assigns the runs of all routers to engines; nil for not at all
+	Scheduling          Scheduling      // says for which services
+	Stopping            context.Context // ends shortly before this router exits, and with it the calls in progress; never if nil
+	Calls               *drain.Calls    // runs the calls to endpoints that no request waits for; set by the first call if nil
+	BalanceUneven       float64         // ratio of the learned times of a plain service's endpoints from which on calls are balanced by them; 0 for never
+	RegistryUnavailable func() bool     // reports whether the registry can't be read now; nil for never
+	HedgeShare          float64         // of the repeatable requests of a service that may be hedged; 0 for none
 
 	start sync.Once
 	stats callStats
@@ -228,6 +229,28 @@
 	})
 }
 
+// errStopping ends the calls in progress when the router exits.
+var errStopping = errors.New("the router stops")
+
+// untilStop returns a context that also ends with errStopping when the router exits, and a function that releases it.
+func (r *Router) untilStop(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := func() { cancel(nil) }
+	if r.Stopping == nil {
+		return ctx, release
+	}
+	stop := context.AfterFunc(r.Stopping, func() { cancel(errStopping) })
+	return ctx, func() { stop(); release() }
+}
+
+// endCause returns why the context of a call has ended, or nil if it has not.
+func endCause(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return errStopping
+	}
+	return ctx.Err()
+}
+
 // Serve forwards a request and writes its final response. When ctx is cancelled the caller has disconnected, and Serve ends
 // early.
 func (r *Router) Serve(ctx context.Context, request *Request, response ResponseWriter) {
@@ -267,14 +290,7 @@
 	if c.service == nil {
 		return nil, Refusal{Reason: ReasonBusy, RetryAfter: jitter(time.Second)}
 	}
-	timeout := defaultTimeout
-	if request.Timeout > 0 {
-		timeout = max(0, request.Timeout-replyMargin)
-	}
-	if rt.Timeout > 0 {
-		timeout = min(timeout, rt.Timeout)
-	}
-	c.deadline = request.Arrived.Add(timeout)
+	c.deadline = request.Arrived.Add(r.timeoutOf(request, rt))
 	c.requirements = endpoint.Requirements{Model: request.Model, MemoryTokens: request.PromptTokens + request.MaxTokens, PromptTokens: request.PromptTokens}
 	if c.service.Engine == nil {
 		c.requirements = endpoint.Requirements{}
@@ -287,8 +303,9 @@
 // usualStreamTime is how long a stream usually takes under load.
 const usualStreamTime = 7 * time.Second
 
-// CannotFinish tells whether a request for a route is not expected to end within the remaining time; 0 means no limit.
-func (r *Router) CannotFinish(host, path string, remaining time.Duration) bool {
+// CannotFinish tells whether a request, of which only host, path and timeout need be known, is not expected to end within the remaining
+// time; 0 means no limit. One that may run once only needs all of the time that it may take, as its outcome would be unknown.
+func (r *Router) CannotFinish(q *Request, remaining time.Duration) bool {
 	if remaining <= 0 {
 		return false
 	}
@@ -296,21 +313,33 @@
 	if set == nil {
 		return true
 	}
-	rt := set.Match(host, path)
+	rt := set.Match(q.Host, q.Path)
 	switch {
 	case rt == nil:
 		return false
 	case rt.Kind == route.KindStream:
 		return remaining < usualStreamTime
 	}
-	limit := plainFinishTime
-	if rt.Timeout > 0 {
-		limit = min(limit, rt.Timeout)
+	limit := r.timeoutOf(q, rt)
+	if rt.Kind == route.KindSafe {
+		limit = min(limit, plainFinishTime)
 	}
 	return remaining < limit
 }
 
-// plainFinishTime is the time that a router which is shutting down allows for a plain request.
+// timeoutOf returns the time in which a request gets its final response.
+func (r *Router) timeoutOf(q *Request, rt *route.Route) time.Duration {
+	timeout := defaultTimeout
+	if q.Timeout > 0 {
+		timeout = max(0, q.Timeout-replyMargin)
+	}
+	if rt.Timeout > 0 {
+		timeout = min(timeout, rt.Timeout)
+	}
+	return timeout
+}
+
+// plainFinishTime is the time that a router which is shutting down allows for a plain request that may be repeated.
 const plainFinishTime = 1500 * time.Millisecond
 
 // pickService draws one of a route's services at random by weight.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -71,6 +71,8 @@
 
 // serveStream forwards a stream to its end, with attempts at several endpoints if necessary.
 func (r *Router) serveStream(ctx context.Context, c *call) {
+	ctx, release := r.untilStop(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	st := &streamCall{call: c, plan: series.ResumePlan{Retryable: c.route.Repeatable(), MaxAttempts: c.route.MaxAttempts}}
@@ -92,7 +94,7 @@
 			return
 		}
 		if at == nil && ctx.Err() != nil {
-			r.cancelStream(st, ctx.Err())
+			r.cancelStream(st, endCause(ctx))
 			return
 		}
 		if at == nil {
@@ -109,7 +111,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			r.cancelStream(st, ctx.Err())
+			r.cancelStream(st, endCause(ctx))
 			return
 		}
 		r.recordLoss(ctx, st, a, loss, err)
@@ -130,7 +132,7 @@
 		}
 		if !r.awaitRetry(ctx, st, err) {
 			if ctx.Err() != nil {
-				r.cancelStream(st, ctx.Err())
+				r.cancelStream(st, endCause(ctx))
 				return
 			}
 			r.failStream(st, causeNoRetry)
@@ -490,12 +492,16 @@
 	}
 }
 
-// cancelStream ends a stream whose deadline has passed or whose caller has disconnected.
+// cancelStream ends a stream whose deadline has passed, whose caller has disconnected or whose router exits.
 func (r *Router) cancelStream(st *streamCall, cause error) {
 	r.releaseStandby(st)
-	if st.headSent && errors.Is(cause, context.DeadlineExceeded) {
+	switch {
+	case st.headSent && errors.Is(cause, context.DeadlineExceeded):
 		r.failStream(st, "deadline")
 		return
+	case st.headSent && errors.Is(cause, errStopping):
+		r.failStream(st, cause.Error())
+		return
 	}
 	r.endCancelled(st.call, cause)
 }
