soak: all engines pause together, in series, and runs that are left must end

The users' processes broke LOST and TWICE while engines paused together, a fault that no plan had: the soak stopped some engines once. A new kind of fault stops all engines and lets them go on, three times in a row, together or overlapping, also beside new configurations. A new check, 'single', wants that a run ends soon after its stream has gone on elsewhere. It is drawn apart from the other kinds, so a seed keeps its other faults; TestNewPlan and TestSeedOfCI count it.

--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -199,6 +199,7 @@
 		}
 	}
 	r.checkRetryBudget()
+	r.checkSingleRuns()
 	r.checkDepartures()
 	r.checkPauses()
 	r.checkLimits()
@@ -225,6 +226,58 @@
 	return ran && a.endedAt.Sub(a.sentAt) < streamTimeout-transitTime
 }
 
+// replicaRun is a run as its replica has recorded it.
+type replicaRun struct {
+	replica     string
+	from, until time.Time
+}
+
+// runsOf returns the runs of a request that have ended, in the order of their starts; the caller holds mu.
+func (r *checker) runsOf(id string) (runs []replicaRun) {
+	open := map[string]int{}
+	for _, s := range r.events[id] {
+		at := time.UnixMilli(s.UnixMilli)
+		switch i, found := open[s.Replica]; {
+		case s.Kind == "run":
+			open[s.Replica] = len(runs)
+			runs = append(runs, replicaRun{replica: s.Replica, from: at})
+		case found && s.Kind != "refuse":
+			runs[i].until = at
+			delete(open, s.Replica)
+		}
+	}
+	runs = slices.DeleteFunc(runs, func(u replicaRun) bool { return u.until.IsZero() })
+	slices.SortStableFunc(runs, func(a, b replicaRun) int { return a.from.Compare(b.from) })
+	return runs
+}
+
+const overlapLimit = 400 * time.Millisecond // for which a run may go on after the next one of the same stream has begun
+
+// checkSingleRuns checks that a run of a stream ends soon after the stream has gone on at another replica, or once the replica has gone on
+// after a pause. Runs of replicas that were disturbed otherwise are not checked; the caller holds mu.
+func (r *checker) checkSingleRuns() {
+	for id, a := range r.attempts {
+		if !a.isStream() || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) {
+			continue
+		}
+		runs := r.runsOf(id)
+		for i := 1; i < len(runs); i++ {
+			left, next := runs[i-1], runs[i]
+			e := r.replicaOf(left.replica)
+			if left.replica == next.replica || e == nil || e.unsound(left.from, left.until, schedulingSlack) || r.fleet.linksWereCut(a.router, left.from, left.until) {
+				continue
+			}
+			since := e.quietUntil(left.from, left.until)
+			if since.Before(next.from) {
+				since = next.from
+			}
+			if late := left.until.Sub(since); late > overlapLimit+schedulingSlack {
+				r.violations = append(r.violations, Violation{"single", id, fmt.Sprintf("%s still ran it %v after it went on at %s", left.replica, late.Round(time.Millisecond), next.replica)})
+			}
+		}
+	}
+}
+
 // checkDepartures checks that a router that has passed on a response in which an endpoint says that it is leaving sends it no
 // request of a later time; the caller holds mu.
 func (r *checker) checkDepartures() {
--- a/internal/measure/soak/inject.go
+++ b/internal/measure/soak/inject.go
@@ -142,6 +142,8 @@
 		n.burst(ctx, s)
 	case StallEngines:
 		n.stallEngines(ctx, s)
+	case PauseEngines:
+		n.pauseEngines(ctx, s)
 	case RollOut:
 		n.rollOut(ctx, s.Variant == "bad")
 	case Configure:
@@ -246,6 +248,31 @@
 	}
 }
 
+const pauseSeries = 3 // pauses of all engines
+
+// pauseEngines stops all engines and lets them go on, several times.
+func (n *injector) pauseEngines(ctx context.Context, s Fault) {
+	for range pauseSeries {
+		if ctx.Err() != nil {
+			return
+		}
+		if strings.Contains(s.Variant, "configuration") {
+			n.config.addRoute(n.fleet)
+		}
+		var group conc.WaitGroup
+		for i, e := range n.fleet.engines() {
+			group.Go(func() {
+				if strings.Contains(s.Variant, "overlapping") {
+					waitFault(ctx, Fault{Duration: time.Duration(i%3) * minSilence / 3})
+				}
+				n.stallEngine(ctx, Fault{Variant: "stop", Duration: s.Duration}, e)
+			})
+		}
+		group.Wait()
+		waitFault(ctx, Fault{Duration: minSilence})
+	}
+}
+
 // stallEngine stops an engine and lets it go on, or lets its streams be silent after an event.
 func (n *injector) stallEngine(ctx context.Context, s Fault, e *replica) {
 	if !e.claim() {
--- a/internal/measure/soak/plan.go
+++ b/internal/measure/soak/plan.go
@@ -62,6 +62,8 @@
 	CutLinks FaultKind = "cut routers from all replicas"
 
 	BurstBulk FaultKind = "burst of bulk streams, engines of a domain crash"
+
+	PauseEngines FaultKind = "all engines pause" // several times
 )
 
 // weights are the relative frequencies of the kinds.
@@ -80,13 +82,14 @@
 	troubleWeights = map[FaultKind]int{StallEngines: 3, CrashEngines: 2}
 )
 
-// floodWeights, demandWeights, deadlyWeights, linkWeights and burstWeights are the same, each drawn separately from laterWeights.
+// floodWeights and those after it are the same, each drawn separately from laterWeights.
 var (
 	floodWeights  = map[FaultKind]int{FloodReplica: 1}
 	demandWeights = map[FaultKind]int{LimitReplicas: 1}
 	deadlyWeights = map[FaultKind]int{RepeatDeadly: 1}
 	linkWeights   = map[FaultKind]int{CutLinks: 1}
 	burstWeights  = map[FaultKind]int{BurstBulk: 1}
+	pauseWeights  = map[FaultKind]int{PauseEngines: 1}
 )
 
 // variants lists the variants of a kind, if any. Those of a cut name the blocked direction:
@@ -102,6 +105,7 @@
 	LimitReplicas: {"one", "all of a service"},
 	RepeatDeadly:  {"idempotent", "once"},
 	CutLinks:      {"one silent", "one reset", "one new", "one hang", "one replies", "most silent", "most reset", "most replies"},
+	PauseEngines:  {"together", "overlapping", "together, new configurations", "overlapping, new configurations"},
 	StallEngines:  {"stop one", "stop many", "stop many, new configuration", "hold one", "hold many", "hold many, new configuration"},
 }
 
@@ -133,6 +137,7 @@
 	meanDeadly   = 12 * time.Second        // the same for deadlyWeights
 	meanLinks    = 4 * time.Second         // the same for linkWeights
 	meanBurst    = 8 * time.Second         // the same for burstWeights
+	meanPause    = 8 * time.Second         // the same for pauseWeights
 	maxFaultTime = 3 * time.Second         // duration of a fault
 	minFaultTime = 200 * time.Millisecond
 )
@@ -150,6 +155,7 @@
 		p.draw(rand.New(rand.NewPCG(seed, 6)), warmUp, linkWeights, meanLinks) //nolint:gosec // as above
 	}
 	p.draw(rand.New(rand.NewPCG(seed, 7)), burstStart, burstWeights, meanBurst) //nolint:gosec // as above
+	p.draw(rand.New(rand.NewPCG(seed, 8)), warmUp, pauseWeights, meanPause)     //nolint:gosec // as above
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.Start, b.Start) })
 	return p
 }
--- a/internal/measure/soak/process.go
+++ b/internal/measure/soak/process.go
@@ -191,6 +191,19 @@
 	return slices.ContainsFunc(p.disturbances, func(s span) bool { return !s.silent && s.overlaps(from, until, margin) })
 }
 
+// quietUntil returns the end of the last disturbance between from and until, or from if there is none.
+func (p *process) quietUntil(from, until time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := from
+	for _, s := range p.disturbances {
+		if s.overlaps(from, until, 0) && s.until.After(last) {
+			last = s.until
+		}
+	}
+	return last
+}
+
 func overlaps(spans []span, from, until time.Time, margin time.Duration) bool {
 	return slices.ContainsFunc(spans, func(s span) bool { return s.overlaps(from, until, margin) })
 }
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -24,14 +24,14 @@
 			is.Equal(s.Variant != "", len(variants[s.Kind]) > 0)
 		}
 	}
-	is.Equal(len(drawn), len(weights)+len(laterWeights)+len(troubleWeights)+len(floodWeights)+len(demandWeights)+len(deadlyWeights)+len(linkWeights)+len(burstWeights))
+	is.Equal(len(drawn), len(weights)+len(laterWeights)+len(troubleWeights)+len(floodWeights)+len(demandWeights)+len(deadlyWeights)+len(linkWeights)+len(burstWeights)+len(pauseWeights))
 }
 
 // TestSeedOfCI checks that the seed which is played in CI has all kinds of trouble.
 func TestSeedOfCI(t *testing.T) {
 	is := is.New(t)
 	p := NewPlan(1, Small, 10*time.Second)
-	for _, kinds := range []map[FaultKind]int{troubleWeights, demandWeights, deadlyWeights, linkWeights, burstWeights} {
+	for _, kinds := range []map[FaultKind]int{troubleWeights, demandWeights, deadlyWeights, linkWeights, burstWeights, pauseWeights} {
 		for kind := range kinds {
 			is.True(slices.ContainsFunc(p.Faults, func(s Fault) bool { return s.Kind == kind }))
 		}
@@ -152,6 +152,17 @@
 		"late": {func(_ *checker, a *attempt) {
 			a.endedAt = a.sentAt.Add(plainTimeout + maxLateness + schedulingSlack + 1)
 		}, "late"},
+		"stream runs on after it went on elsewhere": {func(c *checker, a *attempt) { overlappingRuns(c, a, 2*time.Second, span{}) }, "single"},
+		"stream ends when it goes on elsewhere":     {func(c *checker, a *attempt) { overlappingRuns(c, a, 300*time.Millisecond, span{}) }, ""},
+		"stream ends when its engine wakes": {func(c *checker, a *attempt) {
+			overlappingRuns(c, a, 2*time.Second, span{from: a.sentAt, until: a.sentAt.Add(2900 * time.Millisecond), silent: true})
+		}, ""},
+		"stream runs on after its engine woke": {func(c *checker, a *attempt) {
+			overlappingRuns(c, a, 4*time.Second, span{from: a.sentAt, until: a.sentAt.Add(2 * time.Second), silent: true})
+		}, "single"},
+		"stream runs on at an engine behind a lost connection": {func(c *checker, a *attempt) {
+			overlappingRuns(c, a, 2*time.Second, span{from: a.sentAt, until: a.sentAt.Add(time.Second)})
+		}, ""},
 		"ran twice":       {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); c.addEvent(run(a, 1)) }, "once"},
 		"refused and ran": {func(c *checker, a *attempt) { c.addEvent(run(a, 0)); a.status, a.fromEndpoint = 503, false }, "refused"},
 		"stream was refused and ran": {func(c *checker, a *attempt) {
@@ -371,3 +382,24 @@
 		is.Equal(len(r.violations), violations)
 	}
 }
+
+// overlappingRuns adds two runs of a stream, of which the first one goes on for a time after the second one has begun, at an engine that was
+// disturbed for a span.
+func overlappingRuns(c *checker, a *attempt, overlap time.Duration, disturbed span) {
+	a.prefix, a.target, a.received, a.endedAt = "/stream/", "/stream/x", streamEvents, a.sentAt.Add(6*time.Second)
+	for _, name := range []string{"replica0", "replica1"} {
+		e := &replica{}
+		e.name = name
+		c.fleet.replicas = append(c.fleet.replicas, e)
+	}
+	if !disturbed.from.IsZero() {
+		c.fleet.replicas[0].disturbances = []span{disturbed}
+	}
+	event := func(replica, kind string, after time.Duration) {
+		c.addEvent(standin.RunEvent{UnixMilli: a.sentAt.Add(after).UnixMilli(), Kind: kind, AttemptID: a.id, Replica: replica, Target: a.target})
+	}
+	event("i-replica0-1", "run", 0)
+	event("i-replica1-1", "run", time.Second)
+	event("i-replica0-1", "left", time.Second+overlap)
+	event("i-replica1-1", "end", 5*time.Second)
+}
