link: a test of what has come while the process did not run

Hypothesis 2 of the incident on silent engines: on a machine that runs all processes at once, a router that gets no processor finds its read limits passed, although the events lie in its sockets.

--- a/internal/backend/link/link_test.go
+++ b/internal/backend/link/link_test.go
@@ -247,3 +247,39 @@
 		})
 	}
 }
+
+// TestLateProcess fails if a peer counts as silent that has sent in time, because this process did not run until the limit had passed.
+func TestLateProcess(t *testing.T) {
+	const head, event = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "f\r\nid: 1\ndata: a\n\n\r\n"
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, head)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, event)
+		_, _ = io.Copy(io.Discard, conn) // until the other side closes
+	})
+	conn, err := (&link.Pool{}).Dial(context.Background(), jaywind.Address(l.Addr().String()))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	answer, err := conn.ReadResponse("GET", time.Now().Add(5*time.Second))
+	is.NoErr(err)
+	stalls := 0
+	conn.OnStall = func() time.Duration { stalls++; return time.Second }
+	is.NoErr(conn.SetReadTimeout(100 * time.Millisecond))
+	time.Sleep(200 * time.Millisecond) // the process does not run
+	b := make([]byte, 15)
+	_, err = io.ReadFull(answer.Body, b)
+	is.NoErr(err)
+	is.Equal(string(b), "id: 1\ndata: a\n\n")
+	is.Equal(stalls, 0)
+}
