router: streams that ask an endpoint at the same time share its answer, and one that does not answer is not closed

A VM with many streams at a silent engine would ask it, and the same candidates, once for each of them, over new connections. Now they share one call, and a stream keeps to itself which endpoints have not answered since its last event. TestEnginesSilentTogether counts the calls; it fails without the list of the stream, as the same two lost engines are asked again and again.

--- a/internal/core/silence/silence.go
+++ b/internal/core/silence/silence.go
@@ -33,6 +33,7 @@
 	}
 	e := t.engines[id]
 	if e == nil {
+		t.expire(from)
 		e = &engine{domain: d}
 		t.engines[id] = e
 	}
@@ -84,11 +85,8 @@
 	}
 	s := Survey{Silence: now.Sub(own.heardAt)}
 	silent, all := map[jaywind.Domain]bool{}, map[jaywind.Domain]bool{}
-	for other, e := range t.engines {
-		if e.runs == 0 && now.Sub(e.endedAt) > retention {
-			delete(t.engines, other)
-			continue
-		}
+	t.expire(now)
+	for _, e := range t.engines {
 		all[e.domain] = true
 		switch {
 		case now.Sub(e.heardAt) < s.Silence/2:
@@ -102,6 +100,15 @@
 	return s
 }
 
+// expire forgets the engines that have had no run for a while.
+func (t *Tracker) expire(now time.Time) {
+	for id, e := range t.engines {
+		if e.runs == 0 && now.Sub(e.endedAt) > retention {
+			delete(t.engines, id)
+		}
+	}
+}
+
 // IsHeard reports whether an engine has been heard of since a time.
 func (t *Tracker) IsHeard(id jaywind.EndpointID, since time.Time) bool {
 	e := t.engines[id]
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -169,7 +169,8 @@
 
 // recordCut logs that a call ends without a whole answer.
 func (r *Router) recordCut(c *call, level zapcore.Level, message, cause string, more ...zap.Field) {
-	r.Cuts.Record(level, message, c.request.ID, cause, append(c.fields()[1:], more...)...)
+	fields := c.fields(more...)[1:] // the recorder adds the request
+	r.Cuts.Record(level, message, c.request.ID, cause, fields...)
 }
 
 // writeReply forwards an endpoint's response.
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"jaywind"
 	"jaywind/internal/core/balance"
@@ -80,6 +81,7 @@
 	balancers  map[jaywind.ServiceName]*balance.Balancer // of plain services; nil before the first call
 	scheduling map[jaywind.ServiceName]*scheduled
 	silences   map[jaywind.ServiceName]*silence.Tracker // of engines
+	asks       singleflight.Group                       // whether endpoints work
 
 	brittle    permit.Tracker
 	quarantine suspect.Quarantine
--- a/internal/relay/router/silence_test.go
+++ b/internal/relay/router/silence_test.go
@@ -55,14 +55,25 @@
 	start   time.Time
 	engines map[jaywind.EndpointID]*pausingEngine
 
-	mu   sync.Mutex
-	runs map[jaywind.RequestID]int
+	mu    sync.Mutex
+	runs  map[jaywind.RequestID]int
+	asked map[jaywind.EndpointID]int // calls of Answers in progress
+	most  int                        // of these at one engine
 }
 
 func (u *pausingEngines) now() time.Duration { return time.Since(u.start) }
 
 // Answers implements jaywind.Upstream.
 func (u *pausingEngines) Answers(ctx context.Context, at jaywind.EndpointRef) bool {
+	u.mu.Lock()
+	u.asked[at.ID]++
+	u.most = max(u.most, u.asked[at.ID])
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		u.asked[at.ID]--
+		u.mu.Unlock()
+	}()
 	wait := u.engines[at.ID].wakes(u.now()) - u.now()
 	if wait > 0 {
 		wait = min(wait, probeTime)
@@ -203,7 +214,7 @@
 			t.Run(fmt.Sprintf("%s, copies %t", name, copies), func(t *testing.T) {
 				bubble.Test(t, func(t *testing.T) {
 					is := is.New(t)
-					u := &pausingEngines{start: time.Now(), engines: map[jaywind.EndpointID]*pausingEngine{}, runs: map[jaywind.RequestID]int{}}
+					u := &pausingEngines{start: time.Now(), engines: map[jaywind.EndpointID]*pausingEngine{}, runs: map[jaywind.RequestID]int{}, asked: map[jaywind.EndpointID]int{}}
 					r := &router.Router{Self: "vm1", Upstream: u, RetryBudget: retry.Budget{Ratio: 1, Reserve: 1000, Window: 10 * time.Second}}
 					r.SetConfig(route.NewSet(1,
 						[]route.Route{{Name: "s", Host: "a", Prefix: "/", Kind: route.KindStream, Resume: true, MaxAttempts: 5, EventTimeout: 700 * time.Millisecond,
@@ -239,6 +250,7 @@
 					}
 					t.Logf("%d runs", sum)
 					is.True(c.maxAll == 0 || sum <= c.maxAll)
+					is.True(u.most <= 1) // streams share the answer of an engine
 				})
 			})
 		}
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -112,7 +112,7 @@
 func (r *Router) findOther(ctx context.Context, st *streamCall, e *endpoint.Endpoint) bool {
 	st.proven = nil
 	n := st.requirements
-	n.Avoid = append(slices.Clone(n.Avoid), e.ID)
+	n.Avoid = append(slices.Concat(n.Avoid, st.mute), e.ID)
 	if st.standby != nil {
 		n.Avoid = append(n.Avoid, st.standby.ID)
 	}
@@ -121,6 +121,7 @@
 		other := anyVersion(r.table.ChooseWithRoom, st.service, n)
 		r.mu.Unlock()
 		if other == nil || slices.Contains(n.Avoid, other.ID) {
+			st.mute = nil // all were asked, and are asked again at the next look
 			return false
 		}
 		if r.answers(ctx, other) {
@@ -128,7 +129,7 @@
 			st.proven = other
 			return true
 		}
-		r.recordResult(other, false)
+		st.mute = append(st.mute, other.ID)
 		n.Avoid = append(n.Avoid, other.ID)
 	}
 	return false
@@ -151,11 +152,14 @@
 	return true
 }
 
-// askNow asks an endpoint whether it works.
+// askNow asks an endpoint whether it works. Streams that ask at the same time share the answer.
 func (r *Router) askNow(ctx context.Context, e *endpoint.Endpoint) bool {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	return r.Upstream.Answers(ctx, e.Ref())
+	works, _, _ := r.asks.Do(string(e.ID), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
+		defer cancel()
+		return r.Upstream.Answers(ctx, e.Ref()), nil
+	})
+	return works == true
 }
 
 // takeProven counts the next run at the endpoint for which the stream has left a silent one, and returns it, or nil if there is none.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -43,17 +43,18 @@
 	copy        jaywind.MemoryCopy // the copy at the standby
 	producing   bool               // the current attempt has produced an event, so it has memory to copy
 	copyState   copyState
-	stalled     bool               // the endpoint is silent, and the stream waits for it
-	expected    bool               // the current run is known to the tracker of silences
-	answers     bool               // the silent endpoint answers over a new connection
-	silentSince time.Time          // of the last event of the current run, or its start
-	unlistedAt  time.Time          // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
-	begunAt     time.Time          // of the first event of the current run; zero before
-	survived    bool               // the current run has survived its beginning
-	proven      *endpoint.Endpoint // has answered when the stream left a silent endpoint; nil for none
-	survey      silence.Survey     // when the stream left a silent endpoint
-	retryTaken  bool               // a retry was taken for the next attempt when the stream left a silent endpoint
-	waits       bool               // the wait for an endpoint or a retry was logged
+	stalled     bool                 // the endpoint is silent, and the stream waits for it
+	expected    bool                 // the current run is known to the tracker of silences
+	answers     bool                 // the silent endpoint answers over a new connection
+	silentSince time.Time            // of the last event of the current run, or its start
+	unlistedAt  time.Time            // since when the endpoint is seen to be missing in the registry during a silence; zero if it is listed
+	begunAt     time.Time            // of the first event of the current run; zero before
+	survived    bool                 // the current run has survived its beginning
+	proven      *endpoint.Endpoint   // has answered when the stream left a silent endpoint; nil for none
+	mute        []jaywind.EndpointID // have not answered since the last event
+	survey      silence.Survey       // when the stream left a silent endpoint
+	retryTaken  bool                 // a retry was taken for the next attempt when the stream left a silent endpoint
+	waits       bool                 // the wait for an endpoint or a retry was logged
 
 	grantedStandby *endpoint.Endpoint // for the copy of the next run, as the owner of the schedule has chosen; nil for none
 	speedGaps      []time.Duration    // between events of the current run, since its last sample of speed
@@ -428,7 +429,7 @@
 func (r *Router) observeEvent(st *streamCall, a attempt) {
 	now := time.Now()
 	r.recordProgress(st, a, now)
-	st.silentSince, st.answers, st.proven = now, false, nil
+	st.silentSince, st.answers, st.proven, st.mute = now, false, nil, nil
 	st.unlistedAt = time.Time{}
 	if st.stalled {
 		st.stalled = false
