router, silence: a router with runs at few engines asks others whether a silence is common

A router that knows of fewer than five engines asks some others at random, over new connections, before it reads a prompt anew elsewhere. The answers count in the surveys of its other streams for a while.

TestEnginesSilentTogether plays each case with 24 routers of one stream as well, and wants that few runs are left while most engines pause; with the question taken out, 'most pause, copies false, 24 routers' fails.

--- a/internal/core/silence/silence.go
+++ b/internal/core/silence/silence.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	retention  = 5 * time.Second // for which an engine without a run counts; a registry drops engines that have ended sooner
-	minCommon  = 2               // engines that are silent together
-	commonPart = 0.5             // of the engines that should speak; the loss of one failure domain of three takes fewer
+	retention      = 5 * time.Second        // for which an engine without a run counts; a registry drops engines that have ended sooner
+	assumedSilence = 500 * time.Millisecond // of an engine that has not answered a question
+
+	minCommon  = 2   // engines that are silent together
+	commonPart = 0.5 // of the engines that should speak; the loss of one failure domain of three takes fewer
 )
 
 // engine is what a Tracker knows of one engine.
@@ -55,6 +57,26 @@
 	}
 }
 
+// RecordAnswer records whether an engine without a run that should produce events has answered a question. One that has not counts as
+// silent since the last half second.
+func (t *Tracker) RecordAnswer(id jaywind.EndpointID, d jaywind.Domain, answered bool, now time.Time) {
+	if t.IsExpected(id) {
+		return
+	}
+	t.Begin(id, d, now)
+	e := t.engines[id]
+	if e.silent = !answered; !answered {
+		e.heardAt = now.Add(-assumedSilence)
+	}
+	t.End(id, !answered, now)
+}
+
+// IsExpected reports whether an engine has a run that should produce events.
+func (t *Tracker) IsExpected(id jaywind.EndpointID) bool {
+	e := t.engines[id]
+	return e != nil && e.runs > 0
+}
+
 // Hear records an event or another answer of an engine.
 func (t *Tracker) Hear(id jaywind.EndpointID, now time.Time) {
 	if e := t.engines[id]; e != nil {
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	answerTimeout = 100 * time.Millisecond // of an endpoint that is asked whether it works; several round trips between failure domains
 	eventTime     = 100 * time.Millisecond // in which an endpoint that works again sends an event
 	maxAsked      = 2                      // endpoints without a copy that are asked at a time
+	minSurveyed   = 5                      // engines that show whether a silence is common
 )
 
 // waitForStalled returns for how long a stream waits on for an endpoint that is silent, or 0. A sound endpoint may fall silent, so the
@@ -83,9 +85,17 @@
 // which goes on with little work, or another endpoint that has room. While most endpoints are silent, the prompt is not read anew elsewhere
 // for a while, unless this endpoint answers over a new connection and sends nothing over the open one, which is lost then.
 func (r *Router) canLeave(ctx context.Context, st *streamCall, e *endpoint.Endpoint, s silence.Survey) (leave bool, again time.Duration) {
-	if !s.IsCommon() || s.Silence >= series.CommonPatience {
+	if s.Silence >= series.CommonPatience {
 		return r.hasCopy(st) && r.answers(ctx, st.standby) || r.findOther(ctx, st, e), lookInterval
 	}
+	if !s.IsCommon() {
+		if r.hasCopy(st) && r.answers(ctx, st.standby) {
+			return true, 0
+		}
+		if s = r.widenSurvey(ctx, st, e, s); !s.IsCommon() {
+			return r.findOther(ctx, st, e), lookInterval
+		}
+	}
 	answered := st.answers
 	own, copied := r.askBoth(ctx, st, e)
 	switch st.answers = own; {
@@ -108,6 +118,39 @@
 	return own, copied
 }
 
+// widenSurvey asks some engines of the service at random if a router has runs at too few to tell whether a silence is common. They count in
+// the surveys of other streams for a while.
+func (r *Router) widenSurvey(ctx context.Context, st *streamCall, e *endpoint.Endpoint, s silence.Survey) silence.Survey {
+	missing := minSurveyed - s.Silent - s.Heard
+	if missing <= 0 || s.Silent == 0 {
+		return s
+	}
+	r.mu.Lock()
+	t := r.silencesOf(st.service.Name)
+	var sample []*endpoint.Endpoint
+	for _, o := range r.table.OfService(st.service) {
+		if o != e && r.table.AcceptsCalls(o, time.Now()) && !t.IsExpected(o.ID) {
+			sample = append(sample, o)
+		}
+	}
+	r.mu.Unlock()
+	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
+	sample = sample[:min(missing, len(sample))]
+	works := make([]bool, len(sample))
+	var group conc.WaitGroup
+	for i, o := range sample {
+		group.Go(func() { works[i] = r.askNow(ctx, o) })
+	}
+	group.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for i, o := range sample {
+		t.RecordAnswer(o.ID, o.Domain, works[i], now)
+	}
+	return t.Survey(e.ID, now)
+}
+
 // findOther reports whether another endpoint than the standby has room and answers. The stream then goes on there.
 func (r *Router) findOther(ctx context.Context, st *streamCall, e *endpoint.Endpoint) bool {
 	st.proven = nil
