silence: a third of the engines silent in several failure domains counts as common

While 60 in 100 engines paused, streams moved to those that worked, so a router soon heard of more engines than were silent, and the others read their prompts anew although the pause was about to end. Losses of single engines take less than a third, and a failure domain that is lost is only one.

--- a/internal/core/silence/silence.go
+++ b/internal/core/silence/silence.go
@@ -10,8 +10,8 @@
 	retention      = 5 * time.Second        // for which an engine without a run counts; a registry drops engines that have ended sooner
 	assumedSilence = 500 * time.Millisecond // of an engine that has not answered a question
 
-	minCommon  = 2   // engines that are silent together
-	commonPart = 0.5 // of the engines that should speak; the loss of one failure domain of three takes fewer
+	minCommon  = 2       // engines that are silent together
+	commonPart = 1.0 / 3 // of the engines that should speak; single losses take fewer
 )
 
 // engine is what a Tracker knows of one engine.
--- a/internal/core/silence/silence_test.go
+++ b/internal/core/silence/silence_test.go
@@ -11,7 +11,7 @@
 	"jaywind/internal/core/silence"
 )
 
-// TestSurvey checks which silences count as common: those of at least half of the engines that should speak, in several failure domains.
+// TestSurvey checks which silences count as common: those of at least a third of the engines that should speak, in several failure domains.
 func TestSurvey(t *testing.T) {
 	tests := map[string]struct {
 		silent, heard map[jaywind.Domain]int // engines
@@ -20,6 +20,7 @@
 		"all":                     {map[jaywind.Domain]int{"a": 4, "b": 4}, nil, true},
 		"most":                    {map[jaywind.Domain]int{"a": 3, "b": 2}, map[jaywind.Domain]int{"a": 1, "b": 2}, true},
 		"one of many":             {map[jaywind.Domain]int{"a": 1}, map[jaywind.Domain]int{"a": 3, "b": 4}, false},
+		"a third, in two domains": {map[jaywind.Domain]int{"a": 1, "b": 1}, map[jaywind.Domain]int{"a": 2, "b": 2}, true},
 		"two of many":             {map[jaywind.Domain]int{"a": 1, "b": 1}, map[jaywind.Domain]int{"a": 3, "b": 3}, false},
 		"a failure domain":        {map[jaywind.Domain]int{"a": 4}, map[jaywind.Domain]int{"b": 2, "c": 2}, false},
 		"the only failure domain": {map[jaywind.Domain]int{"a": 4}, nil, true},
