--- a/internal/core/series/plan.go
+++ b/internal/core/series/plan.go
@@ -86,7 +86,7 @@
 }
 
 const (
-	// CommonPatience is for how long a stream waits if most engines are silent; sound ones pause for a second or so.
+	// CommonPatience is for how long a stream waits if many engines are silent together; sound ones pause for a second or so.
 	CommonPatience = 1500 * time.Millisecond
 	lastPatience   = 4 * time.Second // longer than the registry lists an engine that has ended
 )
--- a/internal/core/silence/silence.go
+++ b/internal/core/silence/silence.go
@@ -18,7 +18,7 @@
 type engine struct {
 	domain  jaywind.Domain
 	runs    int       // that should produce events
-	silent  bool      // its last run has ended in silence
+	silent  bool      // its last run has ended in silence, or it has not answered a question
 	heardAt time.Time // of the last event or other answer
 	endedAt time.Time // of the last run; valid if there is none
 }
@@ -93,7 +93,7 @@
 	All     int           // failure domains of all that are known
 }
 
-// IsCommon reports whether so many engines are silent together that their loss is unlikely.
+// IsCommon reports whether so many engines are silent together, in several failure domains, that their loss is unlikely.
 func (s Survey) IsCommon() bool {
 	return s.Silent >= minCommon && s.Domains >= min(minCommon, s.All) && float64(s.Silent) >= commonPart*float64(s.Silent+s.Heard)
 }
--- a/internal/relay/router/stall.go
+++ b/internal/relay/router/stall.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"jaywind"
 	"jaywind/internal/core/endpoint"
 	"jaywind/internal/core/series"
-	"jaywind/internal/core/silence"
 )
 
 // Causes for which a stream is given up or waits.
@@ -23,14 +20,6 @@
 
 const waitInterval = 200 * time.Millisecond // between two looks for an endpoint or a retry
 
-const (
-	lookInterval  = series.MinSilence      // between two looks for a way to go on
-	answerTimeout = 100 * time.Millisecond // of an endpoint that is asked whether it works; several round trips between failure domains
-	eventTime     = 100 * time.Millisecond // in which an endpoint that works again sends an event
-	maxAsked      = 2                      // endpoints without a copy that are asked at a time
-	minSurveyed   = 5                      // engines that show whether a silence is common
-)
-
 // waitForStalled returns for how long a stream waits on for an endpoint that is silent, or 0. A sound endpoint may fall silent, so the
 // stream leaves it only if it has ended, or if the stream can go on at one that answers.
 func (r *Router) waitForStalled(ctx context.Context, st *streamCall, e *endpoint.Endpoint) time.Duration {
@@ -81,147 +70,6 @@
 	return now.Sub(st.unlistedAt) > unlistedTime
 }
 
-// canLeave reports whether a stream should leave a silent endpoint, and otherwise when to look again. It leaves if its standby answers,
-// which goes on with little work, or another endpoint that has room. While most endpoints are silent, the prompt is not read anew elsewhere
-// for a while, unless this endpoint answers over a new connection and sends nothing over the open one, which is lost then.
-func (r *Router) canLeave(ctx context.Context, st *streamCall, e *endpoint.Endpoint, s silence.Survey) (leave bool, again time.Duration) {
-	if s.Silence >= series.CommonPatience {
-		return r.hasCopy(st) && r.answers(ctx, st.standby) || r.findOther(ctx, st, e), lookInterval
-	}
-	if !s.IsCommon() {
-		if r.hasCopy(st) && r.answers(ctx, st.standby) {
-			return true, 0
-		}
-		if s = r.widenSurvey(ctx, st, e, s); !s.IsCommon() {
-			return r.findOther(ctx, st, e), lookInterval
-		}
-	}
-	answered := st.answers
-	own, copied := r.askBoth(ctx, st, e)
-	switch st.answers = own; {
-	case own && !answered: // it may just have gone on
-		return false, eventTime
-	case own:
-		return copied || r.findOther(ctx, st, e), lookInterval
-	}
-	return copied, lookInterval
-}
-
-// askBoth asks a silent endpoint and the standby of its stream at the same time whether they work.
-func (r *Router) askBoth(ctx context.Context, st *streamCall, e *endpoint.Endpoint) (own, copied bool) {
-	var group conc.WaitGroup
-	group.Go(func() { own = r.askNow(ctx, e) })
-	if r.hasCopy(st) {
-		copied = r.answers(ctx, st.standby)
-	}
-	group.Wait()
-	return own, copied
-}
-
-// widenSurvey asks some engines of the service at random if a router has runs at too few to tell whether a silence is common. They count in
-// the surveys of other streams for a while.
-func (r *Router) widenSurvey(ctx context.Context, st *streamCall, e *endpoint.Endpoint, s silence.Survey) silence.Survey {
-	missing := minSurveyed - s.Silent - s.Heard
-	if missing <= 0 || s.Silent == 0 {
-		return s
-	}
-	r.mu.Lock()
-	t := r.silencesOf(st.service.Name)
-	var sample []*endpoint.Endpoint
-	for _, o := range r.table.OfService(st.service) {
-		if o != e && r.table.AcceptsCalls(o, time.Now()) && !t.IsExpected(o.ID) {
-			sample = append(sample, o)
-		}
-	}
-	r.mu.Unlock()
-	rand.Shuffle(len(sample), func(i, j int) { sample[i], sample[j] = sample[j], sample[i] })
-	sample = sample[:min(missing, len(sample))]
-	works := make([]bool, len(sample))
-	var group conc.WaitGroup
-	for i, o := range sample {
-		group.Go(func() { works[i] = r.askNow(ctx, o) })
-	}
-	group.Wait()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	for i, o := range sample {
-		t.RecordAnswer(o.ID, o.Domain, works[i], now)
-	}
-	return t.Survey(e.ID, now)
-}
-
-// findOther reports whether another endpoint than the standby has room and answers. The stream then goes on there.
-func (r *Router) findOther(ctx context.Context, st *streamCall, e *endpoint.Endpoint) bool {
-	st.proven = nil
-	n := st.requirements
-	n.Avoid = append(slices.Concat(n.Avoid, st.mute), e.ID)
-	if st.standby != nil {
-		n.Avoid = append(n.Avoid, st.standby.ID)
-	}
-	for range maxAsked {
-		r.mu.Lock()
-		other := anyVersion(r.table.ChooseWithRoom, st.service, n)
-		r.mu.Unlock()
-		if other == nil || slices.Contains(n.Avoid, other.ID) {
-			st.mute = nil // all were asked, and are asked again at the next look
-			return false
-		}
-		if r.answers(ctx, other) {
-			r.releaseStandby(st) // it has no copy, or does not answer
-			st.proven = other
-			return true
-		}
-		st.mute = append(st.mute, other.ID)
-		n.Avoid = append(n.Avoid, other.ID)
-	}
-	return false
-}
-
-// answers reports whether an endpoint is known to work now, and asks it if it was not heard of lately.
-func (r *Router) answers(ctx context.Context, e *endpoint.Endpoint) bool {
-	r.mu.Lock()
-	heard := r.silencesOf(e.Service).IsHeard(e.ID, time.Now().Add(-series.MinSilence/2))
-	r.mu.Unlock()
-	if heard {
-		return true
-	}
-	if !r.askNow(ctx, e) {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.silencesOf(e.Service).Hear(e.ID, time.Now())
-	return true
-}
-
-// askNow asks an endpoint whether it works. Streams that ask at the same time share the answer.
-func (r *Router) askNow(ctx context.Context, e *endpoint.Endpoint) bool {
-	works, _, _ := r.asks.Do(string(e.ID), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTimeout)
-		defer cancel()
-		return r.Upstream.Answers(ctx, e.Ref()), nil
-	})
-	return works == true
-}
-
-// takeProven counts the next run at the endpoint for which the stream has left a silent one, and returns it, or nil if there is none.
-func (r *Router) takeProven(st *streamCall) *endpoint.Endpoint {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := st.proven
-	st.proven = nil
-	if e == nil || r.rowOf(e.Ref()) != e {
-		return nil
-	}
-	r.followRolloutEnd(st.call)
-	if excluded, _ := r.excludedOf(st, time.Now()); slices.Contains(excluded, e) {
-		return nil
-	}
-	r.startRun(st, e)
-	return e
-}
-
 // isStranded reports whether the registry lists none of the endpoints at which a stream may still run.
 func (r *Router) isStranded(st *streamCall) bool {
 	if len(st.requirements.Only) == 0 {
