--- a/internal/relay/router/silence.go
+++ b/internal/relay/router/silence.go
@@ -71,7 +71,7 @@
 		return r.canLeaveCommon(ctx, st, e)
 	}
 	if r.hasCopy(st) && r.answers(ctx, st.standby) {
-		return true, 0
+		return true, lookInterval
 	}
 	if s.Silence < series.CommonPatience && r.widenSurvey(ctx, st, e, s).IsCommon() {
 		return r.canLeaveCommon(ctx, st, e)
