--- a/internal/core/route/set.go
+++ b/internal/core/route/set.go
@@ -184,6 +184,14 @@
 // RequiresKey reports whether requests need an API key. They also do while there is none that they could have.
 func (s *Set) RequiresKey() bool { return s.keys != nil }
 
+// KeyCount returns the number of API keys.
+func (s *Set) KeyCount() int {
+	if s.keys == nil {
+		return 0
+	}
+	return len(*s.keys)
+}
+
 // RouteCount returns the number of routes.
 func (s *Set) RouteCount() int {
 	return len(s.routes)
