--- a/internal/backend/link/budget.go
+++ b/internal/backend/link/budget.go
@@ -3,40 +3,31 @@
 import (
 	"context"
 	"fmt"
-	"sync"
-
-	"golang.org/x/sync/semaphore"
 
 	"jaywind"
+	"jaywind/internal/core/memory"
 )
 
 const (
-	unreservedBytes = 32 << 10 // of each body or event; only what is longer takes from the budget
-	budgetBytes     = 16 << 20 // for the rest of all bodies and events that are being read from a pool's connections
+	unreservedBytes = 32 << 10       // of each body or event; only what is longer takes from the budget
+	budgetBytes     = 16 * memory.MB // default of Pool.Answers
 )
 
-// budget bounds the memory of all long answers that are being read. Each of them reserves at once what it may still take, so
-// that none waits while it holds a part.
-type budget struct {
-	once sync.Once
-	free *semaphore.Weighted
-}
-
-// reserve waits for n bytes until ctx ends. A budget that is nil has no limit.
-func (b *budget) reserve(ctx context.Context, n int64) error {
-	if b == nil {
-		return nil
-	}
-	b.once.Do(func() { b.free = semaphore.NewWeighted(budgetBytes) })
-	if err := b.free.Acquire(ctx, n); err != nil {
-		return fmt.Errorf("%w: no memory for a long answer: %w", jaywind.ErrIdleTimeout, err)
+// reserve waits until ctx ends for the memory of an answer that may become n bytes long. It is taken at once, so that no answer
+// waits while it holds a part.
+func (c *Conn) reserve(ctx context.Context, n int64) error {
+	memory.Drop(ctx)
+	if err := c.answers.Acquire(ctx, memory.Bytes(n)); err != nil {
+		return fmt.Errorf("%w: a long answer: %w", jaywind.ErrIdleTimeout, err)
 	}
 	return nil
 }
 
-// release returns n bytes that were reserved.
-func (b *budget) release(n int64) {
-	if b != nil {
-		b.free.Release(n)
-	}
+// keep holds n of the reserved bytes until the request of ctx has ended, and returns the rest.
+func (c *Conn) keep(ctx context.Context, reserved, n int64) {
+	c.answers.Release(memory.Bytes(reserved - n))
+	memory.Keep(ctx, c.answers, memory.Bytes(n))
 }
+
+// release returns n bytes that were reserved.
+func (c *Conn) release(n int64) { c.answers.Release(memory.Bytes(n)) }
--- a/internal/backend/link/events.go
+++ b/internal/backend/link/events.go
@@ -95,7 +95,7 @@
 func (s *EventReader) reserve() error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.limit)
 	defer cancel()
-	if err := s.Conn.budget.reserve(ctx, maxEventBytes); err != nil {
+	if err := s.Conn.reserve(ctx, maxEventBytes); err != nil {
 		return err
 	}
 	s.reserved.Store(maxEventBytes)
@@ -105,7 +105,7 @@
 // release returns the memory of the last event.
 func (s *EventReader) release() {
 	if n := s.reserved.Swap(0); n > 0 {
-		s.Conn.budget.release(n)
+		s.Conn.release(n)
 	}
 }
 
--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -111,18 +111,28 @@
 	case len(first) < unreservedBytes || rest <= 0:
 		return first, nil
 	}
-	if err := c.budget.reserve(ctx, rest); err != nil {
+	if err := c.reserve(ctx, rest); err != nil {
 		return nil, err
 	}
-	defer c.budget.release(rest)
+	body, err := c.readLong(response, first, rest)
+	if err != nil {
+		c.release(rest)
+		return nil, err
+	}
+	c.keep(ctx, rest, max(0, int64(len(body)-len(first))))
+	return body, nil
+}
+
+// readLong reads the rest of a body, of which first has been read; it fails if that is as long as rest and has no length.
+func (c *Conn) readLong(response *http.Response, first []byte, rest int64) ([]byte, error) {
 	if response.ContentLength >= 0 {
-		body := make([]byte, size)
+		body := make([]byte, response.ContentLength)
 		_, err := io.ReadFull(response.Body, body[copy(body, first):])
 		return body, err
 	}
 	parts, err := readParts(response.Body, rest)
 	if errors.Is(err, errNoEnd) {
-		return nil, errLong
+		return nil, fmt.Errorf("%w: body is longer than %d bytes", jaywind.ErrBadAnswer, int64(len(first))+rest-1)
 	}
 	return bytes.Join(append([][]byte{first}, parts...), nil), err
 }
--- a/internal/backend/link/pool.go
+++ b/internal/backend/link/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/core/memory"
 )
 
 const (
@@ -26,11 +27,13 @@
 	IdleTimeout time.Duration // after which an idle connection is closed; defaults to 4 s
 	// DialContext opens the connections, within limits of its own; TCP over this VM's own links if nil.
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// Answers bounds the memory of all long answers; defaults to 16 MiB.
+	Answers *memory.Budget
 
 	mu    sync.Mutex
 	conns map[jaywind.Address][]*Conn
 
-	budget budget // of its connections
+	start  sync.Once
 	dialed atomic.Int64
 	reused atomic.Int64
 }
@@ -44,7 +47,7 @@
 	conn      net.Conn
 	source    *source
 	reader    *bufio.Reader // of source
-	budget    *budget
+	answers   *memory.Budget
 	address   jaywind.Address
 	idleSince time.Time // when it was put into the pool
 	expiresAt time.Time // when the peer may close it; zero if it did not say
@@ -83,7 +86,12 @@
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrNotSent, err)
 	}
 	ResetOnClose(conn)
-	c := &Conn{conn: conn, budget: &p.budget, address: at}
+	p.start.Do(func() {
+		if p.Answers == nil {
+			p.Answers = &memory.Budget{Limit: budgetBytes}
+		}
+	})
+	c := &Conn{conn: conn, answers: p.Answers, address: at}
 	c.source = &source{conn: stallReader{c}}
 	c.reader = bufio.NewReaderSize(c.source, bufferSize)
 	return c, nil
--- a/internal/fleet/cbor/secret.go
+++ b/internal/fleet/cbor/secret.go
@@ -21,6 +21,8 @@
 	// size, up to 512 KB, for each open stream of messages, and the server's default is 1 MB.
 	maxFrameBytes = 16 << 10
 	maxBodyBytes  = maxMessageBytes + 64<<10
+	// maxUnreadBytes is what a peer may send on a stream beyond what was read of it. The defaults are 1 MB for servers and 4 MB for clients.
+	maxUnreadBytes = 64 << 10
 )
 
 // RequireSecret refuses requests that do not carry the shared secret with status 401.
@@ -54,9 +56,10 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingIdleTime,
-			PingTimeout:      pingTimeout,
-			WriteByteTimeout: writeTimeout,
+			SendPingTimeout:           pingIdleTime,
+			PingTimeout:               pingTimeout,
+			WriteByteTimeout:          writeTimeout,
+			MaxReceiveBufferPerStream: maxUnreadBytes,
 		},
 	}
 	return &http.Client{Transport: &secretTransport{secret: secret, maxBytes: maxBytes, next: transport}}
@@ -65,7 +68,7 @@
 // Configure prepares a server for calls between routers. It is to be called before the server starts.
 func Configure(s *http.Server) {
 	s.Protocols = Protocols()
-	s.HTTP2 = &http.HTTP2Config{MaxReadFrameSize: maxFrameBytes}
+	s.HTTP2 = &http.HTTP2Config{MaxReadFrameSize: maxFrameBytes, MaxReceiveBufferPerStream: maxUnreadBytes}
 }
 
 // Protocols returns the protocols that a server for calls between routers must accept.
