http1, platform: one budget of the VM's memory for all that clients make a router hold

What the users saw: clients that they don't control ended a process, which ran out of memory: requests of legal size made of very many short header lines, and many requests sent ahead on a few connections with their answers unread.

Cause: nothing bounded what connections take together. 15 KB of header lines became 680 KB, as they were kept as the server's map, a copy of it and what is sent on, also of heads that never end. While a request was served, a single byte of the next one hid that its client had left. Nothing was closed when descriptors ran out.

Headers go on as lines, the map is dropped at once. The number of connections follows from the descriptors (setting platform.files). Logged ids are cut to 96 bytes.

Why it works: what a client can make the process hold is charged by what it costs, before it is taken, in one budget that is a part of the VM's memory.

--- a/id.go
+++ b/id.go
@@ -5,6 +5,11 @@
 // RequestID identifies a caller's request across routers and attempts.
 type RequestID string
 
+const maxLoggedBytes = 96 // of a text that a caller has chosen
+
+// Logged returns the part of an id that log lines carry.
+func (r RequestID) Logged() string { return string(r[:min(len(r), maxLoggedBytes)]) }
+
 // Organisation identifies the organisation on whose behalf a request is made.
 type Organisation string
 
--- a/internal/fleet/schedule/client.go
+++ b/internal/fleet/schedule/client.go
@@ -263,7 +263,7 @@
 func (c *Client) recordDecision(s jaywind.ServiceName, id jaywind.RequestID, a reply, queued bool, waited time.Duration) {
 	d := a.decision
 	fields := []zap.Field{
-		zap.String("request", string(id)), zap.String("service", string(s)), zap.Int("ahead", d.Ahead), zap.Int("bound", d.Bound),
+		zap.String("request", id.Logged()), zap.String("service", string(s)), zap.Int("ahead", d.Ahead), zap.Int("bound", d.Bound),
 		zap.Int("in_use", d.InUse), zap.Duration("oldest_report", a.oldest), zap.Duration("waited", waited),
 	}
 	switch d.Outcome {
--- a/internal/operator/cuts/cuts.go
+++ b/internal/operator/cuts/cuts.go
@@ -42,7 +42,7 @@
 	}
 	if c.lines < maxLines {
 		c.lines++
-		c.Log.Log(level, message, append([]zap.Field{zap.String("request", string(id)), zap.String("cause", cause)}, fields...)...)
+		c.Log.Log(level, message, append([]zap.Field{zap.String("request", id.Logged()), zap.String("cause", cause)}, fields...)...)
 		return
 	}
 	if c.pending == nil {
@@ -51,7 +51,7 @@
 	if len(c.pending) == 0 {
 		c.since = now
 	}
-	c.pending[cause] = append(c.pending[cause], string(id))
+	c.pending[cause] = append(c.pending[cause], id.Logged())
 	if len(c.pending[cause]) >= maxListed {
 		c.list(cause)
 	}
--- a/internal/operator/settings/check.go
+++ b/internal/operator/settings/check.go
@@ -13,7 +13,8 @@
 
 const (
 	minSecretBytes = 16
-	maxRecall      = 60 // s; what a restore brings back of deleted values may be that old
+	minFiles       = 256 // a router needs some for the store, other routers and endpoints
+	maxRecall      = 60  // s; what a restore brings back of deleted values may be that old
 
 	maxHedgeShare   = 0.2 // more would double much of the work of a service whose calls are all slow
 	minUnevenFactor = 1.1 // below it, the noise of the learned speeds of equal endpoints would count
@@ -33,6 +34,9 @@
 	if len(s.Secret) < minSecretBytes {
 		p.reportKey("secret", fmt.Sprintf("want at least %d bytes, got %d", minSecretBytes, len(s.Secret)))
 	}
+	if s.Memory < 0 {
+		p.reportKey("memory", fmt.Sprintf("want 0 or a number of MB, got %d", s.Memory))
+	}
 	p.checkAddress("listen.caller", s.Listen.Caller)
 	p.checkAddress("listen.operator", s.Listen.Operator)
 	p.checkAddress("listen.fleet", s.Listen.Fleet)
@@ -73,6 +77,9 @@
 		p.checkAddress("platform.seeds", string(at))
 	}
 	p.checkPositive("platform.memory", f.Memory)
+	if f.Files != 0 && f.Files < minFiles {
+		p.reportKey("platform.files", fmt.Sprintf("want 0 or at least %d descriptors, got %d", minFiles, f.Files))
+	}
 	p.checkPositive("platform.grace", f.Grace)
 	p.checkPositive("platform.hint", f.Hint)
 	p.checkPositive("platform.retry.window", f.Retry.Window)
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -20,7 +19,7 @@
 	Host         string
 	Target       string // path and query, as received
 	Path         string
-	Header       http.Header // end-to-end headers, without those that the router sets itself
+	Header       jaywind.HeaderLines // end-to-end headers, without those that the router sets itself
 	Body         []byte
 	APIKey       string // identifies the caller's organisation
 	Arrived      time.Time
@@ -119,7 +118,7 @@
 // fields returns the fields of each log line about a call.
 func (c *call) fields(more ...zap.Field) []zap.Field {
 	return append([]zap.Field{
-		zap.String("request", string(c.request.ID)),
+		zap.String("request", c.request.ID.Logged()),
 		zap.String("route", string(c.route.Name)),
 		zap.Uint64("config", c.set.Version),
 		zap.Int("sends", c.attempts),
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -29,6 +29,7 @@
 const (
 	defaultTimeout = 30 * time.Second      // for a caller that states no time limit
 	replyMargin    = 10 * time.Millisecond // subtracted from the caller's time limit, so that the final response arrives in time
+	maxLoggedHost  = 96                    // bytes
 )
 
 // Router forwards requests; set the exported fields before the first call.
@@ -260,8 +261,8 @@
 	c, refusal := r.admit(request, response)
 	if refusal.Reason != "" {
 		r.stats.recordRefusal(refusal)
-		r.Log.Info("request: refused", zap.String("request", string(request.ID)), zap.String("reason", string(refusal.Reason)),
-			zap.String("host", request.Host), zap.Duration("retry_after", refusal.RetryAfter))
+		r.Log.Info("request: refused", zap.String("request", request.ID.Logged()), zap.String("reason", string(refusal.Reason)),
+			zap.String("host", request.Host[:min(len(request.Host), maxLoggedHost)]), zap.Duration("retry_after", refusal.RetryAfter))
 		response.Refuse(refusal)
 		return
 	}
--- a/upstream.go
+++ b/upstream.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -63,6 +62,9 @@
 	AdmitSend(ctx context.Context, at EndpointRef, p Priority) error
 }
 
+// HeaderLines are header fields as they are sent, each with its line end. They take far less memory than an http.Header.
+type HeaderLines []byte
+
 // UpstreamRequest is an attempt to run a caller's request at an endpoint.
 type UpstreamRequest struct {
 	Request      RequestID
@@ -70,7 +72,7 @@
 	Method       string
 	Host         string
 	Target       string      // path and query as sent by the caller
-	Header       http.Header // the caller's end-to-end headers
+	Header       HeaderLines // the caller's end-to-end headers
 	Body         []byte
 	Organisation Organisation  // empty if the caller sent no API key
 	TimeLeft     time.Duration // time until the caller gives up; 0 if unknown
