edge/ports: the same budget for the clients of the product's own interface

What callers would see: a router that serves the product's own interface runs out of memory as one on the platform did.

Cause: the same; heads may have 64 KiB there, and the operators' port has the same server.

Change: its ports use edge/http1; a setting memory, 512 MB if there is none. Requests use their headers until they end, so the map of a head is charged to the request.

--- a/cmd/jaywind/process_test.go
+++ b/cmd/jaywind/process_test.go
@@ -39,6 +39,8 @@
 	routers        []*exec.Cmd
 	files          []string // the routers' settings files
 	callers        []string // their addresses for callers
+	operators      []string // their addresses for operators
+	more           string   // further settings of the routers
 }
 
 func startProcesses(t testing.TB, routers int) *processes {
@@ -156,8 +158,9 @@
 	}
 	for i := range n {
 		operatorAddress := p.takePort()
-		text := fmt.Sprintf("vm = \"vm%d\"\ndomain = \"%c\"\nsecret = \"%s\"\n[listen]\ncaller = %q\noperator = %q\nfleet = %q\n[store]\nurl = \"http://%s\"\nrecall = 3\n[fleet]\nseeds = [\"http://%s\"]\n",
-			i, 'a'+i%domainCount, testSecret, p.callers[i], operatorAddress, seeds[i], store, strings.Join(seeds, "\", \"http://"))
+		p.operators = append(p.operators, operatorAddress)
+		text := fmt.Sprintf("vm = \"vm%d\"\ndomain = \"%c\"\nsecret = \"%s\"\n%s[listen]\ncaller = %q\noperator = %q\nfleet = %q\n[store]\nurl = \"http://%s\"\nrecall = 3\n[fleet]\nseeds = [\"http://%s\"]\n",
+			i, 'a'+i%domainCount, testSecret, p.more, p.callers[i], operatorAddress, seeds[i], store, strings.Join(seeds, "\", \"http://"))
 		file := p.file(fmt.Sprintf("vm%d.toml", i), text)
 		c := p.start("jaywind", "route", "-settings", file)
 		p.files = append(p.files, file)
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -13,7 +14,9 @@
 
 	"jaywind"
 	"jaywind/embed"
+	"jaywind/internal/core/memory"
 	"jaywind/internal/edge/caller"
+	"jaywind/internal/edge/http1"
 	"jaywind/internal/edge/operator"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/evidence"
@@ -29,6 +32,7 @@
 
 const (
 	maxHeaderBytes = 1 << 16
+	headerSlack    = 4 << 10 // that the HTTP server reads beyond maxHeaderBytes before it refuses a head
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = time.Minute
 	closeTimeout   = 5 * time.Second
@@ -53,7 +57,8 @@
 // port is one server with its listener.
 type port struct {
 	server   *http.Server
-	listener net.Listener
+	bound    *http1.Listener
+	listener net.Listener // of bound
 }
 
 // Listen binds the ports and assembles the router. It replaces the addresses in Settings.Listen by the bound ones, as a
@@ -79,7 +84,8 @@
 			return err
 		}
 		*at = listener.Addr().String()
-		d.ports = append(d.ports, port{listener: listener})
+		bound := &http1.Listener{Listener: listener}
+		d.ports = append(d.ports, port{bound: bound, listener: bound})
 	}
 	d.assemble()
 	return nil
@@ -103,9 +109,10 @@
 		Burn:    burn.Handler(d.router.SLORecorder(), jaywind.SystemClock{}),
 	}
 	fleet := cbor.RequireSecret(d.Settings.Secret, d.fleetMux())
-	for i, h := range []http.Handler{d.callerHandler.Mux(), operators.Mux(), fleet} {
+	for i, h := range []http.Handler{http1.Whole(d.callerHandler.Mux()), http1.Whole(operators.Mux()), fleet} {
 		d.ports[i].server = newServer(h)
 	}
+	d.boundPorts()
 	last := &d.ports[len(d.ports)-1]
 	traffic := cbor.TrafficCounter{
 		In:  metrics.GetOrRegisterCounter("fleet.bytes.in", d.router.Metrics()),
@@ -114,6 +121,20 @@
 	last.listener = traffic.Listener(last.listener)
 }
 
+// boundPorts bounds what the connections of all ports may take together.
+func (d *Daemon) boundPorts() {
+	plan := memory.Divide(memory.Bytes(d.Settings.Memory) * memory.MB)
+	if d.Settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(plan.Runtime))
+	}
+	all, heads := &memory.Budget{Limit: plan.Callers}, &memory.Budget{Limit: plan.Heads}
+	for _, p := range d.ports {
+		l := p.bound
+		l.Memory, l.Heads, l.MaxHead, l.HeadTimeout = all, heads, maxHeaderBytes+headerSlack, headerTimeout
+		l.Configure(p.server)
+	}
+}
+
 // fleetMux returns the handler for requests from other routers.
 func (d *Daemon) fleetMux() http.Handler {
 	m := http.NewServeMux()
