--- a/internal/edge/http1/conn_test.go
+++ b/internal/edge/http1/conn_test.go
@@ -246,8 +246,8 @@
 	is.Equal(l.Stats().Refused, int64(1))
 }
 
-// TestHTTP2 guards against a connection in HTTP/2 that is read as if it had heads of HTTP/1, or closed to make room.
-func TestHTTP2(t *testing.T) {
+// TestConnectionsOfRouters guards against a connection in HTTP/2 that is read as if it had heads of HTTP/1, or closed to make room.
+func TestConnectionsOfRouters(t *testing.T) {
 	is := is.New(t)
 	l := &Listener{Memory: &memory.Budget{Limit: 4 * connectionBytes}, MaxConns: 2}
 	at := startServer(t, l, echo)
--- a/internal/measure/soak/run.go
+++ b/internal/measure/soak/run.go
@@ -86,6 +86,7 @@
 	}
 	callers.Go(func() { r.watchResources(asking) })
 	callers.Go(func() { r.recordMetrics(asking) })
+	callers.Go(func() { r.sendHostile(asking) })
 	n := &injector{fleet: r.fleet, config: r.config, checker: r.checker}
 	n.run(ctx, r.Plan)
 	r.checker.logf("all faults are removed")
