http1: a connection that makes room is closed only if it has not gone on meanwhile

A connection was chosen by its phase and closed later, so a request that had just been passed on could lose its connection; and one that was closed while its head waited to be parsed did not return what it had taken. Found by reading. The phase is checked again as the connection is marked closed, and a request whose connection was closed is not passed on. The other ports mark requests in progress as well.

--- a/internal/edge/http1/conn.go
+++ b/internal/edge/http1/conn.go
@@ -126,7 +126,7 @@
 		}
 		n, err := c.Conn.Read(p)
 		switch {
-		case n > 0 && len(c.buffered) == 0 && len(c.tail) == 0 && headEnd(p[:n], 0) == n && !bytes.HasPrefix(p, []byte(prefaceHTTP2)): // as usual: it is all there, and nothing else
+		case n > 0 && c.isWholeHead(p[:n]):
 			if err := c.chargeHead(p[:n]); err != nil {
 				return 0, err
 			}
@@ -141,6 +141,11 @@
 	}
 }
 
+// isWholeHead reports whether b is a head and nothing else, as it is for usual requests. It needs no copy then.
+func (c *Conn) isWholeHead(b []byte) bool {
+	return len(c.buffered) == 0 && len(c.tail) == 0 && headEnd(b, 0) == len(b) && !bytes.HasPrefix(b, []byte(prefaceHTTP2))
+}
+
 // findHead marks what may be passed on: a head that is whole, or one that is too long, which the server refuses.
 func (c *Conn) findHead() error {
 	if len(c.buffered) == 0 {
@@ -203,6 +208,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		c.listener.Heads.Release(n)
+		return errShort
+	}
 	c.parsing += n
 	return nil
 }
@@ -335,25 +344,45 @@
 	return false
 }
 
-// Received tells that the whole request has come, and is passed on.
-func (c *Conn) Received() {
+// Received tells that the whole request has come, and returns false if its connection was closed, so that it must not be passed on. From
+// then on the connection is not closed to make room for others.
+func (c *Conn) Received() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phaseServing
+	return !c.closed
 }
 
 // Close closes the connection and returns what it was charged.
 func (c *Conn) Close() error {
+	if !c.end(func() bool { return true }) {
+		return net.ErrClosed
+	}
+	return c.Conn.Close()
+}
+
+// closeIn closes the connection if it is in a phase, and reports whether it did.
+func (c *Conn) closeIn(p phase) bool {
+	if !c.end(func() bool { return c.phase == p }) {
+		return false
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
+// end marks the connection as closed and returns what it was charged, unless it is closed already or ok, which is called with mu held,
+// returns false.
+func (c *Conn) end(ok func() bool) bool {
 	c.mu.Lock()
-	if c.closed {
+	if c.closed || !ok() {
 		c.mu.Unlock()
-		return net.ErrClosed
+		return false
 	}
 	c.closed = true
 	c.lower(0)
 	c.mu.Unlock()
 	c.listener.remove(c)
-	return c.Conn.Close()
+	return true
 }
 
 // CloseWrite closes the sending side, so that the client reads an answer although it has sent more than was read.
--- a/internal/edge/http1/conn_test.go
+++ b/internal/edge/http1/conn_test.go
@@ -207,7 +207,9 @@
 	release := make(chan struct{})
 	l := &Listener{Memory: &memory.Budget{Limit: 20 * connectionBytes}, MaxConns: 8}
 	at := startServer(t, l, func(w http.ResponseWriter, r *http.Request) {
-		FromContext(r.Context()).Received()
+		if !FromContext(r.Context()).Received() {
+			panic(http.ErrAbortHandler)
+		}
 		if r.URL.Path == "/wait" {
 			served <- struct{}{}
 			<-release
--- a/internal/edge/http1/listener.go
+++ b/internal/edge/http1/listener.go
@@ -81,7 +81,9 @@
 				http.Error(w, "no memory for the request, which has not run", http.StatusServiceUnavailable)
 				return
 			}
-			c.Received()
+			if !c.Received() {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -93,6 +95,9 @@
 		r.Header = http.Header{}
 		if c := FromContext(r.Context()); c != nil {
 			c.Parsed()
+			if !c.Received() {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -166,38 +171,42 @@
 	return float64(l.Memory.Used()+n) <= dearFraction*float64(l.Memory.Limit)
 }
 
-// evict closes the connection that is to make room for another one: the one that is idle for longest, or else the dearest that has
-// sent a part of a request, if it costs more than the other one. It returns false if there is none.
+// evict closes a connection to make room for another one: the one that is idle for longest, or else the dearest that has sent a part of a
+// request, if it costs more than the other one. It returns false if there is none.
 func (l *Listener) evict(other *Conn) bool {
+	for {
+		idle, reading := l.candidates(other)
+		switch {
+		case idle == nil && reading == nil:
+			return false
+		case idle != nil && idle.closeIn(phaseIdle):
+			l.count(func(s *Stats) { s.ClosedIdle++ })
+			return true
+		case idle == nil && reading.closeIn(phaseReading):
+			l.count(func(s *Stats) { s.ClosedReading++ })
+			return true
+		}
+	}
+}
+
+// candidates returns the connections that evict may close, or nil.
+func (l *Listener) candidates(other *Conn) (idle, reading *Conn) {
 	l.mu.Lock()
-	var idle, reading *Conn
+	defer l.mu.Unlock()
 	var since time.Time
 	dearest := other.cost()
 	for c := range l.conns {
 		if c == other {
 			continue
 		}
-		switch phase, from, cost := c.standing(); {
-		case phase == phaseIdle && (idle == nil || from.Before(since)):
+		switch p, from, cost := c.standing(); {
+		case p == phaseIdle && (idle == nil || from.Before(since)):
 			idle, since = c, from
-		case phase == phaseReading && cost > dearest:
+		case p == phaseReading && cost > dearest:
 			reading, dearest = c, cost
 		}
 	}
-	victim := idle
-	switch {
-	case idle != nil:
-		l.stats.ClosedIdle++
-	case reading != nil:
-		victim = reading
-		l.stats.ClosedReading++
-	}
-	l.mu.Unlock()
-	if victim == nil {
-		return false
-	}
-	_ = victim.Close()
-	return true
+	return idle, reading
 }
 
 func (l *Listener) count(f func(*Stats)) {
