--- a/embed/rules.go
+++ b/embed/rules.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -29,7 +28,6 @@
 	maxRetryDelay     = 2 * time.Second
 	copyTimeout       = 1200 * time.Millisecond // for copying rules from a peer
 	maxChunksBytes    = 2 << 20                 // chunks requested in one message
-	storeCheckKey     = "rules-beat"
 )
 
 // SetRules puts rules in force if their version is higher than the current one.
@@ -44,9 +42,10 @@
 	router *Router
 	parser rules.Parser
 
-	mu      sync.Mutex
-	current jaywind.RulesHead
-	chunks  map[jaywind.ChunkID]string // the text of current
+	mu          sync.Mutex
+	current     jaywind.RulesHead
+	chunks      map[jaywind.ChunkID]string // the text of current
+	cancelWatch context.CancelFunc         // of the running watch
 }
 
 func (p *rulesFollower) execute(ctx context.Context, c table.Command) bool {
@@ -144,7 +143,7 @@
 	var last jaywind.Revision
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		accepted, err := repository.Watch(ctx, last)
+		accepted, err := p.watchOnce(ctx, repository, last)
 		if err == nil && accepted.Version >= p.head().Version {
 			last = accepted.Revision
 			delay = minRetryDelay
@@ -164,15 +163,38 @@
 	}
 }
 
-// checkStore checks every storeCheckPeriod whether the store answers.
+// watchOnce waits for the next version. It ends early if another call of the store has shown that there is one.
+func (p *rulesFollower) watchOnce(ctx context.Context, repository rules.Repository, last jaywind.Revision) (rules.Accepted, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.mu.Lock()
+	p.cancelWatch = cancel
+	p.mu.Unlock()
+	return repository.Watch(ctx, last)
+}
+
+// endWatch ends the running watch, whose connection may have gone silent.
+func (p *rulesFollower) endWatch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancelWatch != nil {
+		p.cancelWatch()
+	}
+}
+
+// checkStore checks every storeCheckPeriod whether the store answers, and whether the watch has missed a version.
 func (p *rulesFollower) checkStore(ctx context.Context) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
-		_, err := p.router.Store.Get(callCtx, storeCheckKey)
+		newest, err := rules.Repository{Store: p.router.Store}.Announced(callCtx)
 		cancel()
-		if err == nil || errors.Is(err, jaywind.ErrKeyNotFound) {
+		if err == nil {
 			p.router.post(table.StoreReached{})
 		}
+		if err == nil && newest > p.head().Version {
+			p.router.Log.Info("rules: the watch is late; watching again", zap.Uint64("newest", uint64(newest)))
+			p.endWatch()
+		}
 		sleep(ctx, storeCheckPeriod)
 	}
 }
--- a/internal/provider/rules/repository.go
+++ b/internal/provider/rules/repository.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"jaywind"
@@ -18,6 +19,8 @@
 	maxWriteAttempts = 5        // attempts at a write that fails or whose outcome is unknown
 	maxRecentNonces  = 16       // number of versions whose nonces are kept
 	writeBackoff     = 200 * time.Millisecond
+	versionKey       = "rules-beat"
+	maxAnnouncements = 2 // attempts at an announcement, which another writer may have overtaken
 )
 
 // ErrInvalid is returned for a text that rule.Parse rejects.
@@ -109,9 +112,42 @@
 		return Accepted{}, err
 	}
 	b.removeUnused(ctx, base, next)
+	b.announce(ctx, jaywind.RulesVersion(next.Version))
 	return Accepted{Version: jaywind.RulesVersion(next.Version), Text: text, Set: set, Revision: revision, Nonce: b.Nonce, head: next}, nil
 }
 
+// announce writes the newest version to a key that is cheap to read. It makes up for watches whose connections have gone silent, so a failure
+// only delays those.
+func (b Repository) announce(ctx context.Context, version jaywind.RulesVersion) {
+	for range maxAnnouncements {
+		e, err := b.Store.Get(ctx, versionKey)
+		if err != nil && !errors.Is(err, jaywind.ErrKeyNotFound) || decodeVersion(e.Value) >= version {
+			return
+		}
+		if _, err = b.Store.Swap(ctx, versionKey, strconv.AppendUint(nil, uint64(version), 10), e.Revision); err == nil {
+			return
+		}
+	}
+}
+
+// Announced returns the newest version that was announced; 0 for none. The error is that of the store.
+func (b Repository) Announced(ctx context.Context) (jaywind.RulesVersion, error) {
+	e, err := b.Store.Get(ctx, versionKey)
+	if errors.Is(err, jaywind.ErrKeyNotFound) {
+		return 0, nil
+	}
+	return decodeVersion(e.Value), err
+}
+
+// decodeVersion decodes an announced version; what is none counts as 0.
+func decodeVersion(value []byte) jaywind.RulesVersion {
+	n, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return jaywind.RulesVersion(n)
+}
+
 // appendRecent appends a nonce and drops the oldest beyond the limit.
 func appendRecent(nonces []string, next string) []string {
 	out := append(slices.Clone(nonces), next)
