settings: the deployed template names no descriptors

Without the setting platform.files the limit is what the kernel allows, but at most 3,072, which all VMs have.

--- a/internal/operator/settings/settings.go
+++ b/internal/operator/settings/settings.go
@@ -30,7 +30,7 @@
 	Ready     string   `toml:"ready"`     // address for the platform's readiness checks
 	Directory string   `toml:"directory"` // address where callers look up which VM to use
 	Memory    int      `toml:"memory"`    // MB that the process may use
-	Files     int      `toml:"files"`     // descriptors that the process may use; if 0, what the kernel allows
+	Files     int      `toml:"files"`     // descriptors that the process may use; if 0, what the kernel allows, but at most 3,072
 	Link      float64  `toml:"link"`      // Mbit/s of this VM's network
 	Grace     int      `toml:"grace"`     // ms from SIGTERM to SIGKILL
 	Seeds     string   `toml:"seeds"`     // comma-separated fleet addresses of some routers, which may no longer exist
