platform, http1, ports: a head's map is dropped before the body is read; each port has a budget of its own

What callers would see: beside clients that send a whole head of many lines and a body without its end, others wait up to 5 s, as the heads that are being parsed hold their budget until the body has come; and a crowd of callers keeps the readiness checks and the directory's clients out.

Cause: the head was parsed for the router only once the body was there; on the product's own path the map of a refused request stayed until its client closed, without a charge; all ports shared one budget, but only connections of the same port make room.

Change: the head is translated and its map dropped before the body is read. What is left of a body is read within its limit of time, also after a refusal. Budgets for the callers' port, for other routers and for each other port.

--- a/internal/core/memory/plan.go
+++ b/internal/core/memory/plan.go
@@ -13,6 +13,8 @@
 	callerFraction = 0.4      // of the runtime's memory; the collector needs about half of it to work in
 	answerFraction = 1.0 / 6  // of the runtime's memory
 	headFraction   = 1.0 / 12 // of the runtime's memory
+	fleetFraction  = 0.12     // of the runtime's memory
+	portFraction   = 0.02     // of the runtime's memory
 	leastAnswers   = 9 * MB   // more than the longest answer, which could not be read otherwise
 	mostAnswers    = 16 * MB  // long answers are rare
 	defaultVM      = 512 * MB // if the settings name no memory
@@ -23,6 +25,8 @@
 	Runtime Bytes // all of the Go runtime, as its soft limit
 	Callers Bytes // connections and requests of callers
 	Heads   Bytes // requests' heads while they are parsed
+	Fleet   Bytes // connections of other routers
+	Port    Bytes // connections of each other port, so that clients of one can't keep out those of another
 	Answers Bytes // long answers of endpoints
 }
 
@@ -36,6 +40,8 @@
 		Runtime: runtime,
 		Callers: part(runtime, callerFraction),
 		Heads:   part(runtime, headFraction),
+		Fleet:   part(runtime, fleetFraction),
+		Port:    part(runtime, portFraction),
 		Answers: min(max(part(runtime, answerFraction), leastAnswers), mostAnswers),
 	}
 }
--- a/internal/edge/http1/conn.go
+++ b/internal/edge/http1/conn.go
@@ -323,9 +323,10 @@
 func (c *Conn) keepHead() bool {
 	c.mu.Lock()
 	n := c.parsing
-	c.endParsing()
 	c.mu.Unlock()
-	return c.Charge(n)
+	kept := c.Charge(n)
+	c.Parsed()
+	return kept
 }
 
 // Parsed tells that nothing is needed any more of what the server has made of the head.
--- a/internal/edge/http1/listener.go
+++ b/internal/edge/http1/listener.go
@@ -14,6 +14,8 @@
 	receiveBuffer = 32 << 10 // bytes that the kernel keeps of what a client has sent and the server has not read
 	sendBuffer    = 64 << 10 // bytes that the kernel keeps of what the client has not taken
 
+	unreadTimeout = time.Second // for the body of a request that is refused
+
 	connectionBytes memory.Bytes = 16 << 10 // of an idle connection: its goroutine, the server's buffers
 	requestBytes    memory.Bytes = 24 << 10 // of a request in progress, besides its head and body: goroutines, a connection to an endpoint
 	lineBytes       memory.Bytes = 112      // of a parsed header line, besides its text
@@ -76,6 +78,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := FromContext(r.Context()); c != nil {
 			if !c.keepHead() {
+				r.Header = nil
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
 				w.Header().Set("Retry-After", "1")
 				w.Header().Set("Connection", "close")
 				http.Error(w, "no memory for the request, which has not run", http.StatusServiceUnavailable)
--- a/internal/edge/ports/daemon.go
+++ b/internal/edge/ports/daemon.go
@@ -121,16 +121,17 @@
 	last.listener = traffic.Listener(last.listener)
 }
 
-// boundPorts bounds what the connections of all ports may take together.
+// boundPorts bounds what the connections of each port may take.
 func (d *Daemon) boundPorts() {
 	plan := memory.Divide(memory.Bytes(d.Settings.Memory) * memory.MB)
 	if d.Settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(plan.Runtime))
 	}
-	all, heads := &memory.Budget{Limit: plan.Callers}, &memory.Budget{Limit: plan.Heads}
-	for _, p := range d.ports {
+	heads := &memory.Budget{Limit: plan.Heads}
+	for i, limit := range []memory.Bytes{plan.Callers, plan.Port, plan.Fleet} { // in the order of the ports
+		p := d.ports[i]
 		l := p.bound
-		l.Memory, l.Heads, l.MaxHead, l.HeadTimeout = all, heads, maxHeaderBytes+headerSlack, headerTimeout
+		l.Memory, l.Heads, l.MaxHead, l.HeadTimeout = &memory.Budget{Limit: limit}, heads, maxHeaderBytes+headerSlack, headerTimeout
 		l.Configure(p.server)
 	}
 }
