--- a/embed/rules.go
+++ b/embed/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -45,7 +46,7 @@
 	mu          sync.Mutex
 	current     jaywind.RulesHead
 	chunks      map[jaywind.ChunkID]string // the text of current
-	cancelWatch context.CancelFunc         // of the running watch
+	cancelWatch func()                     // ends the running watch
 }
 
 func (p *rulesFollower) execute(ctx context.Context, c table.Command) bool {
@@ -154,6 +155,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errWatchEnded) {
+			continue
+		}
 		if err == nil {
 			err = fmt.Errorf("%w: store returned stale rules, version %d", jaywind.ErrStoreUnavailable, accepted.Version)
 		}
@@ -165,14 +169,21 @@
 
 // watchOnce waits for the next version. It ends early if another call of the store has shown that there is one.
 func (p *rulesFollower) watchOnce(ctx context.Context, repository rules.Repository, last jaywind.Revision) (rules.Accepted, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	p.mu.Lock()
-	p.cancelWatch = cancel
+	p.cancelWatch = func() { cancel(errWatchEnded) }
 	p.mu.Unlock()
-	return repository.Watch(ctx, last)
+	accepted, err := repository.Watch(ctx, last)
+	if err != nil && errors.Is(context.Cause(ctx), errWatchEnded) {
+		return accepted, errWatchEnded
+	}
+	return accepted, err
 }
 
+// errWatchEnded is returned for a watch that endWatch has ended.
+var errWatchEnded = errors.New("the watch was ended")
+
 // endWatch ends the running watch, whose connection may have gone silent.
 func (p *rulesFollower) endWatch() {
 	p.mu.Lock()
