--- a/internal/measure/soak/hostile.go
+++ b/internal/measure/soak/hostile.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"jaywind/platform/standin"
 )
 
 const (
@@ -18,26 +18,9 @@
 	hostilePause   = time.Second // mean time between two groups of them
 )
 
-// hostileTexts are what clients send that hold a router up and ask for nothing that a replica could run.
-func hostileTexts() []string {
-	const begin = "POST /none/x HTTP/1.1\r\nHost: none.example\r\n"
-	var lines strings.Builder
-	for i := range 2000 {
-		fmt.Fprintf(&lines, "%04X:\r\n", 0x1000+i)
-	}
-	return []string{
-		"",                     // nothing
-		begin,                  // a part of a head
-		begin + lines.String(), // one of many lines
-		begin + "X-Prompt-Prefix: " + strings.Repeat(",", 15_000) + "\r\n\r\n",
-		begin + "Content-Length: 60000\r\n\r\n" + strings.Repeat("x", 59_999),
-		strings.Repeat(begin+"\r\n", 1000), // requests that are sent ahead, whose answers nobody reads
-	}
-}
-
 // sendHostile lets groups of hostile clients come to routers until ctx ends. They break no promise to others, and none is made to them.
 func (r *Run) sendHostile(ctx context.Context) {
-	texts := hostileTexts()
+	texts := standin.HostileTexts()
 	random := rand.New(rand.NewPCG(r.Plan.Seed, 0)) //nolint:gosec // not used for security
 	for ctx.Err() == nil {
 		at, text := r.fleet.routers[random.IntN(len(r.fleet.routers))].callerAddress, texts[random.IntN(len(texts))]
