--- a/review/second/router.go
+++ b/review/second/router.go
@@ -11,6 +11,8 @@
 	"time"
 )
 
+var deskZones = []string{"lagos-marina", "apapa-port", "onne-terminal"}
+
 // vm is a machine of the system with its process.
 type vm struct {
 	name, zone                             string
