--- a/review/second/store.go
+++ b/review/second/store.go
@@ -55,6 +55,51 @@
 	era     int64
 	changed chan struct{}
 	onWrite func(key string, value []byte, at time.Time) // writes by the system
+	away    bool
+	copies  []storeCopy // taken twice a second
+}
+
+// storeCopy is the state of the store at a time.
+type storeCopy struct {
+	at    time.Time
+	state storeState
+}
+
+// keepCopies begins to take copies.
+func (s *store) keepCopies() {
+	go func() {
+		for range time.Tick(500 * time.Millisecond) {
+			s.mu.Lock()
+			if !s.away {
+				s.copies = append(s.copies, storeCopy{time.Now(), s.state.clone()})
+			}
+			s.mu.Unlock()
+		}
+	}()
+}
+
+// leave makes the store unreachable.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// restore brings the store back from the newest copy that is at least so old, and begins a new era. Before it answers, change
+// writes again what the operator and the replicas have written since.
+func (s *store) restore(age time.Duration, change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.copies {
+		if time.Since(c.at) >= age {
+			s.state = c.state.clone()
+		}
+	}
+	s.era++
+	change()
+	s.away = false
+	s.wake()
 }
 
 func newStore() *store {
@@ -144,7 +189,11 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	away := s.away
 	s.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
 	q := r.URL.Query()
 	id, _ := strconv.ParseInt(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], 10, 64)
 	switch path := r.URL.Path; {
@@ -232,7 +281,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		changed, revision := s.changed, s.state.revision
+		changed, revision, away := s.changed, s.state.revision, s.away
 		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		events := []item{}
 		for _, i := range s.state.history {
@@ -242,6 +291,8 @@
 		}
 		s.mu.Unlock()
 		switch {
+		case away:
+			panic(http.ErrAbortHandler)
 		case after > revision:
 			w.WriteHeader(http.StatusGone)
 			return
