review: case 8, a quarantine of the part that all prompts share is not lifted

Cause: one request may run to lift a quarantine; if it is lost in another crash, no other one may for ten minutes. Ports of the stand-ins lie below those of outgoing connections. Nothing was fixed.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/jaywind ] && [ -x target/second ] || { echo "build the deploy file and review/build-2.sh first"; exit 2; }
-exec target/second lead "$here/record.txt"
+exec target/second back "$here/record.txt"
--- a/review/second/replica.go
+++ b/review/second/replica.go
@@ -49,7 +49,7 @@
 }
 
 func (r *replica) start(s *store) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freePort())
 	check(err)
 	r.store, r.address, r.born = s, l.Addr().String(), time.Now().UnixMilli()
 	r.parts, r.gone = map[string]int{}, make(chan struct{})
@@ -67,6 +67,21 @@
 	r.store.put("servers/"+r.id, entry)
 }
 
+// crash ends the replica without notice. It starts again under the same id and address, and knows nothing of before.
+func (r *replica) crash(down time.Duration) {
+	_ = r.server.Close()
+	time.AfterFunc(down, func() {
+		l, err := net.Listen("tcp", r.address)
+		check(err)
+		r.mu.Lock()
+		r.parts, r.born = map[string]int{}, time.Now().UnixMilli()
+		r.mu.Unlock()
+		r.server = &http.Server{Handler: r, IdleTimeout: 30 * time.Second}
+		go func() { _ = r.server.Serve(l) }()
+		r.register("ready")
+	})
+}
+
 // drain reports draining; the replica goes on serving, and leaves after its runs.
 func (r *replica) drain(stay time.Duration) {
 	r.mu.Lock()
--- a/review/second/router.go
+++ b/review/second/router.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -22,14 +24,24 @@
 	ended                                  chan struct{}
 }
 
-// freePort returns a port of the loopback interface that is free now.
+// freePort returns an address of the loopback interface whose port is free now. The port lies below those that the kernel gives to
+// outgoing connections, so that it stays free until it is used, and between the start of a process and the next.
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		at := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if _, used := givenPorts.LoadOrStore(at, true); !used {
+			return at
+		}
+	}
 }
 
+var givenPorts sync.Map
+
 // fleet is the system under test.
 type fleet struct {
 	folder  string // temporary
--- a/review/second/store.go
+++ b/review/second/store.go
@@ -105,7 +105,7 @@
 func newStore() *store {
 	s := &store{changed: make(chan struct{})}
 	s.state = storeState{items: map[string]item{}, revision: 100, leases: map[int64]lease{}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freePort())
 	check(err)
 	s.address = l.Addr().String()
 	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
