--- a/review/second/desk.go
+++ b/review/second/desk.go
@@ -80,7 +80,7 @@
 	d.fleet.startAll()
 	d.fleet.awaitReady(15 * time.Second)
 	r.line("all machines are ready")
-	go d.traffic()
+	background.Go(d.traffic)
 	time.Sleep(4 * time.Second)
 	return d
 }
@@ -202,7 +202,7 @@
 		case <-d.stop:
 			return
 		case <-time.After(4 * time.Millisecond):
-			go send()
+			background.Go(send)
 		}
 	}
 }
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -36,6 +36,9 @@
 	_ = r.file.Close()
 }
 
+// background runs what the cases do not wait for.
+var background sync.WaitGroup
+
 var cases = map[string]func(r *record, trouble bool, f func(*fleet)) (broken bool){}
 
 func main() {
@@ -59,7 +62,7 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	go func() { <-signals; end(2) }()
+	background.Go(func() { <-signals; end(2) })
 	time.AfterFunc(115*time.Second, func() { r.line("the case takes too long"); end(2) })
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/review/second/quarantine.go
+++ b/review/second/quarantine.go
@@ -69,16 +69,17 @@
 		}
 		failed.Add(1)
 	}
-	go func() {
+	background.Go(func() {
 		for {
 			select {
 			case <-stop:
 				return
 			case <-time.After(50 * time.Millisecond):
-				go send(number.Add(1))
+				n := number.Add(1)
+				background.Go(func() { send(n) })
 			}
 		}
-	}()
+	})
 	time.Sleep(10 * time.Second)
 	r.line("before the fault: %d served, %d not", served.Load(), failed.Load())
 	back := time.Now()
--- a/review/second/replica.go
+++ b/review/second/replica.go
@@ -54,7 +54,7 @@
 	r.store, r.address, r.born = s, l.Addr().String(), time.Now().UnixMilli()
 	r.parts, r.gone = map[string]int{}, make(chan struct{})
 	r.server = &http.Server{Handler: r, IdleTimeout: 30 * time.Second}
-	go func() { _ = r.server.Serve(l) }()
+	background.Go(func() { _ = r.server.Serve(l) })
 	r.register("ready")
 }
 
@@ -77,7 +77,7 @@
 		r.parts, r.born = map[string]int{}, time.Now().UnixMilli()
 		r.mu.Unlock()
 		r.server = &http.Server{Handler: r, IdleTimeout: 30 * time.Second}
-		go func() { _ = r.server.Serve(l) }()
+		background.Go(func() { _ = r.server.Serve(l) })
 		r.register("ready")
 	})
 }
--- a/review/second/resume.go
+++ b/review/second/resume.go
@@ -144,7 +144,7 @@
 		}
 		failed.Add(1)
 	}
-	go func() {
+	background.Go(func() {
 		counting.Store(true)
 		for i := 0; ; i++ {
 			select {
@@ -158,7 +158,7 @@
 			}
 			group.Go(func() { send(tokens) })
 		}
-	}()
+	})
 
 	time.Sleep(4 * time.Second)
 	mu.Lock()
@@ -203,11 +203,11 @@
 			if trouble {
 				r.line("SIGKILL to %s", victim.name)
 				victim.signal(syscall.SIGKILL)
-				go func() { // restarted after a short delay
+				background.Go(func() { // restarted after a short delay
 					<-victim.ended
 					time.Sleep(2 * time.Second)
 					f.start(victim)
-				}()
+				})
 			}
 		}
 		if !rolledBack.IsZero() && !drained && now.After(rolledBack.Add(drainAfter)) {
--- a/review/second/router.go
+++ b/review/second/router.go
@@ -93,7 +93,12 @@
 	m.command.Stdout, m.command.Stderr = out, out
 	check(m.command.Start())
 	m.ended = make(chan struct{})
-	go func(c *exec.Cmd, ended chan struct{}) { _ = c.Wait(); close(ended); _ = out.Close() }(m.command, m.ended)
+	c, ended := m.command, m.ended
+	background.Go(func() {
+		_ = c.Wait()
+		close(ended)
+		_ = out.Close()
+	})
 }
 
 func (f *fleet) startAll() {
--- a/review/second/store.go
+++ b/review/second/store.go
@@ -67,7 +67,7 @@
 
 // keepCopies begins to take copies.
 func (s *store) keepCopies() {
-	go func() {
+	background.Go(func() {
 		for range time.Tick(500 * time.Millisecond) {
 			s.mu.Lock()
 			if !s.away {
@@ -75,7 +75,7 @@
 			}
 			s.mu.Unlock()
 		}
-	}()
+	})
 }
 
 // leave makes the store unreachable.
@@ -108,14 +108,14 @@
 	l, err := net.Listen("tcp", freePort())
 	check(err)
 	s.address = l.Addr().String()
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
-	go func() {
+	background.Go(func() { _ = (&http.Server{Handler: s}).Serve(l) })
+	background.Go(func() {
 		for range time.Tick(50 * time.Millisecond) {
 			s.mu.Lock()
 			s.expire()
 			s.mu.Unlock()
 		}
-	}()
+	})
 	return s
 }
 
