--- a/review/second/quarantine.go
+++ b/review/second/quarantine.go
@@ -10,7 +10,8 @@
 
 func init() { cases["quarantine"] = quarantine }
 
-// quarantine kills all processes; soon after they are back, all model replicas crash twice. All prompts begin with the same part.
+// quarantine kills all processes; soon after they are back, all model replicas crash twice,
+// which stand in one zone. All prompts begin with the same part.
 func quarantine(r *record, trouble bool, use func(*fleet)) (broken bool) {
 	const recover = 12 * time.Second // recoveryS
 	s := newStore()
@@ -27,7 +28,7 @@
 	})
 	var replicas []*replica
 	for i := range 6 {
-		p := &replica{id: fmt.Sprintf("i-%d", i), service: "pool", zone: deskZones[i%len(deskZones)], version: "v1", engine: true, slots: 16,
+		p := &replica{id: fmt.Sprintf("i-%d", i), service: "pool", zone: deskZones[0], version: "v1", engine: true, slots: 16,
 			prefill: time.Second, gap: 50 * time.Millisecond}
 		p.start(s)
 		replicas = append(replicas, p)
