rollout: the full load ends by itself without the leader; each router judges its own totals

Cause: routers acted on the stored state alone, which only the leader changes, and none judged the answers that it saw itself. The end until which the full load fits into the bound was known to the leader only.

Logs lacked what a router sends and why: new line "rollout: share changed".

Change: the full load is a permission of 1 s that the leader renews with its reply to each report, while it has the evidence itself and the bound is not used up. Each router evaluates its own totals and sends a version that it finds bad nothing more. The reply also says that the leader has found it bad. A call draws once and is bound to the share of the moment at each attempt, so calls that wait follow.

Why it works: after the loss of the leader the load ends within 1 s, which the bound's rest covers, and a version that fails visibly is held back by each router within one interval.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -119,6 +119,10 @@
 	newEndpoints int // of the new version
 
 	lateLimits LateLimits
+
+	load          Load      // that the last decision allows the routers; the leader tells them
+	fullLoadUntil time.Time // at this router, unless the leader allows it for longer
+	held          bool      // the new version gets no work from this router
 }
 
 // New returns the roll-out of a new order.
@@ -128,6 +132,7 @@
 		State:     State{Target: o.Target, Phase: PhaseCanary, Share: initialShare},
 		evaluator: move.NewEvaluator(o.Service, o.Target, o.ReceivedAt, o.ReceivedAt.Add(o.Duration)),
 		reported:  map[jaywind.VM]Totals{},
+		load:      LoadShare,
 	}
 }
 
@@ -179,10 +184,8 @@
 	}
 }
 
-// LateLimits returns the limits that hold at all routers, as of the last decision. A route on which the old version has
-// answered too little has none, and that of AllRoutes holds there.
-func (r *Rollout) LateLimits() LateLimits { return r.lateLimits }
-
+// updateLateLimits computes the limits that hold at all routers. A route on which the old version has answered too little has none,
+// and that of AllRoutes holds there.
 func (r *Rollout) updateLateLimits() {
 	baselines := map[table.RouteMeasure]*table.Durations{}
 	add := func(pair table.RouteMeasure, d table.Durations) {
@@ -222,6 +225,10 @@
 	if next != r.State {
 		next.Step = r.State.Step + 1
 	}
+	r.load = r.allowedLoad(next, now)
+	if _, bad := r.looksBad(); bad {
+		r.held = true
+	}
 	return next
 }
 
@@ -235,12 +242,11 @@
 		r.evaluatedAt = now
 	}
 	next := r.State
-	elapsed := now.Sub(r.Order.ReceivedAt).Seconds() / r.Order.Duration.Seconds()
+	elapsed := r.elapsed(now)
+	reason, bad := r.looksBad()
 	switch {
-	case r.failsWidely():
-		next.Phase, next.Reason = PhaseRolledBack, "failures on several endpoints"
-	case r.worstScore >= 1:
-		next.Phase, next.Reason = PhaseRolledBack, describe(r.worstPair)
+	case bad:
+		next.Phase, next.Reason = PhaseRolledBack, reason
 	case r.State.Phase == PhaseShift && !r.trusted() && float64(r.newStarts) > maxBoundUse*r.bound(elapsed):
 		next.Phase, next.Reason = PhaseRolledBack, "not trusted within the bound on its requests"
 	case elapsed >= endTime && r.trusted():
@@ -255,6 +261,11 @@
 	return next
 }
 
+// elapsed returns the fraction of the order's time that has passed.
+func (r *Rollout) elapsed(now time.Time) float64 {
+	return now.Sub(r.Order.ReceivedAt).Seconds() / r.Order.Duration.Seconds()
+}
+
 // describe names what a version was found bad by.
 func describe(p table.RouteMeasure) string {
 	if p.Route == AllRoutes {
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -90,6 +90,7 @@
 	mayHaveRun    bool // at an endpoint
 	lastEndpoint  jaywind.EndpointID
 	whole         jaywind.PromptPart // stands for the whole request; empty until wholePart is called
+	draw          float64            // in [0, 1); the new version of a roll-out may run the call if it is below its share
 	tracker       *rolloutTracker    // roll-out that counts the outcomes of this call; nil for none
 	observation   *observation       // of the current attempt; nil for none
 	hedgeable     bool               // counted as a request that may be hedged
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -22,6 +22,8 @@
 	lateLimits rollout.LateLimits
 	open       map[*observation]struct{} // not ended, and not known to be late
 	unjudged   []observation             // ended before they had a limit
+
+	loggedShare float64 // of new work at this router, as last logged
 }
 
 // observation is a duration of an attempt: of its first response or event, or of the events after the first one.
@@ -65,6 +67,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rolloutStates[s] = state
+	if tr := r.rollouts[s]; tr != nil && state.Phase == rollout.PhaseShift && tr.rollout.State.Phase == rollout.PhaseCanary {
+		tr.rollout.Follow(rollout.LoadFull, time.Now()) // its leader has just written the state
+	}
 	r.followState(s, state)
 }
 
@@ -108,30 +113,35 @@
 	return out
 }
 
-// ReportRollout records the totals of a router, which may be this one. It returns the limits that this router has computed
-// as the leader, for the other one to follow.
-func (r *Router) ReportRollout(vm jaywind.VM, s jaywind.ServiceName, t rollout.Totals) rollout.LateLimits {
+// ReportRollout records the totals of a router, which may be this one. It returns what this router has decided as the leader,
+// for the other one to follow.
+func (r *Router) ReportRollout(vm jaywind.VM, s jaywind.ServiceName, t rollout.Totals) rollout.Reply {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tr := r.rollouts[s]
 	if tr == nil {
-		return nil
+		return rollout.Reply{}
 	}
 	tr.rollout.Report(vm, t)
-	return tr.rollout.LateLimits()
+	return tr.rollout.Reply()
 }
 
-// SetLateLimits sets the limits of a roll-out, as computed by the leader.
-func (r *Router) SetLateLimits(s jaywind.ServiceName, limits rollout.LateLimits) {
+// FollowRolloutLeader applies the leader's reply to totals that were sent at a time.
+func (r *Router) FollowRolloutLeader(s jaywind.ServiceName, reply rollout.Reply, sentAt time.Time) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tr := r.rollouts[s]
-	if tr == nil || len(limits) == 0 {
+	if tr == nil {
 		return
 	}
-	tr.lateLimits = limits
+	tr.rollout.Follow(reply.Load, sentAt)
+	r.logShare(s, tr, sentAt)
+	if len(reply.Limits) == 0 {
+		return
+	}
+	tr.lateLimits = reply.Limits
 	ended := tr.unjudged
 	tr.unjudged = nil
 	for _, o := range ended {
@@ -142,8 +152,21 @@
 	}
 }
 
+// logShare logs a change of the share of new work that the new version may get; the caller holds mu.
+func (r *Router) logShare(s jaywind.ServiceName, tr *rolloutTracker, now time.Time) {
+	share := tr.rollout.Share(now)
+	if share == tr.loggedShare {
+		return
+	}
+	tr.loggedShare = share
+	r.Log.Info("rollout: share changed", zap.String("service", string(s)), zap.String("target", string(tr.rollout.Order.Target)),
+		zap.Float64("share", share), zap.String("phase", string(tr.rollout.State.Phase)), zap.Bool("held", tr.rollout.Held()),
+		zap.Int("starts", tr.totals.Starts), zap.Int("requests", tr.totals.Requests))
+}
+
 // DecideRollouts returns the state that each roll-out should have now, according to the totals that were reported to this
-// router. The leader writes it to the store.
+// router. The leader writes it to the store. At any other router, whose own totals are all that it knows, a bad version gets no
+// more work from this router only.
 func (r *Router) DecideRollouts(now time.Time) map[jaywind.ServiceName]rollout.State {
 	r.init()
 	r.mu.Lock()
@@ -156,30 +179,40 @@
 		}
 		tr.rollout.SetEndpoints(endpoints)
 		out[s] = tr.rollout.Decide(now)
+		r.logShare(s, tr, now)
 	}
 	return out
 }
 
-// restrictVersion sets which version of its service may run a call, once there is an endpoint of the new version; the caller
-// holds mu.
+// restrictVersion counts a call for the roll-out of its service, and sets which version may run it; the caller holds mu.
 func (r *Router) restrictVersion(c *call) {
 	tr := r.rollouts[c.service.Name]
 	if tr == nil {
 		return
 	}
-	state, target := tr.rollout.State, tr.rollout.Order.Target
-	if !state.Phase.Final() {
+	if !tr.rollout.State.Phase.Final() {
 		tr.totals.Requests++
 		c.tracker = tr
 	}
-	if !slices.ContainsFunc(r.table.EntriesOf(c.service.Name), func(e endpoint.Entry) bool { return e.Version == target && !e.Leaving }) {
+	c.draw = rand.Float64()
+	r.updateVersion(c)
+}
+
+// updateVersion sets which version may run the next attempt of a call, once there is an endpoint of the new version. The share may have
+// changed since the last attempt; the caller holds mu.
+func (r *Router) updateVersion(c *call) {
+	tr := r.rollouts[c.service.Name]
+	if tr == nil {
 		return
 	}
-	switch {
-	case state.Phase == rollout.PhaseShift || state.Phase == rollout.PhaseDone,
-		state.Phase == rollout.PhaseCanary && rand.Float64() < state.Share:
+	target := tr.rollout.Order.Target
+	c.requirements.Version, c.requirements.ExcludeVersion = "", ""
+	if !tr.rollout.State.Phase.Final() && !slices.ContainsFunc(r.table.EntriesOf(c.service.Name), func(e endpoint.Entry) bool { return e.Version == target && !e.Leaving }) {
+		return
+	}
+	if c.draw < tr.rollout.Share(time.Now()) {
 		c.requirements.Version = target
-	default:
+	} else {
 		c.requirements.ExcludeVersion = target
 	}
 }
@@ -208,20 +241,6 @@
 	}
 }
 
-// followRolloutEnd binds a call to the version that remains once a roll-out of its service has ended; the caller holds mu.
-func (r *Router) followRolloutEnd(c *call) {
-	tr := r.rollouts[c.service.Name]
-	if tr == nil {
-		return
-	}
-	switch tr.rollout.State.Phase {
-	case rollout.PhaseDone:
-		c.requirements.Version, c.requirements.ExcludeVersion = tr.rollout.Order.Target, ""
-	case rollout.PhaseRolledBack:
-		c.requirements.Version, c.requirements.ExcludeVersion = "", tr.rollout.Order.Target
-	}
-}
-
 // endObservation ends the observation of the current attempt, if there is one; the caller holds mu.
 func (r *Router) endObservation(c *call, whole bool) {
 	o, tr := c.observation, c.tracker
--- a/internal/relay/router/rollout_test.go
+++ b/internal/relay/router/rollout_test.go
@@ -187,7 +187,7 @@
 			}
 			lead := routers[0]
 			for n, r := range routers {
-				r.SetLateLimits("pool", lead.ReportRollout(jaywind.VM(fmt.Sprint(n)), "pool", r.RolloutTotals()["pool"]))
+				r.FollowRolloutLeader("pool", lead.ReportRollout(jaywind.VM(fmt.Sprint(n)), "pool", r.RolloutTotals()["pool"]), time.Now())
 			}
 			if state.Phase.Final() {
 				continue
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -413,7 +413,7 @@
 func (r *Router) acquireEndpoint(c *call) *endpoint.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.followRolloutEnd(c)
+	r.updateVersion(c)
 	if c.exceedsLimitRefusals() {
 		return nil
 	}
--- a/internal/relay/router/schedule.go
+++ b/internal/relay/router/schedule.go
@@ -92,7 +92,7 @@
 			return nil, nil
 		}
 		r.mu.Lock()
-		r.followRolloutEnd(st.call)
+		r.updateVersion(st.call)
 		q, anyLeft := r.scheduleRequest(st, time.Now())
 		r.mu.Unlock()
 		if !anyLeft { // the owner would keep the request waiting; without an owner, the endpoint that opens first is tried
@@ -216,7 +216,7 @@
 func (r *Router) takeGrant(st *streamCall, d schedule.Decision) (e *endpoint.Endpoint, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.followRolloutEnd(st.call)
+	r.updateVersion(st.call)
 	e = r.byKey(st.service, d.Endpoint)
 	known = e != nil
 	if excluded, _ := r.excludedOf(st, time.Now()); !known || slices.Contains(excluded, e) {
--- a/internal/relay/router/silence.go
+++ b/internal/relay/router/silence.go
@@ -202,7 +202,7 @@
 	if e == nil || r.rowOf(e.Ref()) != e {
 		return nil
 	}
-	r.followRolloutEnd(st.call)
+	r.updateVersion(st.call)
 	if excluded, _ := r.excludedOf(st, time.Now()); slices.Contains(excluded, e) {
 		return nil
 	}
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -205,7 +205,7 @@
 func (r *Router) hasCopy(st *streamCall) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.followRolloutEnd(st.call)
+	r.updateVersion(st.call)
 	if st.standby != nil && st.requirements.ExcludeVersion != "" && st.standby.Version == st.requirements.ExcludeVersion {
 		return false
 	}
