rollout: the next leader judges by recent answers, not only by the totals of before

Cause: a new leader gets the totals of all routers at once. Its evaluator counts such a batch as one window, and the good answers of the whole roll-out outweigh those of the last second. At the planned end it decides at once, on that.

TestNextLeaderAtTheEnd on the code before: the row "as slow as the old version" is taken back, for the same reason (one window).

Change: answers of the last four evaluation windows are counted apart, without first reports, whose time is unknown. A version is trusted only if their rate of bad ones is not much above the old version's. A leader that has just heard of the others waits one interval.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -113,7 +113,9 @@
 	newOutcomes table.OutcomeCounts // successes and failures over all routes
 	oldOutcomes table.OutcomeCounts
 	newLate     int // late responses of the new version over all routes
-	newStarts   int // requests sent to the new version
+	recent      recentAnswers
+	heardAt     time.Time // when the totals of another router were first decided on; zero if none were
+	newStarts   int       // requests sent to the new version
 	requests    int
 
 	newEndpoints int // of the new version
@@ -149,9 +151,9 @@
 
 // Report adds the running totals of a router. Totals that have decreased mean that the router restarted from zero.
 func (r *Rollout) Report(vm jaywind.VM, t Totals) {
-	before := r.reported[vm]
+	before, known := r.reported[vm]
 	if t.Requests < before.Requests {
-		before = Totals{}
+		before, known = Totals{}, false
 	}
 	r.reported[vm] = t
 	r.newStarts += t.Starts - before.Starts
@@ -162,6 +164,9 @@
 			continue
 		}
 		r.evaluator.AddOutcomes(c, delta)
+		if known {
+			r.recent.add(c, delta)
+		}
 		if c.Measure != table.MeasureFailure {
 			r.evaluator.AddOutcomes(table.OutcomeKey{RouteMeasure: table.RouteMeasure{Route: AllRoutes, Measure: c.Measure}, New: c.New}, delta)
 			if c.Measure == table.MeasureFirstToken && c.New {
@@ -239,8 +244,12 @@
 	if now.Sub(r.evaluatedAt) >= evaluationInterval {
 		r.worstScore, r.worstPair = r.evaluator.CloseWindow()
 		r.updateLateLimits()
+		r.recent.advance()
 		r.evaluatedAt = now
 	}
+	if r.heardAt.IsZero() && len(r.reported) > 1 {
+		r.heardAt = now
+	}
 	next := r.State
 	elapsed := r.elapsed(now)
 	reason, bad := r.looksBad()
@@ -249,6 +258,8 @@
 		next.Phase, next.Reason = PhaseRolledBack, reason
 	case r.State.Phase == PhaseShift && !r.trusted() && float64(r.newStarts) > maxBoundUse*r.bound(elapsed):
 		next.Phase, next.Reason = PhaseRolledBack, "not trusted within the bound on its requests"
+	case elapsed >= endTime && !r.heardAt.IsZero() && now.Sub(r.heardAt) < evaluationInterval:
+		// The others' totals have just come, all at once, so nothing is known of their recent answers.
 	case elapsed >= endTime && r.trusted():
 		next.Phase, next.Reason = PhaseDone, "no worse than the old version"
 	case elapsed >= endTime:
@@ -274,13 +285,14 @@
 	return p.Measure.String() + " on route " + string(p.Route)
 }
 
-// trusted reports whether the new version has answered enough requests in time and looks no worse than the old one.
+// trusted reports whether the new version has answered enough requests in time and looks no worse than the old one, as a whole and of
+// late.
 func (r *Rollout) trusted() bool {
 	inTime := int(r.newOutcomes.Good) - r.newLate
 	for _, t := range r.reported {
 		inTime -= t.Unjudged
 	}
-	return inTime >= minGoodAnswers && r.worstScore < r.maxScore(maxLateScore)
+	return inTime >= minGoodAnswers && r.worstScore < r.maxScore(maxLateScore) && !r.recent.areBad()
 }
 
 // maxScore returns the worst score up to which a version is trusted, given that for durations.
