rollout: the only version that is left is not kept from requests, nor taken back

Cause: requests outside the canary share were kept from the new version whether or not another version had an endpoint, and it was taken back whether or not there was one to go back to. The store's copy shows the canary phase; nothing else remembers the end.

Change: core/rollout decides which versions may run a call from the versions that have endpoints (Rule). Without another version for 5 s the new one is not restricted; nothing is taken back while there is no other version; the only version is completed once it serves requests.

Why it works: old endpoints stop only on completed, so their absence tells what the copy has forgotten. Endpoints that crash register again within the 5 s, and until then a version that is not known to be good keeps its share.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -23,14 +23,14 @@
 
 // Requirements are the constraints that a call puts on the choice of its endpoint.
 type Requirements struct {
-	Model          jaywind.Model        // empty for a call to a plain service
-	MemoryTokens   int                  // memory that the call takes at its end
-	PromptTokens   int                  // length of the prompt
-	Version        jaywind.Version      // the only version that may run the call; empty for any
-	ExcludeVersion jaywind.Version      // the version that may not run the call; empty for none
-	Avoid          []jaywind.EndpointID // endpoints that have failed this call
-	Only           []jaywind.EndpointID // the only endpoints that may run the call; empty for any
-	Urgent         bool                 // the call is a stream that has begun
+	Model           jaywind.Model        // empty for a call to a plain service
+	MemoryTokens    int                  // memory that the call takes at its end
+	PromptTokens    int                  // length of the prompt
+	Version         jaywind.Version      // the only version that may run the call; empty for any
+	ExcludeVersions []jaywind.Version    // versions that may not run the call
+	Avoid           []jaywind.EndpointID // endpoints that have failed this call
+	Only            []jaywind.EndpointID // the only endpoints that may run the call; empty for any
+	Urgent          bool                 // the call is a stream that has begun
 }
 
 // Choose returns the best endpoint of a service for a call, or nil if there is none. These criteria
@@ -143,7 +143,7 @@
 }
 
 func (e *Endpoint) serves(n Requirements) bool {
-	if n.Version != "" && e.Version != n.Version || n.ExcludeVersion != "" && e.Version == n.ExcludeVersion {
+	if n.Version != "" && e.Version != n.Version || slices.Contains(n.ExcludeVersions, e.Version) {
 		return false
 	}
 	if len(n.Only) > 0 && !slices.Contains(n.Only, e.ID) {
--- a/internal/core/endpoint/fleet_test.go
+++ b/internal/core/endpoint/fleet_test.go
@@ -170,7 +170,7 @@
 		"other version": {func(t *endpoint.Table) { e := entry(1, "a"); e.Version = "v2"; t.Set(e) },
 			endpoint.Requirements{Model: "m", Version: "v2"}, ids(2, 3), true},
 		"excluded version": {func(t *endpoint.Table) { e := entry(1, "a"); e.Version = "v2"; t.Set(e) },
-			endpoint.Requirements{Model: "m", ExcludeVersion: "v2"}, ids(1, 1), true},
+			endpoint.Requirements{Model: "m", ExcludeVersions: []jaywind.Version{"v2"}}, ids(1, 1), true},
 		"other model": {func(*endpoint.Table) {}, endpoint.Requirements{Model: "other"}, ids(1, 3), false},
 		"failed":      {func(t *endpoint.Table) { fail(t, true, start, "e2") }, need(6000), ids(2, 2), true},
 		"missing":     {func(t *endpoint.Table) { t.MarkMissing("e2", start) }, need(6000), ids(2, 2), true},
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -157,6 +157,17 @@
 	return all
 }
 
+// Versions returns the versions of a service's endpoints that are not leaving, each once.
+func (t *Table) Versions(s jaywind.ServiceName) []jaywind.Version {
+	var all []jaywind.Version
+	for _, e := range t.services[s] {
+		if !e.Leaving && !slices.Contains(all, e.Version) {
+			all = append(all, e.Version)
+		}
+	}
+	return all
+}
+
 // Get returns the row of an endpoint, or nil.
 func (t *Table) Get(id jaywind.EndpointID) *Endpoint {
 	return t.rows[id]
--- a/internal/core/rollout/load.go
+++ b/internal/core/rollout/load.go
@@ -53,8 +53,9 @@
 // allowedLoad returns the load that goes with a decision. A full load goes on only while the leader itself has the evidence that the
 // version is good, and while what the version has received leaves enough of the bound.
 func (r *Rollout) allowedLoad(decided State, now time.Time) Load {
+	_, bad := r.looksBad()
 	switch {
-	case decided.Phase == PhaseRolledBack:
+	case bad, decided.Phase == PhaseRolledBack:
 		return LoadNone
 	case decided.Phase == PhaseShift && r.State.Phase == PhaseShift && r.trusted() && float64(r.newStarts) <= maxBoundUse*r.bound(r.elapsed(now)):
 		return LoadFull
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -137,7 +137,9 @@
 	newStarts   int       // requests sent to the new version
 	requests    int
 
-	newEndpoints int // of the new version
+	newEndpoints int       // of the new version
+	hasOther     bool      // another version has an endpoint
+	otherSeenAt  time.Time // when one was last known, or this router began to look
 
 	lateLimits LateLimits
 
@@ -157,7 +159,7 @@
 	}
 }
 
-// SetEndpoints sets the endpoints of the service.
+// SetEndpoints sets the endpoints of the service, before a decision.
 func (r *Rollout) SetEndpoints(endpoints []rule.Endpoint) {
 	r.evaluator.SetEndpoints(endpoints)
 	r.newEndpoints = 0
@@ -166,6 +168,7 @@
 			r.newEndpoints++
 		}
 	}
+	r.hasOther = r.newEndpoints < len(endpoints)
 }
 
 // Backdate takes over the time of the order from a router that received it earlier. One that has started since has received it late.
@@ -282,10 +285,14 @@
 	if r.heardAt.IsZero() && len(r.reported) > 1 {
 		r.heardAt = now
 	}
+	r.noteOther(r.hasOther, now)
 	next := r.State
 	elapsed := r.elapsed(now)
 	reason, bad := r.looksBad()
 	switch {
+	case !r.hasOther && r.isOnly(now) && r.works():
+		next.Phase, next.Reason = PhaseDone, "no endpoint of another version is left"
+	case !r.hasOther: // there is nothing to go back to
 	case bad:
 		next.Phase, next.Reason = PhaseRolledBack, reason
 	case r.State.Phase == PhaseShift && !r.trusted() && float64(r.newStarts) > maxBoundUse*r.bound(elapsed):
@@ -325,6 +332,11 @@
 	return r.goodInTime() >= minGoodAnswers && r.worstScore < r.maxScore(maxLateScore) && !r.recent.areBad()
 }
 
+// works reports whether the new version serves requests, for want of another one to compare it with.
+func (r *Rollout) works() bool {
+	return r.newOutcomes.Good >= minGoodAnswers && !r.failsWidely()
+}
+
 // goodInTime returns the number of successful answers of the new version that are known to have been in time.
 func (r *Rollout) goodInTime() int {
 	n := int(r.newOutcomes.Good) - r.newLate
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -206,23 +205,15 @@
 	r.updateVersion(c)
 }
 
-// updateVersion sets which version may run the next attempt of a call, once there is an endpoint of the new version. The share may have
-// changed since the last attempt; the caller holds mu.
+// updateVersion sets which versions may run the next attempt of a call. What is known of them may have changed since the last attempt;
+// the caller holds mu.
 func (r *Router) updateVersion(c *call) {
 	tr := r.rollouts[c.service.Name]
 	if tr == nil {
 		return
 	}
-	target := tr.rollout.Order.Target
-	c.requirements.Version, c.requirements.ExcludeVersion = "", ""
-	if !tr.rollout.State.Phase.Final() && !slices.ContainsFunc(r.table.EntriesOf(c.service.Name), func(e endpoint.Entry) bool { return e.Version == target && !e.Leaving }) {
-		return
-	}
-	if c.draw < tr.rollout.Share(time.Now()) {
-		c.requirements.Version = target
-	} else {
-		c.requirements.ExcludeVersion = target
-	}
+	rule := tr.rollout.Rule(r.table.Versions(c.service.Name), c.draw, time.Now())
+	c.requirements.Version, c.requirements.ExcludeVersions = rule.Prefer, rule.Exclude
 }
 
 // observe starts to observe an attempt of a call at an endpoint; the caller holds mu.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -206,7 +206,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateVersion(st.call)
-	if st.standby != nil && st.requirements.ExcludeVersion != "" && st.standby.Version == st.requirements.ExcludeVersion {
+	if st.standby != nil && slices.Contains(st.requirements.ExcludeVersions, st.standby.Version) {
 		return false
 	}
 	if only := st.plan.Confined(); st.standby != nil && only != nil && !slices.Contains(only, st.standby.ID) {
