rollout: a ledger of versions, so that the next order does not forget the one on trial

Cause: what is known of versions was one record a service, that of the last order. The next order replaced it, its target was the one on trial, and every other version counted as an old one.

Change: core/rollout keeps a ledger of the service's versions (in use, withdrawn, rejected). Each order begins with what the one before leaves; the versions that may run a call follow from it at each attempt. It is stored with the state. An order for the version in use tries nothing; one for a rejected version is rolled back at once. An earlier deadline for the same version counts.

--- a/internal/core/rollout/act.go
+++ b/internal/core/rollout/act.go
@@ -15,7 +15,7 @@
 // overwritten.
 func NextAction(stored, decided State) Action {
 	switch {
-	case stored == decided:
+	case stored.Equal(decided):
 		return ActWriteStatus
 	case stored.Target == decided.Target && stored.Phase.Final():
 		return ActNone
--- a/internal/core/rollout/load.go
+++ b/internal/core/rollout/load.go
@@ -40,7 +40,7 @@
 // Share returns the fraction of new work that this router may send to the new version.
 func (r *Rollout) Share(now time.Time) float64 {
 	switch {
-	case r.State.Phase == PhaseDone:
+	case r.State.Phase == PhaseDone, r.isInUse():
 		return 1
 	case r.State.Phase == PhaseRolledBack, r.held:
 		return 0
--- a/internal/core/rollout/recent_test.go
+++ b/internal/core/rollout/recent_test.go
@@ -54,7 +54,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
-			r := rollout.New(rollout.Order{Service: "desk", Target: "v2", Duration: 30 * time.Second, ReceivedAt: start}, rollout.Bounds{Share: 0.1, ExtraRequests: 50})
+			r := rollout.New(rollout.Order{Service: "desk", Target: "v2", Duration: 30 * time.Second, ReceivedAt: start}, rollout.Bounds{Share: 0.1, ExtraRequests: 50}, nil)
 			r.SetEndpoints([]rule.Endpoint{{ID: "e1", Version: "v2", Domain: "a"}, {ID: "e2", Version: "v2", Domain: "b"}, {ID: "e3", Version: "v1", Domain: "a"}})
 			r.State = rollout.State{Target: "v2", Phase: rollout.PhaseShift, Step: 3}
 			const turnsAt, leadsAt, interval = 27600 * time.Millisecond, 28500 * time.Millisecond, 400 * time.Millisecond
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"reflect"
+	"slices"
 	"time"
 
 	"jaywind"
@@ -43,6 +45,15 @@
 	// milliseconds. They tell a router that starts later how much of the order's time has passed.
 	AgeMs int64 `json:"age_ms,omitempty"`
 	AtMs  int64 `json:"at_ms,omitempty"`
+	// Ledger tells routers that have not seen earlier orders which other versions may run requests.
+	Ledger Ledger `json:"ledger,omitempty"`
+}
+
+// Equal reports whether two states are the same.
+func (s State) Equal(o State) bool {
+	a, b := s, o
+	a.Ledger, b.Ledger = nil, nil
+	return reflect.DeepEqual(a, b) && s.Ledger.equal(o.Ledger)
 }
 
 // phaseOrder orders the phases; both ends are equal.
@@ -62,7 +73,7 @@
 // or step, and its end is final. States without steps, of routers that write none, follow each other within a phase.
 func (s State) Supersedes(old State) bool {
 	switch {
-	case s == old, old.Phase.Final():
+	case s.Equal(old), old.Phase.Final():
 		return false
 	case phaseOrder[s.Phase] != phaseOrder[old.Phase]:
 		return phaseOrder[s.Phase] > phaseOrder[old.Phase]
@@ -137,9 +148,11 @@
 	newStarts   int       // requests sent to the new version
 	requests    int
 
+	ledger       Ledger    // of the other versions, and of this one before its order
 	newEndpoints int       // of the new version
-	hasOther     bool      // another version has an endpoint
+	hasOther     bool      // another version that may run calls has an endpoint
 	otherSeenAt  time.Time // when one was last known, or this router began to look
+	targetSeenAt time.Time // likewise for the new version
 
 	lateLimits LateLimits
 
@@ -148,27 +161,48 @@
 	held          bool      // the new version gets no work from this router
 }
 
-// New returns the roll-out of a new order.
-func New(o Order, b Bounds) *Rollout {
+// New returns the roll-out of a new order, given what is known of the service's versions. An order for the version in use only ends the
+// roll-out before it: there is nothing to try. One for a version that was rolled back is rolled back at once.
+func New(o Order, b Bounds, l Ledger) *Rollout {
+	state := State{Target: o.Target, Phase: PhaseCanary, Share: initialShare, Ledger: l}
+	switch l.Of(o.Target) {
+	case StandingInUse:
+		state.Phase, state.Reason = PhaseShift, "back to the version in use"
+	case StandingRejected:
+		state.Phase, state.Reason = PhaseRolledBack, "was rolled back before"
+	}
 	return &Rollout{
-		Order: o, bounds: b,
-		State:     State{Target: o.Target, Phase: PhaseCanary, Share: initialShare},
+		Order: o, bounds: b, ledger: l,
+		State:     state,
 		evaluator: move.NewEvaluator(o.Service, o.Target, o.ReceivedAt, o.ReceivedAt.Add(o.Duration)),
 		reported:  map[jaywind.VM]Totals{},
 		load:      LoadShare,
 	}
 }
 
+// FollowState puts a state of the same order in force, and takes over what its ledger tells.
+func (r *Rollout) FollowState(s State) {
+	r.ledger = r.ledger.merge(s.Ledger)
+	s.Ledger = r.ledger
+	r.State = s
+}
+
+// isInUse reports whether the order only goes back to the version in use.
+func (r *Rollout) isInUse() bool { return r.ledger.Of(r.Order.Target) == StandingInUse }
+
 // SetEndpoints sets the endpoints of the service, before a decision.
 func (r *Rollout) SetEndpoints(endpoints []rule.Endpoint) {
 	r.evaluator.SetEndpoints(endpoints)
-	r.newEndpoints = 0
+	r.newEndpoints, r.hasOther = 0, false
+	barred := r.ledger.barred()
 	for _, e := range endpoints {
-		if e.Version == r.Order.Target {
+		switch {
+		case e.Version == r.Order.Target:
 			r.newEndpoints++
+		case !slices.Contains(barred, e.Version):
+			r.hasOther = true
 		}
 	}
-	r.hasOther = r.newEndpoints < len(endpoints)
 }
 
 // Backdate takes over the time of the order from a router that received it earlier. One that has started since has received it late.
@@ -178,6 +212,13 @@
 	}
 }
 
+// Shorten takes over the deadline of another order for the same version if it is earlier.
+func (r *Rollout) Shorten(o Order) {
+	if d := o.ReceivedAt.Add(o.Duration).Sub(r.Order.ReceivedAt); d < r.Order.Duration {
+		r.Order.Duration = d
+	}
+}
+
 // Report adds the running totals of a router. Totals that have decreased mean that the router restarted from zero; those of another
 // order don't count.
 func (r *Rollout) Report(vm jaywind.VM, t Totals) {
@@ -262,7 +303,7 @@
 	next := r.decide(now)
 	age := now.Sub(r.Order.ReceivedAt)
 	isOld := !next.Phase.Final() && age-time.Duration(next.AgeMs)*time.Millisecond >= time.Duration(ageInterval*float64(r.Order.Duration))
-	if next != r.State || isOld {
+	if !next.Equal(r.State) || isOld {
 		next.Step, next.AgeMs, next.AtMs = r.State.Step+1, age.Milliseconds(), now.UnixMilli()
 	}
 	r.load = r.allowedLoad(next, now)
@@ -290,6 +331,9 @@
 	elapsed := r.elapsed(now)
 	reason, bad := r.looksBad()
 	switch {
+	case r.isInUse() && elapsed >= endTime:
+		next.Phase = PhaseDone
+	case r.isInUse():
 	case !r.hasOther && r.isOnly(now) && r.works():
 		next.Phase, next.Reason = PhaseDone, "no endpoint of another version is left"
 	case !r.hasOther: // there is nothing to go back to
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -26,7 +26,7 @@
 	const routers, length = 4, 16 * time.Second
 	random := rand.New(rand.NewPCG(seed, 1))
 	start := time.Unix(1000, 0)
-	r := rollout.New(rollout.Order{Service: "pool", Target: "v2", Duration: length, ReceivedAt: start}, rollout.Bounds{Share: 0.1, ExtraRequests: 50})
+	r := rollout.New(rollout.Order{Service: "pool", Target: "v2", Duration: length, ReceivedAt: start}, rollout.Bounds{Share: 0.1, ExtraRequests: 50}, nil)
 	var endpoints []rule.Endpoint
 	for i, e := range []jaywind.Version{"v1", "v1", "v2", "v2"} {
 		id := jaywind.EndpointID(rune('a' + i))
--- a/internal/core/rollout/versions.go
+++ b/internal/core/rollout/versions.go
@@ -33,13 +33,24 @@
 // Rule returns which versions may run a call now, given the versions that the service's endpoints have. The draw of the call, in [0, 1),
 // decides whether it belongs to the share of the new version.
 func (r *Rollout) Rule(present []jaywind.Version, draw float64, now time.Time) VersionRule {
-	target := r.Order.Target
-	r.noteOther(slices.ContainsFunc(present, func(v jaywind.Version) bool { return v != target }), now)
+	target, share := r.Order.Target, r.Share(now)
+	barred := slices.DeleteFunc(r.ledger.barred(), func(v jaywind.Version) bool { return v == target })
+	r.noteOther(slices.ContainsFunc(present, func(v jaywind.Version) bool { return v != target && !slices.Contains(barred, v) }), now)
+	if slices.Contains(present, target) || r.targetSeenAt.IsZero() {
+		r.targetSeenAt = now
+	}
 	switch {
-	case draw < r.Share(now):
-		return VersionRule{Prefer: target}
+	case r.isOnly(now) && (share == 0 || now.Sub(r.targetSeenAt) >= absenceTime):
+		return VersionRule{} // a bad version is better than none
+	case draw < share:
+		return VersionRule{Prefer: target, Exclude: barred}
 	case r.isOnly(now):
-		return VersionRule{}
+		return VersionRule{Exclude: barred}
 	}
-	return VersionRule{Exclude: []jaywind.Version{target}}
+	return VersionRule{Exclude: append(barred, target)}
+}
+
+// IsBarred reports whether no call may run at a version now, whatever its draw.
+func (r *Rollout) IsBarred(v jaywind.Version, present []jaywind.Version, now time.Time) bool {
+	return slices.Contains(r.Rule(present, 0, now).Exclude, v)
 }
--- a/internal/relay/router/lead_test.go
+++ b/internal/relay/router/lead_test.go
@@ -207,7 +207,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if d.known != f.stored {
+	if !d.known.Equal(f.stored) {
 		return // the write conflicts
 	}
 	f.stored = decided
@@ -226,7 +226,7 @@
 	f.mu.Lock()
 	stored := f.stored
 	f.mu.Unlock()
-	if d.down || d.paused || d.alone || stored == d.known {
+	if d.down || d.paused || d.alone || stored.Equal(d.known) {
 		return
 	}
 	d.known = stored
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -41,21 +41,30 @@
 // maxUnjudged is the number of ended observations that a router keeps for a roll-out until it knows the limits.
 const maxUnjudged = 256
 
-// StartRollout starts a roll-out, or does nothing if it has started already.
+// StartRollout starts the roll-out of an order, which replaces the one before. An order for the same version has started already, perhaps
+// with a later deadline.
 func (r *Router) StartRollout(o rollout.Order, b rollout.Bounds) {
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if tr := r.rollouts[o.Service]; tr != nil && tr.rollout.Order.Target == o.Target {
-		return
+	previous := r.rolloutStates[o.Service]
+	if tr := r.rollouts[o.Service]; tr != nil {
+		if tr.rollout.Order.Target == o.Target {
+			tr.rollout.Shorten(o)
+			return
+		}
+		previous = tr.rollout.State
 	}
+	ledger := rollout.After(previous, o.Target, r.table.Versions(o.Service))
 	tr := &rolloutTracker{
-		rollout: rollout.New(o, b),
+		rollout: rollout.New(o, b, ledger),
 		totals:  rollout.Totals{Outcomes: map[table.OutcomeKey]table.OutcomeCounts{}},
 		open:    map[*observation]struct{}{},
 	}
 	r.rollouts[o.Service] = tr
-	r.Log.Info("rollout: started", zap.String("service", string(o.Service)), zap.String("target", string(o.Target)), zap.Duration("for", o.Duration))
+	r.Log.Info("rollout: started", zap.String("service", string(o.Service)), zap.String("target", string(o.Target)), zap.Duration("for", o.Duration),
+		zap.String("phase", string(tr.rollout.State.Phase)), zap.Any("ledger", ledger))
+	r.retainVersion(o.Service, tr)
 	state := r.rolloutStates[o.Service]
 	if at := state.OrderedAt(time.Now()); state.Target == o.Target && !at.IsZero() {
 		tr.rollout.Backdate(at)
@@ -82,15 +91,20 @@
 	if tr == nil || tr.rollout.Order.Target != state.Target || !state.Supersedes(tr.rollout.State) {
 		return
 	}
-	tr.rollout.State = state
+	tr.rollout.FollowState(state)
+	r.retainVersion(s, tr)
+	r.Log.Info("rollout: state changed", zap.String("service", string(s)), zap.String("target", string(state.Target)),
+		zap.String("phase", string(state.Phase)), zap.Float64("share", state.Share), zap.String("reason", state.Reason),
+		zap.Int("starts", tr.totals.Starts), zap.Int("requests", tr.totals.Requests))
+}
+
+// retainVersion sets the version at whose endpoints copies are kept, which is the new one once it gets the full load; the caller holds mu.
+func (r *Router) retainVersion(s jaywind.ServiceName, tr *rolloutTracker) {
 	keep := jaywind.Version("")
-	if state.Phase == rollout.PhaseShift || state.Phase == rollout.PhaseDone {
+	if state := tr.rollout.State; state.Phase == rollout.PhaseShift || state.Phase == rollout.PhaseDone {
 		keep = state.Target
 	}
 	r.table.RetainVersion(s, keep)
-	r.Log.Info("rollout: state changed", zap.String("service", string(s)), zap.String("target", string(state.Target)),
-		zap.String("phase", string(state.Phase)), zap.Float64("share", state.Share), zap.String("reason", state.Reason),
-		zap.Int("starts", tr.totals.Starts), zap.Int("requests", tr.totals.Requests))
 }
 
 // RolloutTotals returns what this router has counted for each roll-out in progress. Attempts that go on for longer
--- a/internal/relay/router/version_test.go
+++ b/internal/relay/router/version_test.go
@@ -184,3 +184,150 @@
 		is.Equal(state.Phase, rollout.PhaseDone)
 	})
 }
+
+// TestOrders: orders follow each other, also before the one before has ended. The test fails if a version that was on trial or was rolled back
+// gets requests as if it were an old one, or if requests are kept from the version in use.
+func TestOrders(t *testing.T) {
+	const length = 30 * time.Second
+	bad := func(r *versionRouter, v jaywind.Version) { r.upstream.fails = v }
+	tests := map[string]struct {
+		play  func(r *versionRouter)
+		most  map[jaywind.Version]int // of 500 requests in the next 5 s
+		least map[jaywind.Version]int
+		state rollout.State // by then; target and phase
+	}{
+		"the old version, during the trial": {
+			play: func(r *versionRouter) { r.order("v1", length) },
+			most: map[jaywind.Version]int{"v2": 0}, least: map[jaywind.Version]int{"v1": 500},
+			state: rollout.State{Target: "v1", Phase: rollout.PhaseShift},
+		},
+		"the old version, whose order ends": {
+			play: func(r *versionRouter) { r.order("v1", 4*time.Second); r.serveFor(4 * time.Second) },
+			most: map[jaywind.Version]int{"v2": 0}, least: map[jaywind.Version]int{"v1": 500},
+			state: rollout.State{Target: "v1", Phase: rollout.PhaseDone},
+		},
+		"a third one, during the trial": {
+			play: func(r *versionRouter) { r.order("v3", length); r.add("v3") },
+			most: map[jaywind.Version]int{"v2": 0, "v3": 100}, least: map[jaywind.Version]int{"v1": 400, "v3": 1},
+			state: rollout.State{Target: "v3", Phase: rollout.PhaseCanary},
+		},
+		"the next one, after a roll-back": {
+			play: func(r *versionRouter) {
+				bad(r, "v2")
+				r.serveFor(4 * time.Second)
+				r.order("v3", length)
+				r.add("v3")
+			},
+			most: map[jaywind.Version]int{"v2": 0, "v3": 100}, least: map[jaywind.Version]int{"v1": 400, "v3": 1},
+			state: rollout.State{Target: "v3", Phase: rollout.PhaseCanary},
+		},
+		"the same one, after a roll-back": {
+			play: func(r *versionRouter) {
+				bad(r, "v2")
+				r.serveFor(4 * time.Second)
+				r.order("v2", length)
+			},
+			most: map[jaywind.Version]int{"v2": 0}, least: map[jaywind.Version]int{"v1": 500},
+			state: rollout.State{Target: "v2", Phase: rollout.PhaseRolledBack},
+		},
+		"A, B, A, of which A was rolled back": {
+			play: func(r *versionRouter) {
+				bad(r, "v2")
+				r.serveFor(4 * time.Second)
+				r.order("v3", length)
+				r.add("v3")
+				r.serveFor(time.Second)
+				r.order("v2", length)
+			},
+			most: map[jaywind.Version]int{"v2": 0, "v3": 0}, least: map[jaywind.Version]int{"v1": 500},
+			state: rollout.State{Target: "v2", Phase: rollout.PhaseRolledBack},
+		},
+		"A, B, A, of which A was replaced": {
+			play: func(r *versionRouter) { r.order("v3", length); r.add("v3"); r.order("v2", length) },
+			most: map[jaywind.Version]int{"v2": 100, "v3": 0}, least: map[jaywind.Version]int{"v1": 400, "v2": 1},
+			state: rollout.State{Target: "v2", Phase: rollout.PhaseCanary},
+		},
+		"the old version and the next one": {
+			play: func(r *versionRouter) {
+				r.order("v1", length)
+				r.serveFor(time.Second)
+				r.order("v3", length)
+				r.add("v3")
+			},
+			most: map[jaywind.Version]int{"v2": 0, "v3": 100}, least: map[jaywind.Version]int{"v1": 400},
+			state: rollout.State{Target: "v3", Phase: rollout.PhaseCanary},
+		},
+		"a version without endpoints": {
+			play: func(r *versionRouter) { r.order("v3", 4*time.Second); r.serveFor(4 * time.Second) },
+			most: map[jaywind.Version]int{"v2": 0}, least: map[jaywind.Version]int{"v1": 500},
+			state: rollout.State{Target: "v3", Phase: rollout.PhaseRolledBack},
+		},
+		"all versions that may run calls are gone": {
+			play: func(r *versionRouter) {
+				r.order("v1", length)
+				r.serveFor(time.Second)
+				r.remove("v1")
+				r.serveFor(5 * time.Second)
+			},
+			least: map[jaywind.Version]int{"v2": 490},
+			state: rollout.State{Target: "v1", Phase: rollout.PhaseShift},
+		},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				r := newVersionRouter()
+				r.add("v1")
+				r.order("v2", length)
+				r.add("v2")
+				r.serveFor(4 * time.Second)
+				c.play(r)
+				calls, state := r.serveFor(5 * time.Second)
+				t.Logf("%v, %+v", calls, state)
+				is := is.New(t)
+				for v, n := range c.most {
+					is.True(calls[v] <= n)
+				}
+				for v, n := range c.least {
+					is.True(calls[v] >= n)
+				}
+				is.Equal(state.Target, c.state.Target)
+				is.Equal(state.Phase, c.state.Phase)
+			})
+		})
+	}
+}
+
+// TestOrdersSeenLate: a router starts, or reads late, while orders follow each other. The test fails if it does not learn from the state that a
+// version may not run requests.
+func TestOrdersSeenLate(t *testing.T) {
+	const length = 30 * time.Second
+	trial := rollout.State{Target: "v2", Phase: rollout.PhaseCanary, Share: 0.05, Step: 2, Ledger: rollout.Ledger{{Version: "v1", Standing: rollout.StandingInUse}}}
+	back := rollout.State{Target: "v1", Phase: rollout.PhaseShift, Step: 1, Ledger: rollout.Ledger{
+		{Version: "v1", Standing: rollout.StandingInUse}, {Version: "v2", Standing: rollout.StandingWithdrawn}}}
+	next := rollout.State{Target: "v3", Phase: rollout.PhaseCanary, Share: 0.05, Step: 1, Ledger: rollout.Ledger{
+		{Version: "v1", Standing: rollout.StandingInUse}, {Version: "v2", Standing: rollout.StandingRejected}}}
+	tests := map[string]struct {
+		read func(r *versionRouter)
+	}{
+		"starts during the trial, before the order":   {func(r *versionRouter) { r.SetRolloutState("desk", trial); r.order("v1", length) }},
+		"starts after the order":                      {func(r *versionRouter) { r.SetRolloutState("desk", back); r.order("v1", length) }},
+		"reads the state after the order":             {func(r *versionRouter) { r.order("v1", length); r.SetRolloutState("desk", back) }},
+		"starts after the next order":                 {func(r *versionRouter) { r.SetRolloutState("desk", next); r.order("v3", length) }},
+		"sees the first order only after its end":     {func(r *versionRouter) { r.order("v3", length); r.SetRolloutState("desk", next) }},
+		"has the trial, and sees the state before it": {func(r *versionRouter) { r.order("v2", length); r.SetRolloutState("desk", back); r.order("v1", length) }},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				r := newVersionRouter()
+				c.read(r)
+				r.add("v1", "v2")
+				calls, _ := r.serveFor(5 * time.Second)
+				is := is.New(t)
+				is.Equal(calls["v2"], 0)
+				is.True(calls["v1"] >= 400)
+			})
+		})
+	}
+}
