router: a resumed stream does not go on at a version that may run nothing

Cause: the lookup of the engine that has a prompt cached (findCached) looked only at whether the engine accepts work.

Evidence: TestResumedStreamAvoidsBarredVersion on the code before: 4 of 6 rows fail (rolled back, withdrawn, rolled back before the present order, found bad by the leader). The line "stream: caller reconnected" now says whether the holder is barred.

Change: an engine whose version may run no call is not taken. One on trial still is, as its share counts the run.

--- a/internal/relay/router/lookup.go
+++ b/internal/relay/router/lookup.go
@@ -96,9 +96,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.table.Get(h.id)
-	usable := found && e != nil && r.table.AcceptsWork(e, time.Now())
+	barred := e != nil && r.isBarred(e)
+	usable := found && e != nil && !barred && r.table.AcceptsWork(e, time.Now())
 	r.Log.Info("stream: caller reconnected", st.fields(zap.Bool("prompt_kept", found), zap.String("holder", string(h.id)),
-		zap.Int("tokens", h.tokens), zap.Bool("usable", usable), zap.Int("asked", asked), zap.Int("answered", answered), zap.Int64("survey_ms", time.Since(l.startedAt).Milliseconds()))...)
+		zap.Int("tokens", h.tokens), zap.Bool("usable", usable), zap.Bool("barred", barred), zap.Int("asked", asked), zap.Int("answered", answered), zap.Int64("survey_ms", time.Since(l.startedAt).Milliseconds()))...)
 	if !usable {
 		r.stats.cacheMissed.Inc(1)
 		return nil
--- a/internal/relay/router/lookup_test.go
+++ b/internal/relay/router/lookup_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"jaywind"
+	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/rollout"
 	"jaywind/internal/relay/router"
 )
 
@@ -73,3 +76,53 @@
 		})
 	}
 }
+
+// TestResumedStreamAvoidsBarredVersion: a caller reconnects, and the engine that has its prompt cached runs a version that may not run requests.
+// The test fails if the stream goes on there, or if it does not go on there while the version may run its share.
+func TestResumedStreamAvoidsBarredVersion(t *testing.T) {
+	order := func(v jaywind.Version) rollout.Order {
+		return rollout.Order{Service: "pool", Target: v, Duration: time.Minute, ReceivedAt: time.Now()}
+	}
+	bounds := rollout.Bounds{Share: 0.1, ExtraRequests: 50}
+	state := func(p rollout.Phase) rollout.State {
+		return rollout.State{Target: "v2", Phase: p, Share: 0.04, Step: 1}
+	}
+	tests := map[string]struct {
+		play func(r *router.Router)
+		at   jaywind.EndpointID
+	}{
+		"on trial": {func(r *router.Router) { r.StartRollout(order("v2"), bounds) }, "e1"},
+		"completed": {func(r *router.Router) {
+			r.StartRollout(order("v2"), bounds)
+			r.SetRolloutState("pool", state(rollout.PhaseDone))
+		}, "e1"},
+		"rolled back": {func(r *router.Router) {
+			r.StartRollout(order("v2"), bounds)
+			r.SetRolloutState("pool", state(rollout.PhaseRolledBack))
+		}, "e2"},
+		"withdrawn": {func(r *router.Router) { r.StartRollout(order("v2"), bounds); r.StartRollout(order("v1"), bounds) }, "e2"},
+		"rolled back before the present order": {func(r *router.Router) {
+			r.StartRollout(order("v2"), bounds)
+			r.SetRolloutState("pool", state(rollout.PhaseRolledBack))
+			r.StartRollout(order("v3"), bounds)
+		}, "e2"},
+		"found bad by the leader, not stored yet": {func(r *router.Router) {
+			r.StartRollout(order("v2"), bounds)
+			r.FollowRolloutLeader("pool", rollout.Reply{Load: rollout.LoadNone}, time.Now())
+		}, "e2"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			u := &cachingUpstream{fakeUpstream: fakeUpstream{events: 12}, tokens: map[jaywind.Address]int{"e1": 5000}}
+			r := newRouter(u)
+			for i, id := range []jaywind.EndpointID{"e2", "e1"} { // e1 is of the new version
+				r.RemoveEndpoint(id, false)
+				r.UpdateEndpoint(endpoint.Entry{ID: id, Service: "pool", Address: jaywind.Address(id), Domain: jaywind.Domain(rune('a' + i)), Slots: 16, Version: jaywind.Version(fmt.Sprint("v", i+1))})
+			}
+			c.play(r)
+			r.Serve(context.Background(), &router.Request{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Timeout: 5 * time.Second,
+				LastEventID: 10, Resumed: true, PromptTokens: 5000, LastPart: "p"}, &caller{reads: 2})
+			is.New(t).Equal(u.sent, []jaywind.EndpointID{c.at})
+		})
+	}
+}
--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -230,6 +230,12 @@
 	c.requirements.Version, c.requirements.ExcludeVersions = rule.Prefer, rule.Exclude
 }
 
+// isBarred reports whether an endpoint's version may run no call now; the caller holds mu.
+func (r *Router) isBarred(e *endpoint.Endpoint) bool {
+	tr := r.rollouts[e.Service]
+	return tr != nil && tr.rollout.IsBarred(e.Version, r.table.Versions(e.Service), time.Now())
+}
+
 // observe starts to observe an attempt of a call at an endpoint; the caller holds mu.
 func (r *Router) observe(c *call, e *endpoint.Endpoint, m table.Measure) {
 	o := &observation{startedAt: time.Now()}
