answer: a body that ends with its connection is whole only if the request was written

Cause: net/http writes while it reads, the kernel gives the error of the reset to one of the two, and if the write gets it, the read gets a clean end of file, which ends a body without a length.

Change: internal/backend/answer wraps http.Transport. It remembers failed writes of each connection and whether the request was written to its end, and ends a body without length or chunks with io.ErrUnexpectedEOF if not. All clients that use net/http for HTTP/1 send through it.

Why it works: at the end of such a body the transport closes the connection, so a write in progress has ended, with its error, before the end counts.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -32,12 +33,12 @@
 
 var _ jaywind.Engine = (*Client)(nil)
 
-var unpooled = &http.Transport{
+var unpooled = answer.Wrap(&http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives: true,
 
 	MaxResponseHeaderBytes: maxHeadBytes,
-}
+})
 
 // Open starts or resumes a stream.
 func (c *Client) Open(ctx context.Context, at jaywind.Address, call jaywind.Call) (jaywind.Stream, error) {
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -32,13 +33,13 @@
 var _ jaywind.Service = (*Client)(nil)
 
 // pool sends idempotent requests.
-var pool = &http.Transport{
+var pool = answer.Wrap(&http.Transport{
 	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	IdleConnTimeout:     idleTimeout,
 	MaxIdleConnsPerHost: maxIdlePerEndpoint,
 
 	MaxResponseHeaderBytes: maxHeadBytes,
-}
+})
 
 // Do sends the request. An error wraps jaywind.ErrNotSent if no byte of it was sent.
 func (c *Client) Do(ctx context.Context, at jaywind.Address, e jaywind.ServiceRequest) (jaywind.Reply, error) {
@@ -59,7 +60,7 @@
 	if g.clock == nil {
 		g.clock = jaywind.SystemClock{}
 	}
-	transport := &http.Transport{DialContext: g.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := answer.Wrap(&http.Transport{DialContext: g.dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes})
 	defer transport.CloseIdleConnections()
 	reply, err := readReply(transport.RoundTrip(request))
 	if err != nil {
--- a/internal/client/operator/client.go
+++ b/internal/client/operator/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -23,12 +24,12 @@
 // ErrUnexpectedStatus wraps a reply with a status other than 200.
 var ErrUnexpectedStatus = errors.New("unexpected reply from the router")
 
-var transport = &http.Transport{
+var transport = answer.Wrap(&http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives: true,
 
 	MaxResponseHeaderBytes: maxHeadBytes,
-}
+})
 
 // Client sends requests to the operator port of one router.
 type Client struct {
--- a/internal/client/router/exchange.go
+++ b/internal/client/router/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -25,12 +26,12 @@
 	maxHeadBytes  = 64 << 10
 )
 
-var unpooled = &http.Transport{
+var unpooled = answer.Wrap(&http.Transport{
 	DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	DisableKeepAlives: true,
 
 	MaxResponseHeaderBytes: maxHeadBytes,
-}
+})
 
 // generation is the state of one request across its connections.
 type generation struct {
--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -34,7 +35,7 @@
 // Client implements jaywind.Store over HTTP.
 type Client struct {
 	URL         jaywind.Address
-	Transport   http.RoundTripper // http.DefaultTransport when nil
+	Transport   http.RoundTripper // one like http.DefaultTransport when nil
 	RouterCount func() int        // number of routers that share the store, by which trial calls in an outage are spaced out; 1 when nil
 	Metrics     metrics.Registry  // registry for the counters of calls, failures and bytes; none when nil
 
@@ -304,9 +305,11 @@
 	return string(c.URL) + "/kv/" + url.PathEscape(key)
 }
 
+var defaultTransport = answer.Default()
+
 func (c *Client) transport() http.RoundTripper {
 	if c.Transport != nil {
 		return c.Transport
 	}
-	return http.DefaultTransport
+	return defaultTransport
 }
--- a/internal/provider/vms/client.go
+++ b/internal/provider/vms/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -19,7 +20,7 @@
 // Client implements jaywind.VMList over HTTP.
 type Client struct {
 	URL       jaywind.Address
-	Transport http.RoundTripper // http.DefaultTransport when nil
+	Transport http.RoundTripper // one like http.DefaultTransport when nil
 }
 
 var _ jaywind.VMList = (*Client)(nil)
@@ -72,9 +73,11 @@
 	return out, nil
 }
 
+var defaultTransport = answer.Default()
+
 func (c *Client) transport() http.RoundTripper {
 	if c.Transport != nil {
 		return c.Transport
 	}
-	return http.DefaultTransport
+	return defaultTransport
 }
--- a/internal/provider/weights/client.go
+++ b/internal/provider/weights/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -20,7 +21,7 @@
 // Client implements jaywind.WeightStore over HTTP.
 type Client struct {
 	URL       jaywind.Address
-	Transport http.RoundTripper // http.DefaultTransport when nil
+	Transport http.RoundTripper // one like http.DefaultTransport when nil
 }
 
 var _ jaywind.WeightStore = (*Client)(nil)
@@ -58,9 +59,11 @@
 	return fmt.Errorf("%w: weight store responded with status %d: %s", jaywind.ErrStoreUnavailable, response.StatusCode, note)
 }
 
+var defaultTransport = answer.Default()
+
 func (c *Client) transport() http.RoundTripper {
 	if c.Transport == nil {
-		return http.DefaultTransport
+		return defaultTransport
 	}
 	return c.Transport
 }
