tunnel: a clean end passes through another router only after the whole request

Change: the two directions share what has failed; the read waits for the write in progress before it names the end. The last message also counts the bytes that the connection has taken. A clean end before all that was sent is a reset. Older routers count nothing and are believed.

--- a/internal/fleet/tunnel/conn.go
+++ b/internal/fleet/tunnel/conn.go
@@ -26,6 +26,7 @@
 	helper jaywind.Address
 	cancel context.CancelFunc // ends the tunnel
 	ended  atomic.Pointer[error]
+	sent   atomic.Int64 // bytes that the user has written
 }
 
 // Via returns the address of the helper.
@@ -40,6 +41,7 @@
 
 // Write sends bytes to the endpoint.
 func (c *Conn) Write(b []byte) (int, error) {
+	c.sent.Add(int64(len(b)))
 	n, err := c.Conn.Write(b)
 	return n, c.cause(err)
 }
@@ -91,10 +93,10 @@
 				return // closed by its user
 			}
 		}
-		switch m.End {
-		case endingClosed:
+		switch {
+		case m.End == endingClosed && (m.Written == nil || *m.Written == c.sent.Load()):
 			err = io.EOF
-		case endingReset:
+		case m.End != endingNone: // also a clean end before the endpoint has got all that was sent
 			err = fmt.Errorf("through %s: %w", c.helper, syscall.ECONNRESET)
 		default:
 			continue
--- a/internal/fleet/tunnel/handler.go
+++ b/internal/fleet/tunnel/handler.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -54,10 +55,11 @@
 		return err
 	}
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	c := &carried{conn: conn}
 	var group conc.WaitGroup
 	defer group.Wait()
-	group.Go(func() { sendUpward(s, conn) })
-	return sendDownward(s, conn)
+	group.Go(func() { c.sendUpward(s) })
+	return c.sendDownward(s)
 }
 
 // openFor connects to an endpoint for another router.
@@ -81,39 +83,72 @@
 	return nil, outcomeUnreachable
 }
 
+// carried is a connection to an endpoint that this router carries for another one.
+type carried struct {
+	conn net.Conn
+
+	mu      sync.Mutex // held during a write
+	written int64      // bytes that the connection has taken
+	reset   bool       // a write has failed because the endpoint has ended the connection
+}
+
 // sendUpward forwards what the router that asks sends, until it ends the tunnel.
-func sendUpward(s *connect.BidiStream[upward, downward], conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+func (c *carried) sendUpward(s *connect.BidiStream[upward, downward]) {
+	defer func() { _ = c.conn.Close() }()
 	for {
 		m, err := s.Receive()
-		if err != nil {
-			return
-		}
-		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return
-		}
-		if _, err := conn.Write(m.Data); err != nil {
+		if err != nil || c.write(m.Data) != nil {
 			return
 		}
 	}
 }
 
+func (c *carried) write(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	n, err := c.conn.Write(b)
+	c.written += int64(n)
+	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return err
+}
+
 // sendDownward forwards what the endpoint sends, and how it ends the connection.
-func sendDownward(s *connect.BidiStream[upward, downward], conn net.Conn) error {
+func (c *carried) sendDownward(s *connect.BidiStream[upward, downward]) error {
 	buffer := make([]byte, bufferBytes)
 	for {
-		n, err := conn.Read(buffer)
+		n, err := c.conn.Read(buffer)
 		m := downward{Data: buffer[:n]}
-		switch {
-		case errors.Is(err, io.EOF):
-			m.End = endingClosed
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		if err != nil {
+			m.End, m.Written = c.ending(err)
+		}
+		if err != nil && m.End == endingNone {
 			return nil // this router has closed it
-		case err != nil:
-			m.End = endingReset
 		}
 		if sendErr := s.Send(&m); sendErr != nil || err != nil {
 			return sendErr
 		}
 	}
 }
+
+// ending returns how the endpoint has ended the connection, given the error of a read, and the bytes that the connection has taken by then. The
+// kernel may have given the error of a reset to a write, so the read sees a clean end, or the end that followed the write.
+func (c *carried) ending(err error) (ending, *int64) {
+	if errors.Is(err, io.EOF) {
+		_ = c.conn.SetWriteDeadline(time.Now()) // ends a write that waits for the endpoint to read
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	written := c.written
+	switch {
+	case c.reset:
+		return endingReset, &written
+	case errors.Is(err, io.EOF):
+		return endingClosed, &written
+	case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		return endingNone, nil
+	}
+	return endingReset, &written
+}
--- a/internal/fleet/tunnel/wire.go
+++ b/internal/fleet/tunnel/wire.go
@@ -14,6 +14,9 @@
 	Opened outcome `cbor:"1,keyasint,omitempty"` // of the connection to the endpoint; in the first message only
 	Data   []byte  `cbor:"2,keyasint,omitempty"`
 	End    ending  `cbor:"3,keyasint,omitempty"` // set in the last message
+
+	// Written is the number of bytes that the endpoint's connection has taken; in the last message only, nil from older routers.
+	Written *int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // outcome says how the opening of a connection has ended.
