link, answer: a status that is none is no answer

Cause: ReadResponse went on reading after each status under 200, and nothing bounded statuses above. net/http's transport passes 000 and 600 on.

Change: one rule, answer.CheckStatus: 200 to 599 are final, 1xx but 101 interim, all else is an error that says the request may have run.

--- a/internal/backend/answer/answer.go
+++ b/internal/backend/answer/answer.go
@@ -15,7 +15,7 @@
 // errCut is returned at the end of a body that may be cut.
 var errCut = fmt.Errorf("%w: the connection has ended before the request was written", io.ErrUnexpectedEOF)
 
-// Transport is an http.RoundTripper. A body that may be cut ends with io.ErrUnexpectedEOF.
+// Transport is an http.RoundTripper. A status that is no final answer is an error; a body that may be cut ends with io.ErrUnexpectedEOF.
 type Transport struct {
 	base *http.Transport
 }
@@ -45,6 +45,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		response.Body = &body{ReadCloser: response.Body, ctx: ctx, upload: u}
 	}
--- a/internal/backend/link/link.go
+++ b/internal/backend/link/link.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"jaywind"
+	"jaywind/internal/backend/answer"
 )
 
 const (
@@ -57,7 +58,7 @@
 
 // ReadResponse reads the head of the response, after any interim ones. The response's body reads from the connection.
 // ReadResponse returns jaywind.ErrIdleTimeout once deadline has passed, and an error that wraps jaywind.ErrBadAnswer for a head
-// that is too long.
+// that is too long or whose status is none.
 func (c *Conn) ReadResponse(method string, deadline time.Time) (*http.Response, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return nil, err
@@ -69,12 +70,20 @@
 		if err != nil {
 			return nil, timeoutError(err)
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if isInterim(response.StatusCode) {
+			continue
 		}
+		if err := answer.CheckStatus(response.StatusCode); err != nil {
+			return nil, err
+		}
+		return response, nil
 	}
 }
 
+// isInterim reports whether a response with a status precedes the final one. It has no body. After 101 the connection would speak another
+// protocol, which no request asks for.
+func isInterim(status int) bool { return status/100 == 1 && status != http.StatusSwitchingProtocols }
+
 // ReadBody reads the body of a response, of maxBytes at most, and reports whether the connection may be reused. If many long
 // bodies are being read, it waits until ctx ends.
 func (c *Conn) ReadBody(ctx context.Context, response *http.Response, maxBytes int64) (body []byte, reusable bool, err error) {
