--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -18,7 +18,7 @@
 	Method       string
 	Host         string
 	Target       string // path and query, as received
-	Path         string
+	Path         string // as received, without the query
 	Header       jaywind.HeaderLines // end-to-end headers, without those that the router sets itself
 	Body         []byte
 	APIKey       string // identifies the caller's organisation
