suspect: a quarantine whose probe is lost gets another one

Cause: one request may run to lift a quarantine, and it was lost in the second crash. The permission was gone with it.

Change: while the quarantine lasts, further probes follow after pauses that grow from 4 s by the factor 4, six in all at most.

What remains: only the router that decided lets probes run.

--- a/internal/core/suspect/quarantine.go
+++ b/internal/core/suspect/quarantine.go
@@ -10,6 +10,8 @@
 const (
 	// QuarantineTime is how long a group is quarantined.
 	QuarantineTime   = 10 * time.Minute
+	firstProbePause  = 4 * time.Second // after the first probe; several times that which engines that have crashed need to come back
+	probePauseFactor = 4               // by which the pause grows with each further probe, as each may crash an engine
 	maxQuarantined   = 256             // groups; a group beyond them is not quarantined
 	survivorTime     = 2 * time.Minute // for which a sound part is remembered at least
 	maxSurvivorParts = 8192            // parts that are remembered in each half of the time
@@ -24,8 +26,9 @@
 type quarantined struct {
 	group  Group
 	until  time.Time
-	lifted bool      // its requests may run; it is not quarantined again before until
-	probe  time.Time // from which one request may run, to lift the quarantine if it survives; zero for none
+	lifted bool          // its requests may run; it is not quarantined again before until
+	probe  time.Time     // from which one request may run, to lift the quarantine if it survives; zero for none
+	pause  time.Duration // until the next one, if this one does not lift it
 }
 
 // Add quarantines a group, and reports whether it was not quarantined before.
@@ -61,10 +64,11 @@
 	return known
 }
 
-// AllowProbe lets one request of a group run from a time on, although the group is quarantined.
+// AllowProbe lets one request of a group run from a time on, although the group is quarantined. While the quarantine lasts, further ones may
+// follow after growing pauses, as the probe may be lost for another reason than its prompt.
 func (q *Quarantine) AllowProbe(g Group, at time.Time) {
 	if e, known := q.groups[g.Key()]; known && !e.lifted {
-		e.probe = at
+		e.probe, e.pause = at, firstProbePause
 		q.groups[g.Key()] = e
 	}
 }
@@ -79,7 +83,7 @@
 	if e.probe.IsZero() || now.Before(e.probe) {
 		return false
 	}
-	e.probe = time.Time{}
+	e.probe, e.pause = now.Add(e.pause), e.pause*probePauseFactor
 	q.groups[held[0].Key()] = e
 	return true
 }
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -252,3 +252,28 @@
 	is.Equal(candidates(&f, now), []suspect.Group{group("x")})
 	is.Equal(f.Requests(now), []suspect.Group{group("p")})
 }
+
+// TestLostProbe: a probe is lost with its engine for another reason than its prompt. The test fails if no further one may lift the quarantine
+// within the users' recovery time, or if so many may that a group which does crash engines takes more than a few with it.
+func TestLostProbe(t *testing.T) {
+	const recovery = 12 * time.Second
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	group := suspect.Group{Service: "pool", Parts: []jaywind.PromptPart{"x"}}
+	var q suspect.Quarantine
+	is.True(q.Add(group, start))
+	q.AllowProbe(group, start.Add(time.Second))
+	var early, all int
+	for at := time.Duration(0); at < suspect.QuarantineTime; at += 100 * time.Millisecond {
+		if q.TakeProbe("pool", group.Parts, start.Add(at)) {
+			all++
+			if at < recovery {
+				early++
+			}
+		}
+	}
+	is.True(early >= 2)
+	is.True(all <= 6)
+	q.Lift(group, start.Add(time.Minute))
+	is.True(!q.TakeProbe("pool", group.Parts, start.Add(2*time.Minute)))
+}
