retry: the part of a router that leaves is free only after the budget's window

Cause: the reserve is divided among the routers that are not leaving, while the spending of one that has just left still counts.

Change: the parts follow from the largest number of routers within the window (retry.Sharers), for repeats, lent ones and hedged ones.

--- a/internal/relay/router/hedge.go
+++ b/internal/relay/router/hedge.go
@@ -174,11 +174,12 @@
 		return nil, deniedNoEndpoint
 	}
 	retries := r.budgetFor(c.service)
+	sharers := r.sharers.Most(now, r.RetryBudget.Window)
 	part := hedge.Part{Index: r.hedges.index, Routers: r.routers}
-	if denial := r.hedges.budgetOf(c.service.Name, r.HedgeShare).Take(now, part, retries.Left(now, r.routers)); denial != hedge.Allowed {
+	if denial := r.hedges.budgetOf(c.service.Name, r.HedgeShare).Take(now, part, retries.Left(now, sharers)); denial != hedge.Allowed {
 		return nil, denial
 	}
-	if !retries.Take(now, r.routers) { // never, as half of the budget is left
+	if !retries.Take(now, sharers) { // never, as half of the budget is left
 		return nil, hedge.DeniedRetries
 	}
 	r.table.StartCall(e, c.requirements)
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -17,8 +17,8 @@
 	ID           jaywind.RequestID
 	Method       string
 	Host         string
-	Target       string // path and query, as received
-	Path         string // as received, without the query
+	Target       string              // path and query, as received
+	Path         string              // as received, without the query
 	Header       jaywind.HeaderLines // end-to-end headers, without those that the router sets itself
 	Body         []byte
 	APIKey       string // identifies the caller's organisation
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -72,7 +72,8 @@
 	set       *route.Set
 	table     endpoint.Table
 	budgets   map[jaywind.ServiceName]*retry.Budget
-	routers   int // number of routers that share the budgets
+	routers   int           // number of routers that share the endpoints
+	sharers   retry.Sharers // that share the budgets
 	lookups   map[jaywind.ServiceName]*cacheLookup
 	rollouts  map[jaywind.ServiceName]*rolloutTracker
 	baselines map[jaywind.ServiceName]map[table.RouteMeasure]*table.Durations // without those of new versions in a roll-out
@@ -206,6 +207,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.routers = max(1, routers)
+	r.sharers.Set(r.routers, time.Now())
 	r.table.SetPartition(index, routers)
 	r.hedges.index = index
 	r.stats.members.Update(int64(r.routers))
@@ -389,7 +391,8 @@
 		return true
 	}
 	r.mu.Lock()
-	ok := r.budgetFor(c.service).Take(time.Now(), r.routers)
+	now := time.Now()
+	ok := r.budgetFor(c.service).Take(now, r.sharers.Most(now, r.RetryBudget.Window))
 	r.mu.Unlock()
 	if !ok && r.BorrowRetry != nil && r.BorrowRetry(ctx, c.service.Name) {
 		r.stats.borrowed.Inc(1)
@@ -404,8 +407,8 @@
 	r.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.budgets[s]
-	return b != nil && b.Lend(time.Now(), r.routers)
+	b, now := r.budgets[s], time.Now()
+	return b != nil && b.Lend(now, r.sharers.Most(now, r.RetryBudget.Window))
 }
 
 // acquireEndpoint chooses an endpoint for a call and counts the call there until releaseEndpoint. It returns nil if there is
