router: a call draws its share when it is admitted, whether or not there is a roll-out

Cause: the draw was made only if the service had a roll-out at admission; a draw of 0 is below any share.

Evidence: found by reading the diff.

--- a/internal/relay/router/rollout.go
+++ b/internal/relay/router/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -215,7 +214,6 @@
 		tr.totals.Requests++
 		c.tracker = tr
 	}
-	c.draw = rand.Float64()
 	r.updateVersion(c)
 }
 
--- a/internal/relay/router/router.go
+++ b/internal/relay/router/router.go
@@ -290,7 +290,7 @@
 	if !known && !rt.AllowAnonymous && r.set.RequiresKey() {
 		return nil, Refusal{Reason: ReasonUnknownKey}
 	}
-	c := &call{request: request, response: response, route: rt, set: r.set, keyOwner: owner}
+	c := &call{request: request, response: response, route: rt, set: r.set, keyOwner: owner, draw: rand.Float64()}
 	c.service = r.pickService(rt)
 	if c.service == nil {
 		return nil, Refusal{Reason: ReasonBusy, RetryAfter: jitter(time.Second)}
--- a/internal/relay/router/version_test.go
+++ b/internal/relay/router/version_test.go
@@ -12,6 +12,7 @@
 
 	"jaywind"
 	"jaywind/internal/core/endpoint"
+	"jaywind/internal/core/retry"
 	"jaywind/internal/core/rollout"
 	"jaywind/internal/core/route"
 	"jaywind/internal/relay/router"
@@ -331,3 +332,28 @@
 		})
 	}
 }
+
+// TestCallsOfBeforeTheOrder: calls wait or are repeated while an order comes. The test fails if they go to its version beyond the share.
+func TestCallsOfBeforeTheOrder(t *testing.T) {
+	const calls = 200
+	bubble.Test(t, func(t *testing.T) {
+		u := &versionCounter{calls: map[jaywind.Version]int{}, fails: "v1"}
+		r := &versionRouter{&router.Router{Self: "vm1", Upstream: u, RetryBudget: retry.Budget{Ratio: 1, Reserve: calls, Window: 10 * time.Second}}, u}
+		r.SetConfig(route.NewSet(1, []route.Route{{Name: "g", Host: "a", Prefix: "/", Kind: route.KindSafe, MaxAttempts: 2, Backends: []route.Backend{{Service: "desk", Weight: 1}}}},
+			[]route.Service{{Name: "desk"}}, nil, route.Limits{}))
+		r.add("v1")
+		var group conc.WaitGroup
+		for range calls {
+			group.Go(func() {
+				r.Serve(context.Background(), &router.Request{ID: "q", Host: "a", Path: "/x", Arrived: time.Now(), Timeout: time.Second}, &caller{})
+			})
+		}
+		time.Sleep(100 * time.Millisecond) // their first attempts are under way, and fail
+		r.order("v2", time.Minute)
+		r.add("v2")
+		group.Wait()
+		is := is.New(t)
+		is.Equal(u.calls["v1"]+u.calls["v2"], 2*calls)
+		is.True(u.calls["v2"] < calls/5)
+	})
+}
