rollout: an order's version is never taken for the one in use because it alone has endpoints

Cause: the first order's ledger counted the only version with endpoints as in use. Those of the old version may be gone for a moment.

Change: only the roll-outs before tell which version is in use. The only version there is gets all requests after 5 s without another one, as before.

--- a/internal/backend/link/link_test.go
+++ b/internal/backend/link/link_test.go
@@ -104,7 +104,7 @@
 
 func TestFailures(t *testing.T) {
 	is := is.New(t)
-	p := &link.Pool{}
+	p := &link.Pool{DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext} // only what follows the connection is tested
 	defer p.Close()
 	_, err := p.Get(context.Background(), "127.0.0.1:1", "")
 	is.True(errors.Is(err, jaywind.ErrNotSent)) // nothing listens
--- a/internal/core/rollout/ledger.go
+++ b/internal/core/rollout/ledger.go
@@ -80,7 +80,7 @@
 	switch {
 	case previous.Target == "":
 		for _, v := range present {
-			if v != target || len(present) == 1 {
+			if v != target { // which may be new, and the endpoints of the others not known yet
 				l = l.with(v, StandingInUse)
 			}
 		}
--- a/internal/relay/router/lead_test.go
+++ b/internal/relay/router/lead_test.go
@@ -109,7 +109,7 @@
 	return jaywind.Reply{Status: http.StatusOK}, nil
 }
 
-// deskRouter is a router of a deskFleet and what its process knows.
+// deskRouter is a router of a deskFleet and what its process knows; deskFleet.mu guards it.
 type deskRouter struct {
 	vm       jaywind.VM
 	router   *router.Router
@@ -127,13 +127,14 @@
 type deskFleet struct {
 	upstream *deskUpstream
 	routers  []*deskRouter
-	order    rollout.Order
 	mu       sync.Mutex
+	order    rollout.Order
 	stored   rollout.State
 	shiftAt  time.Time
 	badByEnd int // answers of v2 before the end was stored
 }
 
+// start starts the process of a router; the caller holds mu.
 func (f *deskFleet) start(d *deskRouter) {
 	d.router = &router.Router{Self: d.vm, Upstream: deskCaller{f.upstream, d.vm}, RetryBudget: retry.Budget{Ratio: 1, Reserve: 100, Window: 10 * time.Second}}
 	kinds := []route.Kind{route.KindSafe, route.KindUnsafe}
@@ -175,19 +176,30 @@
 
 // tick makes a router report, decide and write, as rolloutSync does.
 func (f *deskFleet) tick(d *deskRouter) {
-	totals, running := d.router.RolloutTotals()["desk"]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.down || d.paused {
+		return
+	}
+	sleep := func() {
+		f.mu.Unlock()
+		time.Sleep(reportTimeout)
+		f.mu.Lock()
+	}
+	r := d.router
+	totals, running := r.RolloutTotals()["desk"]
 	leader := f.leaderOf(d)
 	if running {
-		d.router.ReportRollout(d.vm, "desk", totals)
+		r.ReportRollout(d.vm, "desk", totals)
 	}
-	decided, known := d.router.DecideRollouts(time.Now())["desk"]
+	decided, known := r.DecideRollouts(time.Now())["desk"]
 	sentAt := time.Now()
 	switch {
 	case !running:
 	case leader == d:
-		d.router.FollowRolloutLeader("desk", d.router.ReportRollout(d.vm, "desk", totals), sentAt)
+		r.FollowRolloutLeader("desk", r.ReportRollout(d.vm, "desk", totals), sentAt)
 	case leader.down || leader.paused || leader.cut || d.cut:
-		time.Sleep(reportTimeout)
+		sleep()
 		if d.lost++; d.lost >= maxLostReports {
 			d.suspects[leader.vm], d.lost = time.Now().Add(suspicionTime), 0
 		}
@@ -195,18 +207,15 @@
 		d.suspects[leader.vm] = time.Now().Add(suspicionTime)
 	default:
 		d.lost = 0
-		d.router.FollowRolloutLeader("desk", leader.router.ReportRollout(d.vm, "desk", totals), sentAt)
+		r.FollowRolloutLeader("desk", leader.router.ReportRollout(d.vm, "desk", totals), sentAt)
 	}
 	if leader != d || !known || d.paused || d.down || rollout.NextAction(d.known, decided) != rollout.ActWriteState {
 		return
 	}
-	d.unable = d.alone
-	if d.alone {
-		time.Sleep(reportTimeout)
+	if d.unable = d.alone; d.alone {
+		sleep()
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if !d.known.Equal(f.stored) {
 		return // the write conflicts
 	}
@@ -224,13 +233,12 @@
 // watch tells a router what is stored.
 func (f *deskFleet) watch(d *deskRouter) {
 	f.mu.Lock()
-	stored := f.stored
-	f.mu.Unlock()
-	if d.down || d.paused || d.alone || stored.Equal(d.known) {
+	defer f.mu.Unlock()
+	if d.down || d.paused || d.alone || f.stored.Equal(d.known) {
 		return
 	}
-	d.known = stored
-	d.router.SetRolloutState("desk", stored)
+	d.known = f.stored
+	d.router.SetRolloutState("desk", f.stored)
 }
 
 // reached tells whether a moment has come.
@@ -253,8 +261,13 @@
 // strike applies a fault to the leader for its time.
 func (f *deskFleet) strike(d *deskRouter, fault leaderFault) {
 	set := func(on bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.upstream.mu.Lock()
 		defer f.upstream.mu.Unlock()
+		if d.down && !on {
+			f.start(d)
+		}
 		f.upstream.off[d.vm] = on
 		switch fault {
 		case leaderKilled, leaderRestarted, fleetKilled:
@@ -281,9 +294,6 @@
 	default:
 		time.Sleep(leaderOutage)
 	}
-	if d.down {
-		f.start(d)
-	}
 	set(false)
 }
 
@@ -294,17 +304,17 @@
 	defer group.Wait()
 	defer cancel()
 	for i := range 3 {
-		d := &deskRouter{vm: jaywind.VM(fmt.Sprint("vm", i))}
-		f.start(d)
-		f.routers = append(f.routers, d)
+		f.routers = append(f.routers, &deskRouter{vm: jaywind.VM(fmt.Sprint("vm", i))})
+		f.start(f.routers[i])
+	}
+	for i, d := range f.routers {
 		group.Go(func() {
 			time.Sleep(time.Duration(i) * 130 * time.Millisecond)
 			ticks := time.NewTicker(reportInterval)
 			defer ticks.Stop()
 			for ctx.Err() == nil {
-				if <-ticks.C; !d.down && !d.paused {
-					f.tick(d)
-				}
+				<-ticks.C
+				f.tick(d)
 			}
 		})
 		group.Go(func() {
@@ -316,7 +326,10 @@
 	}
 	serve := func() {
 		d := f.routers[rand.IntN(len(f.routers))]
-		if d.down || d.paused {
+		f.mu.Lock()
+		r, runs := d.router, !d.down && !d.paused
+		f.mu.Unlock()
+		if !runs {
 			return
 		}
 		path := "/look/x"
@@ -324,7 +337,7 @@
 			path = "/bind/x"
 		}
 		group.Go(func() {
-			d.router.Serve(ctx, &router.Request{ID: "q", Host: "a", Path: path, Arrived: time.Now(), Timeout: 1500 * time.Millisecond}, &caller{})
+			r.Serve(ctx, &router.Request{ID: "q", Host: "a", Path: path, Arrived: time.Now(), Timeout: 1500 * time.Millisecond}, &caller{})
 		})
 	}
 	run := func(until time.Time) {
@@ -338,11 +351,13 @@
 	f.upstream.mu.Lock()
 	f.upstream.calls = 0
 	f.upstream.mu.Unlock()
+	f.mu.Lock()
 	f.order = rollout.Order{Service: "desk", Target: "v2", Duration: deskOrderTime, ReceivedAt: ordered}
 	for _, d := range f.routers {
 		d.router.StartRollout(f.order, rollout.Bounds{Share: 0.1, ExtraRequests: 50})
 		f.addEndpoints(d, "v2")
 	}
+	f.mu.Unlock()
 	group.Go(func() {
 		for ctx.Err() == nil && !f.reached(m, ordered) {
 			time.Sleep(10 * time.Millisecond)
--- a/internal/relay/router/version_test.go
+++ b/internal/relay/router/version_test.go
@@ -357,3 +357,25 @@
 		is.True(u.calls["v2"] < calls/5)
 	})
 }
+
+// TestOrderBeforeOldEndpointsAreKnown: a router knows only the endpoints of the new version when its order comes, as those of the old one were
+// gone for a moment. The test fails if it takes the new version for the one in use.
+func TestOrderBeforeOldEndpointsAreKnown(t *testing.T) {
+	for _, wait := range []time.Duration{0, 3 * time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				r := newVersionRouter()
+				r.upstream.fails = "v2"
+				r.add("v2")
+				r.order("v2", 30*time.Second)
+				r.serveFor(wait)
+				r.add("v1")
+				calls, _ := r.serveFor(4 * time.Second)
+				_, state := r.serveFor(time.Second)
+				is := is.New(t)
+				is.True(calls["v2"] < 80)
+				is.Equal(state.Phase, rollout.PhaseRolledBack)
+			})
+		})
+	}
+}
