--- a/internal/core/rollout/doc.go
+++ b/internal/core/rollout/doc.go
@@ -6,11 +6,20 @@
 // gets a small share of new work, within a budget of requests. Unless it looks
 // bad, it gets all new work as soon as the requests expected in the remaining
 // time fit into the budget. From then on, standby copies of runs are kept on new
-// endpoints only, since the old endpoints are stopped at the end:
+// endpoints only, since the old endpoints are stopped at the end.
+//
+// The full load is a permission that the lead renews with its replies to the
+// totals, and that lapses without them. Each router also judges its own totals,
+// and sends a version that it finds bad nothing more.
+//
+// A ledger holds what is known of the service's other versions. Each order
+// begins with the ledger that the one before leaves. Which versions may run a
+// call follows from the state, the ledger and the versions that have endpoints:
 //
 //	r := rollout.New(order, bounds)
 //	r.Report("vm2", totals)
 //	next := r.Decide(now)
+//	rule := r.Rule(present, draw, now) // for a call
 //
 // The package does no I/O. Its user writes the state to the store with a
 // conditional write.
