edge/http1: the head of a connection that was closed counts until the server lets go of it

Callers saw: a router of 88 MB could take up to 88 MB itself when 200 clients sent dear heads at once, so its VM would have run out of memory.

Cause: closing a connection to make room for another one returned what its head takes while it is parsed, about 1 MB, though the server parses on; and a closed connection that waited for its turn went on waiting, with what it had received, for up to 5 s.

Change: the budget of heads is returned by the server's own Close; closing ends the wait. TestHeadOfClosedConnection fails in both cases without it.

--- a/internal/edge/http1/conn.go
+++ b/internal/edge/http1/conn.go
@@ -34,6 +34,8 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
+	open     context.Context // ends when the connection is closed
+	endOpen  context.CancelFunc
 
 	// Used by the server's reads, of which there is one at a time.
 	buffered []byte // received, and not yet passed on to the server
@@ -201,7 +203,7 @@
 		return nil
 	}
 	n := min(memory.Bytes(len(head))+lineBytes*memory.Bytes(bytes.Count(head, []byte("\n"))), c.listener.Heads.Limit)
-	ctx, cancel := context.WithTimeout(context.Background(), c.listener.HeadTimeout)
+	ctx, cancel := context.WithTimeout(c.open, c.listener.HeadTimeout)
 	defer cancel()
 	if c.listener.Heads.Acquire(ctx, n) != nil {
 		return c.refuse()
@@ -315,6 +317,7 @@
 		}
 		c.through, c.serving = false, false
 		c.phase, c.idleSince = phaseIdle, time.Now()
+		c.endParsing()
 		c.lower(connectionBytes + memory.Bytes(len(c.buffered)))
 	}
 }
@@ -354,15 +357,17 @@
 	return !c.closed
 }
 
-// Close closes the connection and returns what it was charged.
+// Close closes the connection and returns what it was charged. The server calls it when it uses nothing of the head any more.
 func (c *Conn) Close() error {
+	defer c.Parsed()
 	if !c.end(func() bool { return true }) {
 		return net.ErrClosed
 	}
 	return c.Conn.Close()
 }
 
-// closeIn closes the connection if it is in a phase, and reports whether it did.
+// closeIn closes the connection if it is in a phase, and reports whether it did. What the server is making of its head stays charged until
+// the server calls Close, as it parses on.
 func (c *Conn) closeIn(p phase) bool {
 	if !c.end(func() bool { return c.phase == p }) {
 		return false
@@ -382,6 +387,7 @@
 	c.closed = true
 	c.lower(0)
 	c.mu.Unlock()
+	c.endOpen()
 	c.listener.remove(c)
 	return true
 }
@@ -408,7 +414,6 @@
 
 // lower returns what was charged beyond n; the caller holds mu.
 func (c *Conn) lower(n memory.Bytes) {
-	c.endParsing()
 	if c.charged > n {
 		c.listener.Memory.Release(c.charged - n)
 		c.charged = n
--- a/internal/edge/http1/conn_test.go
+++ b/internal/edge/http1/conn_test.go
@@ -248,6 +248,68 @@
 	is.Equal(l.Stats().Refused, int64(1))
 }
 
+// TestHeadOfClosedConnection guards against the memory of a head that is taken as free while the server still uses it, as its connection was
+// closed to make room.
+func TestHeadOfClosedConnection(t *testing.T) {
+	head := "GET /a HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A:b\r\n", 500) + "\r\n"
+	open := func(t *testing.T) (*Listener, *Conn) {
+		is := is.New(t)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = inner.Close() })
+		l := &Listener{Listener: inner, Heads: &memory.Budget{Limit: memory.MB}, MaxConns: 1, MaxHead: 20 << 10, HeadTimeout: 2 * testTimeout}
+		_, err = io.WriteString(dial(t, inner.Addr().String()), head)
+		is.NoErr(err)
+		c, err := l.Accept()
+		is.NoErr(err)
+		return l, c.(*Conn)
+	}
+	accept := func(t *testing.T, l *Listener) {
+		is := is.New(t)
+		_ = dial(t, l.Addr().String())
+		c, err := l.Accept()
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		is.Equal(l.Stats(), Stats{ClosedReading: 1})
+	}
+	t.Run("being parsed", func(t *testing.T) {
+		is := is.New(t)
+		l, c := open(t)
+		got := make([]byte, len(head))
+		_, err := io.ReadFull(c, got)
+		is.NoErr(err)
+		used := l.Heads.Used()
+		is.True(used > memory.Bytes(len(head)))
+		accept(t, l)
+		is.Equal(l.Heads.Used(), used) // the server parses on
+		is.Equal(c.Close(), net.ErrClosed)
+		is.Equal(l.Heads.Used(), memory.Bytes(0))
+	})
+	t.Run("waiting for its turn", func(t *testing.T) {
+		is := is.New(t)
+		l, c := open(t)
+		is.True(l.Heads.TryAcquire(l.Heads.Limit)) // by others
+		ended := make(chan error, 1)
+		var group conc.WaitGroup
+		defer group.Wait()
+		group.Go(func() {
+			_, err := io.ReadFull(c, make([]byte, len(head)))
+			ended <- err
+		})
+		for end := time.Now().Add(testTimeout); c.cost() <= requestBytes && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		accept(t, l)
+		select {
+		case err := <-ended:
+			is.True(err != nil)
+		case <-time.After(testTimeout):
+			is.Fail() // holds on to what it has received
+		}
+		is.Equal(l.Heads.Used(), l.Heads.Limit)
+	})
+}
+
 // TestConnectionsOfRouters guards against a connection in HTTP/2 that is read as if it had heads of HTTP/1, or closed to make room.
 func TestConnectionsOfRouters(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/http1/listener.go
+++ b/internal/edge/http1/listener.go
@@ -125,9 +125,11 @@
 			_ = tcp.SetWriteBuffer(sendBuffer)
 		}
 		c := &Conn{Conn: inner, listener: l, idleSince: time.Now()}
+		c.open, c.endOpen = context.WithCancel(context.Background())
 		if l.add(c) {
 			return c, nil
 		}
+		c.endOpen()
 		_ = inner.Close()
 	}
 }
