provider/store: a write whose answer is cut has an unknown outcome

Callers saw nothing yet; a write that the store broke off counted as done, so a claim could be taken as stored that was not.

Cause: the client ignored the error at the end of a write's answer. A store that answers 200 at once without a length and resets the connection while the value is being sent looks like one that has written it.

Change: an answer to a write that ends early gives ErrOutcomeUnknown. A refusal counts as before: its status alone says that nothing was written.

--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -207,13 +207,16 @@
 	if err != nil {
 		return nil, writeError(err)
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, jaywind.MaxValue))
+	_, cut := io.Copy(io.Discard, io.LimitReader(response.Body, jaywind.MaxValue))
 	_ = response.Body.Close()
 	if err := c.recordEra(response.Header.Get(headerEra)); err != nil {
 		return nil, fmt.Errorf("%w: %w", jaywind.ErrOutcomeUnknown, err)
 	}
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		if cut != nil { // the service may not have received the value
+			return nil, fmt.Errorf("%w: %w", jaywind.ErrOutcomeUnknown, cut)
+		}
 		return response, nil
 	case http.StatusNotFound:
 		return nil, jaywind.ErrKeyNotFound
