soak: tries at a router that is cut off count only while another router can help it

Callers saw nothing wrong: this is a check that asked for what no router could give.

Cause: the links of one router or two were cut while all others were stopping, down or just started. `reach` compared all tries at the routers that were cut off with those at the others, which only count while these are undisturbed; `sound` counted streams at a router that is cut off.

Change: a try at a router without links counts if another router with links has been undisturbed for 3 s, as callers' own routers must be too. With such a router up the checks are as strict as before (three rows of TestGuarantees, of which `reach` had none). Two rows fail without the change.

--- a/internal/measure/soak/check.go
+++ b/internal/measure/soak/check.go
@@ -380,7 +380,7 @@
 // the engines name limits, the others may not suffice. In a burst, engines have no room for all.
 func (r *checker) servedStreams(selects func(*attempt) bool) (served, all int) {
 	for _, a := range r.attempts {
-		if a.prefix != "/stream/" || a.prompt == burstPrompt || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || r.fleet.cutFromStore(a.router, a.sentAt, a.endedAt) || r.mostlyLimited(a.sentAt) ||
+		if a.prefix != "/stream/" || a.prompt == burstPrompt || a.part != "" || a.router.disturbed(a.sentAt, a.endedAt, schedulingSlack) || r.fleet.cutFromStore(a.router, a.sentAt, a.endedAt) || !r.fleet.reachesReplicas(a.router, a.sentAt, a.endedAt) || r.mostlyLimited(a.sentAt) ||
 			overlaps(r.bursts, a.sentAt, a.endedAt, 0) || !selects(a) {
 			continue
 		}
--- a/internal/measure/soak/links.go
+++ b/internal/measure/soak/links.go
@@ -74,6 +74,17 @@
 	})
 }
 
+// reachesReplicas reports whether a router was able to reach the replicas between from and until, over its own links or through a router that had
+// been undisturbed for a while.
+func (f *fleet) reachesReplicas(r *router, from, until time.Time) bool {
+	if !f.linksWereCut(r, from, until) {
+		return true
+	}
+	return slices.ContainsFunc(f.routers, func(o *router) bool {
+		return o != r && !o.disturbed(from, until, recoveryMargin) && !f.linksWereCut(o, from, until)
+	})
+}
+
 // checkReach checks for each cut that the first tries of callers at the routers that were cut off are served as well as those at the
 // others, from linkContactTime on; the caller holds mu.
 func (r *checker) checkReach() {
@@ -81,7 +92,8 @@
 		from := c.from.Add(linkContactTime)
 		served, all := map[bool]int{}, map[bool]int{} // by whether their router was cut off
 		for _, a := range r.attempts {
-			if a.sentAt.Before(from) || !a.sentAt.Before(c.until) || a.part != "" || a.deadly != "" || !r.fleet.undisturbed(a.router, a.sentAt, a.endedAt) {
+			if a.sentAt.Before(from) || !a.sentAt.Before(c.until) || a.part != "" || a.deadly != "" ||
+				!r.fleet.undisturbed(a.router, a.sentAt, a.endedAt) || !r.fleet.reachesReplicas(a.router, a.sentAt, a.endedAt) {
 				continue
 			}
 			cut := slices.Contains(c.routers, a.router)
--- a/internal/measure/soak/soak_test.go
+++ b/internal/measure/soak/soak_test.go
@@ -119,6 +119,26 @@
 			soundStreams(c, a, minCompared/2-1)
 			c.fleet.storeDisturbances = []storeDisturbance{{span{from: a.sentAt.Add(3 * time.Second), until: a.sentAt.Add(4 * time.Second)}, &router{}}}
 		}, "sound"},
+		"sound streams, router is cut off from the replicas": {func(c *checker, a *attempt) {
+			deadlyRuns(c, a, freeCrashes)
+			soundStreams(c, a, minCompared/2-1)
+			cutLinksOf(c, a, span{from: a.sentAt, until: a.sentAt.Add(10 * time.Second)})
+		}, "sound"},
+		"sound streams, no router reaches the replicas": {func(c *checker, a *attempt) {
+			deadlyRuns(c, a, freeCrashes)
+			soundStreams(c, a, minCompared/2-1)
+			other := cutLinksOf(c, a, span{from: a.sentAt, until: a.sentAt.Add(10 * time.Second)})
+			other.disturbances = []span{{from: a.sentAt}}
+		}, ""},
+		"requests at a router that is cut off fail": {func(c *checker, a *attempt) { failsWhileCut(c, a) }, "reach"},
+		"requests at a router that is cut off fail, the other one is down": {func(c *checker, a *attempt) {
+			other := failsWhileCut(c, a)
+			other.disturbances = []span{{from: a.sentAt.Add(-time.Second), until: a.sentAt.Add(2 * linkContactTime)}}
+		}, ""},
+		"requests at a router that is cut off fail, the other one was down before": {func(c *checker, a *attempt) {
+			other := failsWhileCut(c, a)
+			other.disturbances = []span{{from: a.sentAt.Add(-time.Second), until: a.sentAt}}
+		}, "reach"},
 		"sound streams are served": {func(c *checker, a *attempt) { deadlyRuns(c, a, freeCrashes); soundStreams(c, a, minCompared/2) }, ""},
 		"wrong event":              {func(_ *checker, a *attempt) { stream(a); a.eventError = "x" }, "order"},
 		"unexpected 404":           {func(_ *checker, a *attempt) { a.status, a.fromEndpoint = 404, false }, "denied"},
@@ -302,6 +322,30 @@
 	}
 }
 
+// cutLinksOf cuts the router of an attempt from all replicas, and returns another router, which reaches them.
+func cutLinksOf(c *checker, a *attempt, during span) *router {
+	other := &router{}
+	c.fleet.routers = []*router{a.router, other}
+	c.fleet.linkCuts = []linkCut{{span: during, routers: []*router{a.router}}}
+	return other
+}
+
+// failsWhileCut lets first tries fail at a router that is cut off from the replicas, for a second, and later ones be served at another one.
+func failsWhileCut(c *checker, a *attempt) *router {
+	other := cutLinksOf(c, a, span{from: a.sentAt, until: a.sentAt.Add(20 * time.Second)})
+	for i := range 2 * minCompared {
+		failed := &attempt{id: fmt.Sprint("f", i), prefix: "/get/", router: a.router, status: 503, complete: true}
+		failed.sentAt = a.sentAt.Add(linkContactTime + time.Duration(i)*50*time.Millisecond)
+		served := &attempt{id: fmt.Sprint("g", i), prefix: "/stream/", router: other, status: 200, complete: true, received: streamEvents}
+		served.sentAt = a.sentAt.Add(15 * time.Second)
+		for _, s := range []*attempt{failed, served} {
+			s.endedAt = s.sentAt
+			c.attempts[s.id] = s
+		}
+	}
+	return other
+}
+
 // pausedRuns lets an endpoint ask for a pause and run some requests of the same router in it.
 func pausedRuns(c *checker, a *attempt, runs int) {
 	c.attempts["q0"] = &attempt{id: "q0", status: 200, router: a.router}
