suspect: another router probes a quarantine whose router has ended

Callers saw: after crashes and restarts each stream at each router refused for up to ten minutes, as the part that all prompts share stayed quarantined, with all engines idle (7 of 1,191 streams served).

Cause: only the router that had decided on a quarantine let the requests through that can lift it. When it had ended, nobody did.

Change: the first collector of the service probes its quarantines, whoever decided on them. That is looked at whenever members or quarantines change, so another router takes over, and a restart of all finds one. The pauses go on where they were when probes come back.

TestProbesAfterTheirRouter fails without it (probed by none in both cases).

--- a/internal/core/suspect/quarantine.go
+++ b/internal/core/suspect/quarantine.go
@@ -28,7 +28,7 @@
 	until  time.Time
 	lifted bool          // its requests may run; it is not quarantined again before until
 	probe  time.Time     // from which one request may run, to lift the quarantine if it survives; zero for none
-	pause  time.Duration // until the next one, if this one does not lift it
+	pause  time.Duration // until the next one, if this one does not lift it; 0 until a probe was allowed
 }
 
 // Add quarantines a group, and reports whether it was not quarantined before.
@@ -65,14 +65,33 @@
 }
 
 // AllowProbe lets one request of a group run from a time on, although the group is quarantined. While the quarantine lasts, further ones may
-// follow after growing pauses, as the probe may be lost for another reason than its prompt.
+// follow after growing pauses, as the probe may be lost for another reason than its prompt. It changes nothing if probes are allowed already.
 func (q *Quarantine) AllowProbe(g Group, at time.Time) {
+	if e, known := q.groups[g.Key()]; known && !e.lifted && e.probe.IsZero() {
+		e.probe, e.pause = at.Add(e.pause), max(e.pause, firstProbePause)
+		q.groups[g.Key()] = e
+	}
+}
+
+// EndProbes lets no request of a quarantined group run, until AllowProbe is called again.
+func (q *Quarantine) EndProbes(g Group) {
 	if e, known := q.groups[g.Key()]; known && !e.lifted {
-		e.probe, e.pause = at, firstProbePause
+		e.probe = time.Time{}
 		q.groups[g.Key()] = e
 	}
 }
 
+// InForce returns the groups that are quarantined.
+func (q *Quarantine) InForce(now time.Time) []Group {
+	var found []Group
+	for _, e := range q.groups {
+		if !e.lifted && now.Before(e.until) {
+			found = append(found, e.group)
+		}
+	}
+	return found
+}
+
 // TakeProbe reports whether a prompt that is kept back may run as a probe, and takes the probe.
 func (q *Quarantine) TakeProbe(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) bool {
 	held := q.Matching(s, shared, now)
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -277,3 +277,26 @@
 	q.Lift(group, start.Add(time.Minute))
 	is.True(!q.TakeProbe("pool", group.Parts, start.Add(2*time.Minute)))
 }
+
+// TestProbesOfSeveralRouters fails if a router that hands probes over and gets them back lets more of them through than one that keeps them.
+func TestProbesOfSeveralRouters(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	group := suspect.Group{Service: "pool", Parts: []jaywind.PromptPart{"x"}}
+	var q suspect.Quarantine
+	is.True(q.Add(group, start))
+	is.Equal(q.InForce(start), []suspect.Group{group})
+	var all int
+	for at := time.Duration(0); at < suspect.QuarantineTime; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		q.AllowProbe(group, now.Add(time.Second)) // does not put off the next one
+		if q.TakeProbe("pool", group.Parts, now) {
+			all++
+			q.EndProbes(group)
+			is.True(!q.TakeProbe("pool", group.Parts, now.Add(time.Hour)))
+		}
+	}
+	is.True(all >= 3)
+	is.True(all <= 6)
+	is.Equal(len(q.InForce(start.Add(suspect.QuarantineTime))), 0)
+}
--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -39,6 +39,10 @@
 	Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group
 	// AllowProbe lets one request of a quarantined group run after a delay.
 	AllowProbe(g suspect.Group, delay time.Duration)
+	// EndProbes lets no request of a quarantined group run, until AllowProbe is called again.
+	EndProbes(g suspect.Group)
+	// QuarantinesInForce returns all groups that are quarantined.
+	QuarantinesInForce() []suspect.Group
 	// SoundParts returns those of the parts under which runs have survived their beginning, and whether any run of the service has
 	// lately.
 	SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) (sound []jaywind.PromptPart, survived bool)
@@ -105,8 +109,8 @@
 	d.signal()
 }
 
-// MembersChanged makes Run hand the losses of this router to collectors that have joined the fleet, or that it has only now learnt of. It
-// does not block.
+// MembersChanged makes Run hand the losses of this router to collectors that have joined the fleet, or that it has only now learnt of, and
+// find out which quarantines this router probes. It does not block.
 func (d *Detector) MembersChanged() {
 	d.init()
 	d.signal()
@@ -150,6 +154,7 @@
 		if wait := soonest(resend, soonest(d.evaluate(ctx), d.evaluateRequests(ctx))); wait > 0 {
 			again = time.After(wait)
 		}
+		d.assignProbes()
 	}
 }
 
@@ -233,13 +238,28 @@
 		d.known[c.Key()] = knownGroup{c, time.Now().Add(suspect.QuarantineTime)}
 		d.mu.Unlock()
 		if d.Router.AddQuarantine(c) {
-			d.Router.AllowProbe(c, probeDelay)
 			d.publish(ctx, c, false)
 		}
 	}
 	return 0
 }
 
+// assignProbes lets this router probe the quarantined groups for which it is the first collector, and no others. As members come and go, another
+// router takes over, so that a quarantine does not outlast its cause for want of the router that decided on it.
+func (d *Detector) assignProbes() {
+	for _, g := range d.Router.QuarantinesInForce() {
+		_, first := d.Collectors(string(g.Service), 1)
+		switch {
+		case !first:
+			d.Router.EndProbes(g)
+		case g.IsRequest():
+			d.Router.AllowProbe(g, requestProbeDelay)
+		default:
+			d.Router.AllowProbe(g, probeDelay)
+		}
+	}
+}
+
 // soonest returns the shorter of two times, of which 0 stands for never.
 func soonest(a, b time.Duration) time.Duration {
 	if a == 0 || b == 0 {
@@ -272,7 +292,6 @@
 	d.mu.Unlock()
 	for _, g := range found {
 		if d.Router.AddQuarantine(g) {
-			d.Router.AllowProbe(g, requestProbeDelay)
 			d.publish(ctx, g, false)
 		}
 	}
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -27,7 +27,8 @@
 	held  map[string]bool
 	sound []jaywind.PromptPart
 
-	allLost bool // no run has survived at this router
+	probes  map[string]bool // by the keys of groups
+	allLost bool            // no run has survived at this router
 }
 
 func (r *fakeRouter) AddQuarantine(g suspect.Group) bool {
@@ -56,7 +57,29 @@
 	return found
 }
 
-func (r *fakeRouter) AllowProbe(suspect.Group, time.Duration) {}
+func (r *fakeRouter) AllowProbe(g suspect.Group, _ time.Duration) { r.setProbes(g, true) }
+
+func (r *fakeRouter) EndProbes(g suspect.Group) { r.setProbes(g, false) }
+
+func (r *fakeRouter) setProbes(g suspect.Group, allowed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.probes == nil {
+		r.probes = map[string]bool{}
+	}
+	r.probes[g.Key()] = allowed
+}
+
+// probesGroup reports whether the router lets requests of the tests' group run as probes.
+func (r *fakeRouter) probesGroup() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held["pool/x"] && r.probes["pool/x"]
+}
+
+func (r *fakeRouter) QuarantinesInForce() []suspect.Group {
+	return r.Quarantined("pool", []jaywind.PromptPart{"x"})
+}
 
 func (r *fakeRouter) SoundParts(_ jaywind.ServiceName, parts []jaywind.PromptPart) (sound []jaywind.PromptPart, survived bool) {
 	r.mu.Lock()
@@ -155,13 +178,13 @@
 			}
 		}
 		addresses = append(addresses, jaywind.Address(strings.TrimPrefix(s.URL, "http://")))
-		d.Collectors = func(string, int) (others []jaywind.Address, self bool) {
+		d.Collectors = func(_ string, count int) (others []jaywind.Address, self bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if f.alone {
 				return nil, true
 			}
-			for _, n := range f.collect {
+			for _, n := range f.collect[:min(count, len(f.collect))] {
 				if n == i {
 					self = true
 					continue
@@ -504,6 +527,52 @@
 	})
 }
 
+// TestProbesAfterTheirRouter fails if a quarantine is probed by none or by several routers, as the one that decided on it has ended, or all
+// have started again and know it from the store.
+func TestProbesAfterTheirRouter(t *testing.T) {
+	x := suspect.Group{Service: "pool", Parts: []jaywind.PromptPart{"x"}}
+	await := func(t *testing.T, f *testFleet, want int) {
+		t.Helper()
+		var probing []int
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			probing = nil
+			for i, r := range f.routers {
+				if r.probesGroup() {
+					probing = append(probing, i)
+				}
+			}
+			if len(probing) == 1 && probing[0] == want {
+				return
+			}
+		}
+		t.Fatalf("probed by %v, not %d", probing, want)
+	}
+	t.Run("the one that decided has ended", func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		for i := range 3 {
+			f.detectors[0].Report(loss(i, "x"))
+		}
+		await(t, f, 0)
+		f.setCollectors(2, 1) // the first one has ended
+		for _, d := range f.detectors {
+			d.MembersChanged()
+		}
+		await(t, f, 2)
+		f.setCollectors(0, 2, 1) // it has started again
+		for _, d := range f.detectors {
+			d.MembersChanged()
+		}
+		await(t, f, 0)
+	})
+	t.Run("known from the store", func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		for _, d := range f.detectors {
+			d.Learn(x, false)
+		}
+		await(t, f, 0)
+	})
+}
+
 // TestMissedQuarantine fails if a router that has missed a quarantine, which the store has lost, can lose runs under it again and again.
 func TestMissedQuarantine(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -47,7 +47,9 @@
 func (d *Detector) Learn(g suspect.Group, lifted bool) {
 	d.init()
 	if !lifted {
-		d.Router.AddQuarantine(g)
+		if d.Router.AddQuarantine(g) {
+			d.signal() // this router may have to probe it
+		}
 		return
 	}
 	d.Router.LiftQuarantine(g)
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -71,6 +71,22 @@
 	r.quarantine.AllowProbe(g, time.Now().Add(delay))
 }
 
+// EndProbes lets no request of a quarantined group run, until AllowProbe is called again.
+func (r *Router) EndProbes(g suspect.Group) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.EndProbes(g)
+}
+
+// QuarantinesInForce returns all groups that are quarantined.
+func (r *Router) QuarantinesInForce() []suspect.Group {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.InForce(time.Now())
+}
+
 // SoundParts returns those of a service's parts under which runs of this router have survived their beginning, and whether any run of
 // the service has lately.
 func (r *Router) SoundParts(s jaywind.ServiceName, parts []jaywind.PromptPart) (sound []jaywind.PromptPart, survived bool) {
