suspect: a probe that has not run is not lost

Cause: a request that is let through to lift a quarantine was checked again before its next attempt. If its engine had no room, it was refused, though it had not run, and the next probe came after the pause. One that the schedule refused was lost in the same way.

Change: a request that was let through goes on until it has run; one that ends without having run returns its probe.

--- a/internal/core/suspect/quarantine.go
+++ b/internal/core/suspect/quarantine.go
@@ -107,6 +107,16 @@
 	return true
 }
 
+// ReturnProbe gives back a probe that was taken for a prompt and has not run, so that another request may.
+func (q *Quarantine) ReturnProbe(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) {
+	for _, g := range q.Matching(s, shared, now) {
+		if e := q.groups[g.Key()]; !e.probe.IsZero() && e.pause > firstProbePause {
+			e.probe, e.pause = now, e.pause/probePauseFactor
+			q.groups[g.Key()] = e
+		}
+	}
+}
+
 // Matching returns the groups in force that a prompt has.
 func (q *Quarantine) Matching(s jaywind.ServiceName, shared []jaywind.PromptPart, now time.Time) []Group {
 	var found []Group
--- a/internal/relay/router/plain.go
+++ b/internal/relay/router/plain.go
@@ -40,6 +40,7 @@
 		r.writeRefusal(c, why, left+rand.N(quarantineReturnSpread))
 		return
 	}
+	defer r.returnProbe(c)
 	if r.shedPlain(c) {
 		return
 	}
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -109,7 +109,12 @@
 	if len(held) == 0 {
 		return "", 0
 	}
-	if !c.mayHaveRun && r.quarantine.TakeProbe(c.service.Name, c.parts(), now) {
+	switch {
+	case c.mayHaveRun:
+	case c.isProbe && len(held) == 1:
+		return "", 0
+	case r.quarantine.TakeProbe(c.service.Name, c.parts(), now):
+		c.isProbe = true
 		r.Log.Info("quarantine: a request is let through", c.fields(zap.Any("parts", c.parts()))...)
 		return "", 0
 	}
@@ -123,6 +128,16 @@
 	return ReasonQuarantined, left
 }
 
+// returnProbe lets another request run as a probe if this one was let through and has not run.
+func (r *Router) returnProbe(c *call) {
+	if !c.isProbe || c.mayHaveRun {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.quarantine.ReturnProbe(c.service.Name, c.parts(), time.Now())
+}
+
 // isQuarantined reports whether a stream is kept back. It ends the stream if so.
 func (r *Router) isQuarantined(st *streamCall) bool {
 	why, left := r.quarantineOf(st.call)
--- a/internal/relay/router/request.go
+++ b/internal/relay/router/request.go
@@ -96,6 +96,7 @@
 	hedgeable     bool               // counted as a request that may be hedged
 	hedged        bool               // a second attempt was sent beside the first one
 	balancing     balancing          // of a plain call
+	isProbe       bool               // let through although it is quarantined; it may run once
 }
 
 // wholePart returns the part that stands for the whole request. Repeats of the request under other ids have the same one.
--- a/internal/relay/router/stream.go
+++ b/internal/relay/router/stream.go
@@ -83,6 +83,7 @@
 	if r.isQuarantined(st) {
 		return
 	}
+	defer r.returnProbe(c)
 	step, fromCopy := series.ActionRestart, false
 	at := r.findCached(st)
 	for {
