suspect: routers confirm a quarantine with the one that probes it

Callers saw: streams refused by two of three routers for up to ten minutes, after crashes and restarts; the third one served them.

Cause: the router that probes a quarantine may not have it. In the trace it had lifted it; the two others had started since and knew it from the store, which had missed the lift, as the router that lifted it first was killed. So nobody probed.

Change: a router that holds a quarantine which another one probes tells that one of it, when it learns of it and every 5 s. The other takes it over and probes it, or answers that it was lifted. An older router takes it over, but does not probe.

TestProbesAfterTheirRouter: all four cases fail without probes.go, the last two without `confirm`. TestLiftedLossesAreForgotten waits until all routers have heard of the lift, and its routers remember it until then, as the real ones do; else the news that it plays late comes from its own routers.

--- a/internal/core/suspect/quarantine.go
+++ b/internal/core/suspect/quarantine.go
@@ -64,6 +64,12 @@
 	return known
 }
 
+// IsLifted reports whether the quarantine of a group was lifted lately.
+func (q *Quarantine) IsLifted(g Group, now time.Time) bool {
+	e, known := q.groups[g.Key()]
+	return known && e.lifted && now.Before(e.until)
+}
+
 // AllowProbe lets one request of a group run from a time on, although the group is quarantined. While the quarantine lasts, further ones may
 // follow after growing pauses, as the probe may be lost for another reason than its prompt. It changes nothing if probes are allowed already.
 func (q *Quarantine) AllowProbe(g Group, at time.Time) {
--- a/internal/fleet/suspect/detector.go
+++ b/internal/fleet/suspect/detector.go
@@ -23,9 +23,7 @@
 	batchTime          = 20 * time.Millisecond  // within which losses are sent together
 	callTimeout        = 300 * time.Millisecond // for one call to a router
 	maxConcurrentCalls = 16
-	probeDelay         = time.Second     // from a quarantine to the request that may lift it; longer than the crash lasts
 	undecidedDelay     = 2 * time.Second // before a candidate is looked at again while no run survives
-	requestProbeDelay  = time.Minute     // the same as probeDelay for a whole request, each probe of which is likely to cost an engine
 	maxPending         = 256             // losses that wait to be sent; further ones are dropped, as many more are on their way
 )
 
@@ -37,6 +35,8 @@
 	LiftQuarantine(g suspect.Group) bool
 	// Quarantined returns the groups in force that a prompt with these shared parts has.
 	Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group
+	// IsLifted reports whether the quarantine of a group was lifted lately.
+	IsLifted(g suspect.Group) bool
 	// AllowProbe lets one request of a quarantined group run after a delay.
 	AllowProbe(g suspect.Group, delay time.Duration)
 	// EndProbes lets no request of a quarantined group run, until AllowProbe is called again.
@@ -69,6 +69,7 @@
 	finder          suspect.Finder        // of the services that this router collects for
 	changed         bool                  // finder has losses that were not looked at
 	requestsChanged bool                  // the same for whole requests
+	confirmed       map[string]time.Time  // when the first collector was last asked about a group, by the groups' keys
 	known           map[string]knownGroup // by their keys, that this router has quarantined as a collector
 }
 
@@ -81,7 +82,7 @@
 func (d *Detector) init() {
 	d.start.Do(func() {
 		d.wake = make(chan struct{}, 1)
-		d.known = map[string]knownGroup{}
+		d.known, d.confirmed = map[string]knownGroup{}, map[string]time.Time{}
 		d.process = rand.Uint64()
 		if d.Log == nil {
 			d.Log = zap.NewNop()
@@ -151,10 +152,10 @@
 			resend = resendDelay
 		}
 		again = nil
-		if wait := soonest(resend, soonest(d.evaluate(ctx), d.evaluateRequests(ctx))); wait > 0 {
+		wait := soonest(resend, soonest(d.evaluate(ctx), d.evaluateRequests(ctx)))
+		if wait = soonest(wait, d.assignProbes(ctx)); wait > 0 {
 			again = time.After(wait)
 		}
-		d.assignProbes()
 	}
 }
 
@@ -244,22 +245,6 @@
 	return 0
 }
 
-// assignProbes lets this router probe the quarantined groups for which it is the first collector, and no others. As members come and go, another
-// router takes over, so that a quarantine does not outlast its cause for want of the router that decided on it.
-func (d *Detector) assignProbes() {
-	for _, g := range d.Router.QuarantinesInForce() {
-		_, first := d.Collectors(string(g.Service), 1)
-		switch {
-		case !first:
-			d.Router.EndProbes(g)
-		case g.IsRequest():
-			d.Router.AllowProbe(g, requestProbeDelay)
-		default:
-			d.Router.AllowProbe(g, probeDelay)
-		}
-	}
-}
-
 // soonest returns the shorter of two times, of which 0 stands for never.
 func soonest(a, b time.Duration) time.Duration {
 	if a == 0 || b == 0 {
@@ -358,7 +343,7 @@
 	msg := encodeGroup(g, lifted)
 	p := pool.New().WithMaxGoroutines(maxConcurrentCalls)
 	for _, at := range d.Peers(math.MaxInt) {
-		p.Go(func() { _, _ = send[group, emptyResponse](ctx, d, at, quarantinePath, &msg) })
+		p.Go(func() { _, _ = send[group, groupResponse](ctx, d, at, quarantinePath, &msg) })
 	}
 	p.Wait()
 	d.Persist(ctx, g, lifted)
--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -27,16 +27,22 @@
 	held  map[string]bool
 	sound []jaywind.PromptPart
 
-	probes  map[string]bool // by the keys of groups
-	allLost bool            // no run has survived at this router
+	probes map[string]bool // by the keys of groups
+	lifted map[string]bool // likewise
+
+	remembers bool // that a quarantine was lifted, so that it is not quarantined again
+	allLost   bool // no run has survived at this router
 }
 
 func (r *fakeRouter) AddQuarantine(g suspect.Group) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	was := r.held[g.Key()]
+	if r.held[g.Key()] || r.remembers && r.lifted[g.Key()] {
+		return false
+	}
 	r.held[g.Key()] = true
-	return !was
+	delete(r.lifted, g.Key())
+	return true
 }
 
 func (r *fakeRouter) LiftQuarantine(g suspect.Group) bool {
@@ -44,9 +50,25 @@
 	defer r.mu.Unlock()
 	was := r.held[g.Key()]
 	delete(r.held, g.Key())
+	if r.lifted == nil {
+		r.lifted = map[string]bool{}
+	}
+	r.lifted[g.Key()] = true
 	return was
 }
 
+func (r *fakeRouter) setRemembers(remembers bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remembers = remembers
+}
+
+func (r *fakeRouter) IsLifted(g suspect.Group) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.remembers && r.lifted[g.Key()]
+}
+
 func (r *fakeRouter) Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group {
 	var found []suspect.Group
 	for _, p := range shared {
@@ -379,6 +401,9 @@
 func TestLiftedLossesAreForgotten(t *testing.T) {
 	is := is.New(t)
 	f := newTestFleet(t, 5)
+	for _, r := range f.routers {
+		r.setRemembers(true)
+	}
 	for i := range 3 {
 		f.detectors[2].Report(loss(i, "x"))
 	}
@@ -388,9 +413,12 @@
 	g := suspect.Group{Service: "pool", Parts: []jaywind.PromptPart{"x"}}
 	f.routers[4].LiftQuarantine(g)
 	f.detectors[4].ReportLifted(g)
-	for end := time.Now().Add(5 * time.Second); f.routers[2].holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for _, r := range f.routers {
+		for end := time.Now().Add(5 * time.Second); r.holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		}
+		is.True(!r.holds())
+		r.setRemembers(false) // as after a while
 	}
-	is.True(!f.routers[2].holds())
 	f.setCollectors(3)
 	f.detectors[2].Report(loss(9, "y"))
 	time.Sleep(500 * time.Millisecond)
@@ -520,7 +548,9 @@
 			time.Sleep(time.Second)
 			is.True(r.holds())
 			time.Sleep(suspect.QuarantineTime)
+			r.mu.Lock()
 			clear(r.held) // as the router does
+			r.mu.Unlock()
 		}
 		cancel()
 		group.Wait()
@@ -571,6 +601,26 @@
 		}
 		await(t, f, 0)
 	})
+	t.Run("known to others than the first", func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		f.detectors[2].Learn(x, false)
+		await(t, f, 0)
+	})
+	t.Run("lifted at the first, but not in the store", func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		f.routers[0].setRemembers(true)
+		f.detectors[0].Learn(x, false)
+		f.detectors[0].Learn(x, true)
+		for _, d := range f.detectors[1:] {
+			d.Learn(x, false)
+		}
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if !f.routers[1].holds() && !f.routers[2].holds() && !f.routers[3].holds() {
+				return
+			}
+		}
+		t.Fatal("still quarantined at others")
+	})
 }
 
 // TestMissedQuarantine fails if a router that has missed a quarantine, which the store has lost, can lose runs under it again and again.
--- a/internal/fleet/suspect/handler.go
+++ b/internal/fleet/suspect/handler.go
@@ -38,9 +38,10 @@
 	return connect.NewResponse(&soundParts{Parts: texts(sound), Any: survived}), nil
 }
 
-func (d *Detector) handleQuarantine(_ context.Context, req *connect.Request[group]) (*connect.Response[emptyResponse], error) {
-	d.Learn(req.Msg.decode(), req.Msg.Lifted)
-	return connect.NewResponse(&emptyResponse{}), nil
+func (d *Detector) handleQuarantine(_ context.Context, req *connect.Request[group]) (*connect.Response[groupResponse], error) {
+	g := req.Msg.decode()
+	d.Learn(g, req.Msg.Lifted)
+	return connect.NewResponse(&groupResponse{Lifted: d.Router.IsLifted(g)}), nil
 }
 
 // Learn adopts a quarantine, or its end, that another router has decided on.
--- a/internal/fleet/suspect/message.go
+++ b/internal/fleet/suspect/message.go
@@ -53,7 +53,10 @@
 	Any   bool     `cbor:"2,keyasint"` // any run of the service has survived lately
 }
 
-type emptyResponse struct{}
+// groupResponse is the answer to a group.
+type groupResponse struct {
+	Lifted bool `cbor:"1,keyasint,omitempty"` // its quarantine was lifted, so that the sender's news is late
+}
 
 func encodeLoss(l suspect.Loss, now time.Time) loss {
 	return loss{Service: string(l.Service), ID: string(l.Engine.ID), Born: l.Engine.Incarnation, Address: string(l.Engine.Address),
--- a/internal/relay/router/quarantine.go
+++ b/internal/relay/router/quarantine.go
@@ -55,6 +55,14 @@
 	return true
 }
 
+// IsLifted reports whether the quarantine of a group was lifted lately.
+func (r *Router) IsLifted(g suspect.Group) bool {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.IsLifted(g, time.Now())
+}
+
 // Quarantined returns the groups in force that a prompt with these shared parts has.
 func (r *Router) Quarantined(s jaywind.ServiceName, shared []jaywind.PromptPart) []suspect.Group {
 	r.init()
