suspect: TestLiftedLossesAreForgotten forgets an end only after calls under way

Cause: the test lets each router forget the end of a quarantine as soon as that router has learnt of it, while other routers have not yet. A router that still holds the quarantine confirms it with the first collector; that call then arrives at a router that has already forgotten the end and holds the group again. Routers remember an end for two minutes (survivorTime), a call lasts 300 ms at most, so this order can't occur outside the test.

In each failed run that was traced, the order was lift at router 0, AddQuarantine at router 0 from handleQuarantine of a confirmation, and the next one at router 3 likewise, not from a loss.

Change: all routers learn of the end first; they forget it 500 ms later, and must not hold the group then. The last check, of losses that are handed to a later collector, is as it was.

--- a/internal/fleet/suspect/detector_test.go
+++ b/internal/fleet/suspect/detector_test.go
@@ -417,7 +417,11 @@
 		for end := time.Now().Add(5 * time.Second); r.holds() && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		}
 		is.True(!r.holds())
-		r.setRemembers(false) // as after a while
+	}
+	time.Sleep(500 * time.Millisecond) // routers remember the end for longer than any call under way lasts
+	for _, r := range f.routers {
+		is.True(!r.holds())
+		r.setRemembers(false)
 	}
 	f.setCollectors(3)
 	f.detectors[2].Report(loss(9, "y"))
