--- a/internal/backend/answer/answer_test.go
+++ b/internal/backend/answer/answer_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -173,3 +174,76 @@
 		}
 	}
 }
+
+// breakOff answers a request at once with a part of a stream, and resets the connection while the request is still being sent.
+func breakOff(t *testing.T, events string, wait time.Duration) jaywind.Address {
+	t.Helper()
+	return startPeer(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 600)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+events)
+			time.Sleep(wait)
+		}
+		_ = c.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // of a TCP listener
+		_ = c.Close()
+	})
+}
+
+// TestEngineStreamBrokenOff: an engine resets the connection of a long prompt after a part of its stream, which may end anywhere. The test fails
+// if the stream seems to be whole, or a part of a token passes for a token.
+func TestEngineStreamBrokenOff(t *testing.T) {
+	const (
+		token = `data: {"id":"r.0","position":1,"token":9,"choices":[{"text":"hello"}]}` + "\n\n"
+		end   = `data: {"id":"r.0","position":1,"choices":[{"finish_reason":"stop"}],"digest":"a1"}`
+	)
+	whole := jaywind.Frame{Request: "r", Position: 1, Token: jaywind.Token{ID: 9, Text: "hello"}}
+	read := 0 // tokens, in all tries
+	for _, wait := range []time.Duration{0, time.Millisecond} {
+		for size := range len(token + end) {
+			at := breakOff(t, (token + end)[:size], wait)
+			s, err := (&engine.Client{}).Open(context.Background(), at, jaywind.Call{Request: "r", Prompt: strings.Repeat("x", 1<<20)})
+			if err != nil {
+				if errors.Is(err, jaywind.ErrNotSent) {
+					t.Fatalf("%d bytes: the request may have run: %v", size, err)
+				}
+				continue
+			}
+			for frames := 0; ; frames++ {
+				f, err := s.Next()
+				if err != nil {
+					break
+				}
+				if f != whole || frames > 0 {
+					t.Fatalf("%d bytes: %+v", size, f)
+				}
+				read++
+			}
+			_ = s.Close()
+		}
+	}
+	is.New(t).True(read > 0)
+}
+
+// TestRouterStreamBrokenOff is the same for the client library, whose answer must not seem to be whole either.
+func TestRouterStreamBrokenOff(t *testing.T) {
+	token := jaywind.Token{ID: 9, Text: "hello"}
+	digest := jaywind.DigestOf([]jaywind.Token{token})
+	mark := jaywind.Bookmark{Request: "r", Position: 1, Digest: digest, Attempt: 1}
+	events := fmt.Sprintf("id: %s\ndata: {\"token\":9,\"choices\":[{\"text\":\"hello\"}]}\n\n", mark) +
+		fmt.Sprintf("id: %s\ndata: {\"choices\":[{\"finish_reason\":\"stop\"}],\"digest\":\"%x\"}", mark, uint64(digest))
+	read := 0 // tokens, in all tries
+	for _, wait := range []time.Duration{0, time.Millisecond} {
+		for size := range len(events) {
+			c := &router.Client{Entries: []jaywind.Address{breakOff(t, events[:size], wait)}, MaxAttempts: 1}
+			got, err := c.Generate(context.Background(), router.Request{ID: "r", Model: "heat", Prompt: strings.Repeat("x", 1<<20)})
+			if err == nil || len(got.Tokens) > 1 || len(got.Tokens) == 1 && got.Tokens[0] != token {
+				t.Fatalf("%d of %d bytes: %+v, %v", size, len(events), got, err)
+			}
+			var refusal *router.Refusal
+			if errors.As(err, &refusal) {
+				t.Fatalf("%d bytes: %v", size, err)
+			}
+			read += len(got.Tokens)
+		}
+	}
+	is.New(t).True(read > 0)
+}
