standin/socket: tests with raw connections share one server

What callers saw: nothing; tests only.

Cause: nine tests had their own listener, accept loop and close for answers that no HTTP server sends, most of them written with the mends of cut uploads and of statuses that are none. A reader of those had the same twenty lines to pass each time, and one closed its connections where the next did not.

The cases, bounds and numbers of tries are as before.

Why it works: Serve closes each connection after its function, which those that left it open did not need to be otherwise.

Evidence: the tests pass under the race detector. In a scratch copy with the checks of a whole request taken out, TestWriteBrokenOff, TestAnswerResetDuringUpload of service, TestStoreResetDuringWrite and TestEndOfAnswer fail, the last with the same two cases as before this change.

--- a/internal/backend/answer/answer_test.go
+++ b/internal/backend/answer/answer_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
 	"jaywind"
 	"jaywind/internal/backend/engine"
@@ -24,6 +23,7 @@
 	"jaywind/internal/provider/store"
 	"jaywind/internal/provider/vms"
 	"jaywind/internal/provider/weights"
+	"jaywind/internal/standin/socket"
 )
 
 const testTimeout = 10 * time.Second
@@ -32,7 +32,6 @@
 func startServer(t *testing.T, text string) jaywind.Address {
 	t.Helper()
 	return startPeer(t, func(c net.Conn) {
-		defer func() { _ = c.Close() }()
 		request, err := http.ReadRequest(bufio.NewReader(c))
 		if err != nil {
 			return
@@ -45,22 +44,7 @@
 // startPeer serves each connection with a function, and returns the address.
 func startPeer(t *testing.T, serve func(c net.Conn)) jaywind.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() { serve(c) })
-		}
-	})
-	return jaywind.Address("http://" + l.Addr().String())
+	return jaywind.Address("http://" + socket.Serve(t, serve))
 }
 
 // clients are the calls to outside systems that go through a Transport, besides plain services, with a body that they accept.
@@ -161,8 +145,7 @@
 					}
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nETag: \"1\"\r\n\r\n"+body)
 					time.Sleep(wait)
-					_ = c.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // of a TCP listener
-					_ = c.Close()
+					socket.Reset(c)
 				})
 				for range 30 {
 					_, err := (&store.Client{URL: at}).Swap(context.Background(), "k", bytes.Repeat([]byte("x"), jaywind.MaxValue), "")
@@ -183,8 +166,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+events)
 			time.Sleep(wait)
 		}
-		_ = c.(*net.TCPConn).SetLinger(0) //nolint:forcetypeassert // of a TCP listener
-		_ = c.Close()
+		socket.Reset(c)
 	})
 }
 
--- a/internal/backend/link/endless_test.go
+++ b/internal/backend/link/endless_test.go
@@ -18,6 +18,7 @@
 
 	"jaywind"
 	"jaywind/internal/backend/link"
+	"jaywind/internal/standin/socket"
 )
 
 const (
@@ -30,30 +31,14 @@
 // other side closes.
 func startFlood(t *testing.T, start, part string) jaywind.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
 	block := []byte(strings.Repeat(part, max(1, (16<<10)/len(part))))
-	group.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				_, _ = io.ReadFull(conn, make([]byte, len(request)))
-				_, err := io.WriteString(conn, start)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			})
+	return jaywind.Address(socket.Serve(t, func(conn net.Conn) {
+		_, _ = io.ReadFull(conn, make([]byte, len(request)))
+		_, err := io.WriteString(conn, start)
+		for err == nil {
+			_, err = conn.Write(block)
 		}
-	})
-	return jaywind.Address(l.Addr().String())
+	}))
 }
 
 // allocated returns how many bytes f allocates, with all that runs beside it.
--- a/internal/backend/link/upload_test.go
+++ b/internal/backend/link/upload_test.go
@@ -11,43 +11,27 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
 	"jaywind"
 	"jaywind/internal/backend/link"
+	"jaywind/internal/standin/socket"
 )
 
 // TestAnswerResetDuringUpload: an endpoint answers a long upload at once, without a length, and resets the connection while the upload is still being
 // sent. The test fails if the part of the answer that has come is taken for the whole.
 func TestAnswerResetDuringUpload(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	waits := make(chan time.Duration, 1)
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			wait := <-waits
-			group.Go(func() {
-				_, _ = bufio.NewReaderSize(c, 600).Peek(600)
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\na part of the answer")
-				time.Sleep(wait)
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
-			})
-		}
-	})
 	for _, size := range []int{20_000, 4 << 20} {
 		for _, wait := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%d bytes, %v", size, wait), func(t *testing.T) {
+				at := socket.Serve(t, func(c net.Conn) {
+					_, _ = bufio.NewReaderSize(c, 600).Peek(600)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\na part of the answer")
+					time.Sleep(wait)
+					socket.Reset(c)
+				})
 				for range 60 {
 					p := &link.Pool{}
-					waits <- wait
-					conn, err := p.Dial(context.Background(), jaywind.Address(l.Addr().String()))
+					conn, err := p.Dial(context.Background(), jaywind.Address(at))
 					is.New(t).NoErr(err)
 					body, err := sendLong(conn, bytes.Repeat([]byte("x"), size))
 					_ = conn.Close()
--- a/internal/backend/service/endless_test.go
+++ b/internal/backend/service/endless_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
 	"jaywind"
 	backend "jaywind/internal/backend/service"
+	"jaywind/internal/standin/socket"
 )
 
 // TestEndlessReplies guards against a head, or a reply, that is kept in memory as long as it goes on.
@@ -52,28 +52,12 @@
 // startFlood sends start, and then part without end, on each connection as soon as a request begins to arrive.
 func startFlood(t *testing.T, start, part string) jaywind.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
 	block := []byte(strings.Repeat(part, 1+(16<<10)/len(part)))
-	group.Go(func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = conn.Close() }()
-				_, _ = conn.Read(make([]byte, 1<<10))
-				_, err := io.WriteString(conn, start)
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			})
+	return jaywind.Address("http://" + socket.Serve(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1<<10))
+		_, err := io.WriteString(conn, start)
+		for err == nil {
+			_, err = conn.Write(block)
 		}
-	})
-	return jaywind.Address("http://" + l.Addr().String())
+	}))
 }
--- a/internal/backend/service/status_test.go
+++ b/internal/backend/service/status_test.go
@@ -14,6 +14,7 @@
 
 	"jaywind"
 	"jaywind/internal/backend/service"
+	"jaywind/internal/standin/socket"
 )
 
 // TestStatusThatIsNoAnswer fails if a status that HTTP does not know as a final one is passed on as an answer.
@@ -25,14 +26,13 @@
 	for status, ok := range tests {
 		for _, pooled := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, pooled %t", status, pooled), func(t *testing.T) {
-				at := startEndpoint(t, func(conn net.Conn) {
-					defer func() { _ = conn.Close() }()
+				at := socket.Serve(t, func(conn net.Conn) {
 					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 						_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\nContent-Length: 45\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcdefg\n")
 					}
 				})
 				is := is.New(t)
-				_, err := (&service.Client{}).Do(context.Background(), at, jaywind.ServiceRequest{Method: http.MethodPost, Path: "/x", ReuseConnection: pooled})
+				_, err := (&service.Client{}).Do(context.Background(), jaywind.Address("http://"+at), jaywind.ServiceRequest{Method: http.MethodPost, Path: "/x", ReuseConnection: pooled})
 				is.Equal(err == nil, ok)
 				is.True(!errors.Is(err, jaywind.ErrNotSent)) // it may have run
 			})
--- a/internal/backend/service/upload_test.go
+++ b/internal/backend/service/upload_test.go
@@ -12,39 +12,11 @@
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"jaywind"
 	"jaywind/internal/backend/service"
+	"jaywind/internal/standin/socket"
 )
 
-// startEndpoint serves each connection with a function, and returns the address.
-func startEndpoint(t *testing.T, serve func(c net.Conn)) jaywind.Address {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() { serve(c) })
-		}
-	})
-	return jaywind.Address("http://" + l.Addr().String())
-}
-
-// reset closes a connection with a reset.
-func reset(c net.Conn) {
-	_ = c.(*net.TCPConn).SetLinger(0)
-	_ = c.Close()
-}
-
 // TestAnswerResetDuringUpload: an endpoint answers a long upload at once, sends a part of the body and resets the connection while the upload
 // is still being written. The test fails if the part is taken for the whole answer, which it looks like when the write takes the error
 // of the reset and the read gets a clean end.
@@ -65,7 +37,7 @@
 		for _, pooled := range []bool{false, true} {
 			for _, wait := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s, pooled %t, %v", name, pooled, wait), func(t *testing.T) {
-					at := startEndpoint(t, func(conn net.Conn) {
+					at := socket.Serve(t, func(conn net.Conn) {
 						r := bufio.NewReaderSize(conn, 600)
 						request, err := http.ReadRequest(r)
 						if err != nil {
@@ -76,14 +48,12 @@
 						}
 						_, _ = io.WriteString(conn, c.head+part)
 						time.Sleep(wait)
-						if c.whole {
-							_ = conn.Close()
-							return
+						if !c.whole {
+							socket.Reset(conn)
 						}
-						reset(conn)
 					})
 					for range 30 {
-						reply, err := (&service.Client{}).Do(context.Background(), at, jaywind.ServiceRequest{
+						reply, err := (&service.Client{}).Do(context.Background(), jaywind.Address("http://"+at), jaywind.ServiceRequest{
 							Method: http.MethodPost, Path: "/x", Body: bytes.Repeat([]byte("x"), 4<<20), ReuseConnection: pooled})
 						if (err == nil) != c.ok || err == nil && string(reply.Body) != part {
 							t.Fatalf("%+v, %v", reply, err)
--- a/internal/fleet/cbor/answer_test.go
+++ b/internal/fleet/cbor/answer_test.go
@@ -12,9 +12,10 @@
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+
+	"jaywind/internal/standin/socket"
 )
 
 const drainTime = 50 * time.Millisecond
@@ -23,29 +24,13 @@
 // the address.
 func startPeer(t *testing.T, respond func(f *http2.Framer, stream uint32, c net.Conn) error) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = c.Close() }()
-				f, stream, err := readRequest(c)
-				if err != nil || respond(f, stream, c) != nil || c.SetReadDeadline(time.Now().Add(drainTime)) != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, c) // closing it with unread bytes would reset it
-			})
+	return "http://" + socket.Serve(t, func(c net.Conn) {
+		f, stream, err := readRequest(c)
+		if err != nil || respond(f, stream, c) != nil || c.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+			return
 		}
+		_, _ = io.Copy(io.Discard, c) // closing it with unread bytes would reset it
 	})
-	return "http://" + l.Addr().String()
 }
 
 // readRequest reads the preface and the frames up to the first head.
--- a/internal/fleet/tunnel/abandon_test.go
+++ b/internal/fleet/tunnel/abandon_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jaywind/internal/standin/socket"
 )
 
 // TestAbandonedRun: a router leaves a run at an endpoint that is paused. It guards against a run that begins, or goes on, once the endpoint
@@ -33,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			wake, read, wrote := make(chan struct{}), make(chan int, 1), make(chan error, 1)
-			at := startEndpoint(t, func(conn net.Conn) {
+			at := socket.Serve(t, func(conn net.Conn) {
 				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 				_, _ = io.ReadFull(conn, make([]byte, taken))
 				<-wake
--- a/internal/fleet/tunnel/tunnel_test.go
+++ b/internal/fleet/tunnel/tunnel_test.go
@@ -16,12 +16,12 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
 	"jaywind"
 	"jaywind/internal/core/drain"
 	"jaywind/internal/fleet/cbor"
 	"jaywind/internal/fleet/tunnel"
+	"jaywind/internal/standin/socket"
 )
 
 const dialLimit = 150 * time.Millisecond // of the pool that dials
@@ -105,30 +105,6 @@
 	return ""
 }
 
-// startEndpoint serves each connection with a function, and returns the address.
-func startEndpoint(t *testing.T, serve func(c net.Conn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group conc.WaitGroup
-	t.Cleanup(func() { _ = l.Close(); group.Wait() })
-	group.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			group.Go(func() {
-				defer func() { _ = c.Close() }()
-				serve(c)
-			})
-		}
-	})
-	return l.Addr().String()
-}
-
 // echo sends back what it receives.
 func echo(c net.Conn) { _, _ = io.Copy(c, c) }
 
@@ -168,7 +144,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			at := startEndpoint(t, echo)
+			at := socket.Serve(t, echo)
 			if c.dead {
 				at = deadAddress(t)
 			}
@@ -205,7 +181,7 @@
 // TestLostLink checks that calls leave a lost link alone but for its probes, and return to it once it works.
 func TestLostLink(t *testing.T) {
 	is := is.New(t)
-	at := startEndpoint(t, echo)
+	at := socket.Serve(t, echo)
 	fleet := startFleet(t, 3)
 	var closedIdle atomic.Int64
 	fleet[0].OnLost = func(jaywind.Address) { closedIdle.Add(1) }
@@ -238,7 +214,7 @@
 // TestLostPacket guards against a link that counts as lost because of one packet.
 func TestLostPacket(t *testing.T) {
 	is := is.New(t)
-	at := startEndpoint(t, echo)
+	at := socket.Serve(t, echo)
 	fleet := startFleet(t, 3)
 	var lost atomic.Bool
 	fleet[0].OnLost = func(jaywind.Address) { lost.Store(true) }
@@ -281,7 +257,7 @@
 			fleet := startFleet(t, 3)
 			fleet[0].link.Store(linkHangs)
 			read := make(chan struct{})
-			at := startEndpoint(t, func(conn net.Conn) {
+			at := socket.Serve(t, func(conn net.Conn) {
 				_, _ = io.WriteString(conn, answer)
 				<-read
 				c.end(conn.(*net.TCPConn), fleet[1:])
@@ -314,7 +290,7 @@
 			fleet := startFleet(t, 2)
 			fleet[0].link.Store(linkHangs)
 			ended := make(chan struct{})
-			at := startEndpoint(t, func(c net.Conn) {
+			at := socket.Serve(t, func(c net.Conn) {
 				_, _ = io.Copy(io.Discard, c)
 				close(ended)
 			})
@@ -343,7 +319,7 @@
 	for name, decline := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			at := startEndpoint(t, echo)
+			at := socket.Serve(t, echo)
 			fleet := startFleet(t, 3)
 			fleet[0].link.Store(linkHangs)
 			decline(fleet[1])
@@ -364,7 +340,7 @@
 // TestNoCircle guards against a helper that asks further routers.
 func TestNoCircle(t *testing.T) {
 	is := is.New(t)
-	at := startEndpoint(t, echo)
+	at := socket.Serve(t, echo)
 	fleet := startFleet(t, 2)
 	for _, n := range fleet {
 		n.link.Store(linkHangs)
@@ -384,7 +360,7 @@
 	is := is.New(t)
 	answer := bytes.Repeat([]byte("0123456789abcdef"), length/16)
 	var sent atomic.Int64
-	at := startEndpoint(t, func(c net.Conn) {
+	at := socket.Serve(t, func(c net.Conn) {
 		for part := answer; len(part) > 0; {
 			n, err := c.Write(part[:min(len(part), 64<<10)])
 			sent.Add(int64(n))
@@ -414,7 +390,7 @@
 		most    = 150 << 10 // bytes for one, at both routers and the endpoint; the race detector adds to them
 	)
 	is := is.New(t)
-	at := startEndpoint(t, echo)
+	at := socket.Serve(t, echo)
 	fleet := startFleet(t, 2)
 	fleet[0].link.Store(linkRefuses)
 	heap := func() int64 {
@@ -442,7 +418,7 @@
 // TestDeadlines checks the deadlines of a connection through a helper.
 func TestDeadlines(t *testing.T) {
 	is := is.New(t)
-	at := startEndpoint(t, echo)
+	at := socket.Serve(t, echo)
 	fleet := startFleet(t, 2)
 	fleet[0].link.Store(linkRefuses)
 	c, err := fleet[0].dial(at)
--- a/internal/fleet/tunnel/upload_test.go
+++ b/internal/fleet/tunnel/upload_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"jaywind/internal/standin/socket"
 )
 
 const partOfAnswer = "HTTP/1.1 200 OK\r\n\r\na part of the answer"
@@ -25,12 +27,11 @@
 	for _, size := range []int{20_000, 100_000} {
 		for _, wait := range []time.Duration{0, time.Millisecond} {
 			t.Run(fmt.Sprintf("%d bytes, %v", size, wait), func(t *testing.T) {
-				at := startEndpoint(t, func(c net.Conn) {
+				at := socket.Serve(t, func(c net.Conn) {
 					_, _ = bufio.NewReaderSize(c, 600).Peek(600)
 					_, _ = io.WriteString(c, partOfAnswer)
 					time.Sleep(wait)
-					_ = c.(*net.TCPConn).SetLinger(0)
-					_ = c.Close()
+					socket.Reset(c)
 				})
 				fleet := startFleet(t, 2)
 				fleet[0].link.Store(linkHangs)
