follow: the pause between two calls of the store begins with the first one

What callers saw: rarely, a router that lacks a change of the configuration 4 s after a silent store has come back, when it counts as in touch again.

Cause: the pause of 2.5 s, less a random part, was counted from the end of a call that failed. A call of a silent store takes 1.5 s or more to fail, also when the store comes back meanwhile, and the pause came on top of it.

In both traces that were read the call began 0.8 s before the return of the store and failed 0.7 s after it; the readers had been asked once before they were back.

Change: the pause is counted from the beginning of the call. TestPauseAfterSilentStore fails without it.

Why it works: a call is allowed at most 2.5 s after the return, as after a refusal at once, and the next try comes within 1.2 s.

--- a/internal/provider/follow/silent_test.go
+++ b/internal/provider/follow/silent_test.go
@@ -238,3 +238,33 @@
 		}
 	}
 }
+
+// TestPauseAfterSilentStore fails if a router whose call of a silent store took long leaves the store alone for longer after it than after one
+// that was refused at once, so that it has changes late when the store is back and no reader is.
+func TestPauseAfterSilentStore(t *testing.T) {
+	const pause = 2500 * time.Millisecond // between two calls of a store that fails, less a random time
+	outages := map[string]func(s *fakeStore){
+		"refuses": func(s *fakeStore) { s.unavailable = true },
+		"silent":  func(s *fakeStore) { s.silent = true },
+	}
+	for name, outage := range outages {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				for range 100 { // with other random times
+					s := &fakeStore{}
+					outage(s)
+					stale := []follow.Peer{{Name: "reader", Source: &follow.Cache{}}}
+					path := &follow.PeerSource{Store: s, Peers: func() ([]follow.Peer, bool) { return stale, false }}
+					began := time.Now()
+					_, _, err := path.List(context.Background(), "", true)
+					is.True(err != nil)
+					*s = fakeStore{}
+					time.Sleep(time.Until(began.Add(pause)))
+					_, _, err = path.List(context.Background(), "", true)
+					is.NoErr(err)
+				}
+			})
+		})
+	}
+}
--- a/internal/provider/follow/source.go
+++ b/internal/provider/follow/source.go
@@ -45,7 +45,7 @@
 
 	firstListStart time.Time            // when a first list was requested from peers; zero before
 	failedAt       map[string]time.Time // when a peer last failed
-	storeFailedAt  time.Time            // when the store last failed, minus a random time
+	storeAskedAt   time.Time            // when the last call of the store that failed began, minus a random time
 	lastPeer       string               // peer that answered last; empty for the store
 	lastFromStore  bool                 // the store answered last
 	answeredAt     time.Time            // when a source answered last
@@ -162,7 +162,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return result{err: ctx.Err()}
-	case p.hasPeers && time.Since(p.storeFailedAt) < storeRetryDelay:
+	case p.hasPeers && time.Since(p.storeAskedAt) < storeRetryDelay:
 		return result{err: ErrStale}
 	}
 	r := ask(ctx)
@@ -213,7 +213,8 @@
 	p.reportFailure(*r)
 	if r.peer == "" {
 		p.lastFromStore = false
-		p.storeFailedAt = time.Now().Add(-time.Duration(rand.Int64N(int64(storeRetryDelay / 2)))) // so that routers do not all return to the store at once
+		jitter := time.Duration(rand.Int64N(int64(storeRetryDelay / 2))) // so that routers do not all return to the store at once
+		p.storeAskedAt = time.Now().Add(-r.took - jitter)                // a silent store may have come back while the call went on
 		return
 	}
 	if p.failedAt == nil || len(p.failedAt) > maxFailedPeers {
