tunnel: TestAbandonedRun writes once the endpoint's buffer is small

Cause: the endpoint of the test makes its receive buffer small after it has accepted. If that came late, up to 512 KB of the request lay in the larger buffer already, and were read after the end of the run, more than the 50 KB that may be in transit.

Change: the test writes after the buffer is set. Rows and bounds are the same.

--- a/internal/fleet/tunnel/abandon_test.go
+++ b/internal/fleet/tunnel/abandon_test.go
@@ -34,9 +34,10 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			wake, read, wrote := make(chan struct{}), make(chan int, 1), make(chan error, 1)
+			ready, wake, read, wrote := make(chan struct{}), make(chan struct{}), make(chan int, 1), make(chan error, 1)
 			at := socket.Serve(t, func(conn net.Conn) {
 				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				close(ready)
 				_, _ = io.ReadFull(conn, make([]byte, taken))
 				<-wake
 				_, err := conn.Write([]byte("event"))
@@ -52,6 +53,7 @@
 			is.NoErr(err)
 			defer func() { _ = conn.Close() }()
 			is.Equal(via(conn) != "", c.relayed)
+			<-ready // the kernel keeps what has come to a larger buffer
 			is.NoErr(conn.SetWriteDeadline(time.Now().Add(time.Second)))
 			n, err := conn.Write(bytes.Repeat([]byte("r"), c.size))
 			is.True(err == nil || n > taken)
