edge/http1: TestFraming waits for the release of the head

Cause: the test waited until no connection was counted, and then read the budget of heads. Since the server's Close returns a head after that, when the connection is closed, so the test could read in between.

Evidence: with a pause of 3 ms before the release, 32 of the 168 rows fail on the code before, and none after. Without the release, the same 32 fail with this change too, so a head that is not returned is still found.

Change: the test waits for both, as long as before at most.

--- a/internal/edge/http1/conn_test.go
+++ b/internal/edge/http1/conn_test.go
@@ -154,7 +154,7 @@
 				is.Equal(answersOf(t, startPlainServer(t), c.sent, 1<<20, len(c.want)), c.want) // as without a Listener
 				got := answersOf(t, startServer(t, l, echo), c.sent, part, len(c.want))
 				is.Equal(got, c.want)
-				for end := time.Now().Add(testTimeout); l.Connections() > 0 && time.Now().Before(end); {
+				for end := time.Now().Add(testTimeout); (l.Connections() > 0 || l.Heads.Used() > 0) && time.Now().Before(end); {
 					time.Sleep(time.Millisecond)
 				}
 				is.Equal(budget.Used(), memory.Bytes(0)) // all is returned
