follow: TestRestoresModel knows of which value a deletion is

Cause: when a router reported a deletion, the model took the newest value that the writer had deleted by then. If the writer wrote the key again and deleted it once more in the same instant, that was a later deletion than the one reported, and the value between the two seemed to be older.

Change: the model records each deletion with its position, and a router that reports one knows all up to there. A value that is older than any of these is still an error, also if the writer has written the key since, which the check left out before.

--- a/internal/provider/follow/restore_test.go
+++ b/internal/provider/follow/restore_test.go
@@ -43,8 +43,9 @@
 type world struct {
 	mu      sync.Mutex
 	truth   *fakeStore
-	copied  *fakeStore     // of the store
-	written map[string]int // newest value of each key that its writer has written, which counts up; 0 if deleted
+	copied  *fakeStore            // of the store
+	written map[string]int        // newest value of each key that its writer has written, which counts up; negative if it is a deletion
+	deleted map[string][]deletion // those by its writer, of each key
 	cut     map[[2]int]bool
 	late    map[int]time.Duration // delay of the next answer of the store to a router
 	order   []int                 // of the readers, as routers prefer them
@@ -63,6 +64,12 @@
 	gone     map[string]int // newest value of which a deletion by the writer was reported
 }
 
+// deletion is a deletion of a key by its writer.
+type deletion struct {
+	value    int // of which it is
+	position jaywind.StorePosition
+}
+
 const worldReaders, worldRouters = 2, 5
 
 func (w *world) fail(format string, args ...any) {
@@ -79,7 +86,11 @@
 	r.position[i.Key] = i.Position
 	if i.Deleted {
 		delete(r.values, i.Key)
-		r.gone[i.Key] = max(r.gone[i.Key], -r.world.written[i.Key])
+		for _, d := range r.world.deleted[i.Key] {
+			if d.position.Compare(i.Position) <= 0 {
+				r.gone[i.Key] = max(r.gone[i.Key], d.value)
+			}
+		}
 		return
 	}
 	r.values[i.Key] = string(i.Value)
@@ -162,7 +173,7 @@
 
 // newWorld returns a world whose routers follow the store until ctx ends.
 func newWorld(ctx context.Context, group *conc.WaitGroup, routers int) *world {
-	w := &world{truth: &fakeStore{}, copied: &fakeStore{}, written: map[string]int{}, cut: map[[2]int]bool{}, late: map[int]time.Duration{}, order: []int{0, 1}}
+	w := &world{truth: &fakeStore{}, copied: &fakeStore{}, written: map[string]int{}, deleted: map[string][]deletion{}, cut: map[[2]int]bool{}, late: map[int]time.Duration{}, order: []int{0, 1}}
 	for n := range routers {
 		w.routers = append(w.routers, &worldRouter{world: w, number: n, values: map[string]string{}, position: map[string]jaywind.StorePosition{}, newest: map[string]int{}, gone: map[string]int{}})
 	}
@@ -197,6 +208,20 @@
 	return w.written[key]
 }
 
+// delete deletes a key whose newest value is value, as its writer does. No router reports that before it is recorded.
+func (w *world) delete(key string, value int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.truth.put(key, "")
+	w.truth.update(func(s *fakeStore) {
+		n := len(s.events) - 1
+		for s.events[n].Key != key {
+			n--
+		}
+		w.deleted[key] = append(w.deleted[key], deletion{value, s.events[n].Position})
+	})
+}
+
 // run makes one step.
 func (w *world) run(group *conc.WaitGroup, s worldStep) {
 	key := fmt.Sprintf("%s/%d", keyPrefixes[s.Key%len(keyPrefixes)], s.Key)
@@ -204,11 +229,11 @@
 	case "write":
 		w.truth.put(key, fmt.Sprint(w.write(key)))
 	case "delete":
-		w.write(key)
+		value := w.write(key)
 		w.mu.Lock()
-		w.written[key] = -w.written[key]
+		w.written[key] = -value
 		w.mu.Unlock()
-		w.truth.put(key, "")
+		w.delete(key, value)
 	case "copy":
 		w.copied.copyFrom(w.truth)
 	case "drill":
@@ -272,7 +297,11 @@
 		w.truth.mu.Lock()
 		has := string(w.truth.items[key].Value)
 		w.truth.mu.Unlock()
-		if has != want {
+		switch {
+		case has == want:
+		case want == "":
+			w.delete(key, -written[key])
+		default:
 			w.truth.put(key, want)
 		}
 	}
