--- a/internal/standin/socket/socket.go
+++ b/internal/standin/socket/socket.go
@@ -1,4 +1,3 @@
-// Package socket serves raw connections with functions of tests, for answers that no HTTP server would send.
 package socket
 
 import (
